--- /dev/null
+++ b/internal/config/loader/load.go
@@ -0,0 +1,102 @@
+package loader
+
+import (
+	"bytes"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"os"
+	"regexp"
+
+	"github.com/tailscale/hujson"
+
+	"parsleyscale/internal/failure/classifier"
+)
+
+// Load reads and checks the settings in a file.
+func Load(file string) (Settings, error) {
+	b, err := os.ReadFile(file)
+	if err != nil {
+		return Settings{}, classifier.Wrap(classifier.Invalid, err, "settings")
+	}
+	return Decode(file, b)
+}
+
+// Decode reads and checks settings; file names the text in errors.
+func Decode(file string, b []byte) (Settings, error) {
+	tree, err := hujson.Parse(bytes.Clone(b))
+	if err != nil {
+		return Settings{}, classifier.Wrap(classifier.Invalid, err, "settings: %s", file)
+	}
+	std := tree.Clone()
+	std.Standardize()
+	s := Default()
+	d := json.NewDecoder(bytes.NewReader(std.Pack()))
+	d.DisallowUnknownFields()
+	if err := d.Decode(&s); err != nil {
+		return Settings{}, decodeFault(file, b, tree, err)
+	}
+	if f := s.check(); f != nil {
+		return Settings{}, classifier.New(classifier.Invalid, "settings: %s:%d: %s: %s", file, lineOf(b, tree, f.pointer), fieldName(f.pointer), f.text)
+	}
+	return s, nil
+}
+
+var unknownField = regexp.MustCompile(`unknown field "([^"]+)"`)
+
+// decodeFault adds the line and the field to an error of the JSON decoder.
+func decodeFault(file string, b []byte, tree hujson.Value, err error) error {
+	var typ *json.UnmarshalTypeError
+	if errors.As(err, &typ) {
+		return classifier.New(classifier.Invalid, "settings: %s:%d: %s: got %s, want %s", file, lineAt(b, int(typ.Offset)), typ.Field, typ.Value, typ.Type)
+	}
+	if m := unknownField.FindStringSubmatch(err.Error()); m != nil {
+		return classifier.New(classifier.Invalid, "settings: %s:%d: %s: unknown field", file, lineOfName(b, &tree, m[1]), m[1])
+	}
+	return classifier.New(classifier.Invalid, "settings: %s: %s", file, err)
+}
+
+// lineOf returns the line of the value at a JSON pointer, or of its nearest parent that is present.
+func lineOf(b []byte, tree hujson.Value, pointer string) int {
+	for p := pointer; p != ""; p = parentOf(p) {
+		if v := tree.Find(p); v != nil {
+			return lineAt(b, v.StartOffset)
+		}
+	}
+	return 1
+}
+
+// lineOfName returns the line of the first member with a name.
+func lineOfName(b []byte, v *hujson.Value, name string) int {
+	line := 1
+	for n := range v.All() {
+		o, ok := n.Value.(*hujson.Object)
+		if !ok {
+			continue
+		}
+		for _, m := range o.Members {
+			if lit, ok := m.Name.Value.(hujson.Literal); ok && lit.String() == name && line == 1 {
+				line = lineAt(b, m.Name.StartOffset)
+			}
+		}
+	}
+	return line
+}
+
+func parentOf(pointer string) string {
+	i := bytes.LastIndexByte([]byte(pointer), '/')
+	return pointer[:max(i, 0)]
+}
+
+func fieldName(pointer string) string {
+	return string(bytes.ReplaceAll([]byte(pointer[1:]), []byte("/"), []byte(".")))
+}
+
+func lineAt(b []byte, offset int) int {
+	return 1 + bytes.Count(b[:min(max(offset, 0), len(b))], []byte("\n"))
+}
+
+// String shows the settings without secrets.
+func (s Settings) String() string {
+	return fmt.Sprintf("id=%s region=%s dataCentre=%s caller=%s peer=%s admin=%s", s.ID, s.Region, s.DataCentre, s.CallerAddress, s.PeerAddress, s.AdminAddress)
+}
--- /dev/null
+++ b/internal/telemetry/logger/logger_test.go
@@ -0,0 +1,40 @@
+package logger
+
+import (
+	"bytes"
+	"strings"
+	"testing"
+	"time"
+)
+
+// TestLine guards against a line that alarms cannot match: a missing key, or text without a key.
+func TestLine(t *testing.T) {
+	var b bytes.Buffer
+	l := New(&b, "burgos-1")
+	l.Info(FailoverDone, String("database", "orders"), Int("term", 3), Millis("took", 1500*time.Millisecond))
+	line := b.String()
+	if n := strings.Count(line, "\n"); n != 1 {
+		t.Fatalf("%d lines: %q", n, line)
+	}
+	for _, want := range []string{`event="failoverDone"`, `vm="burgos-1"`, `database="orders"`, "term=3", "tookMs=1500", "level=info"} {
+		if !strings.Contains(line, want) {
+			t.Errorf("%q is missing in %q", want, line)
+		}
+	}
+	for _, f := range strings.Fields(line) {
+		if !strings.Contains(f, "=") {
+			t.Errorf("%q has no key in %q", f, line)
+		}
+	}
+}
+
+// TestTable guards against an event without a text on the reference page, and against two events with one name.
+func TestTable(t *testing.T) {
+	seen := map[Event]bool{}
+	for _, r := range Table() {
+		if r.Title == "" || seen[r.Event] {
+			t.Errorf("event %q has no title or stands twice", r.Event)
+		}
+		seen[r.Event] = true
+	}
+}
