--- a/internal/group/emulator/log.go
+++ b/internal/group/emulator/log.go
@@ -7,6 +7,7 @@
 	"fmt"
 	"io"
 	"os"
+	"slices"
 
 	"parsleyscale/internal/session/tokenizer"
 )
@@ -33,6 +34,11 @@
 	return tokenizer.Position{Term: e.Term, Index: e.Index}
 }
 
+// changesSchema reports whether a statement of the entry changes the schema.
+func (e entry) changesSchema() bool {
+	return slices.ContainsFunc(e.Statements, func(r record) bool { return isSchemaChange(r.SQL) })
+}
+
 // entryLog is an append-only file of entries, one JSON line each. The index of
 // the first entry is 1 and there are no gaps. It is not safe for concurrent use.
 type entryLog struct {
@@ -146,10 +152,10 @@
 	return nil
 }
 
-// read returns the lines of the entries after index, at least one and at most max, up to maxReadBytes.
-func (l *entryLog) read(index uint64, max int) ([][]byte, error) {
+// read returns the lines of the entries after index, at least one and at most limit, up to maxReadBytes.
+func (l *entryLog) read(index uint64, limit int) ([][]byte, error) {
 	to := index
-	for to < uint64(len(l.ends)) && to-index < uint64(max) {
+	for to < uint64(len(l.ends)) && to-index < uint64(limit) {
 		to++
 		if l.ends[to-1]-l.offset(index) > maxReadBytes {
 			break
--- a/internal/group/emulator/message.go
+++ b/internal/group/emulator/message.go
@@ -193,7 +193,7 @@
 	}
 	args := make([]arg, len(s.params))
 	for i, src := range m.Parameters {
-		if args[i], err = decodeArg(src, parameterFormat(m, i), s.parameterType(i)); err != nil {
+		if args[i], err = decodeArg(src, parameterFormat(m, i), x.parameterType(s, i, src)); err != nil {
 			return err
 		}
 	}
--- a/internal/group/emulator/statement.go
+++ b/internal/group/emulator/statement.go
@@ -38,7 +38,6 @@
 	name      string   // savepoint, or parameter of SET and SHOW
 	value     string   // value of SET
 	params    []uint32 // type of each parameter, 0 when unknown
-	guesses   []uint32 // type of each parameter by its use, for decoding only
 	readOnly  bool     // BEGIN READ ONLY
 	snapshot  bool     // BEGIN with REPEATABLE READ or SERIALIZABLE
 	schema    bool     // changes the schema
@@ -46,6 +45,7 @@
 	returning bool     // INSERT, UPDATE or DELETE with RETURNING
 	function  *groupFunction
 	arguments []string // of function
+	source    string   // text that tokens point into
 	tokens    []token
 }
 
@@ -217,8 +217,7 @@
 	}
 	t.copyTo(tokens[len(tokens)-1].end)
 	s.sql = t.out.String()
-	s.tokens = tokens
-	s.guesses = make([]uint32, len(s.params))
+	s.source, s.tokens = sql, tokens
 	return nil
 }
 
--- a/internal/group/emulator/store.go
+++ b/internal/group/emulator/store.go
@@ -7,6 +7,7 @@
 	"net/url"
 	"os"
 	"path/filepath"
+	"slices"
 	"sync/atomic"
 
 	"modernc.org/sqlite"
@@ -238,10 +239,16 @@
 		return err
 	}
 	if err := h.applyOpen(ctx, entries); err != nil {
-		_ = h.run(ctx, "ROLLBACK") // the transaction is already over after some errors
+		_ = h.run(context.Background(), "ROLLBACK") // the transaction is already over after some errors
 		return err
 	}
-	return h.run(ctx, "COMMIT")
+	if err := h.run(ctx, "COMMIT"); err != nil {
+		return err
+	}
+	if slices.ContainsFunc(entries, entry.changesSchema) {
+		h.store.schema.Add(1)
+	}
+	return nil
 }
 
 func (h *handle) applyOpen(ctx context.Context, entries []entry) error {
@@ -261,9 +268,6 @@
 		return err
 	}
 	defer p.release()
-	if isSchemaChange(r.SQL) {
-		h.store.schema.Add(1)
-	}
 	_, err = p.exec(ctx, namedArgs(r.Args, now))
 	return err
 }
