--- /dev/null
+++ b/internal/platform/client/contract_test.go
@@ -0,0 +1,237 @@
+package client_test
+
+import (
+	"context"
+	"encoding/json"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/google/go-cmp/cmp"
+
+	"parsleyscale/internal/failure/classifier"
+	"parsleyscale/internal/platform/client"
+	"parsleyscale/internal/platform/emulator"
+)
+
+func start(t *testing.T, cfg emulator.Config) (*emulator.Server, *client.Client) {
+	t.Helper()
+	cfg.Address = "127.0.0.1:0"
+	s, err := emulator.Start(cfg)
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = s.Close() })
+	c, err := client.New(client.Config{URL: s.URL(), Timeout: 500 * time.Millisecond, Deadline: time.Second})
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(c.Close)
+	return s, c
+}
+
+func write(key string, expected uint64, value string) client.Write {
+	return client.Write{Table: "t", Key: key, Expected: expected, Value: json.RawMessage(value)}
+}
+
+func checkKind(t *testing.T, what string, err error, want classifier.Kind) {
+	t.Helper()
+	if want == "" && err != nil || want != "" && !classifier.Is(err, want) {
+		t.Errorf("%s: got error %v, want kind %q", what, err, want)
+	}
+}
+
+// A transaction with one wrong version must change no row at all.
+func TestTransactionContract(t *testing.T) {
+	_, c := start(t, emulator.Config{})
+	ctx := context.Background()
+	for _, tc := range []struct {
+		name   string
+		writes []client.Write
+		want   classifier.Kind
+	}{
+		{"create two", []client.Write{write("a", 0, `1`), write("b", 0, `1`)}, ""},
+		{"create an existing row", []client.Write{write("c", 0, `1`), write("a", 0, `2`)}, classifier.Conflict},
+		{"stale version", []client.Write{write("b", 1, `2`), write("a", 9, `2`)}, classifier.Conflict},
+		{"right version", []client.Write{write("a", 1, `2`)}, ""},
+		{"row named twice", []client.Write{write("a", 2, `3`), write("a", 2, `4`)}, classifier.Invalid},
+		{"empty", nil, classifier.Invalid},
+	} {
+		_, err := c.Apply(ctx, client.Transaction{Writes: tc.writes})
+		checkKind(t, tc.name, err, tc.want)
+	}
+	got, err := c.List(ctx, client.Range{Table: "t"})
+	want := client.Rows{Rows: []client.Row{{Table: "t", Key: "a", Version: 2, Value: []byte(`2`)}, {Table: "t", Key: "b", Version: 1, Value: []byte(`1`)}}}
+	if d := cmp.Diff(want, got); err != nil || d != "" {
+		t.Errorf("rows after all transactions: %v\n%s", err, d)
+	}
+	absent, err := c.Read(ctx, "t", "c")
+	if err != nil || absent.Version != 0 {
+		t.Errorf("absent row: %+v, %v", absent, err)
+	}
+}
+
+// A list must keep to the range, the key order and the limit.
+func TestListContract(t *testing.T) {
+	_, c := start(t, emulator.Config{})
+	for _, k := range []string{"d", "b", "a", "c"} {
+		if _, err := c.Apply(context.Background(), client.Transaction{Writes: []client.Write{write(k, 0, `0`)}}); err != nil {
+			t.Fatal(err)
+		}
+	}
+	for _, tc := range []struct {
+		rg   client.Range
+		want string
+		more bool
+	}{
+		{client.Range{Table: "t"}, "abcd", false},
+		{client.Range{Table: "t", From: "b", To: "d"}, "bc", false},
+		{client.Range{Table: "t", From: "aa", Limit: 2}, "bc", true},
+		{client.Range{Table: "t", From: "e"}, "", false},
+		{client.Range{Table: "other"}, "", false},
+	} {
+		got, err := c.List(context.Background(), tc.rg)
+		keys := ""
+		for _, r := range got.Rows {
+			keys += r.Key
+		}
+		if err != nil || keys != tc.want || got.More != tc.more {
+			t.Errorf("%+v: got %q more %v, %v", tc.rg, keys, got.More, err)
+		}
+	}
+}
+
+// Two writers that read the same object must not overwrite each other.
+func TestObjectContract(t *testing.T) {
+	_, c := start(t, emulator.Config{})
+	ctx := context.Background()
+	first, err := c.Put(ctx, "k", []byte("1"), client.Condition{IfNoneMatch: "*"})
+	checkKind(t, "create", err, "")
+	_, err = c.Put(ctx, "k", []byte("2"), client.Condition{IfNoneMatch: "*"})
+	checkKind(t, "create an existing object", err, classifier.Conflict)
+	second, err := c.Put(ctx, "k", []byte("1"), client.Condition{IfMatch: first})
+	checkKind(t, "replace", err, "")
+	_, err = c.Put(ctx, "k", []byte("3"), client.Condition{IfMatch: first})
+	checkKind(t, "replace with an old ETag", err, classifier.Conflict)
+	o, ok, err := c.Get(ctx, "k", client.Condition{IfNoneMatch: first})
+	if err != nil || !ok || string(o.Body) != "1" || o.ETag != second {
+		t.Errorf("get: %+v %v %v", o, ok, err)
+	}
+	_, ok, err = c.Get(ctx, "k", client.Condition{IfNoneMatch: second})
+	if err != nil || ok {
+		t.Errorf("get of an unchanged object: %v %v", ok, err)
+	}
+	_, ok, err = c.Get(ctx, "absent", client.Condition{})
+	if err != nil || ok {
+		t.Errorf("get of an absent object: %v %v", ok, err)
+	}
+}
+
+// Each fault must give the documented kind, and the store must show whether the write took effect.
+func TestFaults(t *testing.T) {
+	for _, tc := range []struct {
+		name    string
+		faults  emulator.Faults
+		want    classifier.Kind
+		version uint64 // of the row after the faults are gone
+	}{
+		{"none", emulator.Faults{}, "", 1},
+		{"out", emulator.Faults{Out: true}, classifier.PlatformUnavailable, 0},
+		{"short delay", emulator.Faults{DelayMs: 50}, "", 1},
+		{"longer delay than the deadline", emulator.Faults{DelayMs: 5000}, classifier.PlatformUnavailable, 0},
+		{"answer lost", emulator.Faults{LoseAnswers: 1}, classifier.PlatformUnavailable, 1},
+		{"rate limit", emulator.Faults{WritesPerSecond: 1}, "", 1},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			s, c := start(t, emulator.Config{})
+			s.SetFaults(tc.faults)
+			begin := time.Now()
+			_, err := c.Apply(context.Background(), client.Transaction{Writes: []client.Write{write("a", 0, `1`)}})
+			checkKind(t, "apply", err, tc.want)
+			if d := time.Since(begin); d > 1500*time.Millisecond {
+				t.Errorf("apply took %s, over its deadline", d)
+			}
+			s.SetFaults(emulator.Faults{})
+			r, err := c.Read(context.Background(), "t", "a")
+			if err != nil || r.Version != tc.version {
+				t.Errorf("row: %+v, %v; want version %d", r, err, tc.version)
+			}
+		})
+	}
+}
+
+// The limits must refuse the excess of a burst and nothing else.
+func TestRateLimits(t *testing.T) {
+	s, c := start(t, emulator.Config{Faults: emulator.Faults{ReadsPerSecond: 20}})
+	once := c.WithTries(1)
+	refused := 0
+	for range 15 {
+		if _, err := once.Read(context.Background(), "t", "a"); err != nil {
+			checkKind(t, "read over the limit", err, classifier.PlatformUnavailable)
+			refused++
+		}
+	}
+	if refused < 3 || refused > 5 || s.Counts().Reads != 15 {
+		t.Errorf("%d of 15 reads refused with a burst of 10, %d counted", refused, s.Counts().Reads)
+	}
+}
+
+// Faults set over HTTP must act like those set by method, and bad ones must be refused.
+func TestFaultsOverHTTP(t *testing.T) {
+	s, _ := start(t, emulator.Config{})
+	for body, want := range map[string]int{`{"out":true}`: 200, `{"delayMs":-1}`: 400, `{`: 400} {
+		q, err := http.NewRequest(http.MethodPut, s.URL()+"/control/faults", strings.NewReader(body))
+		if err != nil {
+			t.Fatal(err)
+		}
+		r, err := http.DefaultClient.Do(q)
+		if err != nil {
+			t.Fatal(err)
+		}
+		_ = r.Body.Close()
+		if r.StatusCode != want {
+			t.Errorf("%s: status %d, want %d", body, r.StatusCode, want)
+		}
+	}
+	if !s.Faults().Out {
+		t.Error("the faults set over HTTP are not in force")
+	}
+}
+
+// The VM list must lag, show wrong entries in both directions, and give changes after a version.
+func TestVMList(t *testing.T) {
+	vm := func(id string) client.VM {
+		return client.VM{ID: id, Address: "127.0.0.1:1", Region: "r", DataCentre: "d", State: client.VMLive}
+	}
+	s, c := start(t, emulator.Config{ListLag: 150 * time.Millisecond, VMs: []client.VM{vm("a"), vm("b")}})
+	ids := func(v client.VMChanges) string {
+		var names []string
+		for _, m := range v.VMs {
+			names = append(names, m.ID)
+		}
+		return strings.Join(names, ",") + "-" + strings.Join(v.Removed, ",")
+	}
+	var version uint64
+	step := func(what string, since uint64, want string) {
+		t.Helper()
+		v, err := c.VMs(context.Background(), since)
+		if err != nil || ids(v) != want {
+			t.Errorf("%s: got %s, %v; want %s", what, ids(v), err, want)
+		}
+		version = v.Version
+	}
+	step("start", 0, "a,b-")
+	s.SetVM(vm("c"))
+	s.RemoveVM("a")
+	step("before the lag", version, "-")
+	time.Sleep(200 * time.Millisecond)
+	step("after the lag", version, "c-a")
+	malformed := client.VM{ID: "malformed", DataCentre: "d", State: client.VMLive}
+	s.SetFaults(emulator.Faults{ExtraVMs: []client.VM{vm("ghost"), malformed}, HiddenVMs: []string{"b"}})
+	step("wrong entries", version, "ghost-b")
+	step("whole list", 0, "c,ghost-")
+	s.SetFaults(emulator.Faults{})
+	step("right again", version, "b-ghost,malformed")
+	step("version of another run", 1<<40, "b,c-")
+}
