--- a/internal/sheet/parser/sheet.go
+++ b/internal/sheet/parser/sheet.go
@@ -4,14 +4,10 @@
 package parser
 
 import (
-	"bytes"
 	"encoding/json"
 	"fmt"
+	"slices"
 	"time"
-
-	"github.com/tailscale/hujson"
-
-	"parsleyscale/internal/failure/classifier"
 )
 
 // State is the planners' intent for an instance.
@@ -87,21 +83,6 @@
 	State       State  `json:"state"`
 }
 
-// Decode reads a sheet in JSON with comments and checks it.
-func Decode(b []byte) (Sheet, error) {
-	std, err := hujson.Standardize(bytes.Clone(b))
-	if err != nil {
-		return Sheet{}, classifier.Wrap(classifier.Invalid, err, "sheet")
-	}
-	var s Sheet
-	d := json.NewDecoder(bytes.NewReader(std))
-	d.DisallowUnknownFields()
-	if err := d.Decode(&s); err != nil {
-		return Sheet{}, classifier.Wrap(classifier.Invalid, err, "sheet")
-	}
-	return s, s.Check()
-}
-
 // Database returns a database and its service by the database's name.
 func (s Sheet) Database(name string) (Database, Service, bool) {
 	for _, v := range s.Services {
@@ -145,3 +126,19 @@
 	}
 	return Instance{}, false
 }
+
+// WithInstanceState returns a sheet in which an instance has another state.
+func (s Sheet) WithInstanceState(name string, state State) Sheet {
+	s.Services = slices.Clone(s.Services)
+	for i, v := range s.Services {
+		s.Services[i].Databases = slices.Clone(v.Databases)
+		for j, d := range v.Databases {
+			if at := slices.IndexFunc(d.Instances, func(n Instance) bool { return n.Name == name }); at >= 0 {
+				instances := slices.Clone(d.Instances)
+				instances[at].State = state
+				s.Services[i].Databases[j].Instances = instances
+			}
+		}
+	}
+	return s
+}
