--- /dev/null
+++ b/internal/request/listener/listener_test.go
@@ -0,0 +1,108 @@
+package listener
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"os/exec"
+	"strings"
+	"testing"
+
+	"github.com/google/go-cmp/cmp"
+	"github.com/jackc/pgx/v5"
+	"github.com/jackc/pgx/v5/pgconn"
+
+	"parsleyscale/internal/request/exchanger"
+)
+
+// dsn returns a connection string for the listener.
+func dsn(l *Listener, more string) string {
+	return fmt.Sprintf("postgres://clerk@%s/orders?sslmode=disable%s", l.Addr(), more)
+}
+
+func connect(t testing.TB, l *Listener, more string) *pgx.Conn {
+	t.Helper()
+	conn, err := pgx.Connect(t.Context(), dsn(l, more))
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { conn.Close(context.Background()) })
+	return conn
+}
+
+// codeOf returns the SQLSTATE and the detail of an error.
+func codeOf(err error) (string, string) {
+	var e *pgconn.PgError
+	if !errors.As(err, &e) {
+		return "", fmt.Sprint(err)
+	}
+	return e.Code, e.Detail
+}
+
+// TestExtended guards against a statement that pgx's default mode cannot prepare, run or run again.
+func TestExtended(t *testing.T) {
+	f := &fakeRunner{}
+	conn := connect(t, startListener(t, newTestConfig(t, f)), "")
+	for i := range 3 {
+		var got string
+		sql := fmt.Sprintf("select $1, %d", i%2)
+		if err := conn.QueryRow(t.Context(), sql, "a").Scan(&got); err != nil {
+			t.Fatal(err)
+		}
+		if got != sql {
+			t.Errorf("got %q, want %q", got, sql)
+		}
+	}
+	if _, err := conn.Exec(t.Context(), "insert into t values ($1)", "a"); err != nil {
+		t.Fatal(err)
+	}
+	if r := f.last(); r.Class != exchanger.Write || r.Database != "orders" || !r.HasToken {
+		t.Errorf("write arrived as %+v", r)
+	}
+	want := []string{"Parse :insert into t values ($1)", "Bind", "Describe", "Execute", "Sync"}
+	if diff := cmp.Diff(want, f.messages[len(f.messages)-5:]); diff != "" {
+		t.Errorf("messages of the write: %s", diff)
+	}
+}
+
+// TestTransaction guards against a transaction that is cut into several units, or ends with the wrong state.
+func TestTransaction(t *testing.T) {
+	f := &fakeRunner{}
+	conn := connect(t, startListener(t, newTestConfig(t, f)), "")
+	tx, err := conn.Begin(t.Context())
+	if err != nil {
+		t.Fatal(err)
+	}
+	if _, err := tx.Exec(t.Context(), "insert into t values ($1)", "a"); err != nil {
+		t.Fatal(err)
+	}
+	if _, err := tx.Exec(t.Context(), "update t set a = 1"); err != nil {
+		t.Fatal(err)
+	}
+	if err := tx.Commit(t.Context()); err != nil {
+		t.Fatal(err)
+	}
+	if f.count() != 1 || f.last().Class != exchanger.Transaction {
+		t.Errorf("%d units, the last is %+v", f.count(), f.last())
+	}
+	if got := conn.PgConn().ParameterStatus(parameterToken); got == "" {
+		t.Error("no token after the transaction")
+	}
+}
+
+// TestPsql guards against messages that libpq does not accept.
+func TestPsql(t *testing.T) {
+	l := startListener(t, newTestConfig(t, &fakeRunner{}))
+	cmd := exec.Command("psql", "-X", "-At", dsn(l, ""), "-c", "set parsleyscale.read = 'stock'; select 1",
+		"-c", "show parsleyscale.read", "-c", "begin", "-c", "select 2", "-c", "commit", "-c", "copy t from stdin")
+	out, err := cmd.CombinedOutput()
+	if err == nil {
+		t.Error("psql accepted COPY")
+	}
+	got := string(out)
+	for _, want := range []string{"select 1\nstock\nBEGIN\nselect 2\nCOMMIT\n", "kind=unsupported ran=no repeat=never"} {
+		if !strings.Contains(got, want) {
+			t.Errorf("psql printed %q, want %q in it", got, want)
+		}
+	}
+}
