--- a/internal/request/listener/fake_test.go
+++ b/internal/request/listener/fake_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"net/http"
 	"strings"
 	"sync"
 	"testing"
@@ -12,7 +13,9 @@
 	"github.com/jackc/pgx/v5/pgproto3"
 
 	"parsleyscale/internal/failure/classifier"
+	"parsleyscale/internal/peer/messenger"
 	"parsleyscale/internal/request/exchanger"
+	"parsleyscale/internal/request/forwarder"
 	"parsleyscale/internal/request/parser"
 	"parsleyscale/internal/session/tokenizer"
 )
@@ -186,6 +189,35 @@
 	return u.s.Flush()
 }
 
+// through returns a Runner that reaches r over the forwarder and loopback.
+func through(t testing.TB, r exchanger.Runner) exchanger.Runner {
+	t.Helper()
+	mux := http.NewServeMux()
+	mux.Handle(forwarder.Path, forwarder.NewHandler(r, 0))
+	server, err := messenger.NewServer("127.0.0.1:0", nil, mux)
+	if err != nil {
+		t.Fatal(err)
+	}
+	client := messenger.NewClient(nil)
+	t.Cleanup(func() {
+		client.CloseIdleConnections()
+		server.Close()
+	})
+	return forwarder.NewClient(client, false).Runner(server.Addr().String())
+}
+
+// bothWays runs a test with a Runner of this VM and with one of another VM.
+func bothWays(t *testing.T, test func(t *testing.T, f *fakeRunner, l *Listener)) {
+	t.Run("local", func(t *testing.T) {
+		f := &fakeRunner{}
+		test(t, f, startListener(t, newTestConfig(t, f)))
+	})
+	t.Run("forwarded", func(t *testing.T) {
+		f := &fakeRunner{}
+		test(t, f, startListener(t, newTestConfig(t, through(t, f))))
+	})
+}
+
 // newTestConfig returns settings that trust loopback callers.
 func newTestConfig(t testing.TB, r exchanger.Runner) Config {
 	t.Helper()
--- a/internal/request/listener/listener_test.go
+++ b/internal/request/listener/listener_test.go
@@ -40,9 +40,10 @@
 }
 
 // TestExtended guards against a statement that pgx's default mode cannot prepare, run or run again.
-func TestExtended(t *testing.T) {
-	f := &fakeRunner{}
-	conn := connect(t, startListener(t, newTestConfig(t, f)), "")
+func TestExtended(t *testing.T) { bothWays(t, testExtended) }
+
+func testExtended(t *testing.T, f *fakeRunner, l *Listener) {
+	conn := connect(t, l, "")
 	for i := range 3 {
 		var got string
 		sql := fmt.Sprintf("select $1, %d", i%2)
@@ -66,9 +67,10 @@
 }
 
 // TestTransaction guards against a transaction that is cut into several units, or ends with the wrong state.
-func TestTransaction(t *testing.T) {
-	f := &fakeRunner{}
-	conn := connect(t, startListener(t, newTestConfig(t, f)), "")
+func TestTransaction(t *testing.T) { bothWays(t, testTransaction) }
+
+func testTransaction(t *testing.T, f *fakeRunner, l *Listener) {
+	conn := connect(t, l, "")
 	tx, err := conn.Begin(t.Context())
 	if err != nil {
 		t.Fatal(err)
@@ -91,8 +93,9 @@
 }
 
 // TestPsql guards against messages that libpq does not accept.
-func TestPsql(t *testing.T) {
-	l := startListener(t, newTestConfig(t, &fakeRunner{}))
+func TestPsql(t *testing.T) { bothWays(t, testPsql) }
+
+func testPsql(t *testing.T, _ *fakeRunner, l *Listener) {
 	cmd := exec.Command("psql", "-X", "-At", dsn(l, ""), "-c", "set parsleyscale.read = 'stock'; select 1",
 		"-c", "show parsleyscale.read", "-c", "begin", "-c", "select 2", "-c", "commit", "-c", "copy t from stdin")
 	out, err := cmd.CombinedOutput()
