--- a/internal/group/sampler/view.go
+++ b/internal/group/sampler/view.go
@@ -6,6 +6,14 @@
 // primary that was replaced before that time cannot produce a confirmed round:
 // the promotion fenced a majority, which shares an instance with every other majority.
 // Staleness bounds, session floors and write confirmations all rest on that.
+//
+// Each instance has its own worker with at most one outstanding call. A round is
+// not a barrier: it starts at the oldest of the questions whose answers confirm
+// it, so a slow instance delays neither the round nor the next one.
+//
+// Joining instances do not count towards a majority, because they are never
+// promoted. The set of the others may change by one instance at a time only;
+// then each majority of the old set shares an instance with each of the new one.
 package sampler
 
 import (
@@ -18,28 +26,64 @@
 
 // InstanceView is what a gateway knows of one instance.
 type InstanceView struct {
-	Instance  parser.Instance
-	Reachable bool // answered the last round
-	Status    connector.Status
-	FreshAsOf time.Time // start of the latest confirmed round whose position this instance has applied; zero if none
+	Instance    parser.Instance
+	Reachable   bool             // the last finished call succeeded
+	Status      connector.Status // latest answer, also when unreachable since
+	AnsweredAt  time.Time        // start of the latest call that was answered; zero if none
+	Failures    int              // failed calls on new connections since then
+	FailedSince time.Time        // start of the first of these
+	FreshAsOf   time.Time        // start of the latest confirmed round whose position this instance has applied; zero if none
+	Lag         time.Duration    // estimated time from a write's confirmed round to its application here
+}
+
+// Round is a confirmed round.
+type Round struct {
+	Position tokenizer.Position // last entry of the primary
+	First    time.Time          // start of the first confirmed round with this position
+	Last     time.Time          // start of the last one
 }
 
 // View is an immutable snapshot of a group.
 type View struct {
 	Database    string
-	Term        uint64
+	Term        uint64             // of the last confirmed round
 	Primary     string             // name of the instance, "" when unknown
 	Confirmed   tokenizer.Position // last entry of the primary in the last confirmed round
 	ConfirmedAt time.Time          // start of that round
 	Instances   []InstanceView
+	Rounds      []Round // confirmed rounds before the last one, oldest first, thinned out with age
 }
 
 // Instance returns the view of one instance.
 func (v View) Instance(name string) (InstanceView, bool) {
-	for _, i := range v.Instances {
-		if i.Instance.Name == name {
-			return i, true
+	for i := range v.Instances {
+		if v.Instances[i].Instance.Name == name {
+			return v.Instances[i], true
 		}
 	}
 	return InstanceView{}, false
 }
+
+// Voters returns how many instances count towards a majority.
+func (v View) Voters() int {
+	n := 0
+	for i := range v.Instances {
+		if IsVoter(v.Instances[i].Instance) {
+			n++
+		}
+	}
+	return n
+}
+
+// Majority returns how many of n instances are a majority.
+func Majority(n int) int { return n/2 + 1 }
+
+// IsVoter reports whether an instance counts towards a majority.
+func IsVoter(i parser.Instance) bool { return i.State != parser.Joining }
+
+// IsPrimaryOf reports whether s is the status of the primary of a term that is
+// not fenced. A new primary writes an entry of its own term, so a last entry of
+// a lower term means that the instance was fenced and not promoted since.
+func IsPrimaryOf(s connector.Status, term uint64) bool {
+	return term > 0 && s.Role == connector.RolePrimary && s.FenceTerm == term && s.Last.Term == term
+}
