Add the choice of an instance for a unit of work

Decide is a pure function over the view. A replica that lacks a floor is waited for when the first confirmed round that shows the floor plus the replica's lag falls within 30 ms of the arrival. A read without staleness waits for one round when the replica has applied all that the group is known to hold.

--- a/internal/group/sampler/confirm.go
+++ b/internal/group/sampler/confirm.go
@@ -222,12 +222,13 @@
 // publish replaces the view.
 func (s *Sampler) publish() {
 	v := &View{
-		Database:    s.name,
-		Term:        s.term,
-		Confirmed:   s.position,
-		ConfirmedAt: s.startAt,
-		Instances:   make([]InstanceView, 0, len(s.workers)),
-		Rounds:      s.history.old,
+		Database:       s.name,
+		Term:           s.term,
+		Confirmed:      s.position,
+		ConfirmedAt:    s.startAt,
+		ConfirmedSince: s.history.newest.First,
+		Instances:      make([]InstanceView, 0, len(s.workers)),
+		Rounds:         s.history.old,
 	}
 	if s.isConfirmed() {
 		v.Primary = s.primary
--- a/internal/group/sampler/view.go
+++ b/internal/group/sampler/view.go
@@ -45,13 +45,14 @@
 
 // View is an immutable snapshot of a group.
 type View struct {
-	Database    string
-	Term        uint64             // of the last confirmed round
-	Primary     string             // name of the instance, "" when unknown
-	Confirmed   tokenizer.Position // last entry of the primary in the last confirmed round
-	ConfirmedAt time.Time          // start of that round
-	Instances   []InstanceView
-	Rounds      []Round // confirmed rounds before the last one, oldest first, thinned out with age
+	Database       string
+	Term           uint64             // of the last confirmed round
+	Primary        string             // name of the instance, "" when unknown
+	Confirmed      tokenizer.Position // last entry of the primary in the last confirmed round
+	ConfirmedAt    time.Time          // start of that round
+	ConfirmedSince time.Time          // start of the first confirmed round with this position
+	Instances      []InstanceView
+	Rounds         []Round // confirmed rounds with earlier positions, oldest first, thinned out with age
 }
 
 // Instance returns the view of one instance.
--- /dev/null
+++ b/internal/request/router/reason.go
@@ -0,0 +1,43 @@
+package router
+
+// Reason is the stable code of a decision.
+type Reason string
+
+// The reason codes.
+const (
+	WritePrimary      Reason = "writePrimary"
+	ReplicaDataCentre Reason = "replicaDataCentre"
+	ReplicaRegion     Reason = "replicaRegion"
+	ReplicaRemote     Reason = "replicaRemote"
+	PrimaryOnly       Reason = "primaryOnly"
+	PrimaryAfterWait  Reason = "primaryAfterWait"
+	WaitReplica       Reason = "waitReplica"
+	WaitRound         Reason = "waitRound"
+	NoPrimary         Reason = "noPrimary"
+	TooStale          Reason = "tooStale"
+	NoInstance        Reason = "noInstance"
+)
+
+// Title is a row of the table of reason codes.
+type Title struct {
+	Reason Reason
+	Title  string
+}
+
+// table has one row for each reason code; the reference page is made from it.
+var table = []Title{
+	{WritePrimary, "a write goes to the primary"},
+	{ReplicaDataCentre, "a replica in the same data centre qualifies"},
+	{ReplicaRegion, "a replica in the same region qualifies, none in the same data centre"},
+	{ReplicaRemote, "a replica in another region qualifies, none in the same region"},
+	{PrimaryOnly, "no replica qualifies, nor is one expected to soon"},
+	{PrimaryAfterWait, "no replica qualified within the wait"},
+	{WaitReplica, "a replica is expected to qualify soon"},
+	{WaitRound, "the primary may serve the read after the next confirmed round"},
+	{NoPrimary, "no confirmed round shows a primary"},
+	{TooStale, "no instance is provably fresh enough"},
+	{NoInstance, "no instance may serve the read"},
+}
+
+// Reasons returns a copy of the table.
+func Reasons() []Title { return append([]Title(nil), table...) }
--- a/internal/request/router/types.go
+++ b/internal/request/router/types.go
@@ -9,8 +9,12 @@
 	"parsleyscale/internal/session/tokenizer"
 )
 
-// Reason is the stable code of a decision.
-type Reason string
+// DefaultMaxWait bounds the wait for a replica that is about to qualify.
+const DefaultMaxWait = 30 * time.Millisecond
+
+// RoundWait bounds the wait for a confirmed round; it covers a status call on a
+// silent connection and another on a new one.
+const RoundWait = 600 * time.Millisecond
 
 // Query is what a decision depends on besides the view.
 type Query struct {
@@ -21,15 +25,30 @@
 	DataCentre   string             // of this VM
 	Region       string
 	RegionOf     func(dataCentre string) string
+	Arrived      time.Time // when the unit came to be routed; zero: Now
 	Now          time.Time
-	Exclude      []string // instances that failed this unit already
+	MaxWait      time.Duration // after Arrived, for a replica; zero: DefaultMaxWait, negative: none
+	Hash         uint64        // spreads units over equal instances
+	Exclude      []string      // instances that failed this unit already
+}
+
+func (q *Query) setDefaults() {
+	if q.Arrived.IsZero() {
+		q.Arrived = q.Now
+	}
+	if q.MaxWait == 0 {
+		q.MaxWait = DefaultMaxWait
+	}
 }
 
 // Decision names the instance, or what to wait for, or why there is none.
+//
+// With Wait set, the caller calls Sampler.Next with at most that time and then
+// Decide again with the new view and Now and the same Arrived.
 type Decision struct {
 	Instance string        // "" when Wait or Err is set
 	Role     string        // primary or replica
-	Reason   Reason        // why this instance
-	Wait     time.Duration // ask again after a round, at most this long, before falling back to the primary
+	Reason   Reason        // why this instance, this wait or this error
+	Wait     time.Duration // ask again after a round, at most this long
 	Err      error         // classified error when no instance may serve the unit
 }
