--- /dev/null
+++ b/internal/request/executor/pipe.go
@@ -0,0 +1,269 @@
+package executor
+
+import (
+	"context"
+	"errors"
+	"net"
+	"os"
+	"time"
+
+	"github.com/jackc/pgx/v5/pgproto3"
+
+	"parsleyscale/internal/group/connector"
+	"parsleyscale/internal/session/tokenizer"
+)
+
+// Sizes of a kept answer.
+const (
+	// keptAnswer is the part of an answer that is kept back, so that a failure early in it leaves the unit repeatable.
+	keptAnswer = 16 << 10
+	// keptCommit bounds what is kept back behind the first CommandComplete of a write.
+	keptCommit = 256 << 10
+)
+
+var longAgo = time.Unix(1, 0)
+
+// sink takes the messages of an answer.
+type sink func(ctx context.Context, m pgproto3.BackendMessage) error
+
+// converse runs the caller's batch on the connection up to ReadyForQuery. The
+// last part of the answer stays kept back.
+func (u *unit) converse(ctx context.Context) error {
+	u.startAnswer()
+	for {
+		err := u.exchange(ctx, u.b.buf, u.emit)
+		if err != nil || u.b.complete {
+			return err
+		}
+		// The caller waits for the answers before it goes on with the batch.
+		if err := u.passPiece(ctx); err != nil {
+			return err
+		}
+		u.b.next()
+		if err := u.b.receive(u.s, false); err != nil {
+			return &fault{kind: faultGone, err: err}
+		}
+	}
+}
+
+// passPiece passes on the answers to a piece of a batch.
+func (u *unit) passPiece(ctx context.Context) error {
+	if err := u.confirm(ctx); err != nil {
+		return err
+	}
+	u.passed = true
+	if err := u.a.pass(u.s); err != nil {
+		return &fault{kind: faultGone, err: err}
+	}
+	return u.flush()
+}
+
+// exchange sends encoded messages and hands the answers to the sinks, one sink
+// up to each ReadyForQuery. A piece of a batch ends with its last expected answer instead.
+func (u *unit) exchange(ctx context.Context, messages []byte, to ...sink) error {
+	stop := u.watch(ctx)
+	err := u.send(messages)
+	for i := 0; err == nil && i < len(to); i++ {
+		err = u.receiveAnswer(ctx, to[i])
+	}
+	if !stop() {
+		// The context's end may still set the deadline, so the connection must not be reused.
+		return u.lost(ctx, errors.Join(ctx.Err(), err))
+	}
+	return err
+}
+
+// watch bounds the exchange by the context and, for attempts that can be
+// repeated, the time to the first answer.
+func (u *unit) watch(ctx context.Context) (stop func() bool) {
+	limit, _ := ctx.Deadline()
+	if u.isRepeatable() {
+		if first := time.Now().Add(u.e.cfg.Silence << min(u.attempt, 8)); first.Before(limit) {
+			limit = first
+		}
+	}
+	c := u.conn
+	c.SetDeadline(limit)
+	return context.AfterFunc(ctx, func() { c.SetDeadline(longAgo) })
+}
+
+// isRepeatable reports whether a silent instance can be given up without
+// leaving the outcome unknown.
+func (u *unit) isRepeatable() bool {
+	return !u.passed && (u.isRead() || u.r.Key != "" && !u.keyed)
+}
+
+// heard lifts the bound on the time to the first answer.
+func (u *unit) heard(ctx context.Context) {
+	if d, ok := ctx.Deadline(); ok {
+		u.conn.SetDeadline(d)
+	}
+	if ctx.Err() != nil {
+		u.conn.SetDeadline(longAgo)
+	}
+}
+
+func (u *unit) send(messages []byte) error {
+	n, err := u.conn.Write(messages)
+	switch {
+	case err == nil:
+		return nil
+	case n == 0:
+		return newFault(faultNotSent, "send to %s: %w", u.instance.Name, err)
+	}
+	return newFault(faultLost, "send to %s: %w", u.instance.Name, err)
+}
+
+func (u *unit) receiveAnswer(ctx context.Context, to sink) error {
+	if u.isPieceAnswered() {
+		return nil
+	}
+	for first := true; ; first = false {
+		m, err := u.conn.Frontend().Receive()
+		if err != nil {
+			return u.lost(ctx, err)
+		}
+		if first {
+			u.heard(ctx)
+		}
+		done, err := u.take(ctx, m, to)
+		if done || err != nil {
+			return err
+		}
+	}
+}
+
+func (u *unit) lost(ctx context.Context, err error) error {
+	if ctx.Err() == context.Canceled {
+		return newFault(faultGone, "caller is gone: %w", err)
+	}
+	return newFault(faultLost, "connection to %s: %w", u.instance.Name, err)
+}
+
+// take handles one message of the instance and reports whether the exchange is over.
+func (u *unit) take(ctx context.Context, m pgproto3.BackendMessage, to sink) (bool, error) {
+	switch m := m.(type) {
+	case *pgproto3.ReadyForQuery:
+		u.status = m.TxStatus
+		return true, nil
+	case *pgproto3.ParameterStatus:
+		if m.Name == connector.ParameterPosition {
+			return false, u.notePosition(m.Value)
+		}
+		u.dirty = true
+	case *pgproto3.NotificationResponse:
+		return false, nil // the connection has no lasting listener
+	case *pgproto3.ErrorResponse:
+		if err := u.noteError(m); err != nil {
+			return false, err
+		}
+	case *pgproto3.CommandComplete:
+		u.noteTag(string(m.CommandTag))
+	case *pgproto3.CopyInResponse, *pgproto3.CopyBothResponse:
+		return false, u.copyIn(ctx, m, to)
+	}
+	if err := to(ctx, m); err != nil {
+		return false, err
+	}
+	u.noteReply(m)
+	return u.isPieceAnswered(), nil
+}
+
+func (u *unit) notePosition(text string) error {
+	p, err := tokenizer.ParsePosition(text)
+	if err != nil {
+		return newFault(faultLost, "%s reports %w", u.instance.Name, err)
+	}
+	u.position = u.position.Max(p)
+	return nil
+}
+
+// noteError finds errors that end the attempt instead of being passed on.
+func (u *unit) noteError(m *pgproto3.ErrorResponse) error {
+	u.failed = true
+	if u.e.notCommitted[m.Code] && !u.passed {
+		return newFault(faultRefused, "%s refused with %s: %s", u.instance.Name, m.Code, m.Message)
+	}
+	if m.Severity == "FATAL" || m.Severity == "PANIC" {
+		return newFault(faultLost, "%s ended the connection with %s: %s", u.instance.Name, m.Code, m.Message)
+	}
+	return nil
+}
+
+// noteTag records a finished statement. Those that change the state of the
+// session make the connection unfit for another caller.
+func (u *unit) noteTag(tag string) {
+	u.tag = tag
+	switch tag {
+	case "SET", "RESET", "LISTEN", "PREPARE", "DECLARE CURSOR", "DISCARD ALL":
+		u.dirty = true
+	}
+	if !u.isRead() {
+		u.streaming = false
+	}
+}
+
+// noteReply counts the answers to a piece of a batch.
+func (u *unit) noteReply(m pgproto3.BackendMessage) {
+	switch m.(type) {
+	case *pgproto3.ParseComplete, *pgproto3.BindComplete, *pgproto3.CloseComplete,
+		*pgproto3.RowDescription, *pgproto3.NoData,
+		*pgproto3.CommandComplete, *pgproto3.EmptyQueryResponse, *pgproto3.PortalSuspended:
+		u.b.replies--
+	}
+}
+
+// isPieceAnswered reports whether a piece of a batch has all its answers.
+// After an error the instance is silent until Sync.
+func (u *unit) isPieceAnswered() bool {
+	return !u.b.complete && (u.b.replies <= 0 || u.failed)
+}
+
+// emit keeps a message back or sends it to the caller.
+func (u *unit) emit(ctx context.Context, m pgproto3.BackendMessage) error {
+	if u.streaming {
+		return u.stream(m)
+	}
+	if err := u.a.add(m); err != nil {
+		return err
+	}
+	limit := keptAnswer
+	if !u.isRead() && u.tag != "" {
+		limit = keptCommit
+	}
+	if len(u.a.buf) < limit {
+		return nil
+	}
+	return u.passKept(ctx)
+}
+
+// passKept passes on what was kept back and goes over to streaming.
+func (u *unit) passKept(ctx context.Context) error {
+	if err := u.passPiece(ctx); err != nil {
+		return err
+	}
+	u.streaming = true
+	return nil
+}
+
+func (u *unit) stream(m pgproto3.BackendMessage) error {
+	if err := u.s.Send(m); err != nil {
+		return &fault{kind: faultGone, err: err}
+	}
+	if u.conn.Frontend().ReadBufferLen() > 0 {
+		return nil
+	}
+	return u.flush()
+}
+
+func (u *unit) flush() error {
+	if err := u.s.Flush(); err != nil {
+		return &fault{kind: faultGone, err: err}
+	}
+	return nil
+}
+
+func isTimeout(err error) bool {
+	var n net.Error
+	return errors.Is(err, os.ErrDeadlineExceeded) || errors.As(err, &n) && n.Timeout()
+}
--- /dev/null
+++ b/internal/request/executor/unit.go
@@ -0,0 +1,201 @@
+package executor
+
+import (
+	"context"
+	"time"
+
+	"github.com/jackc/pgx/v5/pgproto3"
+
+	"parsleyscale/internal/backend/pooler"
+	"parsleyscale/internal/failure/classifier"
+	"parsleyscale/internal/group/sampler"
+	"parsleyscale/internal/request/admitter"
+	"parsleyscale/internal/request/exchanger"
+	"parsleyscale/internal/request/router"
+	"parsleyscale/internal/session/tokenizer"
+	"parsleyscale/internal/sheet/parser"
+)
+
+// retryPause is the wait before a further attempt when the retry budget is used up.
+const retryPause = 100 * time.Millisecond
+
+// unit is the state of one run. Units are reused to save allocations.
+type unit struct {
+	e       *Executor
+	r       exchanger.Request
+	s       exchanger.Stream
+	arrived time.Time
+	b       batch
+	a       answer
+
+	// Route.
+	exclude  []string
+	query    router.Query
+	priority admitter.Priority
+	view     sampler.View // that the route was chosen from
+	instance parser.Instance
+	role     string
+	reason   router.Reason
+
+	// Connection. All are unset when conn is nil.
+	conn   *pooler.Conn
+	ticket admitter.Ticket
+	begun  bool // Hold.Begin was called
+	dirty  bool // the session state of the connection was changed
+
+	// Answer of the batch.
+	streaming bool               // messages go straight to the caller
+	passed    bool               // the caller may have seen a part of the batch's answer
+	failed    bool               // an ErrorResponse ended the batch
+	status    byte               // of the last ReadyForQuery
+	tag       string             // of the last CommandComplete
+	position  tokenizer.Position // of the last commit
+	ready     pgproto3.ReadyForQuery
+
+	floor     tokenizer.Position // of the session after the unit
+	attempt   int
+	ambiguous bool // a commit of the key may have happened
+	keyed     bool // the open transaction holds the key
+	tooLarge  bool // the answer is over the limit of a recorded one
+	unlock    func()
+}
+
+func newUnit() *unit { return &unit{} }
+
+func (u *unit) reset(e *Executor, r exchanger.Request, s exchanger.Stream) {
+	b, a, exclude := u.b, u.a, u.exclude[:0]
+	*u = unit{e: e, r: r, s: s, b: b, a: a, exclude: exclude, arrived: time.Now(), floor: r.Floor}
+	u.b.reset()
+	u.a.reset()
+}
+
+func (u *unit) isRead() bool { return u.r.Class.IsRead() }
+
+// startAnswer prepares for the answer of a batch.
+func (u *unit) startAnswer() {
+	u.a.reset()
+	u.streaming, u.passed, u.failed = false, false, false
+	u.status, u.tag, u.position = 0, "", tokenizer.Position{}
+}
+
+// putBack gives the connection back after its last ReadyForQuery had status 'I'.
+func (u *unit) putBack() {
+	if u.conn == nil {
+		return
+	}
+	if u.dirty {
+		u.conn.Discard()
+	} else {
+		u.conn.Release()
+	}
+	u.leave()
+}
+
+// abandon closes a connection whose state is uncertain. A statement that may
+// still run is canceled, so that it does not keep a slot and its locks.
+func (u *unit) abandon(running bool) {
+	if u.conn == nil {
+		return
+	}
+	if running {
+		u.conn.Cancel()
+	} else {
+		u.conn.Discard()
+	}
+	u.leave()
+}
+
+func (u *unit) leave() {
+	u.conn = nil
+	u.dirty = false
+	u.ticket.Done()
+}
+
+// begin and end enclose the time in which the unit writes.
+func (u *unit) begin() {
+	if !u.begun {
+		u.begun = true
+		u.e.cfg.Hold.Begin()
+	}
+}
+
+func (u *unit) end() {
+	if u.begun {
+		u.begun = false
+		u.e.cfg.Hold.End()
+	}
+}
+
+// drop ends the unit in any state.
+func (u *unit) drop() {
+	u.abandon(false)
+	u.end()
+	if u.unlock != nil {
+		u.unlock()
+	}
+}
+
+// skipBatch receives the rest of the caller's batch, which the answer with an error ends.
+func (u *unit) skipBatch() {
+	for !u.b.complete {
+		m, err := u.s.Receive()
+		if err != nil {
+			return
+		}
+		switch m.(type) {
+		case *pgproto3.Query, *pgproto3.Sync:
+			return
+		}
+	}
+}
+
+// fail ends an attempt, reports the failure and remembers the instance.
+func (u *unit) fail(ctx context.Context, err error) {
+	gone := faultOf(err) == faultGone || ctx.Err() != nil
+	u.abandon(gone || isTimeout(err))
+	u.end()
+	if gone {
+		return
+	}
+	u.e.cfg.Sampler.Report(u.instance.Name, err)
+	u.exclude = append(u.exclude, u.instance.Name)
+}
+
+// retry reports whether the retry budget allows a further attempt; it waits for it when patient.
+func (u *unit) retry(ctx context.Context, patient bool) bool {
+	u.attempt++
+	for !u.e.cfg.Budget.Spend() {
+		if !patient || !pause(ctx, retryPause) {
+			return false
+		}
+	}
+	return ctx.Err() == nil
+}
+
+// pause waits and reports whether the context still runs.
+func pause(ctx context.Context, d time.Duration) bool {
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-t.C:
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
+
+// deliver sends the kept answer and ReadyForQuery to the caller.
+func (u *unit) deliver() error {
+	err := u.a.pass(u.s)
+	if err == nil {
+		u.ready.TxStatus = u.status
+		err = u.s.Send(&u.ready)
+	}
+	if err == nil {
+		err = u.s.Flush()
+	}
+	if err != nil {
+		return classifier.Wrap(classifier.Canceled, err, "caller is gone")
+	}
+	return nil
+}
