--- a/internal/telemetry/logger/event.go
+++ b/internal/telemetry/logger/event.go
@@ -18,15 +18,13 @@
 	MemberChanged       Event = "memberChanged"
 	GatewayStarted      Event = "gatewayStarted"
 	GatewayStopped      Event = "gatewayStopped"
-	PrimarySuspected    Event = "primarySuspected"
-	FailoverStarted     Event = "failoverStarted"
-	FailoverDone        Event = "failoverDone"
-	FailoverFailed      Event = "failoverFailed"
-	FailoverHeldBack    Event = "failoverHeldBack"
-	SwitchStarted       Event = "switchStarted"
-	SwitchDone          Event = "switchDone"
-	SwitchFailed        Event = "switchFailed"
-	InstanceRepaired    Event = "instanceRepaired"
+	PromoterDecision    Event = "promoterDecision"
+	GroupFenced         Event = "groupFenced"
+	PrimaryPromoted     Event = "primaryPromoted"
+	PrimaryReplaced     Event = "primaryReplaced"
+	PromotionFailed     Event = "promotionFailed"
+	WritesHeld          Event = "writesHeld"
+	InstanceFollows     Event = "instanceFollows"
 	CallerRefused       Event = "callerRefused"
 	UnitFailed          Event = "unitFailed"
 	ForwardFailed       Event = "forwardFailed"
@@ -49,15 +47,13 @@
 	{MemberChanged, "the belief about a VM changed"},
 	{GatewayStarted, "this VM became a gateway of a database"},
 	{GatewayStopped, "this VM is no longer a gateway of a database"},
-	{PrimarySuspected, "there is evidence that a primary has failed"},
-	{FailoverStarted, "this VM fences the old term of a group"},
-	{FailoverDone, "a new primary is confirmed"},
-	{FailoverFailed, "a failover ended without a new primary"},
-	{FailoverHeldBack, "many groups look dead at once from this VM only"},
-	{SwitchStarted, "a planned switch away from a leaving primary has begun"},
-	{SwitchDone, "a planned switch ended with a new primary"},
-	{SwitchFailed, "a planned switch ended without a new primary"},
-	{InstanceRepaired, "an instance was told to follow the current primary"},
+	{PromoterDecision, "the reason of a promoter's decision changed"},
+	{GroupFenced, "a majority of a group refuses the old term from now on"},
+	{PrimaryPromoted, "a replica was promoted"},
+	{PrimaryReplaced, "the new primary's own entry is confirmed"},
+	{PromotionFailed, "an attempt to replace a primary failed and is repeated"},
+	{WritesHeld, "new writes are held back for a planned switch"},
+	{InstanceFollows, "an instance was told to follow the current primary"},
 	{CallerRefused, "a caller's start-up was refused"},
 	{UnitFailed, "a unit of work ended with an error of the proxy"},
 	{ForwardFailed, "a gateway VM could not be reached or cut a unit"},
--- a/internal/telemetry/logger/logger_test.go
+++ b/internal/telemetry/logger/logger_test.go
@@ -11,12 +11,12 @@
 func TestLine(t *testing.T) {
 	var b bytes.Buffer
 	l := New(&b, "burgos-1")
-	l.Info(FailoverDone, String("database", "orders"), Int("term", 3), Millis("took", 1500*time.Millisecond))
+	l.Info(PrimaryReplaced, String("database", "orders"), Int("term", 3), Millis("took", 1500*time.Millisecond))
 	line := b.String()
 	if n := strings.Count(line, "\n"); n != 1 {
 		t.Fatalf("%d lines: %q", n, line)
 	}
-	for _, want := range []string{`event="failoverDone"`, `vm="burgos-1"`, `database="orders"`, "term=3", "tookMs=1500", "level=info"} {
+	for _, want := range []string{`event="primaryReplaced"`, `vm="burgos-1"`, `database="orders"`, "term=3", "tookMs=1500", "level=info"} {
 		if !strings.Contains(line, want) {
 			t.Errorf("%q is missing in %q", want, line)
 		}
