--- a/internal/group/sampler/view.go
+++ b/internal/group/sampler/view.go
@@ -26,14 +26,15 @@
 
 // InstanceView is what a gateway knows of one instance.
 type InstanceView struct {
-	Instance    parser.Instance
-	Reachable   bool             // the last finished call succeeded
-	Status      connector.Status // latest answer, also when unreachable since
-	AnsweredAt  time.Time        // start of the latest call that was answered; zero if none
-	Failures    int              // failed calls on new connections since then
-	FailedSince time.Time        // start of the first of these
-	FreshAsOf   time.Time        // start of the latest confirmed round whose position this instance has applied; zero if none
-	Lag         time.Duration    // estimated time from a write's confirmed round to its application here
+	Instance   parser.Instance
+	Reachable  bool             // the last finished call succeeded
+	Status     connector.Status // latest answer, also when unreachable since
+	AnsweredAt time.Time        // start of the latest call that was answered; zero if none
+	SuspectAt  time.Time        // when an open connection failed, until a new one answers; zero if none did
+	Failures   int              // failed calls on new connections since then
+	FailedAt   time.Time        // start of the latest of these; zero if none
+	FreshAsOf  time.Time        // start of the latest confirmed round whose position this instance has applied; zero if none
+	Lag        time.Duration    // estimated time from a write's confirmed round to its application here
 }
 
 // Round is a confirmed round.
--- a/internal/group/sampler/worker.go
+++ b/internal/group/sampler/worker.go
@@ -29,12 +29,13 @@
 	okAt     time.Time
 	status   connector.Status
 
-	retry       bool // ask at once
-	redial      bool // on a new connection
-	redialedAt  time.Time
-	failures    int
-	failedSince time.Time
-	lag         time.Duration
+	retry      bool // ask at once
+	redial     bool // on a new connection
+	redialedAt time.Time
+	suspectAt  time.Time
+	failures   int
+	failedAt   time.Time
+	lag        time.Duration
 }
 
 func newWorker(s *Sampler, i parser.Instance) *worker {
@@ -56,10 +57,20 @@
 		return
 	}
 	w.redialedAt = now
-	w.retry, w.redial = true, true
+	w.redial = true
+	w.doubt(now)
 	w.wake()
 }
 
+// doubt makes the next call due at once and shows the failure in the view.
+func (w *worker) doubt(now time.Time) {
+	w.retry = true
+	if w.suspectAt.IsZero() {
+		w.suspectAt = now
+	}
+	w.s.publish()
+}
+
 func (w *worker) run() {
 	defer w.hangUp()
 	for w.waitTurn() {
@@ -169,12 +180,10 @@
 		w.answered(st)
 	case fresh:
 		w.doneSeq = w.askedSeq
-		if w.failures == 0 {
-			w.failedSince = w.askedAt
-		}
+		w.failedAt = w.askedAt
 		w.failures++
 	default:
-		w.retry = true
+		w.doubt(time.Now())
 		return
 	}
 	w.s.update()
@@ -182,7 +191,10 @@
 
 func (w *worker) answered(st connector.Status) {
 	w.doneSeq, w.okSeq, w.okAt = w.askedSeq, w.askedSeq, w.askedAt
-	w.failures, w.failedSince = 0, time.Time{}
+	w.failures, w.failedAt = 0, time.Time{}
+	if !w.redial {
+		w.suspectAt = time.Time{}
+	}
 	w.measureLag(st)
 	w.status = st
 }
@@ -209,13 +221,14 @@
 
 func (w *worker) view(h *history) InstanceView {
 	v := InstanceView{
-		Instance:    w.instance,
-		Reachable:   w.okSeq > 0 && w.failures == 0,
-		Status:      w.status,
-		AnsweredAt:  w.okAt,
-		Failures:    w.failures,
-		FailedSince: w.failedSince,
-		Lag:         w.lag,
+		Instance:   w.instance,
+		Reachable:  w.okSeq > 0 && w.failures == 0,
+		Status:     w.status,
+		AnsweredAt: w.okAt,
+		SuspectAt:  w.suspectAt,
+		Failures:   w.failures,
+		FailedAt:   w.failedAt,
+		Lag:        w.lag,
 	}
 	if r, ok := h.covered(w.status.Applied); ok && w.okSeq > 0 {
 		v.FreshAsOf = r.Last
