Run keyed writes and transactions at most once

The bound on a silent instance now applies to every read from it, not only to the first: a COMMIT that followed other answers on the same connection waited until the deadline.

--- a/internal/request/executor/copy.go
+++ b/internal/request/executor/copy.go
@@ -4,6 +4,8 @@
 	"context"
 
 	"github.com/jackc/pgx/v5/pgproto3"
+
+	"parsleyscale/internal/failure/classifier"
 )
 
 // copyIn passes the answer that asks for data to the caller and the caller's
@@ -11,7 +13,7 @@
 // else before the data ends.
 func (u *unit) copyIn(ctx context.Context, m pgproto3.BackendMessage, to sink) error {
 	if _, ok := m.(*pgproto3.CopyInResponse); !ok || !u.b.simple || u.r.Key != "" {
-		return newFault(faultLost, "copy is not supported here")
+		return classifier.New(classifier.Unsupported, "copy in this form")
 	}
 	if err := to(ctx, m); err != nil {
 		return err
--- a/internal/request/executor/fake_test.go
+++ b/internal/request/executor/fake_test.go
@@ -25,11 +25,12 @@
 // fenceCode is the fake's SQLSTATE for a commit that was refused by the fence.
 const fenceCode = "PSF01"
 
-// scriptedFault is one failure of a fake instance. It happens once.
+// scriptedFault is one failure of a fake instance. It happens once unless Times is set.
 type scriptedFault struct {
 	Instance string `json:"instance"`
 	On       string `json:"on"`      // prefix of the statement
 	Skip     int    `json:"skip"`    // statements with the prefix before it
+	Times    int    `json:"times"`   // further times
 	Act      string `json:"act"`     // closeBefore, closeAfter, cutRows, silent, silentAfter; empty: none
 	Promote  string `json:"promote"` // new primary after the act
 	Lose     bool   `json:"lose"`    // commits are not replicated from now on, until the promotion
@@ -227,7 +228,9 @@
 		}
 		if f.Skip--; f.Skip < 0 {
 			hit := *f
-			f.On = ""
+			if f.Times--; f.Times < 0 {
+				f.On = ""
+			}
 			return hit
 		}
 	}
@@ -330,6 +333,7 @@
 		if err := s.run(m.String, true); err != nil {
 			return err
 		}
+		s.failed = false
 		s.ready()
 		return s.b.Flush()
 	case *pgproto3.Sync:
--- a/internal/request/executor/outcome.go
+++ b/internal/request/executor/outcome.go
@@ -25,7 +25,7 @@
 		if err := u.readError(ctx, err); err != nil {
 			return err
 		}
-		if !u.retry(ctx, false) {
+		if !u.retryRead(ctx) {
 			return classifier.Wrap(classifier.NoInstance, err, "read failed")
 		}
 	}
@@ -57,7 +57,7 @@
 		if err := u.writeError(ctx, err); err != nil {
 			return err
 		}
-		if !u.retry(ctx, true) {
+		if !u.retryWrite(ctx, err) {
 			return notRun(err)
 		}
 	}
@@ -84,7 +84,7 @@
 
 // mayHaveCommitted reports whether the batch could commit once it was sent.
 func (u *unit) mayHaveCommitted() bool {
-	return u.r.Class == exchanger.Write || u.b.commits
+	return u.b.commits || u.r.Class == exchanger.Write && u.b.executes
 }
 
 // runRest runs the further batches of a transaction.
@@ -104,7 +104,7 @@
 func (u *unit) runBatch(ctx context.Context) error {
 	ctx, cancel := context.WithTimeout(ctx, u.r.Timeout)
 	defer cancel()
-	err := u.converse(ctx)
+	err := u.converseBatch(ctx)
 	if err == nil {
 		err = u.finish(ctx)
 		if err == nil || !u.keyed || u.position.IsZero() || classifier.Is(err, classifier.Canceled) {
@@ -119,6 +119,16 @@
 	return u.batchError(err)
 }
 
+// converseBatch leaves time to settle the commit of a transaction with a key.
+func (u *unit) converseBatch(ctx context.Context) error {
+	if !u.keyed {
+		return u.converse(ctx)
+	}
+	work, cancel := u.withReserve(ctx)
+	defer cancel()
+	return u.converse(work)
+}
+
 // isAmbiguous reports whether a failed batch of a transaction may have committed.
 func (u *unit) isAmbiguous(err error) bool {
 	k := faultOf(err)
--- a/internal/request/executor/pipe.go
+++ b/internal/request/executor/pipe.go
@@ -21,6 +21,10 @@
 	keptCommit = 256 << 10
 )
 
+// deadlineSlack lets the context end before the read deadline, so that a read
+// that fails at the deadline finds the context done.
+const deadlineSlack = 10 * time.Millisecond
+
 var longAgo = time.Unix(1, 0)
 
 // sink takes the messages of an answer.
@@ -31,6 +35,7 @@
 func (u *unit) converse(ctx context.Context) error {
 	u.startAnswer()
 	for {
+		u.piece = !u.b.complete
 		err := u.exchange(ctx, u.b.buf, u.emit)
 		if err != nil || u.b.complete {
 			return err
@@ -73,36 +78,45 @@
 	return err
 }
 
-// watch bounds the exchange by the context and, for attempts that can be
-// repeated, the time to the first answer.
+// watch bounds the exchange by the context.
 func (u *unit) watch(ctx context.Context) (stop func() bool) {
-	limit, _ := ctx.Deadline()
-	if u.isRepeatable() {
-		if first := time.Now().Add(u.e.cfg.Silence << min(u.attempt, 8)); first.Before(limit) {
-			limit = first
-		}
-	}
 	c := u.conn
-	c.SetDeadline(limit)
+	c.SetDeadline(u.readLimit(ctx))
 	return context.AfterFunc(ctx, func() { c.SetDeadline(longAgo) })
 }
 
-// isRepeatable reports whether a silent instance can be given up without
-// leaving the outcome unknown.
-func (u *unit) isRepeatable() bool {
-	return !u.passed && (u.isRead() || u.r.Key != "" && !u.keyed)
+// readLimit is the time until which the instance must send something.
+func (u *unit) readLimit(ctx context.Context) time.Time {
+	limit, _ := ctx.Deadline()
+	limit = limit.Add(deadlineSlack)
+	if u.isRepeatable() {
+		if silent := time.Now().Add(u.e.cfg.Silence << min(u.attempt, 8)); silent.Before(limit) {
+			return silent
+		}
+	}
+	return limit
 }
 
-// heard lifts the bound on the time to the first answer.
-func (u *unit) heard(ctx context.Context) {
-	if d, ok := ctx.Deadline(); ok {
-		u.conn.SetDeadline(d)
+// extend moves the read deadline before a read that has to wait for the instance.
+func (u *unit) extend(ctx context.Context) {
+	if u.conn.Frontend().ReadBufferLen() > 0 {
+		return
 	}
+	u.conn.SetDeadline(u.readLimit(ctx))
 	if ctx.Err() != nil {
 		u.conn.SetDeadline(longAgo)
 	}
 }
 
+// isRepeatable reports whether a silent instance can be given up without
+// leaving the outcome unknown.
+func (u *unit) isRepeatable() bool {
+	if u.keyed {
+		return u.settling || isLoneCommit(u.b.text)
+	}
+	return !u.passed && (u.isRead() || u.r.Key != "")
+}
+
 func (u *unit) send(messages []byte) error {
 	n, err := u.conn.Write(messages)
 	switch {
@@ -118,14 +132,12 @@
 	if u.isPieceAnswered() {
 		return nil
 	}
-	for first := true; ; first = false {
+	for {
+		u.extend(ctx)
 		m, err := u.conn.Frontend().Receive()
 		if err != nil {
 			return u.lost(ctx, err)
 		}
-		if first {
-			u.heard(ctx)
-		}
 		done, err := u.take(ctx, m, to)
 		if done || err != nil {
 			return err
@@ -216,7 +228,7 @@
 // isPieceAnswered reports whether a piece of a batch has all its answers.
 // After an error the instance is silent until Sync.
 func (u *unit) isPieceAnswered() bool {
-	return !u.b.complete && (u.b.replies <= 0 || u.failed)
+	return u.piece && (u.b.replies <= 0 || u.failed)
 }
 
 // emit keeps a message back or sends it to the caller.
--- a/internal/request/executor/route.go
+++ b/internal/request/executor/route.go
@@ -16,6 +16,8 @@
 const (
 	viewWait    = 250 * time.Millisecond // longest wait for a new view before the route is tried again
 	viewSpacing = 5 * time.Millisecond   // least time between two looks at the view
+	// firstBackoff is the first wait after a failed write; a connection that was closed by chance costs no more.
+	firstBackoff = 10 * time.Millisecond
 )
 
 // prepareRead sets what the instance of a read must have applied and how stale it may be.
@@ -87,11 +89,11 @@
 		if err != nil || ok {
 			return err
 		}
-		if u.isRead() && !u.retry(ctx, false) {
+		if u.isRead() && !u.retryRead(ctx) {
 			return classifier.New(classifier.NoInstance, "no instance can be reached, the last tried was %s", u.instance.Name)
 		}
 		if !u.isRead() {
-			u.awaitView(ctx, viewWait)
+			u.awaitPrimary(ctx)
 		}
 	}
 }
@@ -246,6 +248,19 @@
 	return s.View()
 }
 
+// awaitPrimary waits for a new term, but at most a time that grows with each call.
+func (u *unit) awaitPrimary(ctx context.Context) {
+	limit := time.Now().Add(min(firstBackoff<<min(u.misses, 8), viewWait))
+	u.misses++
+	for u.e.cfg.Sampler.View().Term == u.view.Term && ctx.Err() == nil {
+		d := time.Until(limit)
+		if d <= 0 {
+			return
+		}
+		u.awaitView(ctx, d)
+	}
+}
+
 func isAbsence(err error) bool {
 	return classifier.Is(err, classifier.NoPrimary) || classifier.Is(err, classifier.NoInstance)
 }
--- a/internal/request/executor/unit.go
+++ b/internal/request/executor/unit.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"time"
 
 	"github.com/jackc/pgx/v5/pgproto3"
@@ -57,7 +58,11 @@
 	ambiguous bool // a commit of the key may have happened
 	keyed     bool // the open transaction holds the key
 	tooLarge  bool // the answer is over the limit of a recorded one
+	settling  bool // the key is being cancelled or its commit looked up
+	piece     bool // the exchange is a piece of a batch, without ReadyForQuery
+	misses    int  // waits for a primary so far
 	unlock    func()
+	key       requestKey
 }
 
 func newUnit() *unit { return &unit{} }
@@ -149,26 +154,38 @@
 	}
 }
 
-// fail ends an attempt, reports the failure and remembers the instance.
+// fail ends an attempt. It reports a failure of the connection and remembers the instance.
 func (u *unit) fail(ctx context.Context, err error) {
 	gone := faultOf(err) == faultGone || ctx.Err() != nil
 	u.abandon(gone || isTimeout(err))
 	u.end()
-	if gone {
+	var f *fault
+	if gone || !errors.As(err, &f) {
 		return
 	}
 	u.e.cfg.Sampler.Report(u.instance.Name, err)
 	u.exclude = append(u.exclude, u.instance.Name)
 }
 
-// retry reports whether the retry budget allows a further attempt; it waits for it when patient.
-func (u *unit) retry(ctx context.Context, patient bool) bool {
+// retryRead reports whether the retry budget allows a further attempt.
+func (u *unit) retryRead(ctx context.Context) bool {
+	u.attempt++
+	return u.e.cfg.Budget.Spend() && ctx.Err() == nil
+}
+
+// retryWrite waits for the retry budget and, unless nothing was sent, for a
+// change of primary, since the failed one may be about to be replaced.
+func (u *unit) retryWrite(ctx context.Context, err error) bool {
 	u.attempt++
 	for !u.e.cfg.Budget.Spend() {
-		if !patient || !pause(ctx, retryPause) {
+		if !pause(ctx, retryPause) {
 			return false
 		}
 	}
+	var f *fault
+	if errors.As(err, &f) && f.kind != faultNotSent {
+		u.awaitPrimary(ctx)
+	}
 	return ctx.Err() == nil
 }
 
@@ -194,8 +211,11 @@
 	if err == nil {
 		err = u.s.Flush()
 	}
-	if err != nil {
-		return classifier.Wrap(classifier.Canceled, err, "caller is gone")
+	switch {
+	case err == nil:
+		return nil
+	case !u.position.IsZero():
+		return unknownOutcome(err)
 	}
-	return nil
+	return classifier.Wrap(classifier.Canceled, err, "caller is gone")
 }
