--- a/internal/backend/pooler/line.go
+++ b/internal/backend/pooler/line.go
@@ -18,6 +18,7 @@
 	waiters   []*waiter
 	ceiling   int // connections that the instance accepted at its last refusal
 	refusedAt time.Time
+	retired   bool // connections are closed when they come back, until the next request
 	stats     Stats
 }
 
@@ -66,6 +67,7 @@
 		return nil, errClosed()
 	}
 	l := p.line(i)
+	l.retired = false
 	if n := len(l.idle); n > 0 {
 		c := l.idle[n-1]
 		l.idle = l.idle[:n-1]
@@ -150,7 +152,7 @@
 	defer p.mu.Unlock()
 	l := c.line
 	switch {
-	case p.closed, l.instance.Address != c.instance.Address, l.open > p.share(l):
+	case l.retired, l.instance.Address != c.instance.Address, l.open > p.share(l):
 		c.close()
 		l.open--
 		p.admitWaiters(l)
@@ -170,6 +172,12 @@
 	}
 }
 
+// retire closes the idle connections now and the others when they come back. The pool is locked.
+func (l *line) retire() {
+	l.retired = true
+	l.closeIdle(0)
+}
+
 func (l *line) failWaiters() {
 	for len(l.waiters) > 0 {
 		l.next() <- grant{err: errClosed()}
--- a/internal/backend/pooler/pooler.go
+++ b/internal/backend/pooler/pooler.go
@@ -113,7 +113,7 @@
 	p.gateways[database] = n
 	for _, l := range p.lines {
 		if l.database == database && n == 0 {
-			l.closeIdle(0)
+			l.retire()
 		}
 		p.admitWaiters(l)
 	}
@@ -124,7 +124,7 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if l, ok := p.lines[instance]; ok {
-		l.closeIdle(0)
+		l.retire()
 	}
 }
 
@@ -182,7 +182,7 @@
 	p.closed = true
 	close(p.stop)
 	for _, l := range p.lines {
-		l.closeIdle(0)
+		l.retire()
 		l.failWaiters()
 	}
 	p.mu.Unlock()
