--- a/internal/group/emulator/describe.go
+++ b/internal/group/emulator/describe.go
@@ -1,6 +1,7 @@
 package emulator
 
 import (
+	"fmt"
 	"slices"
 	"strconv"
 	"strings"
@@ -43,10 +44,21 @@
 	return h.describe(s)
 }
 
+// describeKey identifies what describe depends on: the text with its casts,
+// and the types that the client gave to parameters.
+func (s *statement) describeKey() string {
+	text := s.source[s.tokens[0].start:s.tokens[len(s.tokens)-1].end]
+	if !slices.ContainsFunc(s.params, func(oid uint32) bool { return oid != 0 }) {
+		return text
+	}
+	return fmt.Sprint(text, s.params)
+}
+
 // describe caches the columns with the schema that they belong to.
 func (h *handle) describe(s *statement) ([]column, error) {
 	h.checkSchema()
-	if c, ok := h.columns[s.sql]; ok {
+	key := s.describeKey()
+	if c, ok := h.columns[key]; ok {
 		return c, nil
 	}
 	columns, err := h.columnInfo(s.sql)
@@ -65,7 +77,7 @@
 	if len(h.columns) >= maxCachedStatements {
 		clear(h.columns)
 	}
-	h.columns[s.sql] = columns
+	h.columns[key] = columns
 	return columns, nil
 }
 
--- a/internal/group/emulator/value.go
+++ b/internal/group/emulator/value.go
@@ -292,7 +292,7 @@
 			return append(dst, byte(min(max(x, 0), 1))), nil
 		}
 	case pgtype.TimestamptzOID:
-		if x, ok := v.(time.Time); ok {
+		if x, ok := timeOf(v); ok {
 			return binary.BigEndian.AppendUint64(dst, uint64(x.UnixMicro()-microsOf2000)), nil
 		}
 	case pgtype.ByteaOID:
@@ -310,3 +310,27 @@
 	}
 	return dst, refuse(stateInvalidText, "value of type %T in a column of type %d", v, oid)
 }
+
+// timeLayouts are the forms of a point in time that rows may hold.
+var timeLayouts = []string{
+	"2006-01-02 15:04:05.999999999Z07:00",
+	"2006-01-02T15:04:05.999999999Z07:00",
+	"2006-01-02 15:04:05.999999999Z07",
+	"2006-01-02 15:04:05.999999999",
+	"2006-01-02",
+}
+
+// timeOf returns the point in time that a row holds. The driver has already parsed some columns.
+func timeOf(v driver.Value) (time.Time, bool) {
+	switch x := v.(type) {
+	case time.Time:
+		return x, true
+	case string:
+		for _, layout := range timeLayouts {
+			if t, err := time.Parse(layout, x); err == nil {
+				return t, true
+			}
+		}
+	}
+	return time.Time{}, false
+}
