Test the listener with scripted dialogues, and fix what they found

The dialogues run with a local Runner and through the forwarder. Faults found: a canceled write was answered 'ran=no' when the Runner returned the bare context error, and now is outcomeUnknown; the first message of a batch did not count against the limit of the batch.

--- a/internal/request/listener/answer.go
+++ b/internal/request/listener/answer.go
@@ -1,6 +1,7 @@
 package listener
 
 import (
+	"context"
 	"errors"
 	"fmt"
 
@@ -59,10 +60,16 @@
 
 // classified makes sure that the error of a unit tells the truth about its
 // outcome. An error without a kind can come from any stage, so that a unit
-// that changes data may have run.
-func classified(err error, class exchanger.Class) error {
+// that changes data may have run. The cause is why the unit's context ended, if it did.
+func classified(err, cause error, class exchanger.Class) error {
 	var e *errorx.Error
-	if errors.As(err, &e) || class.IsRead() {
+	if errors.As(err, &e) {
+		return err
+	}
+	if errors.Is(err, context.Canceled) && cause != nil {
+		err = cause
+	}
+	if class.IsRead() {
 		return err
 	}
 	return classifier.Wrap(classifier.OutcomeUnknown, err, "unit ended")
--- a/internal/request/listener/batch.go
+++ b/internal/request/listener/batch.go
@@ -94,7 +94,7 @@
 	b.forward(&pgproto3.Describe{ObjectType: 'S', Name: refusedName}, expected{kind: 'D', isPoison: true})
 }
 
-// reset forgets a unit. Buffers of an unusual size are not kept.
+// reset forgets a unit, but not the bytes that count against the limit. Buffers of an unusual size are not kept.
 func (b *batch) reset() {
 	const kept = 64
 	queue, expect := b.queue, b.expect
@@ -104,7 +104,7 @@
 	clear(queue)
 	clear(expect)
 	clear(b.portals)
-	*b = batch{queue: queue[:0], expect: expect[:0], portals: b.portals, class: exchanger.Read}
+	*b = batch{queue: queue[:0], expect: expect[:0], portals: b.portals, class: exchanger.Read, bytes: b.bytes}
 }
 
 // serveBatch collects an extended batch and runs it. The Runner needs the
--- a/internal/request/listener/fake_test.go
+++ b/internal/request/listener/fake_test.go
@@ -156,6 +156,9 @@
 			return err
 		}
 	}
+	if kind, isLost := strings.CutPrefix(st.Text, "lose "); isLost {
+		return classifier.New(classifier.Kind(kind), "lost")
+	}
 	switch {
 	case strings.Contains(st.Text, "fail"), st.Text == refusedName:
 		return u.fail("42601")
--- /dev/null
+++ b/internal/request/listener/life_test.go
@@ -0,0 +1,475 @@
+package listener
+
+import (
+	"context"
+	"crypto/tls"
+	"errors"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"os/exec"
+	"strings"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/jackc/pgx/v5"
+	"github.com/jackc/pgx/v5/pgproto3"
+
+	"parsleyscale/internal/failure/classifier"
+	"parsleyscale/internal/request/exchanger"
+)
+
+// blocking makes statements with the word "slow" wait for the end of their context.
+func blocking(started chan<- struct{}) func(context.Context, string) error {
+	return func(ctx context.Context, sql string) error {
+		if !strings.Contains(sql, "slow") {
+			return nil
+		}
+		started <- struct{}{}
+		<-ctx.Done()
+		return ctx.Err()
+	}
+}
+
+// TestStartUpErrors guards against refusals without a clear reason.
+func TestStartUpErrors(t *testing.T) {
+	cfg := newTestConfig(t, &fakeRunner{})
+	l := startListener(t, cfg)
+	cfg.Ready = func() error { return errors.New("no sheet") }
+	unready := startListener(t, cfg)
+	for _, c := range []struct {
+		l           *Listener
+		more        string
+		code, kind  string
+		hasDatabase bool
+	}{
+		{l, "", "3D000", "unknownDatabase", false},
+		{l, "&parsleyscale.read=other", "22023", "unknownReadKind", true},
+		{l, "&parsleyscale.token=x", "22023", "badToken", true},
+		{l, "&options=-c%20parsleyscale.key%3D1", "22023", "badKey", true},
+		{l, "&options=-c%20work_mem%3D1", "0A000", "unsupported", true},
+		{l, "&replication=database", "0A000", "unsupported", true},
+		{unready, "", "57P03", "notReady", true},
+	} {
+		text := dsn(c.l, c.more)
+		if !c.hasDatabase {
+			text = strings.Replace(text, "/orders", "/other", 1)
+		}
+		_, err := pgx.Connect(t.Context(), text)
+		if code, detail := codeOf(err); code != c.code || !strings.Contains(detail, "kind="+c.kind+" ran=no") {
+			t.Errorf("%q: %v, %s", c.more, err, detail)
+		}
+	}
+}
+
+// TestStartUpParameters guards against parameters that are lost between the start-up message and the request.
+func TestStartUpParameters(t *testing.T) {
+	f := &fakeRunner{}
+	l := startListener(t, newTestConfig(t, f))
+	conn := connect(t, l, "&parsleyscale.session=s1&options=-c%20parsleyscale.read%3Dstock%20--application_name%3Da\\%20b")
+	if _, err := conn.Exec(t.Context(), "select 1"); err != nil {
+		t.Fatal(err)
+	}
+	if got, want := f.takeRequests(), "read - s1 stock false 0/0"; got != want {
+		t.Errorf("got %q, want %q", got, want)
+	}
+}
+
+// TestTLS guards against passwords that travel without TLS, and against wrong ones that are accepted.
+func TestTLS(t *testing.T) {
+	cert := httptest.NewUnstartedServer(http.NotFoundHandler())
+	cert.StartTLS()
+	defer cert.Close()
+	cfg := newTestConfig(t, &fakeRunner{})
+	cfg.TLS = &tls.Config{Certificates: cert.TLS.Certificates}
+	cfg.TrustLoopback = false
+	cfg.Credentials = map[string]string{"clerk": "secret"}
+	l := startListener(t, cfg)
+	for _, c := range []struct{ user, password, mode, want string }{
+		{"clerk", "secret", "require", ""},
+		{"clerk", "wrong", "require", "28P01"},
+		{"clerk", "", "require", "28P01"},
+		{"other", "secret", "require", "28P01"},
+		{"other", "", "require", "28P01"},
+		{"clerk", "secret", "disable", "28000"},
+	} {
+		conn, err := pgx.Connect(t.Context(), "postgres://"+c.user+":"+c.password+"@"+l.Addr().String()+"/orders?sslmode="+c.mode)
+		if code, _ := codeOf(err); code != c.want || (err == nil) != (c.want == "") {
+			t.Errorf("%+v: %v", c, err)
+		}
+		if err == nil {
+			conn.Close(t.Context())
+		}
+	}
+	cmd := exec.Command("psql", "-X", "-At", "postgres://clerk:secret@"+l.Addr().String()+"/orders?sslmode=require", "-c", "select 1")
+	if out, err := cmd.CombinedOutput(); err != nil || string(out) != "select 1\n" {
+		t.Errorf("psql over TLS: %v, %q", err, out)
+	}
+}
+
+// TestConfigCheck guards against a listener that accepts callers without TLS although nobody asked for it.
+func TestConfigCheck(t *testing.T) {
+	cfg := newTestConfig(t, &fakeRunner{})
+	cfg.TrustLoopback = false
+	if _, err := New(cfg); err == nil {
+		t.Error("a listener without tls and trustLoopback was made")
+	}
+}
+
+// TestBadInput guards against input of one caller that harms another, and against unclear refusals.
+func TestBadInput(t *testing.T) {
+	cfg := newTestConfig(t, &fakeRunner{})
+	cfg.Limits.MessageBytes = 1000
+	l := startListener(t, cfg)
+	other := dialRaw(t, l.Addr().String())
+	defer other.conn.Close()
+	large, _ := (&pgproto3.Query{String: strings.Repeat("x", 2000)}).Encode(nil)
+	parse, _ := (&pgproto3.Parse{Name: "a", Query: strings.Repeat("x", 600)}).Encode(nil)
+	second, _ := (&pgproto3.Parse{Name: "b", Query: strings.Repeat("x", 600)}).Encode(nil)
+	for _, c := range []struct{ name, input, want string }{
+		{"unknown type", "z\x00\x00\x00\x04", "badMessage"},
+		{"negative length", "Q\xff\xff\xff\xff", "badMessage"},
+		{"huge length", "Q\x7f\xff\xff\xff", "messageTooLarge"},
+		{"large", string(large), "messageTooLarge"},
+		{"large batch", string(parse) + string(second), "messageTooLarge"},
+		{"no terminator", "Q\x00\x00\x00\x05x", "badMessage"},
+		{"bind too short", "B\x00\x00\x00\x06\x00\x00", "badMessage"},
+		{"password", "p\x00\x00\x00\x05\x00", "badMessage"},
+	} {
+		bad := dialRaw(t, l.Addr().String())
+		bad.conn.SetDeadline(time.Now().Add(5 * time.Second))
+		io.WriteString(bad.conn, c.input)
+		m, err := bad.f.Receive()
+		if err != nil {
+			t.Errorf("%s: %v", c.name, err)
+		} else if e, ok := m.(*pgproto3.ErrorResponse); !ok || !strings.HasPrefix(e.Detail, "kind="+c.want) || e.Severity != "FATAL" {
+			t.Errorf("%s: got %+v", c.name, m)
+		}
+		bad.conn.Close()
+		if err := other.simple(); err != nil {
+			t.Fatalf("%s: other caller: %v", c.name, err)
+		}
+	}
+}
+
+// TestDrain guards against a stop that cuts a transaction, or that leaves idle callers connected.
+func TestDrain(t *testing.T) {
+	f := &fakeRunner{}
+	l := startListener(t, newTestConfig(t, f))
+	idle, busy := connect(t, l, ""), connect(t, l, "")
+	tx, err := busy.Begin(t.Context())
+	if err != nil {
+		t.Fatal(err)
+	}
+	done := make(chan error)
+	go func() {
+		ctx, cancel := context.WithTimeout(context.Background(), 5*time.Second)
+		defer cancel()
+		done <- l.Drain(ctx)
+	}()
+	for l.Callers() > 1 {
+		time.Sleep(time.Millisecond)
+	}
+	if _, err := tx.Exec(t.Context(), "insert 1"); err != nil {
+		t.Errorf("statement while draining: %v", err)
+	}
+	if err := tx.Commit(t.Context()); err != nil {
+		t.Errorf("commit while draining: %v", err)
+	}
+	if err := <-done; err != nil {
+		t.Error(err)
+	}
+	for _, conn := range []*pgx.Conn{idle, busy} {
+		if code, _ := codeOf(conn.Ping(t.Context())); code != "57P01" {
+			t.Errorf("caller after the drain got %q", code)
+		}
+	}
+	if _, err := pgx.Connect(t.Context(), dsn(l, "")); err == nil {
+		t.Error("a caller was accepted after the drain")
+	}
+}
+
+// TestDrainLimit guards against a drain that never ends, and against a Close that leaves units running.
+func TestDrainLimit(t *testing.T) {
+	started := make(chan struct{}, 1)
+	f := &fakeRunner{hook: blocking(started)}
+	l := startListener(t, newTestConfig(t, f))
+	conn := connect(t, l, "")
+	result := make(chan error, 1)
+	go func() {
+		_, err := conn.Exec(context.Background(), "insert slow")
+		result <- err
+	}()
+	<-started
+	ctx, cancel := context.WithTimeout(t.Context(), 50*time.Millisecond)
+	defer cancel()
+	if err := l.Drain(ctx); !errors.Is(err, context.DeadlineExceeded) {
+		t.Errorf("drain: %v", err)
+	}
+	l.Close()
+	if n := l.Callers(); n != 0 {
+		t.Errorf("%d callers after close", n)
+	}
+	if code, detail := codeOf(<-result); code != "08007" {
+		t.Errorf("write cut by close: %q, %s", code, detail)
+	}
+}
+
+// TestCancel guards against cancel requests that have no effect, or reach
+// another session, and against a canceled write that is called not run.
+func TestCancel(t *testing.T) {
+	started := make(chan struct{}, 1)
+	cfg := newTestConfig(t, &fakeRunner{hook: blocking(started)})
+	forwarded := make(chan uint16, 1)
+	cfg.ForwardCancel = func(_ context.Context, hash uint16, _, _ uint32) { forwarded <- hash }
+	l := startListener(t, cfg)
+	conn := connect(t, l, "")
+	for _, c := range []struct{ sql, code string }{{"select slow()", "57014"}, {"insert slow", "08007"}} {
+		result := make(chan error, 1)
+		go func() {
+			_, err := conn.Exec(context.Background(), c.sql)
+			result <- err
+		}()
+		<-started
+		if l.Cancel(conn.PgConn().PID(), 1) {
+			t.Error("cancel with a wrong key")
+		}
+		if err := conn.PgConn().CancelRequest(t.Context()); err != nil {
+			t.Error(err)
+		}
+		if code, detail := codeOf(<-result); code != c.code {
+			t.Errorf("%s: %q, %s", c.sql, code, detail)
+		}
+	}
+	if _, err := conn.Exec(t.Context(), "select 1"); err != nil {
+		t.Errorf("statement after cancel: %v", err)
+	}
+	other, err := net.Dial("tcp", l.Addr().String())
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer other.Close()
+	m, _ := (&pgproto3.CancelRequest{ProcessID: uint32(Hash("vm-2")) << 16, SecretKey: make([]byte, 4)}).Encode(nil)
+	other.Write(m)
+	select {
+	case hash := <-forwarded:
+		if hash != Hash("vm-2") {
+			t.Errorf("forwarded to hash %d", hash)
+		}
+	case <-time.After(5 * time.Second):
+		t.Error("unknown key was not forwarded")
+	}
+}
+
+// TestCancelInTransaction guards against a cancel that reaches a transaction between its statements.
+func TestCancelInTransaction(t *testing.T) {
+	l := startListener(t, newTestConfig(t, &fakeRunner{}))
+	conn := connect(t, l, "")
+	tx, err := conn.Begin(t.Context())
+	if err != nil {
+		t.Fatal(err)
+	}
+	time.Sleep(20 * time.Millisecond) // until the session waits for the next statement
+	conn.PgConn().CancelRequest(t.Context())
+	if _, err := tx.Exec(t.Context(), "insert 1"); err != nil {
+		t.Error(err)
+	}
+	if err := tx.Commit(t.Context()); err != nil {
+		t.Error(err)
+	}
+}
+
+// TestCallerVanishes guards against statements that run on for a caller that is gone, also behind unread messages.
+func TestCallerVanishes(t *testing.T) {
+	for _, more := range []string{"", "X\x00\x00\x00\x04"} {
+		bothWays(t, func(t *testing.T, f *fakeRunner, l *Listener) {
+			started, ended := make(chan struct{}, 1), make(chan struct{}, 1)
+			block := blocking(started)
+			f.hook = func(ctx context.Context, sql string) error {
+				defer func() { ended <- struct{}{} }()
+				return block(ctx, sql)
+			}
+			c := dialRaw(t, l.Addr().String())
+			c.f.Send(&pgproto3.Query{String: "select slow()"})
+			c.f.Flush()
+			<-started
+			io.WriteString(c.conn, more)
+			c.conn.Close()
+			select {
+			case <-ended:
+			case <-time.After(3 * time.Second):
+				t.Error("statement goes on")
+			}
+		})
+	}
+}
+
+// TestCallers guards against callers beyond the limit, and against sessions that are never given back.
+func TestCallers(t *testing.T) {
+	cfg := newTestConfig(t, &fakeRunner{})
+	cfg.Limits.Callers = 2
+	l := startListener(t, cfg)
+	for range 3 {
+		a, b := dialRaw(t, l.Addr().String()), dialRaw(t, l.Addr().String())
+		_, err := pgx.Connect(t.Context(), dsn(l, ""))
+		if code, _ := codeOf(err); code != "53000" {
+			t.Errorf("third caller: %v", err)
+		}
+		a.conn.Close()
+		b.conn.Close()
+		for l.Callers() > 0 {
+			time.Sleep(time.Millisecond)
+		}
+	}
+}
+
+// pipeCaller connects to a listener without sockets, for tests with a paused clock.
+func pipeCaller(t *testing.T, l *Listener) *rawCaller {
+	t.Helper()
+	near, far := net.Pipe()
+	l.start(far)
+	c := &rawCaller{conn: near, f: pgproto3.NewFrontend(near, near)}
+	c.f.Send(&pgproto3.StartupMessage{ProtocolVersion: pgproto3.ProtocolVersion30,
+		Parameters: map[string]string{"user": "clerk", "database": "orders"}})
+	c.f.Flush()
+	if err := c.untilReady(); err != nil {
+		t.Fatal(err)
+	}
+	return c
+}
+
+// TestDeadlines guards against waits without an end, with the runtime's clock in a bubble.
+func TestDeadlines(t *testing.T) {
+	for _, c := range []struct {
+		name   string
+		before []string
+		send   string
+		want   time.Duration
+		kind   string
+	}{
+		{"idle", nil, "", bufferHold + time.Hour, "timeout"},
+		{"half a message", nil, "Q\x00", bufferHold + 5*time.Second, "timeout"},
+		{"idle in a transaction", []string{"begin"}, "", 30 * time.Second, "timeout"},
+		{"statement", nil, "Q\x00\x00\x00\x12select slow()\x00", 10 * time.Second, "timeout"},
+		{"open batch", nil, "P\x00\x00\x00\x09\x00x\x00\x00\x00", 30 * time.Second, "timeout"},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				cfg := newTestConfig(t, &fakeRunner{hook: blocking(make(chan struct{}, 9))})
+				cfg.Limits = Limits{Idle: time.Hour, StartUp: 5 * time.Second}
+				l, err := newListener(cfg)
+				if err != nil {
+					t.Fatal(err)
+				}
+				caller := pipeCaller(t, l)
+				for _, sql := range c.before {
+					caller.f.Send(&pgproto3.Query{String: sql})
+					caller.f.Flush()
+					caller.untilReady()
+				}
+				start := time.Now()
+				io.WriteString(caller.conn, c.send)
+				m, err := caller.f.Receive()
+				if err != nil {
+					t.Fatal(err)
+				}
+				e, ok := m.(*pgproto3.ErrorResponse)
+				if !ok || !strings.HasPrefix(e.Detail, "kind="+c.kind) {
+					t.Errorf("got %+v", m)
+				}
+				if d := time.Since(start); d != c.want {
+					t.Errorf("after %v, want %v", d, c.want)
+				}
+				caller.conn.Close()
+				l.cancel()
+				l.wg.Wait()
+			})
+		})
+	}
+}
+
+// TestTokenOfWrites guards against a floor that is not raised before the caller learns of its write.
+func TestTokenOfWrites(t *testing.T) {
+	bothWays(t, func(t *testing.T, f *fakeRunner, l *Listener) {
+		conn := connect(t, l, "&parsleyscale.session=s")
+		if _, err := conn.Exec(t.Context(), "insert 1"); err != nil {
+			t.Fatal(err)
+		}
+		token := conn.PgConn().ParameterStatus(parameterToken)
+		other := connect(t, l, "&parsleyscale.session=s&parsleyscale.token="+token)
+		if _, err := other.Exec(t.Context(), "select 1"); err != nil {
+			t.Fatal(err)
+		}
+		if r := f.last(); r.Floor.Index != 1 || !r.HasToken {
+			t.Errorf("read through another connection: %+v", r)
+		}
+	})
+}
+
+// TestLargeAnswer guards against answers that pile up in the listener: a
+// caller that reads nothing has to stop the Runner.
+func TestLargeAnswer(t *testing.T) {
+	var mu sync.Mutex
+	sent := 0
+	run := runFunc(func(_ context.Context, _ exchanger.Request, s exchanger.Stream) (exchanger.Result, error) {
+		s.Receive()
+		row := &pgproto3.DataRow{Values: [][]byte{make([]byte, 32<<10)}}
+		for range 2000 {
+			if err := s.Send(row); err != nil {
+				return exchanger.Result{}, err
+			}
+			mu.Lock()
+			sent++
+			mu.Unlock()
+		}
+		s.Send(&pgproto3.ReadyForQuery{TxStatus: 'I'})
+		return exchanger.Result{}, nil
+	})
+	l := startListener(t, newTestConfig(t, run))
+	c := dialRaw(t, l.Addr().String())
+	defer c.conn.Close()
+	c.f.Send(&pgproto3.Query{String: "select 1"})
+	c.f.Flush()
+	time.Sleep(200 * time.Millisecond)
+	mu.Lock()
+	n := sent
+	mu.Unlock()
+	if n == 2000 {
+		t.Error("the whole answer was taken from the runner before the caller read anything")
+	}
+	if err := c.untilReady(); err != nil {
+		t.Error(err)
+	}
+}
+
+// runFunc is a Runner made of a function.
+type runFunc func(ctx context.Context, r exchanger.Request, s exchanger.Stream) (exchanger.Result, error)
+
+func (f runFunc) Run(ctx context.Context, r exchanger.Request, s exchanger.Stream) (exchanger.Result, error) {
+	return f(ctx, r, s)
+}
+
+// TestBadRunners guards against a Runner's mistake that looks like a complete answer.
+func TestBadRunners(t *testing.T) {
+	for name, run := range map[string]runFunc{
+		"no answer": func(context.Context, exchanger.Request, exchanger.Stream) (exchanger.Result, error) {
+			return exchanger.Result{}, nil
+		},
+		"bare error": func(context.Context, exchanger.Request, exchanger.Stream) (exchanger.Result, error) {
+			return exchanger.Result{}, errors.New("broken")
+		},
+		"part": func(_ context.Context, _ exchanger.Request, s exchanger.Stream) (exchanger.Result, error) {
+			return exchanger.Result{}, s.Send(&pgproto3.DataRow{Values: [][]byte{nil}})
+		},
+	} {
+		l := startListener(t, newTestConfig(t, run))
+		conn := connect(t, l, "")
+		_, err := conn.Exec(t.Context(), "insert 1")
+		if _, detail := codeOf(err); !strings.HasPrefix(detail, "kind="+string(classifier.OutcomeUnknown)) {
+			t.Errorf("%s: %v %s", name, err, detail)
+		}
+	}
+}
--- a/internal/request/listener/session.go
+++ b/internal/request/listener/session.go
@@ -119,7 +119,8 @@
 		if err != nil {
 			return err
 		}
-		m, err := framer.Decode(kind, body)
+		s.batch.bytes = 0
+		m, err := s.decodeOfBatch(kind, body)
 		if err != nil {
 			return err
 		}
--- a/internal/request/listener/stream.go
+++ b/internal/request/listener/stream.go
@@ -9,7 +9,6 @@
 	"time"
 
 	"github.com/jackc/pgx/v5/pgproto3"
-	"github.com/joomcode/errorx"
 
 	"parsleyscale/internal/failure/classifier"
 	"parsleyscale/internal/request/exchanger"
@@ -83,22 +82,12 @@
 		return u.ended
 	case err == nil:
 		err = errors.New("runner ended without a complete answer")
-	case errors.Is(err, context.Canceled) && context.Cause(ctx) != nil:
-		err = withCause(err, context.Cause(ctx))
 	}
-	if isGone(context.Cause(ctx)) {
+	cause := context.Cause(ctx)
+	if isGone(cause) {
 		return errCallerGone
 	}
-	return classified(err, u.class)
-}
-
-// withCause replaces a bare context error by the reason of the cancellation.
-func withCause(err, cause error) error {
-	var e *errorx.Error
-	if errors.As(err, &e) {
-		return err
-	}
-	return cause
+	return classified(err, cause, u.class)
 }
 
 // finish ends the answer of a unit: the error, the raised token and ReadyForQuery.
