--- /dev/null
+++ b/internal/group/connector/client_test.go
@@ -0,0 +1,191 @@
+package connector_test
+
+import (
+	"context"
+	"errors"
+	"net"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/jackc/pgx/v5/pgproto3"
+
+	"parsleyscale/internal/group/connector"
+)
+
+// fake is an instance whose answers a test scripts: one for each query, over all connections.
+type fake struct {
+	listener net.Listener
+	answers  chan answer
+	wg       sync.WaitGroup
+
+	mu    sync.Mutex
+	conns []net.Conn
+}
+
+// answer is the JSON of a status, or an error's SQLSTATE, after a delay.
+type answer struct {
+	text, state string
+	delay       time.Duration
+}
+
+func startFake(t *testing.T, answers ...answer) *fake {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	f := &fake{listener: l, answers: make(chan answer, len(answers))}
+	for _, a := range answers {
+		f.answers <- a
+	}
+	f.wg.Go(func() {
+		for {
+			c, err := l.Accept()
+			if err != nil {
+				return
+			}
+			f.mu.Lock()
+			f.conns = append(f.conns, c)
+			f.mu.Unlock()
+			f.wg.Go(func() { f.serve(c) })
+		}
+	})
+	t.Cleanup(func() {
+		l.Close()
+		f.mu.Lock()
+		for _, c := range f.conns {
+			c.Close()
+		}
+		f.mu.Unlock()
+		f.wg.Wait()
+	})
+	return f
+}
+
+func (f *fake) connections() int {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return len(f.conns)
+}
+
+func (f *fake) serve(c net.Conn) {
+	defer c.Close()
+	b := pgproto3.NewBackend(c, c)
+	if _, err := b.ReceiveStartupMessage(); err != nil {
+		return
+	}
+	b.Send(&pgproto3.AuthenticationOk{})
+	b.Send(&pgproto3.BackendKeyData{ProcessID: 1, SecretKey: []byte("1234")})
+	b.Send(&pgproto3.ReadyForQuery{TxStatus: 'I'})
+	for b.Flush() == nil {
+		m, err := b.Receive()
+		if _, ok := m.(*pgproto3.Query); err != nil || !ok {
+			return
+		}
+		a := <-f.answers
+		time.Sleep(a.delay)
+		if a.state != "" {
+			b.Send(&pgproto3.ErrorResponse{Severity: "ERROR", Code: a.state, Message: "refused"})
+		} else {
+			b.Send(&pgproto3.RowDescription{Fields: []pgproto3.FieldDescription{{Name: []byte("s"), DataTypeOID: 25}}})
+			b.Send(&pgproto3.DataRow{Values: [][]byte{[]byte(a.text)}})
+			b.Send(&pgproto3.CommandComplete{CommandTag: []byte("SELECT 1")})
+		}
+		b.Send(&pgproto3.ReadyForQuery{TxStatus: 'I'})
+	}
+}
+
+const (
+	primaryStatus = `{"name":"a","role":"primary","fenceTerm":2,"last":{"term":2,"index":9},"applied":{"term":2,"index":9}}`
+	oldStatus     = `{"name":"a","role":"primary","fenceTerm":1,"last":{"term":1,"index":1},"applied":{"term":1,"index":1}}`
+	wrongStatus   = `{"name":"a","role":"leader"}`
+)
+
+// TestLateAnswer guards against the answer of a timed-out call that a later call takes for its own.
+func TestLateAnswer(t *testing.T) {
+	f := startFake(t, answer{text: oldStatus, delay: 150 * time.Millisecond}, answer{text: primaryStatus})
+	c := connector.Dial(connector.Config{Address: f.listener.Addr().String()})
+	defer c.Close()
+	ctx, cancel := context.WithTimeout(t.Context(), 50*time.Millisecond)
+	defer cancel()
+	start := time.Now()
+	if s, err := c.Status(ctx); err == nil {
+		t.Errorf("call with a deadline of 50 ms got %+v after %v", s, time.Since(start))
+	}
+	if d := time.Since(start); d > 140*time.Millisecond {
+		t.Errorf("call with a deadline of 50 ms returned after %v", d)
+	}
+	s, err := c.Status(t.Context())
+	if err != nil || s.FenceTerm != 2 {
+		t.Errorf("next call: %+v, %v", s, err)
+	}
+	if n := f.connections(); n != 2 {
+		t.Errorf("%d connections, want 2: one for each call and none for a cancel request", n)
+	}
+}
+
+// TestRefusals guards against refusals without a type, and against reconnections after them.
+func TestRefusals(t *testing.T) {
+	cases := []struct {
+		answer answer
+		want   error
+	}{
+		{answer{state: connector.StateTermTooLow}, connector.ErrFenced},
+		{answer{state: connector.StateNotFenced}, connector.ErrNotFenced},
+		{answer{state: connector.StateTermTaken}, connector.ErrTermTaken},
+	}
+	var answers []answer
+	for _, tc := range cases {
+		answers = append(answers, tc.answer)
+	}
+	f := startFake(t, answers...)
+	c := connector.Dial(connector.Config{Address: f.listener.Addr().String()})
+	defer c.Close()
+	for _, tc := range cases {
+		if _, err := c.Fence(t.Context(), 2); !errors.Is(err, tc.want) {
+			t.Errorf("SQLSTATE %s: got %v, want %v", tc.answer.state, err, tc.want)
+		}
+	}
+	if n := f.connections(); n != 1 {
+		t.Errorf("%d connections, want 1", n)
+	}
+}
+
+// TestUnreadableStatus guards against a status that decodes to something the instance did not say.
+func TestUnreadableStatus(t *testing.T) {
+	f := startFake(t, answer{text: wrongStatus}, answer{text: "{"}, answer{text: primaryStatus})
+	c := connector.Dial(connector.Config{Address: f.listener.Addr().String()})
+	defer c.Close()
+	for range 2 {
+		if s, err := c.Status(t.Context()); err == nil {
+			t.Errorf("got %+v from an unreadable status", s)
+		}
+	}
+	if _, err := c.Status(t.Context()); err != nil {
+		t.Error(err)
+	}
+}
+
+// TestClose guards against a Close that leaves a call running, or that waits for a silent instance.
+func TestClose(t *testing.T) {
+	f := startFake(t, answer{text: primaryStatus, delay: 500 * time.Millisecond})
+	c := connector.Dial(connector.Config{Address: f.listener.Addr().String(), Timeout: 10 * time.Second})
+	done := make(chan error, 1)
+	go func() {
+		_, err := c.Status(t.Context())
+		done <- err
+	}()
+	time.Sleep(50 * time.Millisecond) // the call waits for its answer
+	start := time.Now()
+	c.Close()
+	if d := time.Since(start); d > 400*time.Millisecond {
+		t.Errorf("close took %v", d)
+	}
+	if err := <-done; !errors.Is(err, connector.ErrClosed) {
+		t.Errorf("running call: got %v, want %v", err, connector.ErrClosed)
+	}
+	if _, err := c.Status(t.Context()); !errors.Is(err, connector.ErrClosed) {
+		t.Errorf("call after close: got %v, want %v", err, connector.ErrClosed)
+	}
+}
