--- a/internal/group/emulator/execute.go
+++ b/internal/group/emulator/execute.go
@@ -182,6 +182,9 @@
 			return err
 		}
 	}
+	if p.statement.tag == "SELECT" {
+		p.sent = 0 // its tag counts the rows of one Execute
+	}
 	for n := 0; maxRows == 0 || n < maxRows; n++ {
 		if err := ctx.Err(); err != nil {
 			return err
--- a/internal/group/emulator/setting.go
+++ b/internal/group/emulator/setting.go
@@ -4,6 +4,8 @@
 	"strings"
 
 	"github.com/jackc/pgx/v5/pgproto3"
+
+	"parsleyscale/internal/group/connector"
 )
 
 // executeSetting runs SET, RESET, SHOW, DISCARD and DEALLOCATE. Settings are kept for SHOW but have no effect.
@@ -24,7 +26,14 @@
 	return nil
 }
 
+// setting returns the value of a setting. Drivers read transaction_read_only to find a primary.
 func (x *session) setting(name string) string {
+	if name == "transaction_read_only" {
+		if x.server.group.status().Role == connector.RoleReplica {
+			return "on"
+		}
+		return "off"
+	}
 	if v, ok := x.settings[name]; ok {
 		return v
 	}
--- a/internal/group/emulator/statement.go
+++ b/internal/group/emulator/statement.go
@@ -98,6 +98,8 @@
 	case first.is("INSERT"), first.is("UPDATE"), first.is("DELETE"), first.is("REPLACE"):
 		s.class = classWrite
 		s.counts = true
+	case first.is("CREATE") && len(tokens) > 1 && (tokens[1].is("TEMP") || tokens[1].is("TEMPORARY")):
+		return nil, refuse(stateFeatureNotSupported, "temporary objects are not supported: replicas would lack them after a restart")
 	case first.is("CREATE"), first.is("DROP"), first.is("ALTER"):
 		s.class = classWrite
 		s.schema = true
