--- a/internal/group/emulator/bench_test.go
+++ b/internal/group/emulator/bench_test.go
@@ -10,7 +10,9 @@
 
 	"github.com/jackc/pgx/v5"
 
+	"parsleyscale/internal/group/connector"
 	"parsleyscale/internal/group/emulator"
+	"parsleyscale/internal/session/tokenizer"
 )
 
 // BenchmarkInstance measures one instance with 1 and 64 pgx clients: reads of
@@ -86,3 +88,46 @@
 	wg.Wait()
 	b.ReportMetric(float64(b.N)/time.Since(start).Seconds(), "statements/s")
 }
+
+// BenchmarkHold measures the time from the end of a commit until a replica
+// reports the entry as held, which a confirmation waits for.
+func BenchmarkHold(b *testing.B) {
+	primary := startBench(b)
+	replica, err := emulator.Start(emulator.Config{Dir: b.TempDir(), Upstream: primary})
+	if err != nil {
+		b.Fatal(err)
+	}
+	defer replica.Close()
+	client := connector.Dial(connector.Config{Address: replica.Addr()})
+	defer client.Close()
+	c := benchConn(b, primary)
+	var waited time.Duration
+	for i := 0; b.Loop(); i++ {
+		if _, err := c.Exec(b.Context(), `INSERT INTO types (id) VALUES ($1)`, 1_000_000+i); err != nil {
+			b.Fatal(err)
+		}
+		p, err := tokenizer.ParsePosition(c.PgConn().ParameterStatus(connector.ParameterPosition))
+		if err != nil {
+			b.Fatal(err)
+		}
+		start := time.Now()
+		for s := (connector.Status{}); !s.Last.Covers(p); {
+			if s, err = client.Status(b.Context()); err != nil {
+				b.Fatal(err)
+			}
+		}
+		waited += time.Since(start)
+	}
+	b.ReportMetric(float64(waited.Microseconds())/float64(b.N), "us-to-hold")
+}
+
+// BenchmarkStatus measures a status on a kept control connection.
+func BenchmarkStatus(b *testing.B) {
+	client := connector.Dial(connector.Config{Address: startBench(b)})
+	defer client.Close()
+	for b.Loop() {
+		if _, err := client.Status(b.Context()); err != nil {
+			b.Fatal(err)
+		}
+	}
+}
