--- a/internal/request/executor/executor_test.go
+++ b/internal/request/executor/executor_test.go
@@ -88,6 +88,7 @@
 		t.Errorf("served by %q, want %q", res.ServedBy, c.Served)
 	}
 	checkRuns(t, g, c.Runs)
+	checkConnections(t, e, g)
 	if c.Repeat != nil {
 		again := &fakeStream{in: c.messages()}
 		_, err := e.Run(t.Context(), r, again)
@@ -111,6 +112,24 @@
 	return ok && strings.Trim(rest, "D") == ""
 }
 
+// checkConnections sends a transaction over every idle connection. None may be
+// one that the script left in an uncertain state, or inside a transaction.
+func checkConnections(t *testing.T, e *Executor, g *group) {
+	t.Helper()
+	for range 4 {
+		s := &fakeStream{in: queries("BEGIN", "SHOW", "ROLLBACK")}
+		r := exchanger.Request{Database: "db", Class: exchanger.Transaction, Timeout: 5 * time.Second}
+		if _, err := e.Run(t.Context(), r, s); err != nil {
+			t.Errorf("unit after the case: %v", err)
+		}
+	}
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	for _, v := range g.violations {
+		t.Error(v)
+	}
+}
+
 func checkRuns(t *testing.T, g *group, want map[string]int) {
 	t.Helper()
 	if want == nil {
--- a/internal/request/executor/fake_test.go
+++ b/internal/request/executor/fake_test.go
@@ -51,6 +51,8 @@
 	maxOpen   int
 	confirmed int
 	blind     bool // rounds are not confirmed
+
+	violations []string // of the rules of the protocol between executor and instance
 }
 
 type entry struct {
@@ -257,6 +259,7 @@
 	held     []string // keys that the open transaction inserted
 	sql      string   // of the last Parse
 	failed   bool     // skip messages until Sync
+	set      bool     // SET was run
 	canceled chan struct{}
 }
 
@@ -395,7 +398,19 @@
 	return nil
 }
 
+// beSilent leaves the connection open until the caller closes it, and counts
+// every further message as reuse of an uncertain connection. The open
+// transaction stays until a cancel request arrives, as behind a network that lost the close.
 func (s *session) beSilent() error {
+	// Messages of the same batch were sent before the silence could be noticed.
+	for start := time.Now(); ; {
+		if _, err := s.b.Receive(); err != nil {
+			break
+		}
+		if time.Since(start) > 50*time.Millisecond {
+			s.in.g.violate("message on a connection whose state is uncertain")
+		}
+	}
 	select {
 	case <-s.canceled:
 	case <-time.After(10 * time.Second):
@@ -403,6 +418,12 @@
 	return errCut
 }
 
+func (g *group) violate(text string) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.violations = append(g.violations, text)
+}
+
 var (
 	insertKey = regexp.MustCompile(`^INSERT INTO parsleyscale_requests.* VALUES \('([^']*)', ?'([^']*)', ?(\d+), ?'([^']*)', ?'([^']*)'\)`)
 	updateKey = regexp.MustCompile(`^UPDATE parsleyscale_requests SET answer ?= ?'([^']*)' WHERE key ?= ?'([^']*)'`)
@@ -424,6 +445,9 @@
 	case strings.Contains(sql, "parsleyscale_requests"):
 		s.keyStatement(sql)
 	case word == "BEGIN":
+		if s.tx != nil {
+			g.violations = append(g.violations, "transaction begun inside another caller's")
+		}
 		s.tx = &entry{keys: map[string][4]string{}}
 		s.done("BEGIN")
 	case word == "COMMIT":
@@ -437,6 +461,14 @@
 		s.fail("23505", "duplicate")
 	case word == "WRITE":
 		s.write(rest, simple)
+	case word == "COPY":
+		s.copyIn()
+	case word == "SET":
+		s.set = true
+		s.done(word)
+	case word == "SHOW" && s.set:
+		g.violations = append(g.violations, "session state of another caller")
+		s.done(word)
 	default:
 		s.done(word)
 	}
@@ -467,6 +499,20 @@
 	s.tx, s.held = nil, nil
 }
 
+func (s *session) copyIn() {
+	s.b.Send(&pgproto3.CopyInResponse{})
+	_ = s.b.Flush()
+	n := 0
+	for {
+		m, err := s.b.Receive()
+		if _, ok := m.(*pgproto3.CopyDone); ok || err != nil {
+			s.done("COPY " + strconv.Itoa(n))
+			return
+		}
+		n++
+	}
+}
+
 func (s *session) done(tag string) { s.b.Send(&pgproto3.CommandComplete{CommandTag: []byte(tag)}) }
 
 func (s *session) fail(code, text string) {
@@ -582,7 +628,7 @@
 }
 
 func (s *session) sendRows(text string, simple, cut bool) int {
-	n, _ := strconv.Atoi(text)
+	n, _ := strconv.Atoi(strings.TrimSpace(text))
 	if simple {
 		s.b.Send(&pgproto3.RowDescription{Fields: []pgproto3.FieldDescription{{Name: []byte("v"), DataTypeOID: 25}}})
 	}
