--- a/internal/platform/client/client.go
+++ b/internal/platform/client/client.go
@@ -4,7 +4,6 @@
 	"bytes"
 	"context"
 	"encoding/json"
-	"errors"
 	"fmt"
 	"io"
 	"net/http"
@@ -169,10 +168,6 @@
 	b.MaxInterval = longestDelay
 	op := func() (response, error) { return c.attempt(ctx, q) }
 	r, err := backoff.Retry(ctx, op, backoff.WithBackOff(b), backoff.WithMaxTries(c.cfg.Tries), backoff.WithMaxElapsedTime(c.cfg.Deadline))
-	var p *backoff.PermanentError
-	if errors.As(err, &p) {
-		err = p.Unwrap()
-	}
 	if err != nil && classifier.KindOf(err) != classifier.Conflict && classifier.KindOf(err) != classifier.Invalid {
 		err = classifier.Wrap(classifier.PlatformUnavailable, err, "platform: %s %s", q.method, q.path)
 	}
