--- a/internal/group/emulator/infer.go
+++ b/internal/group/emulator/infer.go
@@ -193,7 +193,7 @@
 
 // column looks the declared type of a column up.
 func (f inference) column(e []token, from string) uint32 {
-	if from == "" {
+	if from == "" || len(e) == 0 {
 		return 0
 	}
 	c := f.lookup("SELECT " + f.sql[e[0].start:e[len(e)-1].end] + " " + from)
