--- /dev/null
+++ b/internal/request/executor/bench_test.go
@@ -0,0 +1,104 @@
+package executor
+
+import (
+	"context"
+	"net"
+	"testing"
+	"time"
+
+	"github.com/google/uuid"
+	"github.com/jackc/pgx/v5/pgproto3"
+
+	"parsleyscale/internal/group/sampler"
+	"parsleyscale/internal/request/exchanger"
+	"parsleyscale/internal/session/tokenizer"
+)
+
+// benchSampler has a constant view and confirms at once, so that the
+// benchmarks measure the executor and not the fake group.
+type benchSampler struct {
+	*group
+	view sampler.View
+}
+
+func (s benchSampler) View() sampler.View                                { return s.view }
+func (s benchSampler) Next(context.Context) (sampler.View, error)        { return s.view, nil }
+func (s benchSampler) Confirm(context.Context, tokenizer.Position) error { return nil }
+
+// benchStream sends the same query again and again.
+type benchStream struct {
+	q       pgproto3.Query
+	pending bool
+	out     []byte
+}
+
+func (s *benchStream) Receive() (pgproto3.FrontendMessage, error) { return &s.q, nil }
+func (s *benchStream) Flush() error                               { return nil }
+func (s *benchStream) Send(m pgproto3.BackendMessage) (err error) {
+	s.out, err = m.Encode(s.out[:0])
+	return err
+}
+
+func benchRun(b *testing.B, class exchanger.Class, sql string, keyed bool) {
+	g := newGroup(b, "a", "b", "c")
+	e := newExecutor(b, g, func(c *Config) {
+		c.Sampler = benchSampler{group: g, view: g.View()}
+		c.Silence = time.Second
+	})
+	s := &benchStream{q: pgproto3.Query{String: sql}}
+	r := exchanger.Request{Database: "db", Class: class, Timeout: 5 * time.Second}
+	b.ReportAllocs()
+	for b.Loop() {
+		if keyed {
+			r.Key = uuid.Must(uuid.NewV7()).String()
+		}
+		if _, err := e.Run(b.Context(), r, s); err != nil {
+			b.Fatal(err)
+		}
+	}
+}
+
+// The figures of the executor contain those of the fake instance, which
+// BenchmarkDirect measures alone.
+func BenchmarkRead(b *testing.B)       { benchRun(b, exchanger.Read, "READ 1", false) }
+func BenchmarkWrite(b *testing.B)      { benchRun(b, exchanger.Write, "WRITE x", false) }
+func BenchmarkKeyedWrite(b *testing.B) { benchRun(b, exchanger.Write, "WRITE x", true) }
+func BenchmarkRead1000(b *testing.B)   { benchRun(b, exchanger.Read, "READ 1000", false) }
+
+func BenchmarkDirect(b *testing.B) {
+	for name, sql := range map[string]string{"Read": "READ 1", "Write": "WRITE x", "Read1000": "READ 1000"} {
+		b.Run(name, func(b *testing.B) { benchDirect(b, sql) })
+	}
+}
+
+func benchDirect(b *testing.B, sql string) {
+	g := newGroup(b, "a", "b", "c")
+	c, err := net.Dial("tcp", g.members["a"].address)
+	if err != nil {
+		b.Fatal(err)
+	}
+	defer func() { _ = c.Close() }()
+	f := pgproto3.NewFrontend(c, c)
+	f.Send(&pgproto3.StartupMessage{ProtocolVersion: pgproto3.ProtocolVersion30, Parameters: map[string]string{"user": "u"}})
+	awaitReady(b, f)
+	b.ReportAllocs()
+	for b.Loop() {
+		f.Send(&pgproto3.Query{String: sql})
+		awaitReady(b, f)
+	}
+}
+
+func awaitReady(b *testing.B, f *pgproto3.Frontend) {
+	if err := f.Flush(); err != nil {
+		b.Fatal(err)
+	}
+	for {
+		m, err := f.Receive()
+		if err != nil {
+			b.Fatal(err)
+		}
+		if _, ok := m.(*pgproto3.ReadyForQuery); ok {
+			return
+		}
+	}
+}
--- a/internal/request/executor/pipe.go
+++ b/internal/request/executor/pipe.go
@@ -81,7 +81,8 @@
 // watch bounds the exchange by the context.
 func (u *unit) watch(ctx context.Context) (stop func() bool) {
 	c := u.conn
-	c.SetDeadline(u.readLimit(ctx))
+	u.limit = u.readLimit(ctx)
+	c.SetDeadline(u.limit)
 	return context.AfterFunc(ctx, func() { c.SetDeadline(longAgo) })
 }
 
@@ -90,19 +91,24 @@
 	limit, _ := ctx.Deadline()
 	limit = limit.Add(deadlineSlack)
 	if u.isRepeatable() {
-		if silent := time.Now().Add(u.e.cfg.Silence << min(u.attempt, 8)); silent.Before(limit) {
+		if silent := time.Now().Add(u.silence()); silent.Before(limit) {
 			return silent
 		}
 	}
 	return limit
 }
 
-// extend moves the read deadline before a read that has to wait for the instance.
+func (u *unit) silence() time.Duration { return u.e.cfg.Silence << min(u.attempt, 8) }
+
+// extend moves the read deadline before a read. Small steps are left out,
+// because setting a deadline takes longer than decoding a row.
 func (u *unit) extend(ctx context.Context) {
-	if u.conn.Frontend().ReadBufferLen() > 0 {
+	limit := u.readLimit(ctx)
+	if limit.Sub(u.limit) <= u.silence()/8 {
 		return
 	}
-	u.conn.SetDeadline(u.readLimit(ctx))
+	u.limit = limit
+	u.conn.SetDeadline(limit)
 	if ctx.Err() != nil {
 		u.conn.SetDeadline(longAgo)
 	}
--- a/internal/request/executor/unit.go
+++ b/internal/request/executor/unit.go
@@ -41,8 +41,9 @@
 	// Connection. All are unset when conn is nil.
 	conn   *pooler.Conn
 	ticket admitter.Ticket
-	begun  bool // Hold.Begin was called
-	dirty  bool // the session state of the connection was changed
+	begun  bool      // Hold.Begin was called
+	dirty  bool      // the session state of the connection was changed
+	limit  time.Time // read deadline of the connection
 
 	// Answer of the batch.
 	streaming bool               // messages go straight to the caller
