Assemble the daemon, the stand-ins' program and the trial

Outgoing connections now start from the process's own IP number, so that a relay between the processes can tell them apart. The stand-in instance logs through the project's logger: the library's global logger wrote JSON lines to standard error by default.

--- /dev/null
+++ b/internal/daemon/gatherer/gatherer.go
@@ -0,0 +1,50 @@
+// Package gatherer turns what the caller-facing side of a VM reports into metrics and log events.
+package gatherer
+
+import (
+	"sync/atomic"
+	"time"
+
+	"parsleyscale/internal/failure/classifier"
+	"parsleyscale/internal/request/exchanger"
+	"parsleyscale/internal/request/listener"
+	"parsleyscale/internal/telemetry/logger"
+	"parsleyscale/internal/telemetry/meter"
+)
+
+// Gatherer implements listener.Observer.
+type Gatherer struct {
+	meter   *meter.Meter
+	log     *logger.Logger
+	running atomic.Int64
+}
+
+var _ listener.Observer = (*Gatherer)(nil)
+
+// New returns a Gatherer.
+func New(m *meter.Meter, log *logger.Logger) *Gatherer { return &Gatherer{meter: m, log: log} }
+
+// Running returns the number of units in progress.
+func (g *Gatherer) Running() int64 { return g.running.Load() }
+
+// CallerOpened counts a caller.
+func (g *Gatherer) CallerOpened(string) { g.meter.Callers(1) }
+
+// CallerClosed counts a caller that is gone.
+func (g *Gatherer) CallerClosed(string) { g.meter.Callers(-1) }
+
+// UnitDone counts a unit.
+func (g *Gatherer) UnitDone(r exchanger.Request, res exchanger.Result, took time.Duration, err error) {
+	if err == nil {
+		g.meter.Unit(r.Database, res.Role, res.Reason, took)
+		return
+	}
+	kind := classifier.KindOf(err)
+	g.meter.Failure(r.Database, string(kind))
+	g.log.Warn(logger.UnitFailed, logger.String("request", r.ID), logger.String("database", r.Database), logger.String("kind", string(kind)), logger.Millis("took", took), logger.Err(err))
+}
+
+// Event logs an event of the listener.
+func (g *Gatherer) Event(e listener.Event) {
+	g.log.Warn(logger.CallerRefused, logger.String("reason", e.Name), logger.String("remote", e.Remote), logger.Err(e.Err))
+}
--- a/internal/group/connector/client.go
+++ b/internal/group/connector/client.go
@@ -9,6 +9,8 @@
 	"time"
 
 	"github.com/jackc/pgx/v5/pgconn"
+
+	"parsleyscale/internal/network/dialer"
 )
 
 // defaultTimeout bounds a call whose context has no deadline.
@@ -19,6 +21,7 @@
 	Name    string        // of the instance, for errors
 	Address string        // host:port
 	Timeout time.Duration // bounds calls whose context has no earlier deadline; 0 means one second
+	Dial    dialer.Func   // nil: from any local address
 }
 
 // Client is an Instance reached over one kept control connection. Calls run
@@ -131,7 +134,7 @@
 		return nil
 	}
 	c.drop()
-	conn, err := OpenControl(ctx, c.cfg.Address, nil)
+	conn, err := OpenControl(ctx, c.cfg.Address, c.cfg.Dial)
 	if err != nil {
 		return err
 	}
--- a/internal/group/connector/control.go
+++ b/internal/group/connector/control.go
@@ -8,6 +8,8 @@
 	"time"
 
 	"github.com/jackc/pgx/v5/pgconn"
+
+	"parsleyscale/internal/network/dialer"
 )
 
 // ControlConn is a connection of the control user. It serves one goroutine.
@@ -21,9 +23,9 @@
 // silent or gone, and would outlive the call.
 var errOneConnection = errors.New("control connection sends no cancel requests")
 
-// OpenControl opens a control connection to address, which is host:port. The
-// function wrap, if not nil, wraps the network connection.
-func OpenControl(ctx context.Context, address string, wrap func(net.Conn) net.Conn) (*ControlConn, error) {
+// OpenControl opens a control connection to address, which is host:port, with
+// dial; a nil dial lets the system choose the local address.
+func OpenControl(ctx context.Context, address string, dial dialer.Func) (*ControlConn, error) {
 	host, port, err := net.SplitHostPort(address)
 	if err != nil {
 		return nil, fmt.Errorf("address of an instance: %w", err)
@@ -33,19 +35,18 @@
 		return nil, fmt.Errorf("address of an instance %q: %w", address, err)
 	}
 	c := &ControlConn{}
-	dialer := &net.Dialer{}
+	if dial == nil {
+		dial = (&net.Dialer{}).DialContext
+	}
 	cfg.ConnectTimeout = 0 // ctx bounds the call
 	cfg.DialFunc = func(ctx context.Context, network, address string) (net.Conn, error) {
 		if c.raw != nil {
 			return nil, errOneConnection
 		}
-		raw, err := dialer.DialContext(ctx, network, address)
+		raw, err := dial(ctx, network, address)
 		if err != nil {
 			return nil, err
 		}
-		if wrap != nil {
-			raw = wrap(raw)
-		}
 		c.raw = raw
 		return raw, nil
 	}
--- a/internal/group/emulator/apply.go
+++ b/internal/group/emulator/apply.go
@@ -4,10 +4,9 @@
 	"context"
 	"time"
 
-	"github.com/phuslu/log"
-
 	"parsleyscale/internal/group/connector"
 	"parsleyscale/internal/session/tokenizer"
+	"parsleyscale/internal/telemetry/logger"
 )
 
 // applyRetry is the pause after entries could not be applied.
@@ -22,7 +21,7 @@
 		g.mu.Unlock()
 		if wait == 0 {
 			if err := g.applyDue(ctx); err != nil && ctx.Err() == nil {
-				log.Error().Str("event", "applyFailed").Str("instance", g.name).Err(err).Msg("")
+				g.events.Warn(logger.ApplyFailed, logger.Err(err))
 				sleep(ctx, applyRetry)
 			}
 			continue
@@ -153,7 +152,7 @@
 	if !g.accepts(term) || !g.log.holds(p) || g.log.last() == p {
 		return nil
 	}
-	log.Info().Str("event", "tailDropped").Str("instance", g.name).Str("from", g.log.last().String()).Str("to", p.String()).Msg("")
+	g.events.Info(logger.TailDropped, logger.String("from", g.log.last().String()), logger.String("to", p.String()))
 	if g.applied.Index > p.Index {
 		if err := g.newGeneration(p.Index); err != nil {
 			return err
--- a/internal/group/emulator/command.go
+++ b/internal/group/emulator/command.go
@@ -6,6 +6,8 @@
 	"os/signal"
 	"syscall"
 	"time"
+
+	"parsleyscale/internal/telemetry/logger"
 )
 
 // Command is the subcommand that runs an instance as a process.
@@ -43,6 +45,6 @@
 		Name: c.Name, Listen: c.Listen, Dir: c.Dir,
 		Primary: c.Primary, Term: c.Term, Upstream: c.Upstream,
 		Slots: c.Slots, Connections: c.Connections, ControlConnections: c.ControlConnections,
-		OpenDelay: c.OpenDelay, ReceiveDelay: c.ReceiveDelay, ApplyDelay: c.ApplyDelay,
+		OpenDelay: c.OpenDelay, ReceiveDelay: c.ReceiveDelay, ApplyDelay: c.ApplyDelay, Log: logger.New(os.Stderr, c.Name),
 	}
 }
--- a/internal/group/emulator/config.go
+++ b/internal/group/emulator/config.go
@@ -3,6 +3,8 @@
 import (
 	"errors"
 	"time"
+
+	"parsleyscale/internal/telemetry/logger"
 )
 
 // Defaults of Config.
@@ -29,8 +31,9 @@
 	Connections        int    // limit of ordinary connections
 	ControlConnections int    // limit of control connections
 	OpenDelay          time.Duration
-	ReceiveDelay       time.Duration // from the pull of an entry until the replica holds it
-	ApplyDelay         time.Duration // from holding an entry until reads see it
+	ReceiveDelay       time.Duration  // from the pull of an entry until the replica holds it
+	ApplyDelay         time.Duration  // from holding an entry until reads see it
+	Log                *logger.Logger // nil: no log
 }
 
 func (c Config) withDefaults() (Config, error) {
--- a/internal/group/emulator/group.go
+++ b/internal/group/emulator/group.go
@@ -9,7 +9,9 @@
 	"time"
 
 	"parsleyscale/internal/group/connector"
+	"parsleyscale/internal/network/dialer"
 	"parsleyscale/internal/session/tokenizer"
+	"parsleyscale/internal/telemetry/logger"
 )
 
 // maxApplyBatch bounds the entries that one transaction applies.
@@ -21,8 +23,10 @@
 // taken before mu. mu guards the fields below it; a commit holds it from the
 // check of the fence to the end, so that no entry appears after a fence was answered.
 type group struct {
-	name string
-	dir  string
+	name   string
+	dir    string
+	dial   dialer.Func // to the upstream
+	events *logger.Logger
 
 	applying sync.Mutex
 
@@ -41,6 +45,10 @@
 
 // openGroup loads the state in dir, or creates it from cfg, and applies the rest of the log.
 func openGroup(cfg Config) (*group, error) {
+	dial, err := dialer.From(cfg.Listen)
+	if err != nil {
+		return nil, err
+	}
 	m, found, err := loadMeta(cfg.Dir)
 	if err != nil {
 		return nil, err
@@ -56,7 +64,7 @@
 		return nil, err
 	}
 	g := &group{
-		name: cfg.Name, dir: cfg.Dir, meta: m, log: l, applyDelay: cfg.ApplyDelay,
+		name: cfg.Name, dir: cfg.Dir, dial: dial, events: cfg.Log, meta: m, log: l, applyDelay: cfg.ApplyDelay,
 		heldAt: make(map[uint64]time.Time), changed: make(chan struct{}), demoted: func() {},
 	}
 	if err := g.recover(); err != nil {
--- a/internal/group/emulator/replicate.go
+++ b/internal/group/emulator/replicate.go
@@ -11,10 +11,10 @@
 	"sync/atomic"
 	"time"
 
-	"github.com/phuslu/log"
-
 	"parsleyscale/internal/group/connector"
+	"parsleyscale/internal/network/dialer"
 	"parsleyscale/internal/session/tokenizer"
+	"parsleyscale/internal/telemetry/logger"
 )
 
 const (
@@ -110,14 +110,14 @@
 		if ctx.Err() != nil {
 			return
 		}
-		log.Debug().Str("event", "pullFailed").Str("instance", r.g.name).Str("upstream", r.upstream).Err(err).Msg("")
+		r.g.events.Info(logger.PullFailed, logger.String("upstream", r.upstream), logger.Err(err))
 		sleep(ctx, pullRetry/2+rand.N(pullRetry))
 	}
 }
 
 // pullOnce pulls on one connection until it fails.
 func (r *replicator) pullOnce(ctx context.Context) error {
-	c, err := dialUpstream(ctx, r.upstream)
+	c, err := dialUpstream(ctx, r.upstream, r.g.dial)
 	if err != nil {
 		return err
 	}
@@ -200,7 +200,7 @@
 		}
 		ok, err := r.g.hold(r.term, b.prev, b.lines, b.entries)
 		if err != nil {
-			log.Error().Str("event", "holdFailed").Str("instance", r.g.name).Err(err).Msg("")
+			r.g.events.Warn(logger.HoldFailed, logger.Err(err))
 		}
 		if err != nil || !ok {
 			return // run starts over from the end of the log
@@ -233,11 +233,15 @@
 }
 
 // dialUpstream opens a control connection whose every read and write has a deadline of its own.
-func dialUpstream(ctx context.Context, address string) (*connector.ControlConn, error) {
+func dialUpstream(ctx context.Context, address string, dial dialer.Func) (*connector.ControlConn, error) {
 	ctx, cancel := context.WithTimeout(ctx, pullReadTimeout)
 	defer cancel()
-	return connector.OpenControl(ctx, address, func(c net.Conn) net.Conn {
-		return &deadlineConn{Conn: c, timeout: pullReadTimeout}
+	return connector.OpenControl(ctx, address, func(ctx context.Context, network, address string) (net.Conn, error) {
+		c, err := dial(ctx, network, address)
+		if err != nil {
+			return nil, err
+		}
+		return &deadlineConn{Conn: c, timeout: pullReadTimeout}, nil
 	})
 }
 
--- a/internal/peer/messenger/http.go
+++ b/internal/peer/messenger/http.go
@@ -9,6 +9,8 @@
 	"net/http"
 	"sync"
 	"time"
+
+	"parsleyscale/internal/network/dialer"
 )
 
 const (
@@ -139,17 +141,25 @@
 // config it speaks unencrypted HTTP/2 to http URLs, otherwise HTTP/2 to https URLs.
 // Its requests are bounded by their contexts only. CloseIdleConnections ends it.
 func NewClient(cfg *tls.Config) *http.Client {
+	return NewClientFrom(cfg, (&net.Dialer{}).DialContext)
+}
+
+// NewClientFrom returns a client like that of NewClient whose connections are opened by dial.
+func NewClientFrom(cfg *tls.Config, dial dialer.Func) *http.Client {
 	s := &spread{load: make(map[string]*[connections]int)}
 	for i := range s.transports {
-		s.transports[i] = newTransport(cfg)
+		s.transports[i] = newTransport(cfg, dial)
 	}
 	return &http.Client{Transport: s}
 }
 
-func newTransport(cfg *tls.Config) *http.Transport {
-	dialer := &net.Dialer{Timeout: dialTimeout}
+func newTransport(cfg *tls.Config, dial dialer.Func) *http.Transport {
 	return &http.Transport{
-		DialContext:         dialer.DialContext,
+		DialContext: func(ctx context.Context, network, address string) (net.Conn, error) {
+			ctx, cancel := context.WithTimeout(ctx, dialTimeout)
+			defer cancel()
+			return dial(ctx, network, address)
+		},
 		TLSClientConfig:     cfg,
 		TLSHandshakeTimeout: dialTimeout,
 		Protocols:           protocols(cfg),
--- a/internal/request/listener/session.go
+++ b/internal/request/listener/session.go
@@ -15,6 +15,7 @@
 	"github.com/jackc/pgx/v5/pgproto3"
 
 	"parsleyscale/internal/failure/classifier"
+	"parsleyscale/internal/request/exchanger"
 	"parsleyscale/internal/request/framer"
 )
 
@@ -55,6 +56,7 @@
 	statements map[string]*statement
 	batch      batch
 	stream     stream
+	served     exchanger.Result // of the last unit
 	// isFailed is set when a Runner lost a transaction that the caller believes
 	// open. Statements are refused until the caller ends the transaction, so
 	// that none of them runs outside of it.
--- a/internal/request/listener/settings.go
+++ b/internal/request/listener/settings.go
@@ -22,6 +22,12 @@
 	parameterToken   = "parsleyscale.token"
 )
 
+// The parameters that callers can show: the instance that ran the last unit, and why it did.
+const (
+	parameterServedBy = "parsleyscale.served_by"
+	parameterReason   = "parsleyscale.reason"
+)
+
 // maxSessionBytes bounds a session identity.
 const maxSessionBytes = 256
 
@@ -202,6 +208,10 @@
 		return s.settings.key, nil
 	case parameterToken:
 		return s.encodeToken()
+	case parameterServedBy:
+		return s.served.ServedBy, nil
+	case parameterReason:
+		return s.served.Reason, nil
 	}
 	return "", classifier.New(classifier.BadParameter, "unknown parameter %q", name)
 }
--- a/internal/request/listener/stream.go
+++ b/internal/request/listener/stream.go
@@ -107,6 +107,7 @@
 			return err
 		}
 	}
+	s.served = res
 	s.raise(res)
 	return s.ready()
 }
--- a/internal/telemetry/logger/event.go
+++ b/internal/telemetry/logger/event.go
@@ -25,6 +25,10 @@
 	PromotionFailed     Event = "promotionFailed"
 	WritesHeld          Event = "writesHeld"
 	InstanceFollows     Event = "instanceFollows"
+	PullFailed          Event = "pullFailed"
+	HoldFailed          Event = "holdFailed"
+	ApplyFailed         Event = "applyFailed"
+	TailDropped         Event = "tailDropped"
 	CallerRefused       Event = "callerRefused"
 	UnitFailed          Event = "unitFailed"
 	ForwardFailed       Event = "forwardFailed"
@@ -54,6 +58,10 @@
 	{PromotionFailed, "an attempt to replace a primary failed and is repeated"},
 	{WritesHeld, "new writes are held back for a planned switch"},
 	{InstanceFollows, "an instance was told to follow the current primary"},
+	{PullFailed, "a stand-in instance lost its upstream"},
+	{HoldFailed, "a stand-in instance could not write its log"},
+	{ApplyFailed, "a stand-in instance could not apply an entry"},
+	{TailDropped, "a stand-in instance dropped entries that its upstream lacks"},
 	{CallerRefused, "a caller's start-up was refused"},
 	{UnitFailed, "a unit of work ended with an error of the proxy"},
 	{ForwardFailed, "a gateway VM could not be reached or cut a unit"},
--- /dev/null
+++ b/internal/trial/launcher/launcher.go
@@ -0,0 +1,169 @@
+package launcher
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"os"
+	"path/filepath"
+	"time"
+
+	"parsleyscale/internal/config/loader"
+	"parsleyscale/internal/daemon/runner"
+	instance "parsleyscale/internal/group/emulator"
+	"parsleyscale/internal/member/tracker"
+	"parsleyscale/internal/platform/client"
+	platform "parsleyscale/internal/platform/emulator"
+	"parsleyscale/internal/sheet/distributor"
+	"parsleyscale/internal/sheet/parser"
+	"parsleyscale/internal/telemetry/logger"
+)
+
+const (
+	database     = "plume-ledger-orders"
+	region       = "castilla"
+	readyTimeout = 10 * time.Second
+	applyDelay   = 50 * time.Millisecond
+	tokenKey     = "trial-key-of-one-process"
+)
+
+// dataCentres has one VM and one instance in each.
+var dataCentres = []string{"castilla-burgos", "castilla-palencia", "cantabria-santander"}
+
+// Trial is a running system.
+type Trial struct {
+	dir       string
+	platform  *platform.Server
+	instances []*instance.Server
+	vms       []*runner.Daemon
+	log       *logger.Logger
+}
+
+// Start starts a system and waits until all VMs are ready.
+func Start(log *logger.Logger) (*Trial, error) {
+	t := &Trial{log: log}
+	for _, step := range []func() error{t.startPlatform, t.startInstances, t.applySheet, t.startVMs, t.awaitReady} {
+		if err := step(); err != nil {
+			return nil, errors.Join(err, t.Close())
+		}
+	}
+	return t, nil
+}
+
+// Close stops everything and removes the instances' files.
+func (t *Trial) Close() error {
+	var errs []error
+	for _, d := range t.vms {
+		errs = append(errs, d.Close())
+	}
+	for _, i := range t.instances {
+		errs = append(errs, i.Close())
+	}
+	if t.platform != nil {
+		errs = append(errs, t.platform.Close())
+	}
+	return errors.Join(append(errs, os.RemoveAll(t.dir))...)
+}
+
+func (t *Trial) startPlatform() error {
+	var err error
+	if t.dir, err = os.MkdirTemp("", "parsleydev"); err != nil {
+		return err
+	}
+	t.platform, err = platform.Start(platform.Config{Address: "127.0.0.1:0"})
+	return err
+}
+
+func (t *Trial) startInstances() error {
+	upstream := ""
+	for n := range dataCentres {
+		i, err := instance.Start(instance.Config{
+			Name:               instanceName(n),
+			Listen:             "127.0.0.1:0",
+			Dir:                filepath.Join(t.dir, instanceName(n)),
+			Primary:            n == 0,
+			Term:               1,
+			Upstream:           upstream,
+			Slots:              2,
+			Connections:        16,
+			ControlConnections: 64,
+			ApplyDelay:         applyDelay,
+		})
+		if err != nil {
+			return err
+		}
+		if n == 0 {
+			upstream = i.Addr()
+		}
+		t.instances = append(t.instances, i)
+	}
+	return nil
+}
+
+func instanceName(n int) string { return fmt.Sprintf("orders-%d", n+1) }
+
+// sheet describes the trial.
+func (t *Trial) sheet() parser.Sheet {
+	db := parser.Database{Name: database}
+	for n, i := range t.instances {
+		db.Instances = append(db.Instances, parser.Instance{Name: instanceName(n), Address: i.Addr(), DataCentre: dataCentres[n], Slots: 2, Connections: 16, State: parser.Serving})
+	}
+	return parser.Sheet{
+		Deployment: "trial",
+		Regions:    []parser.Region{{Name: region, DataCentres: dataCentres[:2]}, {Name: "cantabria", DataCentres: dataCentres[2:]}},
+		Services: []parser.Service{{
+			Name:      "plume-ledger",
+			ReadKinds: []parser.ReadKind{{Name: "current"}, {Name: "stock", MaxStaleness: parser.Duration(2 * time.Second)}, {Name: "catalogue", MaxStaleness: parser.Duration(30 * time.Second)}},
+			Databases: []parser.Database{db},
+		}},
+	}
+}
+
+func (t *Trial) applySheet() error {
+	c, err := client.New(client.Config{URL: t.platform.URL()})
+	if err != nil {
+		return err
+	}
+	defer c.Close()
+	ctx, cancel := context.WithTimeout(context.Background(), readyTimeout)
+	defer cancel()
+	_, err = distributor.NewAcceptor(c).Accept(ctx, "parsleydev", "first-sheet", 0, t.sheet())
+	return err
+}
+
+func (t *Trial) startVMs() error {
+	regions := []string{region, region, "cantabria"}
+	for n, dc := range dataCentres {
+		cfg := loader.Default()
+		cfg.ID = fmt.Sprintf("vm-%d", n+1)
+		cfg.Region, cfg.DataCentre = regions[n], dc
+		cfg.CallerAddress, cfg.PeerAddress, cfg.AdminAddress = "127.0.0.1:0", "127.0.0.1:0", "127.0.0.1:0"
+		cfg.Platform, cfg.PlainText, cfg.TokenKeys = t.platform.URL(), true, []string{tokenKey}
+		d, err := runner.Start(cfg, t.log)
+		if err != nil {
+			return err
+		}
+		t.vms = append(t.vms, d)
+		m := d.Member()
+		t.platform.SetVM(client.VM{ID: m.ID, Address: m.Address, Region: m.Region, DataCentre: m.DataCentre, State: string(tracker.Live)})
+	}
+	return nil
+}
+
+func (t *Trial) awaitReady() error {
+	end := time.Now().Add(readyTimeout)
+	for _, d := range t.vms {
+		for d.Ready() != nil {
+			if time.Now().After(end) {
+				return fmt.Errorf("vm %s is not ready: %w", d.Member().ID, d.Ready())
+			}
+			time.Sleep(10 * time.Millisecond)
+		}
+	}
+	return nil
+}
+
+// URL returns the connection string of one VM.
+func (t *Trial) URL(vm int) string {
+	return fmt.Sprintf("postgres://trial@%s/%s?sslmode=disable", t.vms[vm].CallerAddress(), database)
+}
