Send the end of a committed command before the error that ends a session

A session that was ended between the execution of COMMIT and the next message of its batch answered with the error alone. For a demoted primary that error means "not committed", which was wrong.

The contract also covers a replica that is told to follow a replaced primary.

--- a/internal/group/connector/contracttest/cases.go
+++ b/internal/group/connector/contracttest/cases.go
@@ -41,6 +41,8 @@
 	{"TailDroppedOnRejoin", checkTailDropped},
 	// An order to follow from a promoter that was overtaken.
 	{"FollowBelowFence", checkFollowBelowFence},
+	// A replica of a new term that takes entries of a replaced primary.
+	{"FollowReplacedPrimary", checkFollowReplaced},
 	// A primary that gives its own term up.
 	{"FollowAtOwnTerm", checkFollowAtOwnTerm},
 	// A replica that accepts writes.
@@ -239,6 +241,17 @@
 	}
 }
 
+func checkFollowReplaced(g *group) {
+	p := g.insert(0, 1)
+	g.awaitApplied(2, p)
+	g.follow(2, 2, 0)
+	g.insert(0, 2)
+	time.Sleep(300 * time.Millisecond) // several pulls
+	if s := g.status(2); s.Last != p || s.Connected {
+		g.Errorf("follower at term 2 of a primary of term 1: %+v, want last %s and not connected", s, p)
+	}
+}
+
 func checkFollowAtOwnTerm(g *group) {
 	if _, err := g.clients[0].Follow(g.Context(), 1, g.members[1].Address); !errors.Is(err, connector.ErrTermTaken) {
 		g.Errorf("primary of term 1 follows at term 1: got %v, want %v", err, connector.ErrTermTaken)
--- a/internal/group/emulator/describe.go
+++ b/internal/group/emulator/describe.go
@@ -137,7 +137,7 @@
 	switch {
 	case call && word != "" && strings.IndexFunc(word, func(r rune) bool { return r >= 0x80 || !isWordByte(byte(r)) }) < 0:
 		return strings.ToLower(word)
-	case call, strings.ContainsAny(name, "?+'|"), name != "" && isDigit(name[0]):
+	case call, strings.ContainsAny(name, "?+'|:"), name != "" && isDigit(name[0]):
 		return "?column?"
 	}
 	return name
--- a/internal/group/emulator/fuzz_test.go
+++ b/internal/group/emulator/fuzz_test.go
@@ -27,7 +27,7 @@
 		f.Fatal(err)
 	}
 	x := &session{handle: h, server: &Server{group: &group{store: st}}}
-	f.Fuzz(func(t *testing.T, sql string) {
+	f.Fuzz(func(_ *testing.T, sql string) {
 		list, err := parseStatements(sql)
 		if err != nil {
 			return
--- a/internal/group/emulator/protocol_test.go
+++ b/internal/group/emulator/protocol_test.go
@@ -41,6 +41,30 @@
 	}
 }
 
+// TestCommitBeforeEnd guards against a session that ends with an error and
+// hides that a commit, whose batch was not complete, has succeeded.
+func TestCommitBeforeEnd(t *testing.T) {
+	r := startOne(t, emulator.Config{})
+	mustExec(t, connect(t, r.server.Addr(), "app"), `CREATE TABLE t (id BIGINT PRIMARY KEY)`)
+	f := startFrontend(t, r.server.Addr())
+	f.Send(frontendMessage(t, "query BEGIN; INSERT INTO t VALUES (1)"))
+	expect(t, f, "Complete(BEGIN) Complete(INSERT_0_1) Ready(T)")
+	before := r.server.Status().Last
+	for _, line := range []string{"parse - COMMIT", "bind - -", "execute - 0"} {
+		f.Send(frontendMessage(t, line))
+	}
+	if err := f.Flush(); err != nil {
+		t.Fatal(err)
+	}
+	for deadline := time.Now().Add(5 * time.Second); r.server.Status().Last == before; time.Sleep(time.Millisecond) {
+		if time.Now().After(deadline) {
+			t.Fatal("no commit")
+		}
+	}
+	go r.server.Close()
+	expect(t, f, "ParseComplete BindComplete Position Complete(COMMIT) Error(57P01)")
+}
+
 func startFrontend(t *testing.T, address string) *pgproto3.Frontend {
 	t.Helper()
 	c, err := net.Dial("tcp", address)
--- a/internal/group/emulator/session.go
+++ b/internal/group/emulator/session.go
@@ -245,11 +245,16 @@
 	}
 }
 
+// sendFatal answers the error that ends the session. The end of a command that
+// has committed goes out first: without it, an error that means "not committed" would be wrong.
 func (x *session) sendFatal(err error) {
 	var p *pgError
 	if !errors.As(err, &p) {
 		return
 	}
+	if x.tx == nil {
+		x.sendPending()
+	}
 	x.backend.Send(p.response())
 	_ = x.flush() // the client may be gone
 }
--- a/internal/group/emulator/setting.go
+++ b/internal/group/emulator/setting.go
@@ -29,7 +29,7 @@
 // setting returns the value of a setting. Drivers read transaction_read_only to find a primary.
 func (x *session) setting(name string) string {
 	if name == "transaction_read_only" {
-		if x.server.group.status().Role == connector.RoleReplica {
+		if (x.tx != nil && x.tx.readOnly) || x.server.group.status().Role == connector.RoleReplica {
 			return "on"
 		}
 		return "off"
