--- a/internal/group/emulator/session.go
+++ b/internal/group/emulator/session.go
@@ -73,7 +73,8 @@
 	defer c.Close()
 	defer s.untrack(c)
 	if t, ok := c.(*net.TCPConn); ok {
-		_ = t.SetKeepAliveConfig(net.KeepAliveConfig{Enable: true, Idle: keepAliveInterval, Interval: keepAliveInterval, Count: keepAliveCount}) // an option only
+		cfg := net.KeepAliveConfig{Enable: true, Idle: keepAliveInterval, Interval: keepAliveInterval, Count: keepAliveCount}
+		_ = t.SetKeepAliveConfig(cfg) // fails only on a closed connection, as the first read then does
 	}
 	x := &session{
 		server: s, conn: c, backend: pgproto3.NewBackend(c, c),
@@ -245,11 +246,16 @@
 	}
 }
 
+// sendFatal answers the error that ends the session. The end of a command that
+// has committed goes out first: without it, an error that means "not committed" would be wrong.
 func (x *session) sendFatal(err error) {
 	var p *pgError
 	if !errors.As(err, &p) {
 		return
 	}
+	if x.tx == nil {
+		x.sendPending()
+	}
 	x.backend.Send(p.response())
 	_ = x.flush() // the client may be gone
 }
