Bound prepared statements and portals, and mark refused units as not sent

A caller could keep 1,024 statements of 16 MB each; the text of all its statements now counts against MessageBytes. A simple query or a failed Parse in a transaction destroys the unnamed statement, so the next Bind sends it again. A forwarded unit gets a deadline 100 ms before its sender's, so that the gateway's answer arrives before the sender calls the outcome unknown.

--- a/internal/request/forwarder/client.go
+++ b/internal/request/forwarder/client.go
@@ -14,6 +14,10 @@
 	"parsleyscale/internal/request/exchanger"
 )
 
+// answerMargin is how much earlier the other VM's deadline is, so that its
+// answer arrives before this VM gives up and has to call the outcome unknown.
+const answerMargin = 100 * time.Millisecond
+
 // Client forwards units to other VMs.
 type Client struct {
 	http   *http.Client
@@ -55,6 +59,10 @@
 		return exchanger.Result{}, u.broken(ctx, err)
 	}
 	defer resp.Body.Close()
+	if resp.StatusCode == http.StatusServiceUnavailable {
+		// The other VM's server is closed and has not called its handler.
+		return exchanger.Result{}, &nothingSent{classifier.New(classifier.NotRun, "forward to %s: status %s", r.address, resp.Status)}
+	}
 	if err := u.checkHead(resp); err != nil {
 		return exchanger.Result{}, u.broken(ctx, err)
 	}
@@ -99,7 +107,8 @@
 // open sends the request header and the first messages.
 func (u *unit) open(ctx context.Context) (*http.Response, error) {
 	if deadline, ok := ctx.Deadline(); ok {
-		u.req.Timeout = max(time.Until(deadline), time.Millisecond)
+		left := time.Until(deadline)
+		u.req.Timeout = max(left-min(left/10, answerMargin), time.Millisecond)
 	}
 	h, err := http.NewRequestWithContext(ctx, http.MethodPost, u.remote.url, u.body.reader)
 	if err != nil {
--- a/internal/request/forwarder/message.go
+++ b/internal/request/forwarder/message.go
@@ -80,7 +80,8 @@
 func (e *nothingSent) Unwrap() error { return e.err }
 
 // IsNothingSent reports whether err means that no message of the unit was sent
-// to the other VM, so that any unit may be given to another one.
+// to the other VM, or that its server refused the unit before a Runner got it.
+// Any unit may then be given to another VM.
 func IsNothingSent(err error) bool {
 	var e *nothingSent
 	return errors.As(err, &e)
--- a/internal/request/listener/batch.go
+++ b/internal/request/listener/batch.go
@@ -238,8 +238,9 @@
 	switch {
 	case m.Name != "" && old != nil:
 		return newStateError(codeDuplicateStatement, "prepared statement %q already exists", m.Name)
-	case len(s.statements) >= s.l.cfg.Limits.Statements:
-		return classifier.New(classifier.BadParameter, "session has %d prepared statements", len(s.statements))
+	case len(s.statements) >= s.l.cfg.Limits.Statements || s.textBytes+len(m.Query) > s.l.cfg.Limits.MessageBytes:
+		return classifier.New(classifier.BadParameter, "session has %d prepared statements with %d bytes of text",
+			len(s.statements), s.textBytes)
 	}
 	list := parser.Parse(m.Query)
 	st := &statement{sql: m.Query, oids: m.ParameterOIDs, class: parser.ClassOf(list)}
@@ -263,11 +264,16 @@
 	return nil
 }
 
+// setStatement keeps st under a name, or drops the statement of that name when st is nil.
 func (s *session) setStatement(name string, st *statement) {
+	if old := s.statements[name]; old != nil {
+		s.textBytes -= len(old.sql)
+	}
 	if st == nil {
 		delete(s.statements, name)
 		return
 	}
+	s.textBytes += len(st.sql)
 	if s.statements == nil {
 		s.statements = make(map[string]*statement)
 	}
@@ -283,6 +289,9 @@
 	if len(m.ResultFormatCodes) > 0 {
 		p.format = m.ResultFormatCodes[0]
 	}
+	if len(s.batch.portals) >= s.l.cfg.Limits.Statements {
+		return classifier.New(classifier.BadParameter, "unit has %d portals", len(s.batch.portals))
+	}
 	if s.batch.portals == nil {
 		s.batch.portals = make(map[string]portal)
 	}
--- a/internal/request/listener/config.go
+++ b/internal/request/listener/config.go
@@ -14,8 +14,8 @@
 // Limits bound what callers can use. A zero field gets its default.
 type Limits struct {
 	Callers           int           // connections at once
-	MessageBytes      int           // one message, and one extended batch before its Sync
-	Statements        int           // prepared statements of a caller
+	MessageBytes      int           // one message, one extended batch before its Sync, and the text of a caller's prepared statements
+	Statements        int           // prepared statements of a caller, and portals of a unit
 	StartUp           time.Duration // from accept to the first ReadyForQuery
 	Idle              time.Duration // between units
 	IdleInTransaction time.Duration // between the statements of a transaction
--- a/internal/request/listener/query.go
+++ b/internal/request/listener/query.go
@@ -34,6 +34,7 @@
 		return s.out.flush()
 	}
 	s.stream.isEnding = list[len(list)-1].Action == parser.End
+	s.batch.current = nil // a simple query destroys the unnamed statement
 	s.batch.forward(m, expected{kind: 'Q'})
 	return nil
 }
--- a/internal/request/listener/session.go
+++ b/internal/request/listener/session.go
@@ -3,9 +3,11 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"io"
 	"net"
 	"os"
+	"runtime/debug"
 	"strconv"
 	"sync"
 	"sync/atomic"
@@ -53,6 +55,7 @@
 
 	settings   settings
 	statements map[string]*statement
+	textBytes  int // of the statements
 	batch      batch
 	stream     stream
 	// isFailed is set when a Runner lost a transaction that the caller believes
@@ -87,6 +90,7 @@
 // serve runs the session until its end.
 func (s *session) serve(isOver bool) {
 	defer func() { s.conn.Close() }()
+	defer s.recoverPanic()
 	setUserTimeout(s.raw)
 	if err := s.startUp(isOver); err != nil {
 		s.end(err)
@@ -98,6 +102,16 @@
 	s.end(s.loop())
 }
 
+// recoverPanic keeps a fault that one caller's input reaches from ending the
+// sessions of all others, here and on the VMs that the caller tries next.
+func (s *session) recoverPanic() {
+	r := recover()
+	if r == nil {
+		return
+	}
+	s.l.cfg.Observer.Event(Event{Name: "sessionPanicked", Remote: s.remote(), Err: fmt.Errorf("%v: %s", r, debug.Stack())})
+}
+
 // end sends the reason for the end of the session, unless the caller is gone.
 func (s *session) end(err error) {
 	if err == nil || isGone(err) {
--- a/internal/request/listener/settings.go
+++ b/internal/request/listener/settings.go
@@ -292,8 +292,8 @@
 
 func (s *session) deallocate(name string) {
 	if name == "" {
-		s.statements = nil
+		s.statements, s.textBytes = nil, 0
 		return
 	}
-	delete(s.statements, name)
+	s.setStatement(name, nil)
 }
--- a/internal/request/listener/stream.go
+++ b/internal/request/listener/stream.go
@@ -274,6 +274,7 @@
 		m = b.refusal
 	}
 	b.refusal = nil
+	b.current = nil // unknown after a failed Parse
 	if b.isOpen {
 		b.isFailed = true
 	}
