--- a/internal/request/forwarder/client.go
+++ b/internal/request/forwarder/client.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"io"
 	"net/http"
+	"net/url"
 	"time"
 
 	"github.com/jackc/pgx/v5/pgproto3"
@@ -20,13 +21,13 @@
 
 // Client forwards units to other VMs.
 type Client struct {
-	http   *http.Client
-	scheme string
+	transport http.RoundTripper
+	scheme    string
 }
 
 // NewClient returns a client over h, which messenger.NewClient has made. With isTLS it connects with TLS.
 func NewClient(h *http.Client, isTLS bool) *Client {
-	c := &Client{http: h, scheme: "http"}
+	c := &Client{transport: h.Transport, scheme: "http"}
 	if isTLS {
 		c.scheme = "https"
 	}
@@ -35,14 +36,14 @@
 
 // Runner returns a Runner that runs units on the VM with a peer address.
 func (c *Client) Runner(address string) exchanger.Runner {
-	return &remote{client: c, address: address, url: c.scheme + "://" + address + Path}
+	return &remote{client: c, address: address, url: &url.URL{Scheme: c.scheme, Host: address, Path: Path}}
 }
 
 // remote is the Runner of another VM.
 type remote struct {
 	client  *Client
 	address string
-	url     string
+	url     *url.URL
 }
 
 // Run carries one unit.
@@ -104,27 +105,31 @@
 	}
 }
 
-// open sends the request header and the first messages.
+// open sends the request header and the first messages. It uses the transport
+// itself, because an http.Client copies the header for redirects, which a VM never sends.
 func (u *unit) open(ctx context.Context) (*http.Response, error) {
 	if deadline, ok := ctx.Deadline(); ok {
 		left := time.Until(deadline)
 		u.req.Timeout = max(left-min(left/10, answerMargin), time.Millisecond)
 	}
-	h, err := http.NewRequestWithContext(ctx, http.MethodPost, u.remote.url, u.body.reader)
-	if err != nil {
-		return nil, err
-	}
 	text, err := encodeHeader(u.req)
 	if err != nil {
 		return nil, err
 	}
-	h.GetBody = u.body.again
-	h.Header = http.Header{requestHeader: {text}, "Content-Type": {contentType}, "User-Agent": {""}}
+	h := &http.Request{
+		Method:        http.MethodPost,
+		URL:           u.remote.url,
+		Host:          u.remote.address,
+		Header:        http.Header{requestHeader: {text}, "Content-Type": {contentType}, "User-Agent": {""}},
+		Body:          u.body.reader,
+		GetBody:       u.body.again,
+		ContentLength: -1,
+	}
 	if u.isWhole() {
 		h.ContentLength = int64(len(u.scratch))
 		u.body.end()
 	}
-	return u.remote.client.http.Do(h)
+	return u.remote.client.transport.RoundTrip(h.WithContext(ctx))
 }
 
 // isWhole reports whether the collected messages are all that the unit can have.
@@ -241,10 +246,11 @@
 		return &nothingSent{classifier.Wrap(classifier.NotRun, err, "forward to %s", u.remote.address)}
 	case !u.req.Class.IsRead():
 		return classifier.Wrap(classifier.OutcomeUnknown, err, "stream to %s", u.remote.address)
+	case isEnded:
+		// The front knows why the context ended, and says so to the caller.
+		return fmt.Errorf("stream to %s: %w", u.remote.address, ctx.Err())
 	case u.hasRows:
 		return classifier.Wrap(classifier.AnswerIncomplete, err, "stream to %s", u.remote.address)
-	case isEnded:
-		return classifier.Wrap(classifier.KindOf(ctx.Err()), err, "stream to %s", u.remote.address)
 	}
 	return classifier.Wrap(classifier.NotRun, err, "stream to %s broke before the answer", u.remote.address)
 }
