Write large batches while their answers are read

With 16 KB socket buffers a batch of many statements stopped: the instance waited for its answers to be read, and the executor was still writing. Such a batch is now written by a goroutine of its own. The test fails with a timeout when the batch is written first.

--- a/internal/request/executor/batch.go
+++ b/internal/request/executor/batch.go
@@ -12,9 +12,7 @@
 
 // Sizes of a batch.
 const (
-	// segmentBytes bounds what is written before answers are read. The socket
-	// buffers take this much, so that gateway and instance never both wait in a write.
-	segmentBytes  = 64 << 10
+	segmentBytes  = 1 << 20 // a batch of many statements is run in pieces of this size
 	maxBatchBytes = 16 << 20
 	keptBytes     = 64 << 10 // larger buffers are not kept for reuse
 )
--- a/internal/request/executor/copy.go
+++ b/internal/request/executor/copy.go
@@ -8,6 +8,9 @@
 	"parsleyscale/internal/failure/classifier"
 )
 
+// copyBytes is the size of the pieces in which copied data is sent.
+const copyBytes = 64 << 10
+
 // copyIn passes the answer that asks for data to the caller and the caller's
 // data to the instance. Only a simple query can copy: its caller sends nothing
 // else before the data ends.
@@ -31,7 +34,7 @@
 			return newFault(faultLost, "copy data: %w", err)
 		}
 		end := isCopyEnd(m)
-		if !end && len(buf) < segmentBytes {
+		if !end && len(buf) < copyBytes {
 			continue
 		}
 		if err := u.send(buf); err != nil {
--- a/internal/request/executor/fake_test.go
+++ b/internal/request/executor/fake_test.go
@@ -268,6 +268,7 @@
 
 func (in *fakeInstance) session(c net.Conn) {
 	defer func() { _ = c.Close() }()
+	shrinkBuffers(c)
 	s := &session{in: in, c: c, b: pgproto3.NewBackend(c, c), canceled: make(chan struct{})}
 	pid, ok := s.startUp()
 	if !ok {
@@ -285,6 +286,12 @@
 	}
 }
 
+// shrinkBuffers makes a socket block early, as on a slow link.
+func shrinkBuffers(c net.Conn) {
+	_ = c.(*net.TCPConn).SetReadBuffer(16 << 10)
+	_ = c.(*net.TCPConn).SetWriteBuffer(16 << 10)
+}
+
 func (s *session) startUp() (uint32, bool) {
 	m, err := s.b.ReceiveStartupMessage()
 	g := s.in.g
@@ -632,6 +639,9 @@
 		if cut && i >= n/2 {
 			break
 		}
+		if i%10 == 9 {
+			_ = s.b.Flush() // as an instance does when its output buffer is full
+		}
 		s.b.Send(&pgproto3.DataRow{Values: [][]byte{fmt.Appendf(nil, "%s row %090d", s.in.name, i)}})
 	}
 	return n
--- a/internal/request/executor/pipe.go
+++ b/internal/request/executor/pipe.go
@@ -13,8 +13,10 @@
 	"parsleyscale/internal/session/tokenizer"
 )
 
-// Sizes of a kept answer.
+// Sizes of messages and answers.
 const (
+	// directBytes is written before answers are read. It fits into the smallest usual socket buffers.
+	directBytes = 8 << 10
 	// keptAnswer is the part of an answer that is kept back, so that a failure early in it leaves the unit repeatable.
 	keptAnswer = 16 << 10
 	// keptCommit bounds what is kept back behind the first CommandComplete of a write.
@@ -67,9 +69,11 @@
 // up to each ReadyForQuery. A piece of a batch ends with its last expected answer instead.
 func (u *unit) exchange(ctx context.Context, messages []byte, to ...sink) error {
 	stop := u.watch(ctx)
-	err := u.send(messages)
-	for i := 0; err == nil && i < len(to); i++ {
-		err = u.receiveAnswer(ctx, to[i])
+	var err error
+	if len(messages) <= directBytes || u.b.executed <= 1 {
+		err = u.sendThenReceive(ctx, messages, to)
+	} else {
+		err = u.sendWhileReceiving(ctx, messages, to)
 	}
 	if !stop() {
 		// The context's end may still set the deadline, so the connection must not be reused.
@@ -78,6 +82,36 @@
 	return err
 }
 
+func (u *unit) sendThenReceive(ctx context.Context, messages []byte, to []sink) error {
+	if err := u.send(messages); err != nil {
+		return err
+	}
+	return u.receiveAnswers(ctx, to)
+}
+
+// sendWhileReceiving sends a batch of many statements. The instance may stop
+// reading it until its answers to the first ones are read.
+func (u *unit) sendWhileReceiving(ctx context.Context, messages []byte, to []sink) error {
+	sent := make(chan error, 1)
+	go func() { sent <- u.send(messages) }()
+	err := u.receiveAnswers(ctx, to)
+	if err != nil {
+		u.conn.SetDeadline(longAgo) // ends the write
+		<-sent
+		return err
+	}
+	return <-sent
+}
+
+func (u *unit) receiveAnswers(ctx context.Context, to []sink) error {
+	for _, s := range to {
+		if err := u.receiveAnswer(ctx, s); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
 // watch bounds the exchange by the context.
 func (u *unit) watch(ctx context.Context) (stop func() bool) {
 	c := u.conn
--- a/internal/request/executor/stream_test.go
+++ b/internal/request/executor/stream_test.go
@@ -1,7 +1,9 @@
 package executor
 
 import (
+	"context"
 	"io"
+	"net"
 	"sync"
 	"testing"
 	"time"
@@ -94,8 +96,16 @@
 	return router.Decision{Err: classifier.New(classifier.NoPrimary, "none")}
 }
 
+func dialSmall(ctx context.Context, network, address string) (net.Conn, error) {
+	c, err := new(net.Dialer).DialContext(ctx, network, address)
+	if err == nil {
+		shrinkBuffers(c)
+	}
+	return c, err
+}
+
 func newExecutor(t testing.TB, g *group, change func(*Config)) *Executor {
-	p, err := pooler.New(pooler.Config{User: "u", DatabaseOf: func(string) string { return "db" }})
+	p, err := pooler.New(pooler.Config{User: "u", DatabaseOf: func(string) string { return "db" }, Dial: dialSmall})
 	if err != nil {
 		t.Fatal(err)
 	}
--- a/internal/request/executor/unit_test.go
+++ b/internal/request/executor/unit_test.go
@@ -161,15 +161,15 @@
 	flushed := append(extended("READ 1")[:4], &pgproto3.Flush{})
 	flushed = append(flushed, extended("READ 1")...)
 	var large []pgproto3.FrontendMessage
-	for range 400 {
-		large = append(large, extended("READ 50 " + strings.Repeat(" ", 300))[:4]...)
+	for range 60 {
+		large = append(large, extended("READ 50 " + strings.Repeat(" ", 20000))[:4]...)
 	}
 	for _, c := range []struct {
 		in   []pgproto3.FrontendMessage
 		want string
 	}{
 		{flushed, "12nDC12nDC"},
-		{append(large, &pgproto3.Sync{}), strings.Repeat("12nC", 400)},
+		{append(large, &pgproto3.Sync{}), strings.Repeat("12nC", 60)},
 		{append(extended("FAIL")[:4], append([]pgproto3.FrontendMessage{&pgproto3.Flush{}}, extended("READ 1")...)...), "12nE"},
 	} {
 		s := &fakeStream{in: c.in}
@@ -186,7 +186,7 @@
 	e := newExecutor(t, g, nil)
 	in := queries("COPY t")
 	for range 3 {
-		in = append(in, &pgproto3.CopyData{Data: make([]byte, segmentBytes)})
+		in = append(in, &pgproto3.CopyData{Data: make([]byte, copyBytes)})
 	}
 	s := &fakeStream{in: append(in, &pgproto3.CopyDone{}, &pgproto3.Query{String: "WRITE x"})}
 	for range 2 {
