Do not fail slow statements for the lack of retry budget

A silent first attempt is only given up when the budget pays for the next one; the bound grows by four and ends after two attempts. Also: refusals of the fence do not apply to reads, units that are refused early leave the caller's stream in step, and tests for TLS, the removal of old keys and both of these.

--- a/internal/backend/pooler/pooler.go
+++ b/internal/backend/pooler/pooler.go
@@ -135,6 +135,16 @@
 	return p.share(p.line(i))
 }
 
+// ShareOf returns the share of an instance by name, or 1 before its first request. It suits admitter.Config.Limit.
+func (p *Pool) ShareOf(instance string) int {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if l, ok := p.lines[instance]; ok {
+		return p.share(l)
+	}
+	return 1
+}
+
 // Stats returns the counts of each instance.
 func (p *Pool) Stats() map[string]Stats {
 	p.mu.Lock()
--- a/internal/backend/pooler/pooler_test.go
+++ b/internal/backend/pooler/pooler_test.go
@@ -2,6 +2,12 @@
 
 import (
 	"context"
+	"crypto/ecdsa"
+	"crypto/elliptic"
+	"crypto/rand"
+	"crypto/tls"
+	"crypto/x509"
+	"math/big"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -197,3 +203,55 @@
 	}
 	t.Errorf("instance got cancel requests %v, want one", s.canceled)
 }
+
+// Get, Cancel and the check of an idle connection must work over TLS.
+func TestTLS(t *testing.T) {
+	cert, roots := newCertificate(t)
+	s := &server{tls: &tls.Config{Certificates: []tls.Certificate{cert}}}
+	p, err := New(Config{User: "u", TLS: &tls.Config{RootCAs: roots, ServerName: "instance"}, CheckAfter: time.Hour})
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer p.Close()
+	i := instance
+	i.Address = s.listen(t)
+	old, err := p.Get(within(t, time.Second), i)
+	if err != nil {
+		t.Fatal(err)
+	}
+	old.Release()
+	if c, err := p.Get(within(t, time.Second), i); err != nil || c != old {
+		t.Fatalf("idle connection not reused, %v", err)
+	}
+	old.Cancel()
+	p.Close()
+	for range 100 {
+		s.mu.Lock()
+		n := len(s.canceled)
+		s.mu.Unlock()
+		if n == 1 {
+			return
+		}
+		time.Sleep(time.Millisecond)
+	}
+	t.Errorf("instance got cancel requests %v, want one", s.canceled)
+}
+
+func newCertificate(t *testing.T) (tls.Certificate, *x509.CertPool) {
+	key, err := ecdsa.GenerateKey(elliptic.P256(), rand.Reader)
+	if err != nil {
+		t.Fatal(err)
+	}
+	c := &x509.Certificate{SerialNumber: big.NewInt(1), DNSNames: []string{"instance"}, NotAfter: time.Now().Add(time.Hour), IsCA: true, BasicConstraintsValid: true}
+	der, err := x509.CreateCertificate(rand.Reader, c, c, key.Public(), key)
+	if err != nil {
+		t.Fatal(err)
+	}
+	leaf, err := x509.ParseCertificate(der)
+	if err != nil {
+		t.Fatal(err)
+	}
+	roots := x509.NewCertPool()
+	roots.AddCert(leaf)
+	return tls.Certificate{Certificate: [][]byte{der}, PrivateKey: key}, roots
+}
--- a/internal/backend/pooler/server_test.go
+++ b/internal/backend/pooler/server_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"crypto/tls"
 	"net"
 	"sync"
 	"testing"
@@ -19,7 +20,7 @@
 	open     int
 	canceled []uint32
 	database string
-	password string
+	tls      *tls.Config
 }
 
 // dial connects to the server through a pipe, which works inside a synctest bubble.
@@ -51,6 +52,12 @@
 	defer func() { _ = c.Close() }()
 	b := pgproto3.NewBackend(c, c)
 	m, err := b.ReceiveStartupMessage()
+	if _, ok := m.(*pgproto3.SSLRequest); ok && s.tls != nil {
+		_, _ = c.Write([]byte{'S'})
+		c = tls.Server(c, s.tls)
+		b = pgproto3.NewBackend(c, c)
+		m, err = b.ReceiveStartupMessage()
+	}
 	if err != nil || !s.startUp(m, c, b) {
 		return
 	}
--- a/internal/request/executor/batch.go
+++ b/internal/request/executor/batch.go
@@ -82,12 +82,13 @@
 	if err != nil {
 		return false, classifier.Wrap(classifier.BadMessage, err, "message %T", m)
 	}
-	if len(buf) > maxBatchBytes {
-		return false, classifier.New(classifier.MessageTooLarge, "batch is over %d bytes", maxBatchBytes)
-	}
 	b.buf = buf
 	b.shape = append(b.shape, buf[start])
-	return b.note(m, buf[start:])
+	end, err := b.note(m, buf[start:])
+	if err == nil && len(buf) > maxBatchBytes {
+		err = classifier.New(classifier.MessageTooLarge, "batch is over %d bytes", maxBatchBytes)
+	}
+	return end, err
 }
 
 // note records what a message means for the unit. Text and parameters enter
@@ -115,13 +116,22 @@
 		b.complete = true
 	case *pgproto3.Flush:
 		return true, nil
+	case *pgproto3.CopyData, *pgproto3.CopyDone, *pgproto3.CopyFail:
+		b.unread(raw) // the rest of a copy that the instance has ended with an error
 	default:
-		b.buf = b.buf[:len(b.buf)-len(raw)]
+		b.unread(raw)
+		b.complete = true // no Sync follows
 		return false, classifier.New(classifier.Unsupported, "message %T in a unit of work", m)
 	}
 	return b.complete, nil
 }
 
+// unread removes the last message.
+func (b *batch) unread(raw []byte) {
+	b.buf = b.buf[:len(b.buf)-len(raw)]
+	b.shape = b.shape[:len(b.shape)-1]
+}
+
 func (b *batch) noteText(sql string) {
 	b.text = sql
 	b.commits = b.commits || mayCommit(sql)
--- a/internal/request/executor/executor.go
+++ b/internal/request/executor/executor.go
@@ -73,7 +73,7 @@
 	NotCommitted []string // SQLSTATEs of an instance that mean that the statement certainly did not commit
 
 	MaxStaleness time.Duration // of reads without a read kind
-	Silence      time.Duration // a repeatable attempt is given up when the instance sends nothing for so long; doubles with each attempt
+	Silence      time.Duration // a first attempt that can be repeated is given up when the instance sends nothing for so long
 	CurrentBound time.Duration // reads with at most this staleness go before others
 	Retention    time.Duration // of request keys
 	SweepEvery   time.Duration // least time between two removals of old keys
@@ -150,6 +150,7 @@
 	if err := u.b.receive(u.s, u.r.Key != ""); err != nil {
 		return exchanger.Result{}, err
 	}
+	u.arrived = time.Now()
 	if err := u.r.Check(); err != nil {
 		return exchanger.Result{}, err
 	}
--- a/internal/request/executor/fake_test.go
+++ b/internal/request/executor/fake_test.go
@@ -10,6 +10,7 @@
 	"strconv"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -31,7 +32,7 @@
 	On       string `json:"on"`      // prefix of the statement
 	Skip     int    `json:"skip"`    // statements with the prefix before it
 	Times    int    `json:"times"`   // further times
-	Act      string `json:"act"`     // closeBefore, closeAfter, cutRows, silent, silentAfter, fence (promotes before the statement); empty: none
+	Act      string `json:"act"`     // closeBefore, closeAfter, cutRows, silent, silentAfter, slow, fence (promotes before the statement); empty: none
 	Promote  string `json:"promote"` // new primary after the act
 	Lose     bool   `json:"lose"`    // commits are not replicated from now on, until the promotion
 }
@@ -50,8 +51,10 @@
 	refuse    int // connections to refuse with 53300
 	maxOpen   int
 	confirmed int
-	blind     bool // rounds are not confirmed
+	blind     bool        // rounds are not confirmed
+	small     atomic.Bool // small socket buffers, set before the first connection
 
+	sweeps     []int64  // limits of the removals of keys
 	violations []string // of the rules of the protocol between executor and instance
 }
 
@@ -268,7 +271,9 @@
 
 func (in *fakeInstance) session(c net.Conn) {
 	defer func() { _ = c.Close() }()
-	shrinkBuffers(c)
+	if in.g.small.Load() {
+		shrinkBuffers(c)
+	}
 	s := &session{in: in, c: c, b: pgproto3.NewBackend(c, c), canceled: make(chan struct{})}
 	pid, ok := s.startUp()
 	if !ok {
@@ -391,6 +396,8 @@
 	case "silent":
 		s.in.g.apply(f)
 		return s.beSilent()
+	case "slow":
+		time.Sleep(50 * time.Millisecond)
 	case "fence":
 		s.in.g.apply(f)
 		s.execute(sql, simple, false)
@@ -439,6 +446,7 @@
 var (
 	insertKey = regexp.MustCompile(`^INSERT INTO parsleyscale_requests.* VALUES \('([^']*)', ?'([^']*)', ?(\d+), ?'([^']*)', ?'([^']*)'\)`)
 	updateKey = regexp.MustCompile(`^UPDATE parsleyscale_requests SET answer ?= ?'([^']*)' WHERE key ?= ?'([^']*)'`)
+	sweepKeys = regexp.MustCompile(`^DELETE FROM parsleyscale_requests .*createdMs < (\d+) LIMIT`)
 	selectKey = regexp.MustCompile(`^SELECT .* FROM parsleyscale_requests WHERE key ?= ?'([^']*)'`)
 )
 
@@ -451,7 +459,7 @@
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	switch {
-	case strings.HasPrefix(sql, "CREATE TABLE"):
+	case strings.HasPrefix(sql, "CREATE "):
 		s.in.table = true
 		s.done("CREATE TABLE")
 	case strings.Contains(sql, "parsleyscale_requests"):
@@ -558,6 +566,9 @@
 		r[3] = m[1]
 		s.tx.keys[m[2]] = r
 	} else {
+		m := sweepKeys.FindStringSubmatch(sql)
+		limit, _ := strconv.ParseInt(m[1], 10, 64)
+		s.in.g.sweeps = append(s.in.g.sweeps, limit)
 		tag = "DELETE 0"
 	}
 	if auto && tag == "INSERT 0 1" {
--- a/internal/request/executor/pipe.go
+++ b/internal/request/executor/pipe.go
@@ -23,6 +23,9 @@
 	keptCommit = 256 << 10
 )
 
+// boundedAttempts are given up when the instance is silent; later ones wait until the deadline.
+const boundedAttempts = 2
+
 // deadlineSlack lets the context end before the read deadline, so that a read
 // that fails at the deadline finds the context done.
 const deadlineSlack = 10 * time.Millisecond
@@ -132,7 +135,19 @@
 	return limit
 }
 
-func (u *unit) silence() time.Duration { return u.e.cfg.Silence << min(u.attempt, 8) }
+// silence is the bound of this attempt. It grows, because the statement itself may be slow.
+func (u *unit) silence() time.Duration { return u.e.cfg.Silence << (2 * u.attempt) }
+
+// mustGoOn reports whether a silent attempt has to wait on, because the retry
+// budget has no further attempt: slow statements must not fail for the lack of it.
+func (u *unit) mustGoOn(ctx context.Context, err error) bool {
+	if !isTimeout(err) || ctx.Err() != nil || !u.isRepeatable() {
+		return false
+	}
+	u.paid = u.e.cfg.Budget.Spend()
+	u.patient = !u.paid
+	return u.patient
+}
 
 // extend moves the read deadline before a read. Small steps are left out,
 // because setting a deadline takes longer than decoding a row.
@@ -148,9 +163,12 @@
 	}
 }
 
-// isRepeatable reports whether a silent instance can be given up without
-// leaving the outcome unknown.
+// isRepeatable reports whether a silent instance can be given up for another
+// attempt without leaving the outcome unknown.
 func (u *unit) isRepeatable() bool {
+	if u.patient || u.attempt >= boundedAttempts {
+		return false
+	}
 	if u.keyed {
 		return u.settling || isLoneCommit(u.b.text)
 	}
@@ -175,6 +193,9 @@
 	for {
 		u.extend(ctx)
 		m, err := u.conn.Frontend().Receive()
+		if err != nil && u.mustGoOn(ctx, err) {
+			continue
+		}
 		if err != nil {
 			return u.lost(ctx, err)
 		}
@@ -233,7 +254,7 @@
 // noteError finds errors that end the attempt instead of being passed on.
 func (u *unit) noteError(m *pgproto3.ErrorResponse) error {
 	u.failed = true
-	if u.e.notCommitted[m.Code] && !u.passed {
+	if u.e.notCommitted[m.Code] && !u.passed && !u.isRead() {
 		return newFault(faultRefused, "%s refused with %s: %s", u.instance.Name, m.Code, m.Message)
 	}
 	if m.Severity == "FATAL" || m.Severity == "PANIC" {
--- a/internal/request/executor/stream_test.go
+++ b/internal/request/executor/stream_test.go
@@ -96,16 +96,16 @@
 	return router.Decision{Err: classifier.New(classifier.NoPrimary, "none")}
 }
 
-func dialSmall(ctx context.Context, network, address string) (net.Conn, error) {
+func (g *group) dial(ctx context.Context, network, address string) (net.Conn, error) {
 	c, err := new(net.Dialer).DialContext(ctx, network, address)
-	if err == nil {
+	if err == nil && g.small.Load() {
 		shrinkBuffers(c)
 	}
 	return c, err
 }
 
 func newExecutor(t testing.TB, g *group, change func(*Config)) *Executor {
-	p, err := pooler.New(pooler.Config{User: "u", DatabaseOf: func(string) string { return "db" }, Dial: dialSmall})
+	p, err := pooler.New(pooler.Config{User: "u", DatabaseOf: func(string) string { return "db" }, Dial: g.dial})
 	if err != nil {
 		t.Fatal(err)
 	}
--- a/internal/request/executor/unit.go
+++ b/internal/request/executor/unit.go
@@ -62,6 +62,8 @@
 	settling  bool // the key is being cancelled or its commit looked up
 	piece     bool // the exchange is a piece of a batch, without ReadyForQuery
 	misses    int  // waits for a primary so far
+	paid      bool // the next attempt is taken from the retry budget already
+	patient   bool // this attempt waits for a silent instance until the deadline
 	unlock    func()
 	key       requestKey
 }
@@ -171,14 +173,20 @@
 // retryRead reports whether the retry budget allows a further attempt.
 func (u *unit) retryRead(ctx context.Context) bool {
 	u.attempt++
-	return u.e.cfg.Budget.Spend() && ctx.Err() == nil
+	return u.spend() && ctx.Err() == nil
+}
+
+func (u *unit) spend() bool {
+	paid := u.paid
+	u.paid, u.patient = false, false
+	return paid || u.e.cfg.Budget.Spend()
 }
 
 // retryWrite waits for the retry budget and, unless nothing was sent, for a
 // change of primary, since the failed one may be about to be replaced.
 func (u *unit) retryWrite(ctx context.Context, err error) bool {
 	u.attempt++
-	for !u.e.cfg.Budget.Spend() {
+	for !u.spend() {
 		if !pause(ctx, retryPause) {
 			return false
 		}
--- a/internal/request/executor/unit_test.go
+++ b/internal/request/executor/unit_test.go
@@ -11,6 +11,7 @@
 
 	"parsleyscale/internal/failure/classifier"
 	"parsleyscale/internal/group/sampler"
+	"parsleyscale/internal/request/admitter"
 	"parsleyscale/internal/request/exchanger"
 	"parsleyscale/internal/request/router"
 	"parsleyscale/internal/session/tokenizer"
@@ -157,6 +158,7 @@
 // Pieces of a batch must be answered in order, and a large batch must not block both sides in a write.
 func TestPieces(t *testing.T) {
 	g := newGroup(t, "a", "b")
+	g.small.Store(true)
 	e := newExecutor(t, g, nil)
 	flushed := append(extended("READ 1")[:4], &pgproto3.Flush{})
 	flushed = append(flushed, extended("READ 1")...)
@@ -211,3 +213,59 @@
 		}
 	}
 }
+
+// A slow statement must not fail because the retry budget is used up.
+func TestSilenceWithoutBudget(t *testing.T) {
+	g := newGroup(t, "a", "b")
+	g.faults = []scriptedFault{{Instance: "b", On: "READ", Act: "slow"}}
+	b := admitter.NewBudget()
+	for b.Spend() {
+	}
+	e := newExecutor(t, g, func(c *Config) { c.Budget, c.Silence = b, 5*time.Millisecond })
+	for b.Spend() {
+	}
+	res, err := e.Run(t.Context(), exchanger.Request{Database: "db", Class: exchanger.Read, Timeout: 5 * time.Second}, &fakeStream{in: queries("READ 1")})
+	if err != nil || res.ServedBy != "b" {
+		t.Errorf("served by %q, %v", res.ServedBy, err)
+	}
+}
+
+// A unit that is refused must leave the stream at the start of the next unit.
+func TestRefusedUnitLeavesStreamInStep(t *testing.T) {
+	g := newGroup(t, "a")
+	e := newExecutor(t, g, nil)
+	in := append(extended("WRITE y"), &pgproto3.FunctionCall{}, &pgproto3.CopyDone{}, &pgproto3.Query{String: "WRITE x"})
+	s := &fakeStream{in: in}
+	r := exchanger.Request{Database: "other", Class: exchanger.Write, Timeout: time.Second}
+	for _, want := range []classifier.Kind{classifier.UnknownDatabase, classifier.Unsupported, ""} {
+		if _, err := e.Run(t.Context(), r, s); kindOf(err) != want {
+			t.Errorf("got %v, want kind %q", err, want)
+		}
+		r.Database = "db"
+	}
+	checkRuns(t, g, map[string]int{"x": 1})
+}
+
+// Old keys must be removed, but not before their retention is over.
+func TestSweep(t *testing.T) {
+	g := newGroup(t, "a")
+	e := newExecutor(t, g, nil)
+	r := exchanger.Request{Database: "db", Class: exchanger.Write, Key: keyAt(time.Now()), Timeout: time.Second}
+	if _, err := e.Run(t.Context(), r, &fakeStream{in: queries("WRITE x")}); err != nil {
+		t.Fatal(err)
+	}
+	for deadline := time.Now().Add(5 * time.Second); time.Now().Before(deadline); time.Sleep(time.Millisecond) {
+		g.mu.Lock()
+		limits := g.sweeps
+		g.mu.Unlock()
+		if len(limits) == 0 {
+			continue
+		}
+		age := time.Since(time.UnixMilli(limits[0]))
+		if want := DefaultRetention + sweepMargin; age < want || age > want+time.Minute {
+			t.Errorf("keys older than %s are removed, want %s", age, want)
+		}
+		return
+	}
+	t.Error("no removal after a keyed write")
+}
