--- a/internal/request/executor/pipe.go
+++ b/internal/request/executor/pipe.go
@@ -13,14 +13,19 @@
 	"parsleyscale/internal/session/tokenizer"
 )
 
-// Sizes of a kept answer.
+// Sizes of messages and answers.
 const (
+	// directBytes is written before answers are read. It fits into the smallest usual socket buffers.
+	directBytes = 8 << 10
 	// keptAnswer is the part of an answer that is kept back, so that a failure early in it leaves the unit repeatable.
 	keptAnswer = 16 << 10
 	// keptCommit bounds what is kept back behind the first CommandComplete of a write.
 	keptCommit = 256 << 10
 )
 
+// boundedAttempts are given up when the instance is silent; later ones wait until the deadline.
+const boundedAttempts = 2
+
 // deadlineSlack lets the context end before the read deadline, so that a read
 // that fails at the deadline finds the context done.
 const deadlineSlack = 10 * time.Millisecond
@@ -67,9 +72,11 @@
 // up to each ReadyForQuery. A piece of a batch ends with its last expected answer instead.
 func (u *unit) exchange(ctx context.Context, messages []byte, to ...sink) error {
 	stop := u.watch(ctx)
-	err := u.send(messages)
-	for i := 0; err == nil && i < len(to); i++ {
-		err = u.receiveAnswer(ctx, to[i])
+	var err error
+	if len(messages) <= directBytes || u.b.executed <= 1 {
+		err = u.sendThenReceive(ctx, messages, to)
+	} else {
+		err = u.sendWhileReceiving(ctx, messages, to)
 	}
 	if !stop() {
 		// The context's end may still set the deadline, so the connection must not be reused.
@@ -78,6 +85,36 @@
 	return err
 }
 
+func (u *unit) sendThenReceive(ctx context.Context, messages []byte, to []sink) error {
+	if err := u.send(messages); err != nil {
+		return err
+	}
+	return u.receiveAnswers(ctx, to)
+}
+
+// sendWhileReceiving sends a batch of many statements. The instance may stop
+// reading it until its answers to the first ones are read.
+func (u *unit) sendWhileReceiving(ctx context.Context, messages []byte, to []sink) error {
+	sent := make(chan error, 1)
+	go func() { sent <- u.send(messages) }()
+	err := u.receiveAnswers(ctx, to)
+	if err != nil {
+		u.conn.SetDeadline(longAgo) // ends the write
+		<-sent
+		return err
+	}
+	return <-sent
+}
+
+func (u *unit) receiveAnswers(ctx context.Context, to []sink) error {
+	for _, s := range to {
+		if err := u.receiveAnswer(ctx, s); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
 // watch bounds the exchange by the context.
 func (u *unit) watch(ctx context.Context) (stop func() bool) {
 	c := u.conn
@@ -98,7 +135,19 @@
 	return limit
 }
 
-func (u *unit) silence() time.Duration { return u.e.cfg.Silence << min(u.attempt, 8) }
+// silence is the bound of this attempt. It grows, because the statement itself may be slow.
+func (u *unit) silence() time.Duration { return u.e.cfg.Silence << (2 * u.attempt) }
+
+// mustGoOn reports whether a silent attempt has to wait on, because the retry
+// budget has no further attempt: slow statements must not fail for the lack of it.
+func (u *unit) mustGoOn(ctx context.Context, err error) bool {
+	if !isTimeout(err) || ctx.Err() != nil || !u.isRepeatable() {
+		return false
+	}
+	u.paid = u.e.cfg.Budget.Spend()
+	u.patient = !u.paid
+	return u.patient
+}
 
 // extend moves the read deadline before a read. Small steps are left out,
 // because setting a deadline takes longer than decoding a row.
@@ -114,9 +163,12 @@
 	}
 }
 
-// isRepeatable reports whether a silent instance can be given up without
-// leaving the outcome unknown.
+// isRepeatable reports whether a silent instance can be given up for another
+// attempt without leaving the outcome unknown.
 func (u *unit) isRepeatable() bool {
+	if u.patient || u.attempt >= boundedAttempts {
+		return false
+	}
 	if u.keyed {
 		return u.settling || isLoneCommit(u.b.text)
 	}
@@ -141,6 +193,9 @@
 	for {
 		u.extend(ctx)
 		m, err := u.conn.Frontend().Receive()
+		if err != nil && u.mustGoOn(ctx, err) {
+			continue
+		}
 		if err != nil {
 			return u.lost(ctx, err)
 		}
@@ -199,7 +254,7 @@
 // noteError finds errors that end the attempt instead of being passed on.
 func (u *unit) noteError(m *pgproto3.ErrorResponse) error {
 	u.failed = true
-	if u.e.notCommitted[m.Code] && !u.passed {
+	if u.e.notCommitted[m.Code] && !u.passed && !u.isRead() {
 		return newFault(faultRefused, "%s refused with %s: %s", u.instance.Name, m.Code, m.Message)
 	}
 	if m.Severity == "FATAL" || m.Severity == "PANIC" {
