--- /dev/null
+++ b/internal/bench/builder/vm.go
@@ -0,0 +1,110 @@
+package builder
+
+import (
+	"errors"
+	"fmt"
+	"net/netip"
+	"time"
+
+	"parsleyscale/internal/config/loader"
+	"parsleyscale/internal/daemon/runner"
+	"parsleyscale/internal/fault/relayer"
+	"parsleyscale/internal/platform/client"
+)
+
+// stopNotice is the time that the balancer has to notice a planned stop.
+const stopNotice = 500 * time.Millisecond
+
+// vmRelays are the relays in front of a VM.
+type vmRelays struct {
+	caller *relayer.Relay
+	peer   *relayer.Relay
+}
+
+func (s *System) startVMs() error {
+	for n, dc := range s.Deployment.VMs {
+		v := &VM{ID: fmt.Sprintf("%s-vm%d", dc, n+1), DataCentre: dc, Host: s.hosts.next(vmHosts)}
+		s.Net.AddHost(v.Host, s.place(dc))
+		if err := s.startVM(v); err != nil {
+			return err
+		}
+		s.vms = append(s.vms, v)
+	}
+	return nil
+}
+
+// startVM starts a VM behind new relays.
+func (s *System) startVM(v *VM) error {
+	callerPort, peerPort, err := freePorts(v.Host)
+	if err != nil {
+		return err
+	}
+	if v.relays.caller, err = s.listen(v.Host, callerPort); err != nil {
+		return err
+	}
+	if v.relays.peer, err = s.listen(v.Host, peerPort); err != nil {
+		return err
+	}
+	v.Address = v.relays.caller.Addr()
+	cfg := loader.Default()
+	cfg.ID, cfg.DataCentre, cfg.Region = v.ID, v.DataCentre, s.place(v.DataCentre).Region
+	cfg.CallerAddress, cfg.PeerAddress, cfg.AdvertisedAddress = callerPort, peerPort, v.relays.peer.Addr()
+	cfg.AdminAddress = netip.AddrPortFrom(v.Host, 0).String()
+	cfg.Platform, cfg.PlainText, cfg.TokenKeys = s.storeURL, true, []string{tokenKey}
+	cfg.Limits.StopNotice = loader.Duration(stopNotice)
+	if v.daemon, err = runner.Start(cfg, s.log); err != nil {
+		return err
+	}
+	s.Platform.SetVM(client.VM{ID: v.ID, Address: v.relays.peer.Addr(), Region: cfg.Region, DataCentre: v.DataCentre, State: live})
+	return nil
+}
+
+// VMs returns the VMs.
+func (s *System) VMs() []*VM {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return append([]*VM(nil), s.vms...)
+}
+
+// IsReady reports whether the balancer may send callers to the VM.
+func (s *System) IsReady(v *VM) bool {
+	s.mu.Lock()
+	d := v.daemon
+	s.mu.Unlock()
+	return d != nil && d.Ready() == nil
+}
+
+// KillVM ends a VM at once; its connections are cut.
+func (s *System) KillVM(v *VM) error {
+	d := s.take(v)
+	if d == nil {
+		return nil
+	}
+	s.Platform.RemoveVM(v.ID)
+	return errors.Join(v.relays.caller.Close(), v.relays.peer.Close(), d.Close())
+}
+
+// StopVM ends a VM as planned.
+func (s *System) StopVM(v *VM) error {
+	s.mu.Lock()
+	d := v.daemon
+	s.mu.Unlock()
+	if d == nil {
+		return nil
+	}
+	err := d.Stop()
+	s.take(v)
+	s.Platform.RemoveVM(v.ID)
+	return errors.Join(err, v.relays.caller.Close(), v.relays.peer.Close())
+}
+
+// RestartVM starts a VM again under the same identity.
+func (s *System) RestartVM(v *VM) error { return s.startVM(v) }
+
+func (s *System) take(v *VM) *runner.Daemon {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	d := v.daemon
+	v.daemon = nil
+	return d
+}
--- a/internal/config/loader/check.go
+++ b/internal/config/loader/check.go
@@ -23,6 +23,7 @@
 		s.address("/callerAddress", s.CallerAddress),
 		s.address("/peerAddress", s.PeerAddress),
 		s.address("/adminAddress", s.AdminAddress),
+		s.advertised(),
 		checkURL("/platform", s.Platform),
 		s.checkTLS(),
 		s.checkUsers(),
@@ -54,6 +55,13 @@
 	return nil
 }
 
+func (s Settings) advertised() *fault {
+	if s.AdvertisedAddress == "" {
+		return nil
+	}
+	return s.address("/advertisedAddress", s.AdvertisedAddress)
+}
+
 func checkURL(pointer, v string) *fault {
 	u, err := url.Parse(v)
 	if err != nil || u.Host == "" || (u.Scheme != "http" && u.Scheme != "https") {
--- a/internal/config/loader/settings.go
+++ b/internal/config/loader/settings.go
@@ -31,19 +31,20 @@
 
 // Settings are the settings of one entry VM. The doc tags make the reference page.
 type Settings struct {
-	ID            string   `json:"id" doc:"identity of the VM, as in the platform's list"`
-	Region        string   `json:"region" doc:"region of the VM"`
-	DataCentre    string   `json:"dataCentre" doc:"data centre of the VM"`
-	CallerAddress string   `json:"callerAddress" doc:"IP number and port for callers"`
-	PeerAddress   string   `json:"peerAddress" doc:"IP number and port for other VMs and parsleyctl"`
-	AdminAddress  string   `json:"adminAddress" doc:"IP number and port for /metrics, /health and /ready"`
-	Platform      string   `json:"platform" doc:"URL of the platform's service"`
-	PlainText     bool     `json:"plainText" doc:"no TLS and no passwords; loopback addresses only"`
-	TLS           TLS      `json:"tls" doc:"keys for callers and for other VMs"`
-	Users         []User   `json:"users" doc:"callers' names and passwords"`
-	Backend       User     `json:"backend" doc:"name and password for instances"`
-	TokenKeys     []string `json:"tokenKeys" doc:"keys of session tokens, at least 16 characters; the first signs, all verify"`
-	Limits        Limits   `json:"limits" doc:"limits and waits"`
+	ID                string   `json:"id" doc:"identity of the VM, as in the platform's list"`
+	Region            string   `json:"region" doc:"region of the VM"`
+	DataCentre        string   `json:"dataCentre" doc:"data centre of the VM"`
+	CallerAddress     string   `json:"callerAddress" doc:"IP number and port for callers"`
+	PeerAddress       string   `json:"peerAddress" doc:"IP number and port for other VMs and parsleyctl"`
+	AdvertisedAddress string   `json:"advertisedAddress" doc:"address under which other VMs reach peerAddress, if it differs"`
+	AdminAddress      string   `json:"adminAddress" doc:"IP number and port for /metrics, /health and /ready"`
+	Platform          string   `json:"platform" doc:"URL of the platform's service"`
+	PlainText         bool     `json:"plainText" doc:"no TLS and no passwords; loopback addresses only"`
+	TLS               TLS      `json:"tls" doc:"keys for callers and for other VMs"`
+	Users             []User   `json:"users" doc:"callers' names and passwords"`
+	Backend           User     `json:"backend" doc:"name and password for instances"`
+	TokenKeys         []string `json:"tokenKeys" doc:"keys of session tokens, at least 16 characters; the first signs, all verify"`
+	Limits            Limits   `json:"limits" doc:"limits and waits"`
 }
 
 // TLS names the files with keys.
--- a/internal/daemon/runner/runner.go
+++ b/internal/daemon/runner/runner.go
@@ -112,7 +112,7 @@
 	if d.platform, err = client.New(client.Config{URL: d.cfg.Platform, HTTP: &http.Client{Transport: &http.Transport{DialContext: d.dial, IdleConnTimeout: platformIdle}}}); err != nil {
 		return err
 	}
-	d.self = tracker.Member{ID: d.cfg.ID, Address: d.PeerAddress(), Region: d.cfg.Region, DataCentre: d.cfg.DataCentre, State: tracker.Live}
+	d.self = tracker.Member{ID: d.cfg.ID, Address: d.advertised(), Region: d.cfg.Region, DataCentre: d.cfg.DataCentre, State: tracker.Live}
 	once := d.platform.WithTries(1)
 	d.members = tracker.New(tracker.Config{Self: d.self, List: once, Dial: func(a string) tracker.Exchanger { return d.peer(a) }})
 	d.sheets = distributor.New(distributor.Config{Self: d.self, Store: once, Members: d.members, Dial: func(a string) distributor.Watcher { return d.peer(a) }})
@@ -201,6 +201,17 @@
 // PeerAddress returns the address for other VMs.
 func (d *Daemon) PeerAddress() string { return d.peerServer.Addr().String() }
 
+// advertised returns the address under which other VMs reach this one.
+func (d *Daemon) advertised() string {
+	if d.cfg.AdvertisedAddress != "" {
+		return d.cfg.AdvertisedAddress
+	}
+	return d.PeerAddress()
+}
+
+// Members returns the VMs that this VM knows, itself included.
+func (d *Daemon) Members() []tracker.Member { return d.members.Members() }
+
 // AdminAddress returns the address for metrics and readiness.
 func (d *Daemon) AdminAddress() string { return d.admin.addr() }
 
