--- /dev/null
+++ b/internal/member/tracker/ring.go
@@ -0,0 +1,114 @@
+package tracker
+
+import (
+	"cmp"
+	"math/rand/v2"
+	"slices"
+
+	"github.com/cespare/xxhash/v2"
+)
+
+const (
+	localPeers  = 8 // of the own data centre, at most
+	remotePeers = 2 // of other data centres, at most
+	probesOfOne = 3 // VMs of all that probe a dead VM in one round, on average
+)
+
+func hash(parts ...string) uint64 {
+	var d xxhash.Digest
+	d.Reset()
+	for _, p := range parts {
+		_, _ = d.WriteString(p)
+		_, _ = d.Write([]byte{0})
+	}
+	return d.Sum64()
+}
+
+// rank orders VMs by rendezvous hashing of a name, best first.
+func rank(name string, list []Member) []Member {
+	ranked := slices.Clone(list)
+	weights := make(map[string]uint64, len(list))
+	for _, m := range list {
+		weights[m.ID] = hash(name, m.ID)
+	}
+	slices.SortFunc(ranked, func(a, b Member) int {
+		return cmp.Or(cmp.Compare(weights[b.ID], weights[a.ID]), cmp.Compare(a.ID, b.ID))
+	})
+	return ranked
+}
+
+// ring orders VMs by hash, beginning after self.
+func ring(self string, list []Member) []Member {
+	start := hash(self)
+	ordered := slices.Clone(list)
+	slices.SortFunc(ordered, func(a, b Member) int {
+		// The difference wraps, so that the order begins at self.
+		return cmp.Or(cmp.Compare(hash(a.ID)-start, hash(b.ID)-start), cmp.Compare(a.ID, b.ID))
+	})
+	return ordered
+}
+
+// peersOf selects the VMs to exchange reports with. The dead ones are those
+// that may be probed.
+func peersOf(self Member, list, dead []Member) []Member {
+	var local, remote []Member
+	for _, m := range list {
+		switch {
+		case m.ID == self.ID || m.State == Dead:
+		case m.DataCentre == self.DataCentre:
+			local = append(local, m)
+		default:
+			remote = append(remote, m)
+		}
+	}
+	l, r := fingers(ring(self.ID, local)), spread(ring(self.ID, remote))
+	return append(l, withProbe(r, dead, len(list))...)
+}
+
+// fingers takes VMs at distances that are powers of two, so that reports cross
+// the ring in a number of rounds that grows with its logarithm, and fills up
+// with the nearest others.
+func fingers(ordered []Member) []Member {
+	if len(ordered) <= localPeers {
+		return ordered
+	}
+	var list []Member
+	for d := 1; d <= len(ordered) && len(list) < localPeers; d *= 2 {
+		list = append(list, ordered[d-1])
+	}
+	for d := 3; len(list) < localPeers; d++ {
+		if d&(d-1) != 0 {
+			list = append(list, ordered[d-1])
+		}
+	}
+	return list
+}
+
+// spread takes the nearest VMs of different data centres.
+func spread(ordered []Member) []Member {
+	var list []Member
+	for _, m := range ordered {
+		if len(list) == remotePeers {
+			break
+		}
+		if !slices.ContainsFunc(list, func(o Member) bool { return o.DataCentre == m.DataCentre }) {
+			list = append(list, m)
+		}
+	}
+	for _, m := range ordered {
+		if len(list) < remotePeers && !slices.Contains(list, m) {
+			list = append(list, m)
+		}
+	}
+	return list
+}
+
+// withProbe now and then adds a dead VM, in place of the last one when there
+// is no room. A dead VM would otherwise not be found alive again after a
+// partition in which both sides believe each other dead.
+func withProbe(remote, dead []Member, all int) []Member {
+	if len(dead) == 0 || rand.IntN(all) >= probesOfOne*len(dead) {
+		return remote
+	}
+	return append(remote[:min(len(remote), remotePeers-1)], dead[rand.IntN(len(dead))])
+}
