--- a/internal/member/tracker/exchange.go
+++ b/internal/member/tracker/exchange.go
@@ -52,9 +52,8 @@
 
 // peers returns the VMs of this round, or the seeds while no other VM is known.
 func (t *Tracker) peers() []Member {
-	v := t.current()
-	if len(v.members) > 1 {
-		return peersOf(t.cfg.Self, v.members)
+	if v := t.current(); len(v.members) > 1 {
+		return peersOf(t.cfg.Self, v.members, t.listedDead(v))
 	}
 	var list []Member
 	for _, a := range t.cfg.Seeds {
@@ -65,6 +64,20 @@
 	return list
 }
 
+// listedDead returns the dead VMs that the list names. Others are not probed:
+// the failed probes would keep a VM that is gone for good known for ever.
+func (t *Tracker) listedDead(v *view) []Member {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	var dead []Member
+	for _, m := range v.members {
+		if e, ok := t.vms[m.ID]; ok && m.State == Dead && e.listed != "" {
+			dead = append(dead, m)
+		}
+	}
+	return dead
+}
+
 func (t *Tracker) exchangeWith(ctx context.Context, list []Member) []error {
 	errs := make([]error, len(list))
 	var wg sync.WaitGroup
--- a/internal/member/tracker/ring.go
+++ b/internal/member/tracker/ring.go
@@ -48,14 +48,13 @@
 	return ordered
 }
 
-// peersOf selects the VMs to exchange reports with.
-func peersOf(self Member, list []Member) []Member {
-	var local, remote, dead []Member
+// peersOf selects the VMs to exchange reports with. The dead ones are those
+// that may be probed.
+func peersOf(self Member, list, dead []Member) []Member {
+	var local, remote []Member
 	for _, m := range list {
 		switch {
-		case m.ID == self.ID:
-		case m.State == Dead:
-			dead = append(dead, m)
+		case m.ID == self.ID || m.State == Dead:
 		case m.DataCentre == self.DataCentre:
 			local = append(local, m)
 		default:
