Tell apart transactions that can and cannot have committed

When a Runner loses a transaction before its end was sent, the transaction is rolled back, so the answer is notRun in place of outcomeUnknown. The end of a transaction in the middle of a batch or query now counts, and the tag of ROLLBACK TO no longer counts as an end: after it, a lost transaction was answered as idle, and the next statement would have run outside of it.

Close no longer reads the session's connection while TLS replaces it.

--- a/internal/request/listener/answer.go
+++ b/internal/request/listener/answer.go
@@ -9,7 +9,6 @@
 	"github.com/joomcode/errorx"
 
 	"parsleyscale/internal/failure/classifier"
-	"parsleyscale/internal/request/exchanger"
 )
 
 // SQLSTATEs of PostgreSQL for errors that the front finds in a caller's use of the protocol.
@@ -59,17 +58,22 @@
 }
 
 // classified makes sure that the error of a unit tells the truth about its
-// outcome. An error without a kind can come from any stage, so that a unit
-// that changes data may have run. The cause is why the unit's context ended, if it did.
-func classified(err, cause error, class exchanger.Class) error {
+// outcome. An error without a kind can come from any stage, so that a unit that
+// changes data may have run, unless hasNoEffect is set. In that case a break of
+// the stream to another VM leaves nothing unknown either. The cause is why the
+// unit's context ended, if it did.
+func classified(err, cause error, hasNoEffect bool) error {
 	var e *errorx.Error
-	if errors.As(err, &e) {
+	hasKind := errors.As(err, &e)
+	switch {
+	case hasKind && hasNoEffect && classifier.Is(err, classifier.OutcomeUnknown):
+		return classifier.Wrap(classifier.NotRun, err, "transaction is rolled back")
+	case hasKind:
 		return err
-	}
-	if errors.Is(err, context.Canceled) && cause != nil {
+	case errors.Is(err, context.Canceled) && cause != nil:
 		err = cause
 	}
-	if class.IsRead() {
+	if hasNoEffect {
 		return err
 	}
 	return classifier.Wrap(classifier.OutcomeUnknown, err, "unit ended")
--- a/internal/request/listener/batch.go
+++ b/internal/request/listener/batch.go
@@ -366,12 +366,14 @@
 		return nil
 	}
 	class := exchanger.Write
-	if p.st != nil {
+	if p.st == nil {
+		s.stream.mayCommit = true // a portal that the front does not know
+	} else {
 		if err := s.admit([]parser.Statement{p.st.parsed}, s.unitClass()); err != nil {
 			return err
 		}
 		class = p.st.class
-		s.stream.isEnding = p.st.parsed.Action == parser.End
+		s.stream.noteEnds([]parser.Statement{p.st.parsed})
 	}
 	s.batch.class = parser.Strictest(s.batch.class, class)
 	s.batch.forward(m, expected{kind: 'E'})
--- a/internal/request/listener/life_test.go
+++ b/internal/request/listener/life_test.go
@@ -217,6 +217,22 @@
 	}
 }
 
+// TestCloseInStartUp guards against a Close that waits for a caller who does not start up.
+func TestCloseInStartUp(t *testing.T) {
+	l := startListener(t, newTestConfig(t, &fakeRunner{}))
+	conn, err := net.Dial("tcp", l.Addr().String())
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer conn.Close()
+	time.Sleep(20 * time.Millisecond) // until it is accepted
+	start := time.Now()
+	l.Close()
+	if d := time.Since(start); d > 2*time.Second {
+		t.Errorf("close took %v", d)
+	}
+}
+
 // TestDrainLimit guards against a drain that never ends, and against a Close that leaves units running.
 func TestDrainLimit(t *testing.T) {
 	started := make(chan struct{}, 1)
--- a/internal/request/listener/query.go
+++ b/internal/request/listener/query.go
@@ -18,6 +18,7 @@
 	if err != nil || len(list) == 0 {
 		return s.ready()
 	}
+	s.stream.noteEnds(list)
 	s.batch.forward(m, expected{kind: 'Q'})
 	return s.run(parser.ClassOf(list))
 }
@@ -33,7 +34,7 @@
 		s.out.send(&pgproto3.ReadyForQuery{TxStatus: s.stream.status})
 		return s.out.flush()
 	}
-	s.stream.isEnding = list[len(list)-1].Action == parser.End
+	s.stream.noteEnds(list)
 	s.batch.current = nil // a simple query destroys the unnamed statement
 	s.batch.forward(m, expected{kind: 'Q'})
 	return nil
--- a/internal/request/listener/startup.go
+++ b/internal/request/listener/startup.go
@@ -34,8 +34,9 @@
 // startUp brings the connection to its first ReadyForQuery.
 func (s *session) startUp(isOver bool) error {
 	deadline := time.Now().Add(s.l.cfg.Limits.StartUp)
-	s.conn.SetDeadline(deadline)
-	stop := context.AfterFunc(s.l.ctx, func() { s.conn.SetDeadline(time.Unix(1, 0)) })
+	conn := s.conn // stays the TCP connection when TLS starts
+	conn.SetDeadline(deadline)
+	stop := context.AfterFunc(s.l.ctx, func() { conn.SetDeadline(time.Unix(1, 0)) })
 	defer stop()
 	m, err := s.receiveStartUp(deadline)
 	switch {
--- a/internal/request/listener/stream.go
+++ b/internal/request/listener/stream.go
@@ -12,18 +12,20 @@
 
 	"parsleyscale/internal/failure/classifier"
 	"parsleyscale/internal/request/exchanger"
+	"parsleyscale/internal/request/parser"
 )
 
 // stream is the exchanger.Stream of a session's units.
 type stream struct {
-	s        *session
-	class    exchanger.Class
-	deadline time.Time
-	status   byte  // of the last ReadyForQuery
-	isBegun  bool  // the caller has been told that a transaction is open
-	isEnding bool  // the last statement ends the transaction
-	isDone   bool  // the Runner has sent the last ReadyForQuery
-	ended    error // why the session cannot go on
+	s         *session
+	class     exchanger.Class
+	deadline  time.Time
+	status    byte  // of the last ReadyForQuery
+	isBegun   bool  // the caller has been told that a transaction is open
+	isEnding  bool  // the last statement ends the transaction
+	mayCommit bool  // a statement since the last ReadyForQuery ends the transaction
+	isDone    bool  // the Runner has sent the last ReadyForQuery
+	ended     error // why the session cannot go on
 }
 
 // run runs a unit and ends its answer.
@@ -47,9 +49,21 @@
 }
 
 func (u *stream) begin(s *session, class exchanger.Class, deadline time.Time) {
-	*u = stream{s: s, class: class, deadline: deadline, status: statusIdle, isEnding: u.isEnding}
+	u.s, u.class, u.deadline, u.status = s, class, deadline, statusIdle
 }
 
+// noteEnds remembers whether statements that go to the Runner end the transaction.
+func (u *stream) noteEnds(list []parser.Statement) {
+	u.isEnding = list[len(list)-1].Action == parser.End
+	for _, st := range list {
+		u.mayCommit = u.mayCommit || st.Action == parser.End
+	}
+}
+
+// isUncommitted reports whether the unit is in a transaction whose end was not
+// sent. Whatever happened to the Runner, such a transaction is rolled back.
+func (u *stream) isUncommitted() bool { return u.isBegun && !u.mayCommit }
+
 // request describes the next unit. A request key is used up by the first unit that may write.
 func (s *session) request(class exchanger.Class) exchanger.Request {
 	floor, _ := s.settings.token.Floor(s.database)
@@ -87,7 +101,7 @@
 	if isGone(cause) {
 		return errCallerGone
 	}
-	return classified(err, cause, u.class)
+	return classified(err, cause, u.class.IsRead() || u.isUncommitted())
 }
 
 // finish ends the answer of a unit: the error, the raised token and ReadyForQuery.
@@ -262,7 +276,7 @@
 	case bytes.Equal(tag, []byte("BEGIN")), bytes.Equal(tag, []byte("START TRANSACTION")):
 		u.isBegun = true
 	case bytes.Equal(tag, []byte("COMMIT")), bytes.Equal(tag, []byte("ROLLBACK")):
-		u.isBegun = false
+		u.isBegun = u.isBegun && !u.mayCommit // ROLLBACK TO has the same tag
 	}
 }
 
@@ -302,6 +316,7 @@
 	u.dropReady()
 	u.status = m.TxStatus
 	u.isBegun = m.TxStatus != statusIdle
+	u.isEnding, u.mayCommit = false, false
 	if m.TxStatus == statusIdle {
 		u.isDone = true
 		return nil
