Drop all idle connections of an instance when one is found silent

Slow statements inside a read-only transaction were given up after the bound for silent attempts, although they cannot move to another instance; the bound now ends with the first batch. Both tests failed before.

--- a/internal/backend/pooler/conn.go
+++ b/internal/backend/pooler/conn.go
@@ -52,6 +52,16 @@
 	c.pool.closedOne(c.line)
 }
 
+// discardSilent closes a connection that failed its check, and the other idle
+// ones with it: they most likely share its fault, and each would cost a request
+// the time of a check.
+func (c *Conn) discardSilent() {
+	c.pool.mu.Lock()
+	c.line.closeIdle(0)
+	c.pool.mu.Unlock()
+	c.Discard()
+}
+
 // Cancel asks the instance, on a connection of its own, to cancel the
 // statement that runs on c, and discards c. It does not wait for the answer.
 func (c *Conn) Cancel() {
--- a/internal/backend/pooler/pooler.go
+++ b/internal/backend/pooler/pooler.go
@@ -175,12 +175,22 @@
 		if c != nil && c.isUsable(ctx) {
 			return c, nil
 		}
-		if c != nil {
+		if c != nil && hasEnded(ctx) {
 			c.Discard()
+			return nil, classifier.Wrap(classifier.Overloaded, context.DeadlineExceeded, "no checked connection to %s", i.Name)
+		}
+		if c != nil {
+			c.discardSilent()
 		}
 	}
 }
 
+// hasEnded reports whether a context is over, also when its timer is about to fire.
+func hasEnded(ctx context.Context) bool {
+	d, ok := ctx.Deadline()
+	return ctx.Err() != nil || ok && !time.Now().Before(d)
+}
+
 // Close closes the idle connections and waits for the upkeep and for cancel
 // requests. Connections in use are closed when they come back.
 func (p *Pool) Close() {
--- a/internal/backend/pooler/pooler_test.go
+++ b/internal/backend/pooler/pooler_test.go
@@ -150,6 +150,24 @@
 	})
 }
 
+// Several silent idle connections must cost a request the time of one check.
+func TestSilentIdleConnections(t *testing.T) {
+	s := &server{}
+	bubble(t, s, 1, func(t *testing.T, p *Pool) {
+		conns := []*Conn{get(t, p), get(t, p), get(t, p)}
+		for _, c := range conns {
+			c.Release()
+		}
+		s.set(func() { s.silent = true })
+		time.Sleep(DefaultCheckAfter + time.Millisecond)
+		start := time.Now()
+		get(t, p)
+		if d := time.Since(start); d > DefaultDialTimeout {
+			t.Errorf("request waited %s, want at most %s", d, DefaultDialTimeout)
+		}
+	})
+}
+
 // Connections beyond the warm one must not stay open without use.
 func TestIdleTimeout(t *testing.T) {
 	s := &server{}
--- a/internal/backend/pooler/upkeep.go
+++ b/internal/backend/pooler/upkeep.go
@@ -44,7 +44,7 @@
 func (p *Pool) refresh(c *Conn) {
 	p.wg.Go(func() {
 		if c.check(context.Background()) != nil {
-			c.Discard()
+			c.discardSilent()
 			return
 		}
 		c.pool.putIdle(c)
--- a/internal/request/executor/batch.go
+++ b/internal/request/executor/batch.go
@@ -26,6 +26,7 @@
 	hash     xxhash.Digest // over the text and the parameters
 	replies  int           // answers to expect before ReadyForQuery
 	complete bool          // ends with Query or Sync
+	gone     bool          // the caller is gone
 	executes bool          // runs something
 	simple   bool
 	executed int
@@ -48,7 +49,7 @@
 	b.buf, b.shape = b.buf[:0], b.shape[:0]
 	b.hash.Reset()
 	b.replies, b.executed = 0, 0
-	b.complete, b.executes, b.simple = false, false, false
+	b.complete, b.executes, b.simple, b.gone = false, false, false, false
 }
 
 // receive reads a batch, or a piece of it unless whole is set.
@@ -56,6 +57,7 @@
 	for {
 		m, err := s.Receive()
 		if err != nil {
+			b.gone = true
 			return classifier.Wrap(classifier.Canceled, err, "caller is gone")
 		}
 		end, err := b.add(m)
--- a/internal/request/executor/outcome.go
+++ b/internal/request/executor/outcome.go
@@ -90,6 +90,7 @@
 // runRest runs the further batches of a transaction.
 func (u *unit) runRest(ctx context.Context) error {
 	for u.status != 'I' {
+		u.rest = true
 		u.b.reset()
 		if err := u.b.receive(u.s, false); err != nil {
 			return err
--- a/internal/request/executor/pipe.go
+++ b/internal/request/executor/pipe.go
@@ -172,7 +172,7 @@
 	if u.keyed {
 		return u.settling || isLoneCommit(u.b.text)
 	}
-	return !u.passed && (u.isRead() || u.r.Key != "")
+	return !u.passed && !u.rest && (u.isRead() || u.r.Key != "")
 }
 
 func (u *unit) send(messages []byte) error {
--- a/internal/request/executor/unit.go
+++ b/internal/request/executor/unit.go
@@ -59,6 +59,7 @@
 	ambiguous bool // a commit of the key may have happened
 	keyed     bool // the open transaction holds the key
 	tooLarge  bool // the answer is over the limit of a recorded one
+	rest      bool // a batch after the first runs
 	settling  bool // the key is being cancelled or its commit looked up
 	piece     bool // the exchange is a piece of a batch, without ReadyForQuery
 	misses    int  // waits for a primary so far
@@ -82,7 +83,7 @@
 // startAnswer prepares for the answer of a batch.
 func (u *unit) startAnswer() {
 	u.a.reset()
-	u.streaming, u.passed, u.failed = false, false, false
+	u.streaming, u.passed, u.failed, u.patient = false, false, false, false
 	u.status, u.tag, u.position = 0, "", tokenizer.Position{}
 }
 
@@ -145,7 +146,7 @@
 
 // skipBatch receives the rest of the caller's batch, which the answer with an error ends.
 func (u *unit) skipBatch() {
-	for !u.b.complete {
+	for !u.b.complete && !u.b.gone {
 		m, err := u.s.Receive()
 		if err != nil {
 			return
--- a/internal/request/executor/unit_test.go
+++ b/internal/request/executor/unit_test.go
@@ -269,3 +269,15 @@
 	}
 	t.Error("no removal after a keyed write")
 }
+
+// A slow statement inside a read-only transaction cannot move, so it must not be given up.
+func TestSlowStatementInTransaction(t *testing.T) {
+	g := newGroup(t, "a", "b")
+	g.faults = []scriptedFault{{Instance: "b", On: "READ", Act: "slow"}}
+	e := newExecutor(t, g, func(c *Config) { c.Silence = 5 * time.Millisecond })
+	s := &fakeStream{in: queries("BEGIN", "READ 1", "COMMIT")}
+	_, err := e.Run(t.Context(), exchanger.Request{Database: "db", Class: exchanger.ReadOnlyTransaction, Timeout: 5 * time.Second}, s)
+	if err != nil || s.types != "CTDCC" {
+		t.Errorf("got messages %q, %v", s.types, err)
+	}
+}
