--- a/internal/bench/builder/system.go
+++ b/internal/bench/builder/system.go
@@ -64,6 +64,8 @@
 	Address    string         // of the relay in front of the VM, for callers
 	daemon     *runner.Daemon // nil while stopped
 	relays     vmRelays
+	callerPort string // where the daemon listens, behind the relays
+	peerPort   string
 }
 
 // Start runs a deployment and waits until all VMs are ready.
@@ -112,10 +114,13 @@
 // listen starts a relay on a free port of host.
 func (s *System) listen(host netip.Addr, target string) (*relayer.Relay, error) {
 	r, err := s.Net.Listen(netip.AddrPortFrom(host, 0).String(), target)
-	if err == nil {
-		s.relays = append(s.relays, r)
+	if err != nil {
+		return nil, err
 	}
-	return r, err
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.relays = append(s.relays, r)
+	return r, nil
 }
 
 func (s *System) startPlatform() error {
--- a/internal/bench/builder/vm.go
+++ b/internal/bench/builder/vm.go
@@ -21,41 +21,56 @@
 	peer   *relayer.Relay
 }
 
+// startVMs lists all VMs before it starts them, as the platform does.
 func (s *System) startVMs() error {
 	for n, dc := range s.Deployment.VMs {
 		v := &VM{ID: fmt.Sprintf("%s-vm%d", dc, n+1), DataCentre: dc, Host: s.hosts.next(vmHosts)}
 		s.Net.AddHost(v.Host, s.place(dc))
-		if err := s.startVM(v); err != nil {
+		if err := s.listVM(v); err != nil {
 			return err
 		}
 		s.vms = append(s.vms, v)
 	}
+	for _, v := range s.vms {
+		if err := s.startVM(v); err != nil {
+			return err
+		}
+	}
 	return nil
 }
 
-// startVM starts a VM behind new relays.
-func (s *System) startVM(v *VM) error {
-	callerPort, peerPort, err := freePorts(v.Host)
-	if err != nil {
+// listVM opens the relays of a VM and puts it into the platform's list.
+func (s *System) listVM(v *VM) error {
+	var err error
+	if v.callerPort, v.peerPort, err = freePorts(v.Host); err != nil {
 		return err
 	}
-	if v.relays.caller, err = s.listen(v.Host, callerPort); err != nil {
+	if v.relays.caller, err = s.listen(v.Host, v.callerPort); err != nil {
 		return err
 	}
-	if v.relays.peer, err = s.listen(v.Host, peerPort); err != nil {
+	if v.relays.peer, err = s.listen(v.Host, v.peerPort); err != nil {
 		return err
 	}
 	v.Address = v.relays.caller.Addr()
+	s.Platform.SetVM(client.VM{ID: v.ID, Address: v.relays.peer.Addr(), Region: s.place(v.DataCentre).Region, DataCentre: v.DataCentre, State: live})
+	return nil
+}
+
+// startVM starts the daemon of a listed VM.
+func (s *System) startVM(v *VM) error {
 	cfg := loader.Default()
 	cfg.ID, cfg.DataCentre, cfg.Region = v.ID, v.DataCentre, s.place(v.DataCentre).Region
-	cfg.CallerAddress, cfg.PeerAddress, cfg.AdvertisedAddress = callerPort, peerPort, v.relays.peer.Addr()
+	cfg.CallerAddress, cfg.PeerAddress, cfg.AdvertisedAddress = v.callerPort, v.peerPort, v.relays.peer.Addr()
 	cfg.AdminAddress = netip.AddrPortFrom(v.Host, 0).String()
 	cfg.Platform, cfg.PlainText, cfg.TokenKeys = s.storeURL, true, []string{tokenKey}
 	cfg.Limits.StopNotice = loader.Duration(stopNotice)
-	if v.daemon, err = runner.Start(cfg, s.log); err != nil {
+	d, err := runner.Start(cfg, s.log)
+	if err != nil {
 		return err
 	}
-	s.Platform.SetVM(client.VM{ID: v.ID, Address: v.relays.peer.Addr(), Region: cfg.Region, DataCentre: v.DataCentre, State: live})
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	v.daemon = d
 	return nil
 }
 
@@ -99,7 +114,12 @@
 }
 
 // RestartVM starts a VM again under the same identity.
-func (s *System) RestartVM(v *VM) error { return s.startVM(v) }
+func (s *System) RestartVM(v *VM) error {
+	if err := s.listVM(v); err != nil {
+		return err
+	}
+	return s.startVM(v)
+}
 
 func (s *System) take(v *VM) *runner.Daemon {
 	s.mu.Lock()
