Check in the fake Runner that no write reaches a unit of class read

A canceled statement of a forwarded transaction is answered as canceled, like one with a local Runner.

--- a/internal/request/listener/answer.go
+++ b/internal/request/listener/answer.go
@@ -66,6 +66,8 @@
 	var e *errorx.Error
 	hasKind := errors.As(err, &e)
 	switch {
+	case hasKind && hasNoEffect && cause != nil && classifier.Is(err, classifier.OutcomeUnknown):
+		return cause
 	case hasKind && hasNoEffect && classifier.Is(err, classifier.OutcomeUnknown):
 		return classifier.Wrap(classifier.NotRun, err, "transaction is rolled back")
 	case hasKind:
--- a/internal/request/listener/fake_test.go
+++ b/internal/request/listener/fake_test.go
@@ -34,7 +34,7 @@
 	f.mu.Lock()
 	f.requests = append(f.requests, r)
 	f.mu.Unlock()
-	u := fakeUnit{f: f, s: s, status: 'I', portals: map[string]string{}}
+	u := fakeUnit{f: f, s: s, class: r.Class, status: 'I', portals: map[string]string{}}
 	for {
 		m, err := s.Receive()
 		if err != nil {
@@ -72,6 +72,7 @@
 type fakeUnit struct {
 	f       *fakeRunner
 	s       exchanger.Stream
+	class   exchanger.Class
 	status  byte
 	unnamed string
 	portals map[string]string
@@ -159,6 +160,9 @@
 	if u.isBad {
 		return nil
 	}
+	if u.class == exchanger.Read && st.Class != exchanger.Read || isLocal(st) || st.Action == parser.Refuse {
+		panic(fmt.Sprintf("unit of class %s got %q", u.class, st.Text))
+	}
 	if u.f.hook != nil {
 		if err := u.f.hook(ctx, st.Text); err != nil {
 			return err
