--- a/internal/backend/pooler/conn.go
+++ b/internal/backend/pooler/conn.go
@@ -43,6 +43,9 @@
 	c.pool.putIdle(c)
 }
 
+// Abort closes the network connection from any goroutine. The request still ends with Discard.
+func (c *Conn) Abort() { c.close() }
+
 // Discard closes the connection. The instance rolls its transaction back.
 func (c *Conn) Discard() {
 	c.close()
--- a/internal/request/executor/executor.go
+++ b/internal/request/executor/executor.go
@@ -30,6 +30,7 @@
 	DefaultRetention    = 24 * time.Hour
 	DefaultCurrentBound = 500 * time.Millisecond
 	DefaultSweepEvery   = time.Minute
+	DefaultIdle         = time.Minute
 )
 
 // Sampler is the view of the group and the confirmation of writes.
@@ -77,6 +78,8 @@
 	CurrentBound time.Duration // reads with at most this staleness go before others
 	Retention    time.Duration // of request keys
 	SweepEvery   time.Duration // least time between two removals of old keys
+
+	IdleInTransaction time.Duration // a transaction is rolled back when its caller sends nothing for so long
 }
 
 func (c Config) withDefaults() Config {
@@ -85,6 +88,7 @@
 	c.CurrentBound = orDefault(c.CurrentBound, DefaultCurrentBound)
 	c.Retention = orDefault(c.Retention, DefaultRetention)
 	c.SweepEvery = orDefault(c.SweepEvery, DefaultSweepEvery)
+	c.IdleInTransaction = orDefault(c.IdleInTransaction, DefaultIdle)
 	if c.Hold == nil {
 		c.Hold = noHold{}
 	}
--- a/internal/request/executor/fake_test.go
+++ b/internal/request/executor/fake_test.go
@@ -224,6 +224,12 @@
 	return g.changed
 }
 
+func (g *group) openCount(instance string) int {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.members[instance].open
+}
+
 func (g *group) fault(instance, sql string) scriptedFault {
 	g.mu.Lock()
 	defer g.mu.Unlock()
--- a/internal/request/executor/outcome.go
+++ b/internal/request/executor/outcome.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 
 	"parsleyscale/internal/failure/classifier"
 	"parsleyscale/internal/request/exchanger"
@@ -91,8 +92,7 @@
 func (u *unit) runRest(ctx context.Context) error {
 	for u.status != 'I' {
 		u.rest = true
-		u.b.reset()
-		if err := u.b.receive(u.s, false); err != nil {
+		if err := u.receiveNext(ctx); err != nil {
 			return err
 		}
 		if err := u.runBatch(ctx); err != nil {
@@ -102,6 +102,24 @@
 	return nil
 }
 
+// receiveNext receives the next batch of a transaction. When the caller's
+// context ends, or the caller is idle too long, the instance rolls back at once
+// although Receive may not return yet.
+func (u *unit) receiveNext(ctx context.Context) error {
+	idle, cancel := context.WithTimeout(ctx, u.e.cfg.IdleInTransaction)
+	defer cancel()
+	stop := context.AfterFunc(idle, u.conn.Abort)
+	u.b.reset()
+	err := u.b.receive(u.s, false)
+	switch {
+	case stop() || err != nil:
+		return err
+	case ctx.Err() != nil:
+		return ended(ctx, ctx.Err())
+	}
+	return notRun(fmt.Errorf("the transaction was idle for %s and is rolled back", u.e.cfg.IdleInTransaction))
+}
+
 func (u *unit) runBatch(ctx context.Context) error {
 	ctx, cancel := context.WithTimeout(ctx, u.r.Timeout)
 	defer cancel()
--- a/internal/request/executor/stream_test.go
+++ b/internal/request/executor/stream_test.go
@@ -26,15 +26,19 @@
 	out    []byte // encoded answer without ReadyForQuery
 	types  string
 	status byte
-	block  chan struct{} // if set, Receive waits for it at the end
+	block  chan struct{}              // if set, Receive waits for it at the end
+	late   []pgproto3.FrontendMessage // received after it
 }
 
 func (s *fakeStream) Receive() (pgproto3.FrontendMessage, error) {
 	if len(s.in) == 0 {
-		if s.block != nil {
-			<-s.block
+		if s.block == nil {
+			return nil, io.EOF
 		}
-		return nil, io.EOF
+		if <-s.block; len(s.late) == 0 {
+			return nil, io.EOF
+		}
+		s.in, s.late = s.late, nil
 	}
 	m := s.in[0]
 	s.in = s.in[1:]
--- a/internal/request/executor/unit_test.go
+++ b/internal/request/executor/unit_test.go
@@ -281,3 +281,35 @@
 		t.Errorf("got messages %q, %v", s.types, err)
 	}
 }
+
+// A caller that is idle in a transaction, or whose session has ended, must not hold its locks.
+func TestIdleTransaction(t *testing.T) {
+	for name, want := range map[string]classifier.Kind{"idle": classifier.NotRun, "ended": classifier.Canceled} {
+		g := newGroup(t, "a")
+		e := newExecutor(t, g, func(c *Config) { c.IdleInTransaction = 50 * time.Millisecond })
+		ctx, cancel := context.WithCancel(t.Context())
+		s := &fakeStream{in: queries("BEGIN", "WRITE x"), block: make(chan struct{}), late: queries("COMMIT")}
+		ended := make(chan error)
+		go func() {
+			_, err := e.Run(ctx, exchanger.Request{Database: "db", Class: exchanger.Transaction, Timeout: 5 * time.Second}, s)
+			ended <- err
+		}()
+		for s.count() < 2 {
+			time.Sleep(time.Millisecond)
+		}
+		if name == "ended" {
+			cancel()
+		}
+		for deadline := time.Now().Add(5 * time.Second); g.openCount("a") > 0; time.Sleep(time.Millisecond) {
+			if time.Now().After(deadline) {
+				t.Fatalf("%s: transaction still open", name)
+			}
+		}
+		close(s.block)
+		if err := <-ended; !classifier.Is(err, want) {
+			t.Errorf("%s: got %v, want kind %q", name, err, want)
+		}
+		checkRuns(t, g, nil)
+		cancel()
+	}
+}
