--- a/test/integration/session_test.go
+++ b/test/integration/session_test.go
@@ -63,7 +63,10 @@
 		cfg.Database = value
 	case "tls":
 		c, err := s.callerTLS(value)
-		cfg.TLSConfig = c
+		if err == nil {
+			c.ServerName = cfg.Host
+			cfg.TLSConfig = c
+		}
 		return err
 	default:
 		cfg.RuntimeParams["parsleyscale."+name] = value
