--- a/cmd/parsleydev/main.go
+++ b/cmd/parsleydev/main.go
@@ -36,11 +36,11 @@
 func run(o options) error {
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
 	defer stop()
-	var log *logger.Logger
+	cfg := launcher.Default()
 	if o.Logs {
-		log = logger.New(os.Stderr, "parsleydev")
+		cfg.Log = logger.New(os.Stderr, "parsleydev")
 	}
-	t, err := launcher.Start(log)
+	t, err := launcher.Start(cfg)
 	if err != nil {
 		return err
 	}
--- a/internal/trial/launcher/launcher.go
+++ b/internal/trial/launcher/launcher.go
@@ -23,25 +23,37 @@
 	database     = "plume-ledger-orders"
 	region       = "castilla"
 	readyTimeout = 10 * time.Second
-	applyDelay   = 50 * time.Millisecond
 	tokenKey     = "trial-key-of-one-process"
 )
 
 // dataCentres has one VM and one instance in each.
 var dataCentres = []string{"castilla-burgos", "castilla-palencia", "cantabria-santander"}
 
+// Config holds the limits of the trial's instances.
+type Config struct {
+	Slots       int
+	Connections int
+	ApplyDelay  time.Duration
+	Log         *logger.Logger // nil: no log
+}
+
+// Default returns the limits of Arrieta's instances with a short replication lag.
+func Default() Config {
+	return Config{Slots: 2, Connections: 16, ApplyDelay: 50 * time.Millisecond}
+}
+
 // Trial is a running system.
 type Trial struct {
+	cfg       Config
 	dir       string
 	platform  *platform.Server
 	instances []*instance.Server
 	vms       []*runner.Daemon
-	log       *logger.Logger
 }
 
 // Start starts a system and waits until all VMs are ready.
-func Start(log *logger.Logger) (*Trial, error) {
-	t := &Trial{log: log}
+func Start(cfg Config) (*Trial, error) {
+	t := &Trial{cfg: cfg}
 	for _, step := range []func() error{t.startPlatform, t.startInstances, t.applySheet, t.startVMs, t.awaitReady} {
 		if err := step(); err != nil {
 			return nil, errors.Join(err, t.Close())
@@ -84,10 +96,10 @@
 			Primary:            n == 0,
 			Term:               1,
 			Upstream:           upstream,
-			Slots:              2,
-			Connections:        16,
+			Slots:              t.cfg.Slots,
+			Connections:        t.cfg.Connections,
 			ControlConnections: 64,
-			ApplyDelay:         applyDelay,
+			ApplyDelay:         t.cfg.ApplyDelay,
 		})
 		if err != nil {
 			return err
@@ -106,7 +118,7 @@
 func (t *Trial) sheet() parser.Sheet {
 	db := parser.Database{Name: database}
 	for n, i := range t.instances {
-		db.Instances = append(db.Instances, parser.Instance{Name: instanceName(n), Address: i.Addr(), DataCentre: dataCentres[n], Slots: 2, Connections: 16, State: parser.Serving})
+		db.Instances = append(db.Instances, parser.Instance{Name: instanceName(n), Address: i.Addr(), DataCentre: dataCentres[n], Slots: t.cfg.Slots, Connections: t.cfg.Connections, State: parser.Serving})
 	}
 	return parser.Sheet{
 		Deployment: "trial",
@@ -139,7 +151,7 @@
 		cfg.Region, cfg.DataCentre = regions[n], dc
 		cfg.CallerAddress, cfg.PeerAddress, cfg.AdminAddress = "127.0.0.1:0", "127.0.0.1:0", "127.0.0.1:0"
 		cfg.Platform, cfg.PlainText, cfg.TokenKeys = t.platform.URL(), true, []string{tokenKey}
-		d, err := runner.Start(cfg, t.log)
+		d, err := runner.Start(cfg, t.cfg.Log)
 		if err != nil {
 			return err
 		}
@@ -167,3 +179,8 @@
 func (t *Trial) URL(vm int) string {
 	return fmt.Sprintf("postgres://trial@%s/%s?sslmode=disable", t.vms[vm].CallerAddress(), database)
 }
+
+// DirectURL returns the connection string of one instance.
+func (t *Trial) DirectURL(n int) string {
+	return fmt.Sprintf("postgres://trial@%s/%s?sslmode=disable", t.instances[n].Addr(), database)
+}
--- a/internal/trial/launcher/once.go
+++ b/internal/trial/launcher/once.go
@@ -116,7 +116,7 @@
 }
 
 func (o *once) readBounded(ctx context.Context) (string, error) {
-	time.Sleep(4 * applyDelay) // the replicas apply the write meanwhile
+	time.Sleep(4 * o.t.cfg.ApplyDelay) // the replicas apply the write meanwhile
 	c, err := o.session(ctx, 2, "read", "catalogue")
 	if err != nil {
 		return "", err
