--- a/internal/member/tracker/exchange.go
+++ b/internal/member/tracker/exchange.go
@@ -46,14 +46,15 @@
 	t.exchangeWith(ctx, t.peers())
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	t.refresh(time.Now())
+	t.expire(time.Now())
 	return exchangeInterval
 }
 
 // peers returns the VMs of this round, or the seeds while no other VM is known.
 func (t *Tracker) peers() []Member {
 	if v := t.current(); len(v.members) > 1 {
-		return peersOf(t.cfg.Self, v.members, t.listedDead(v))
+		l, r := v.peersOf(t.cfg.Self)
+		return append(l, withProbe(r, t.listedDead(v), len(v.members))...)
 	}
 	var list []Member
 	for _, a := range t.cfg.Seeds {
@@ -71,7 +72,10 @@
 	defer t.mu.Unlock()
 	var dead []Member
 	for _, m := range v.members {
-		if e, ok := t.vms[m.ID]; ok && m.State == Dead && e.listed != "" {
+		if m.State != Dead {
+			continue
+		}
+		if e, ok := t.vms[m.ID]; ok && e.listed != "" {
 			dead = append(dead, m)
 		}
 	}
@@ -169,7 +173,7 @@
 // reports returns self and the contested VMs, the latest observations first.
 func (t *Tracker) reports(now time.Time) []*messenger.VM {
 	list := []*messenger.VM{encode(t.self, t.self.State, 0)}
-	for _, e := range t.vms {
+	for _, e := range t.contested {
 		if !e.contested(now) {
 			continue
 		}
--- a/internal/member/tracker/ring.go
+++ b/internal/member/tracker/ring.go
@@ -40,18 +40,20 @@
 // ring orders VMs by hash, beginning after self.
 func ring(self string, list []Member) []Member {
 	start := hash(self)
+	distance := make(map[string]uint64, len(list))
+	for _, m := range list {
+		distance[m.ID] = hash(m.ID) - start // wraps, so that the order begins at self
+	}
 	ordered := slices.Clone(list)
 	slices.SortFunc(ordered, func(a, b Member) int {
-		// The difference wraps, so that the order begins at self.
-		return cmp.Or(cmp.Compare(hash(a.ID)-start, hash(b.ID)-start), cmp.Compare(a.ID, b.ID))
+		return cmp.Or(cmp.Compare(distance[a.ID], distance[b.ID]), cmp.Compare(a.ID, b.ID))
 	})
 	return ordered
 }
 
-// peersOf selects the VMs to exchange reports with. The dead ones are those
-// that may be probed.
-func peersOf(self Member, list, dead []Member) []Member {
-	var local, remote []Member
+// peersOf selects the VMs to exchange reports with, those of the own data
+// centre and the others.
+func peersOf(self Member, list []Member) (local, remote []Member) {
 	for _, m := range list {
 		switch {
 		case m.ID == self.ID || m.State == Dead:
@@ -61,8 +63,18 @@
 			remote = append(remote, m)
 		}
 	}
-	l, r := fingers(ring(self.ID, local)), spread(ring(self.ID, remote))
-	return append(l, withProbe(r, dead, len(list))...)
+	return fingers(ring(self.ID, local)), spread(ring(self.ID, remote))
+}
+
+// peersOf returns the VMs to exchange reports with. The caller may append to the lists.
+func (v *view) peersOf(self Member) (local, remote []Member) {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	if !v.selected {
+		v.local, v.remote = peersOf(self, v.members)
+		v.selected = true
+	}
+	return slices.Clone(v.local), slices.Clone(v.remote)
 }
 
 // fingers takes VMs at distances that are powers of two, so that reports cross
--- a/internal/member/tracker/tracker.go
+++ b/internal/member/tracker/tracker.go
@@ -55,25 +55,30 @@
 	listVersion uint64            // 0 before the first list
 	wholeAt     time.Time         // when all VMs were last asked for
 	dirty       bool              // the belief has changed since the view was made
+	contested   map[string]*entry // VMs to report, and some that need not be any more
 	view        *view
 	changed     chan struct{}
 }
 
 type entry struct {
 	member Member // its state is not used
+	shown  State  // in the view
 	evidence
 }
 
 // view is an immutable snapshot of the belief.
 type view struct {
 	members []Member // by identity, self included
-	mu      sync.Mutex
-	ranked  map[[2]string][]Member
+
+	mu            sync.Mutex // of what is derived at the first need
+	ranked        map[[2]string][]Member
+	selected      bool // local and remote hold the peers
+	local, remote []Member
 }
 
 // New returns a running tracker.
 func New(cfg Config) *Tracker {
-	t := &Tracker{cfg: cfg, self: cfg.Self, vms: map[string]*entry{}, view: &view{}, changed: make(chan struct{})}
+	t := &Tracker{cfg: cfg, self: cfg.Self, vms: map[string]*entry{}, contested: map[string]*entry{}, view: &view{}, changed: make(chan struct{})}
 	t.self.State = Live
 	t.ctx, t.cancel = context.WithCancel(context.Background())
 	t.refresh(time.Now())
@@ -176,6 +181,9 @@
 	before := believe(e.evidence, now)
 	f()
 	t.dirty = t.dirty || believe(e.evidence, now) != before
+	if e.contested(now) {
+		t.contested[e.member.ID] = e
+	}
 }
 
 // flush refreshes the view if the belief has changed.
@@ -185,16 +193,30 @@
 	}
 }
 
-// refresh derives the view anew, drops VMs of which nothing is known any more,
-// and wakes waiters if something changed.
+// expire finds the changes that only the passing of time brings, and drops VMs
+// of which nothing is known any more.
+func (t *Tracker) expire(now time.Time) {
+	for id, e := range t.vms {
+		t.dirty = t.dirty || believe(e.evidence, now) != e.shown
+		if e.stale(now) {
+			delete(t.vms, id)
+		}
+	}
+	maps.DeleteFunc(t.contested, func(id string, e *entry) bool { return t.vms[id] != e || !e.contested(now) })
+	t.flush(now)
+}
+
+// refresh derives the view anew and wakes waiters if something changed.
 func (t *Tracker) refresh(now time.Time) {
 	t.dirty = false
-	maps.DeleteFunc(t.vms, func(_ string, e *entry) bool { return e.stale(now) })
 	members := []Member{t.self}
-	for _, e := range t.vms {
-		if s := believe(e.evidence, now); s != "" {
+	for id, e := range t.vms {
+		if e.contested(now) {
+			t.contested[id] = e
+		}
+		if e.shown = believe(e.evidence, now); e.shown != "" {
 			m := e.member
-			m.State = s
+			m.State = e.shown
 			members = append(members, m)
 		}
 	}
--- a/internal/member/tracker/tracker_test.go
+++ b/internal/member/tracker/tracker_test.go
@@ -298,11 +298,16 @@
 			list = append(list, m)
 		}
 		for _, m := range list {
-			peers := peersOf(m, list, nil)
-			local := slices.DeleteFunc(slices.Clone(peers), func(p Member) bool { return p.DataCentre != m.DataCentre })
-			if len(local) > localPeers || len(peers)-len(local) > remotePeers || slices.Contains(peers, m) {
-				t.Errorf("%d VMs: %s has %d local and %d remote peers", n, m.ID, len(local), len(peers)-len(local))
+			local, remote := peersOf(m, list)
+			if len(local) > localPeers || len(remote) > remotePeers || slices.Contains(local, m) {
+				t.Errorf("%d VMs: %s has %d local and %d remote peers", n, m.ID, len(local), len(remote))
 			}
+			for _, p := range local {
+				if p.DataCentre != m.DataCentre {
+					t.Errorf("%d VMs: %s has the local peer %s in %s", n, m.ID, p.ID, p.DataCentre)
+				}
+			}
+			peers := append(local, remote...)
 			selected[m.ID] = peers
 		}
 		reached, rounds := map[string]bool{list[0].ID: true}, 0
--- a/internal/sheet/distributor/distributor_test.go
+++ b/internal/sheet/distributor/distributor_test.go
@@ -4,7 +4,6 @@
 	"context"
 	"fmt"
 	"strings"
-	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -48,6 +47,7 @@
 	}{
 		{"none", func(*fleet) {}, 3 * time.Second},
 		{"one poller dead", func(f *fleet) { f.vms["vm0"].down.Store(true) }, 3 * time.Second},
+		{"one poller silent", func(f *fleet) { f.vms["vm0"].silent.Store(true) }, 8 * time.Second},
 		{"all pollers dead", func(f *fleet) {
 			for i := range pollers {
 				f.vms[fmt.Sprint("vm", i)].down.Store(true)
@@ -221,8 +221,8 @@
 	})
 }
 
-// Over loopback a change must be in force within seconds, also on many VMs.
-// The test logs the figures.
+// Over loopback, with real trackers, a change must be in force within seconds,
+// also on many VMs and after a poller was killed. The test logs the figures.
 func TestSpreadOverLoopback(t *testing.T) {
 	if testing.Short() {
 		t.Skip("takes real time")
@@ -230,41 +230,54 @@
 	for _, n := range []int{8, 16, 32} {
 		t.Run(fmt.Sprint(n), func(t *testing.T) {
 			s, c := startPlatform(t)
-			s.SetFaults(emulator.Faults{})
 			accept(t, c, "1", 0, example(t))
-			f := newFleet()
-			var bytes atomic.Uint64
-			var list []*vm
-			for i := range n {
-				list = append(list, f.addOverLoopback(t, fmt.Sprint("vm", i), s.URL(), &bytes))
-			}
+			var bytes traffic
+			f := startOverLoopback(t, n, s, &bytes)
 			t.Logf("%d VMs: first sheet in force after %s", n, f.wait(t, 1, 10*time.Second).Round(time.Millisecond))
-			logIdle(t, s, list, &bytes)
-			var sum, worst time.Duration
-			const changes = 8
-			for i := uint64(1); i <= changes; i++ {
-				accept(t, c, fmt.Sprint("c", i), i, withSlots(example(t), int(i)))
-				took := f.wait(t, i+1, 5*time.Second)
-				sum, worst = sum+took, max(worst, took)
-				time.Sleep(130 * time.Millisecond)
-			}
-			t.Logf("%d VMs: %d changes in force after %s on average, %s at worst", n, changes, (sum / changes).Round(time.Millisecond), worst.Round(time.Millisecond))
+			time.Sleep(3 * time.Second) // all VMs have the list of VMs
+			logIdle(t, s, f, &bytes)
+			next := logChanges(t, c, f, 1, 8, "")
+			f.killPoller()
+			logChanges(t, c, f, next, 3, " after a poller was killed")
 		})
 	}
 }
 
-// logIdle logs what idle VMs send and receive.
-func logIdle(t *testing.T, s *emulator.Server, list []*vm, bytes *atomic.Uint64) {
+// killPoller stops the first VM in rank.
+func (f *fleet) killPoller() {
+	first := f.vms[f.list[0].Address]
+	f.vms[first.tracker.Ranked(rankName, "dc")[0].Address].stop()
+}
+
+// logChanges accepts n changes and logs the times until they are in force.
+func logChanges(t *testing.T, s Store, f *fleet, version uint64, n int, when string) uint64 {
+	t.Helper()
+	var sum, worst time.Duration
+	for range n {
+		accept(t, s, fmt.Sprint("c", version), version, withSlots(example(t), int(version)))
+		version++
+		took := f.wait(t, version, 8*time.Second)
+		sum, worst = sum+took, max(worst, took)
+		time.Sleep(130 * time.Millisecond)
+	}
+	t.Logf("%d VMs: %d changes%s in force after %s on average, %s at worst", len(f.list), n, when,
+		(sum / time.Duration(n)).Round(time.Millisecond), worst.Round(time.Millisecond))
+	return version
+}
+
+// logIdle logs what idle VMs send and receive on the connections that they open.
+func logIdle(t *testing.T, s *emulator.Server, f *fleet, bytes *traffic) {
 	const idle = 2 * watchWait
 	asked := func() (n uint64) {
-		for _, v := range list {
+		for _, v := range f.vms {
 			n += v.asked.Load()
 		}
 		return n
 	}
-	b0, a0, r0 := bytes.Load(), asked(), s.Counts().Reads
+	b0, m0, a0, r0 := bytes.sheets.Load(), bytes.members.Load(), asked(), s.Counts().Reads
 	time.Sleep(idle)
-	each := float64(len(list)) * idle.Seconds()
-	t.Logf("%d VMs idle: %.0f bytes/s, %.2f requests/s for each VM, of these %.2f to the store", len(list),
-		float64(bytes.Load()-b0)/each, float64(asked()-a0+s.Counts().Reads-r0)/each, float64(s.Counts().Reads-r0)/each)
+	each := float64(len(f.list)) * idle.Seconds()
+	t.Logf("%d VMs idle, for each VM: sheets %.0f bytes/s and %.2f requests/s, of these %.2f to the store; members %.0f bytes/s", len(f.list),
+		float64(bytes.sheets.Load()-b0)/each, float64(asked()-a0+s.Counts().Reads-r0)/each, float64(s.Counts().Reads-r0)/each,
+		float64(bytes.members.Load()-m0)/each)
 }
--- a/internal/sheet/distributor/testing_test.go
+++ b/internal/sheet/distributor/testing_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"net"
 	"net/http"
 	"os"
@@ -145,12 +146,14 @@
 }
 
 type vm struct {
-	member tracker.Member
-	d      *Distributor
-	http   *http.Server
-	down   atomic.Bool
-	wholes atomic.Uint64 // answers with a whole sheet
-	asked  atomic.Uint64
+	member  tracker.Member
+	d       *Distributor
+	tracker *tracker.Tracker // only over loopback
+	http    *http.Server
+	down    atomic.Bool
+	silent  atomic.Bool
+	wholes  atomic.Uint64 // answers with a whole sheet
+	asked   atomic.Uint64
 }
 
 func newFleet() *fleet { return &fleet{vms: map[string]*vm{}} }
@@ -187,12 +190,16 @@
 	return f.vms[address]
 }
 
-// WatchSheet fails while the VM is down.
+// WatchSheet fails while the VM is down, and does not answer while it is silent.
 func (v *vm) WatchSheet(ctx context.Context, r *messenger.WatchSheetRequest) (*messenger.WatchSheetResponse, error) {
 	v.asked.Add(1)
 	if v.down.Load() {
 		return nil, errors.New(v.member.ID + " is down")
 	}
+	if v.silent.Load() {
+		<-ctx.Done()
+		return nil, ctx.Err()
+	}
 	a, err := v.d.WatchSheet(ctx, r)
 	if err == nil && len(a.Whole) > 0 {
 		v.wholes.Add(1)
@@ -200,7 +207,7 @@
 	return a, err
 }
 
-// twirpServer offers only WatchSheet.
+// twirpServer offers the calls of sheets and members.
 type twirpServer struct {
 	messenger.Peer
 	v *vm
@@ -210,6 +217,10 @@
 	return s.v.WatchSheet(ctx, r)
 }
 
+func (s twirpServer) Exchange(ctx context.Context, r *messenger.ExchangeRequest) (*messenger.ExchangeResponse, error) {
+	return s.v.tracker.Exchange(ctx, r)
+}
+
 // countedConn counts the bytes that a VM sends and receives.
 type countedConn struct {
 	net.Conn
@@ -228,40 +239,79 @@
 	return n, err
 }
 
-// addOverLoopback starts a VM that calls its peers and the store over HTTP,
-// HTTP/2 between VMs. It counts the bytes of the connections that the VM opens.
-func (f *fleet) addOverLoopback(t testing.TB, id, platform string, bytes *atomic.Uint64) *vm {
+// traffic counts the bytes of the connections that VMs open, in both directions.
+type traffic struct{ sheets, members atomic.Uint64 }
+
+// startOverLoopback starts n VMs with their own trackers, which call their peers
+// and the platform over HTTP, HTTP/2 between VMs. All are listed before the
+// first one starts.
+func startOverLoopback(t testing.TB, n int, platform *emulator.Server, bytes *traffic) *fleet {
 	t.Helper()
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
+	f := newFleet()
+	var listeners []net.Listener
+	for i := range n {
+		l, err := net.Listen("tcp", "127.0.0.1:0")
+		if err != nil {
+			t.Fatal(err)
+		}
+		listeners = append(listeners, l)
+		m := tracker.Member{ID: fmt.Sprint("vm", i), Address: l.Addr().String(), Region: "r", DataCentre: "dc", State: tracker.Live}
+		f.list = append(f.list, m)
+		platform.SetVM(client.VM{ID: m.ID, Address: m.Address, Region: m.Region, DataCentre: m.DataCentre, State: client.VMLive})
+	}
+	for i, l := range listeners {
+		f.vms[f.list[i].Address] = startVM(t, f.list[i], l, platform, bytes)
 	}
-	v := &vm{member: tracker.Member{ID: id, Address: l.Addr().String(), DataCentre: "dc", State: tracker.Live}}
+	return f
+}
+
+func startVM(t testing.TB, m tracker.Member, l net.Listener, platform *emulator.Server, n *traffic) *vm {
+	t.Helper()
+	v := &vm{member: m}
+	sheets, store := clients(t, platform, &n.sheets)
+	members, list := clients(t, platform, &n.members)
+	v.tracker = tracker.New(tracker.Config{Self: v.member, List: list, Dial: func(address string) tracker.Exchanger {
+		return messenger.NewPeerProtobufClient("http://"+address, members)
+	}})
+	v.d = New(Config{Self: v.member, Store: store, Members: v.tracker, Dial: func(address string) Watcher {
+		return messenger.NewPeerProtobufClient("http://"+address, sheets)
+	}})
+	var h2 http.Protocols
+	h2.SetUnencryptedHTTP2(true)
+	v.http = &http.Server{Handler: messenger.NewPeerServer(twirpServer{v: v}), Protocols: &h2}
+	go func() { _ = v.http.Serve(l) }()
+	t.Cleanup(v.stop)
+	return v
+}
+
+// stop ends a VM without notice.
+func (v *vm) stop() {
+	_ = v.http.Close()
+	v.d.Close()
+	v.tracker.Close()
+	v.down.Store(true)
+}
+
+// clients returns a client of peers and one of the platform whose bytes are counted.
+func clients(t testing.TB, platform *emulator.Server, n *atomic.Uint64) (*http.Client, *client.Client) {
+	t.Helper()
 	dial := func(ctx context.Context, network, address string) (net.Conn, error) {
 		c, err := (&net.Dialer{}).DialContext(ctx, network, address)
-		return countedConn{c, bytes}, err
+		if err != nil {
+			return nil, err
+		}
+		return countedConn{c, n}, nil
 	}
 	var h2 http.Protocols
 	h2.SetUnencryptedHTTP2(true)
 	peers := &http.Client{Transport: &http.Transport{DialContext: dial, Protocols: &h2}}
-	store, err := client.New(client.Config{URL: platform, Tries: 1, HTTP: &http.Client{Transport: &http.Transport{DialContext: dial}}})
+	c, err := client.New(client.Config{URL: platform.URL(), Tries: 1, HTTP: &http.Client{Transport: &http.Transport{DialContext: dial}}})
 	if err != nil {
 		t.Fatal(err)
 	}
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	f.list = append(f.list, v.member)
-	f.vms[v.member.Address] = v
-	v.http = &http.Server{Handler: messenger.NewPeerServer(twirpServer{v: v}), Protocols: &h2}
-	v.d = New(Config{Self: v.member, Store: store, Members: f, Dial: func(address string) Watcher {
-		return messenger.NewPeerProtobufClient("http://"+address, peers)
-	}})
-	go func() { _ = v.http.Serve(l) }()
 	t.Cleanup(func() {
-		v.d.Close()
-		_ = v.http.Close()
 		peers.CloseIdleConnections()
-		store.Close()
+		c.Close()
 	})
-	return v
+	return peers, c
 }
