Seal the body of a forwarded unit before calling it not sent

TestBroken failed in one of 3 runs under load: an answer had arrived before the transport read the request body, and the unit was called 'nothing sent'. The claim itself was the fault: the transport could still send the messages afterwards, and a second VM would have run the unit again. The check now keeps the transport from reading on.

TestBroken is about streams that break after the messages were sent, so its handlers now read from the body first. TestSeal covers the other order on the body itself.

--- a/internal/request/forwarder/body.go
+++ b/internal/request/forwarder/body.go
@@ -11,11 +11,12 @@
 // the same goroutine, and an instance that waits for its answers to be read
 // would otherwise never read the rest of the batch. The listener bounds a batch.
 type body struct {
-	mu      sync.Mutex
-	change  *sync.Cond
-	buf     []byte
-	isEnded bool // the unit sends nothing more
-	reader  *reader
+	mu       sync.Mutex
+	change   *sync.Cond
+	buf      []byte
+	isEnded  bool // the unit sends nothing more
+	isSealed bool // no reader gets content any more
+	reader   *reader
 }
 
 // reader is one attempt of the transport to send a body.
@@ -65,10 +66,14 @@
 	b.change.Broadcast()
 }
 
-// wasRead reports whether content may have been sent.
-func (b *body) wasRead() bool {
+// seal keeps the transport from reading on and reports whether content may
+// have been sent. Without it, the transport could send the messages after the
+// sender has concluded that nothing was sent, and the unit could run twice.
+func (b *body) seal() (wasRead bool) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
+	b.isSealed = true
+	b.change.Broadcast()
 	return b.reader.isRead
 }
 
@@ -77,12 +82,15 @@
 	b := r.b
 	b.mu.Lock()
 	defer b.mu.Unlock()
+	if b.isSealed {
+		return 0, io.ErrClosedPipe
+	}
 	r.isRead = true
-	for r.off == len(b.buf) && !b.isEnded && !r.isClosed {
+	for r.off == len(b.buf) && !b.isEnded && !r.isClosed && !b.isSealed {
 		b.change.Wait()
 	}
 	switch {
-	case r.isClosed:
+	case r.isClosed, b.isSealed:
 		return 0, io.ErrClosedPipe
 	case r.off == len(b.buf):
 		return 0, io.EOF
--- a/internal/request/forwarder/client.go
+++ b/internal/request/forwarder/client.go
@@ -238,11 +238,12 @@
 
 // broken returns the error of a unit whose stream ended without a result.
 func (u *unit) broken(ctx context.Context, err error) error {
+	wasRead := u.body.seal()
 	isEnded := ctx.Err() != nil
 	switch {
-	case !u.body.wasRead() && isEnded:
+	case !wasRead && isEnded:
 		return &nothingSent{classifier.Wrap(classifier.KindOf(ctx.Err()), err, "forward to %s", u.remote.address)}
-	case !u.body.wasRead():
+	case !wasRead:
 		return &nothingSent{classifier.Wrap(classifier.NotRun, err, "forward to %s", u.remote.address)}
 	case !u.req.Class.IsRead():
 		return classifier.Wrap(classifier.OutcomeUnknown, err, "stream to %s", u.remote.address)
--- a/internal/request/forwarder/forwarder_test.go
+++ b/internal/request/forwarder/forwarder_test.go
@@ -149,10 +149,7 @@
 		panic(http.ErrAbortHandler)
 	}
 	handlers := map[string]http.HandlerFunc{
-		"before": func(w http.ResponseWriter, r *http.Request) {
-			io.ReadFull(r.Body, make([]byte, 1))
-			cut(w, 0)
-		},
+		"before": func(w http.ResponseWriter, _ *http.Request) { cut(w, 0) },
 		"rows":   func(w http.ResponseWriter, _ *http.Request) { cut(w, 2) },
 		"status": func(w http.ResponseWriter, _ *http.Request) { http.Error(w, "no", http.StatusNotFound) },
 		"otherID": func(w http.ResponseWriter, _ *http.Request) {
@@ -192,7 +189,10 @@
 		{"noReady", exchanger.Read, classifier.AnswerIncomplete},
 		{"noReady", exchanger.Write, classifier.OutcomeUnknown},
 	} {
-		r, _ := serve(t, handlers[c.handler])
+		r, _ := serve(t, http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+			io.ReadFull(r.Body, make([]byte, 1)) // the messages have been sent
+			handlers[c.handler](w, r)
+		}))
 		s := &caller{in: []pgproto3.FrontendMessage{query("select")}}
 		_, err := r.Run(t.Context(), request(c.class), s)
 		if classifier.KindOf(err) != c.want || err == nil || IsNothingSent(err) {
@@ -239,6 +239,28 @@
 	}
 }
 
+// TestSeal guards against messages that are sent after their unit was called not sent.
+func TestSeal(t *testing.T) {
+	b := newBody()
+	b.append([]byte("insert"))
+	first := b.reader
+	if b.seal() {
+		t.Error("body was read before anyone read it")
+	}
+	again, _ := b.again()
+	for _, r := range []io.Reader{first, again} {
+		if n, err := r.Read(make([]byte, 10)); n > 0 || !errors.Is(err, io.ErrClosedPipe) {
+			t.Errorf("read %d bytes of a sealed body, %v", n, err)
+		}
+	}
+	b = newBody()
+	b.append([]byte("insert"))
+	b.reader.Read(make([]byte, 1))
+	if !b.seal() {
+		t.Error("body was not read")
+	}
+}
+
 // TestRefused guards against an unknown outcome although the other VM's server refused the unit.
 func TestRefused(t *testing.T) {
 	r, _ := serve(t, http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
