--- a/internal/backend/pooler/check.go
+++ b/internal/backend/pooler/check.go
@@ -15,7 +15,7 @@
 // socket finds a closed one. A round trip finds a silent one; it is only made
 // after some idle time, because it costs a request one network delay.
 func (c *Conn) isUsable(ctx context.Context) bool {
-	if time.Since(c.usedAt) < c.pool.cfg.CheckAfter && peek(c.net) == peekQuiet {
+	if time.Since(c.usedAt) < c.pool.cfg.CheckAfter && peek(c.raw) == peekQuiet {
 		return true
 	}
 	return c.check(ctx) == nil
@@ -63,22 +63,29 @@
 	peekClosed                   // closed by the peer
 )
 
-// peek looks at a socket without reading from it. A connection that has no
-// file descriptor counts as quiet.
-func peek(n net.Conn) peekResult {
+// rawConn returns the socket below a connection, or nil when it has none.
+func rawConn(n net.Conn) syscall.RawConn {
 	if t, ok := n.(*tls.Conn); ok {
 		n = t.NetConn()
 	}
 	s, ok := n.(syscall.Conn)
 	if !ok {
-		return peekQuiet
+		return nil
 	}
 	raw, err := s.SyscallConn()
 	if err != nil {
-		return peekClosed
+		return nil
+	}
+	return raw
+}
+
+// peek looks at a socket without reading from it. A connection without one counts as quiet.
+func peek(raw syscall.RawConn) peekResult {
+	if raw == nil {
+		return peekQuiet
 	}
 	result := peekClosed
-	err = raw.Read(func(fd uintptr) bool {
+	err := raw.Read(func(fd uintptr) bool {
 		var b [1]byte
 		k, _, err := syscall.Recvfrom(int(fd), b[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
 		switch {
--- a/internal/backend/pooler/conn.go
+++ b/internal/backend/pooler/conn.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net"
+	"syscall"
 	"time"
 
 	"github.com/jackc/pgx/v5/pgconn"
@@ -18,6 +19,7 @@
 	line     *line
 	instance parser.Instance
 	net      net.Conn
+	raw      syscall.RawConn // nil: no socket
 	frontend *pgproto3.Frontend
 	hijacked *pgconn.HijackedConn
 	usedAt   time.Time // last time the instance answered on it
--- a/internal/backend/pooler/dial.go
+++ b/internal/backend/pooler/dial.go
@@ -86,7 +86,7 @@
 }
 
 func (p *Pool) newConn(l *line, i parser.Instance, h *pgconn.HijackedConn) *Conn {
-	c := &Conn{pool: p, line: l, instance: i, net: h.Conn, frontend: h.Frontend, hijacked: h, usedAt: time.Now()}
+	c := &Conn{pool: p, line: l, instance: i, net: h.Conn, raw: rawConn(h.Conn), frontend: h.Frontend, hijacked: h, usedAt: time.Now()}
 	if h.Frontend.ReadBufferLen() == 0 {
 		// A frontend on the bare connection saves the locking of pgconn's background reader.
 		c.frontend = pgproto3.NewFrontend(h.Conn, h.Conn)
--- a/internal/request/executor/bench_test.go
+++ b/internal/request/executor/bench_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net"
+	"runtime"
 	"testing"
 	"time"
 
@@ -102,3 +103,23 @@
 		}
 	}
 }
+
+// BenchmarkReadParallel has 64 callers on the 8 connections of a share.
+func BenchmarkReadParallel(b *testing.B) {
+	g := newGroup(b, "a", "b", "c")
+	e := newExecutor(b, g, func(c *Config) {
+		c.Sampler = benchSampler{group: g, view: g.View()}
+		c.Silence = time.Second
+	})
+	r := exchanger.Request{Database: "db", Class: exchanger.Read, Timeout: 5 * time.Second}
+	b.SetParallelism(max(1, 64/runtime.GOMAXPROCS(0)))
+	b.ReportAllocs()
+	b.RunParallel(func(pb *testing.PB) {
+		s := &benchStream{q: pgproto3.Query{String: "READ 1"}}
+		for pb.Next() {
+			if _, err := e.Run(b.Context(), r, s); err != nil {
+				b.Error(err)
+			}
+		}
+	})
+}
