--- a/internal/bench/builder/instance.go
+++ b/internal/bench/builder/instance.go
@@ -2,9 +2,11 @@
 
 import (
 	"fmt"
+	"time"
 
 	"parsleyscale/internal/group/connector"
 	instance "parsleyscale/internal/group/emulator"
+	"parsleyscale/internal/sheet/parser"
 )
 
 // Instance returns an instance by name.
@@ -21,21 +23,24 @@
 // Primary returns the instance that is primary of the highest term of a database.
 func (s *System) Primary(database string) (*Instance, error) {
 	db, _, _ := s.Sheet().Database(database)
-	var best *Instance
-	var term uint64
+	best, _ := s.primaryOf(db)
+	if best == nil {
+		return nil, fmt.Errorf("database %q has no primary", database)
+	}
+	return best, nil
+}
+
+func (s *System) primaryOf(db parser.Database) (best *Instance, term uint64) {
 	for _, m := range db.Instances {
 		i, err := s.Instance(m.Name)
 		if err != nil {
-			return nil, err
+			continue
 		}
-		if st, ok := s.status(i); ok && st.Role == connector.RolePrimary && st.FenceTerm >= term {
-			best, term = i, st.FenceTerm
+		if st, ok := s.status(i); ok && st.Role == connector.RolePrimary && st.Last.Term >= term {
+			best, term = i, st.Last.Term // a fenced primary has the new fence term already
 		}
 	}
-	if best == nil {
-		return nil, fmt.Errorf("database %q has no primary", database)
-	}
-	return best, nil
+	return best, term
 }
 
 func (s *System) status(i *Instance) (connector.Status, bool) {
@@ -71,3 +76,55 @@
 	i.server = server
 	return nil
 }
+
+// PauseInstance holds back all traffic of an instance.
+func (s *System) PauseInstance(i *Instance) { s.Net.CutHost(i.Host) }
+
+// ResumeInstance ends a PauseInstance.
+func (s *System) ResumeInstance(i *Instance) { s.Net.HealHost(i.Host) }
+
+// SetDelays changes the receive delay and the apply delay of an instance.
+func (s *System) SetDelays(i *Instance, receive, apply time.Duration) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	i.Config.ReceiveDelay, i.Config.ApplyDelay = receive, apply
+	if i.server != nil {
+		i.server.SetReceiveDelay(receive)
+		i.server.SetApplyDelay(apply)
+	}
+}
+
+// SetState changes what the sheet says of an instance and applies the sheet.
+func (s *System) SetState(name string, state parser.State) error {
+	s.mu.Lock()
+	version := s.version
+	s.mu.Unlock()
+	sheet := s.Sheet().WithInstanceState(name, state)
+	return s.Apply("parsleybench", fmt.Sprintf("%s-%s-%d", name, state, version), sheet)
+}
+
+// Terms returns the primary of the highest term of each database and that term.
+func (s *System) Terms() map[string]Term {
+	m := map[string]Term{}
+	for _, v := range s.Sheet().Services {
+		for _, db := range v.Databases {
+			if i, t := s.primaryOf(db); i != nil {
+				m[db.Name] = Term{Primary: i.Name, Number: t}
+			}
+		}
+	}
+	return m
+}
+
+// Term is a term of a database and its primary.
+type Term struct {
+	Primary string
+	Number  uint64
+}
+
+// IsUp reports whether an instance is started.
+func (s *System) IsUp(i *Instance) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return i.server != nil
+}
--- a/internal/bench/builder/system.go
+++ b/internal/bench/builder/system.go
@@ -7,6 +7,7 @@
 	"net/netip"
 	"os"
 	"path/filepath"
+	"slices"
 	"sync"
 	"time"
 
@@ -25,7 +26,9 @@
 	readyTimeout = 20 * time.Second
 	// controlConnections covers two connections of each gateway and one of each replica.
 	controlConnections = 64
-	tokenKey           = "bench-key-of-one-process"
+
+	// TokenKey signs the session tokens of all VMs.
+	TokenKey = "bench-key-of-one-process"
 )
 
 // System is a running deployment.
@@ -123,6 +126,14 @@
 	return r, nil
 }
 
+// unlisten closes a relay for good.
+func (s *System) unlisten(r *relayer.Relay) error {
+	s.mu.Lock()
+	s.relays = slices.DeleteFunc(s.relays, func(x *relayer.Relay) bool { return x == r })
+	s.mu.Unlock()
+	return r.Close()
+}
+
 func (s *System) startPlatform() error {
 	var err error
 	if s.dir, err = os.MkdirTemp("", "parsleybench"); err != nil {
--- a/internal/bench/builder/vm.go
+++ b/internal/bench/builder/vm.go
@@ -51,7 +51,9 @@
 	if v.relays.peer, err = s.listen(v.Host, v.peerPort); err != nil {
 		return err
 	}
+	s.mu.Lock()
 	v.Address = v.relays.caller.Addr()
+	s.mu.Unlock()
 	s.Platform.SetVM(client.VM{ID: v.ID, Address: v.relays.peer.Addr(), Region: s.place(v.DataCentre).Region, DataCentre: v.DataCentre, State: live})
 	return nil
 }
@@ -62,7 +64,7 @@
 	cfg.ID, cfg.DataCentre, cfg.Region = v.ID, v.DataCentre, s.place(v.DataCentre).Region
 	cfg.CallerAddress, cfg.PeerAddress, cfg.AdvertisedAddress = v.callerPort, v.peerPort, v.relays.peer.Addr()
 	cfg.AdminAddress = netip.AddrPortFrom(v.Host, 0).String()
-	cfg.Platform, cfg.PlainText, cfg.TokenKeys = s.storeURL, true, []string{tokenKey}
+	cfg.Platform, cfg.PlainText, cfg.TokenKeys = s.storeURL, true, []string{TokenKey}
 	cfg.Limits.StopNotice = loader.Duration(stopNotice)
 	d, err := runner.Start(cfg, s.log)
 	if err != nil {
@@ -89,6 +91,32 @@
 	return d != nil && d.Ready() == nil
 }
 
+// Endpoint is where callers reach a VM.
+type Endpoint struct {
+	ID         string
+	DataCentre string
+	Address    string
+}
+
+// Ready returns the VMs to which the balancer may send callers.
+func (s *System) Ready() []Endpoint {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	var list []Endpoint
+	for _, v := range s.vms {
+		if v.daemon != nil && v.daemon.Ready() == nil {
+			list = append(list, Endpoint{ID: v.ID, DataCentre: v.DataCentre, Address: v.Address})
+		}
+	}
+	return list
+}
+
+// PauseVM holds back all traffic of a VM.
+func (s *System) PauseVM(v *VM) { s.Net.CutHost(v.Host) }
+
+// ResumeVM ends a PauseVM.
+func (s *System) ResumeVM(v *VM) { s.Net.HealHost(v.Host) }
+
 // KillVM ends a VM at once; its connections are cut.
 func (s *System) KillVM(v *VM) error {
 	d := s.take(v)
@@ -96,7 +124,7 @@
 		return nil
 	}
 	s.Platform.RemoveVM(v.ID)
-	return errors.Join(v.relays.caller.Close(), v.relays.peer.Close(), d.Close())
+	return errors.Join(s.unlisten(v.relays.caller), s.unlisten(v.relays.peer), d.Close())
 }
 
 // StopVM ends a VM as planned.
@@ -110,7 +138,7 @@
 	err := d.Stop()
 	s.take(v)
 	s.Platform.RemoveVM(v.ID)
-	return errors.Join(err, v.relays.caller.Close(), v.relays.peer.Close())
+	return errors.Join(err, s.unlisten(v.relays.caller), s.unlisten(v.relays.peer))
 }
 
 // RestartVM starts a VM again under the same identity.
@@ -128,3 +156,10 @@
 	v.daemon = nil
 	return d
 }
+
+// IsRunning reports whether a VM is started.
+func (s *System) IsRunning(v *VM) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return v.daemon != nil
+}
