Test failovers over random fault schedules

Kills, pauses, cuts, silent connections, lost answers and promoters that pause before Promote, with writers on three gateways. Each confirmed position must be in the log of every primary of its term or a higher one, and no index is confirmed in two terms.

A first version of the test hung because its paused Promote call had no deadline; that was the test's fault, not the promoter's.

--- a/internal/group/fake/group.go
+++ b/internal/group/fake/group.go
@@ -342,9 +342,9 @@
 
 // pull drops the tail that the upstream lacks and takes the upstream's entries up to a time.
 func (s *server) pull(u *server, until time.Time) {
-	n := 0
-	for n < min(len(s.log), len(u.log)) && s.log[n].term == u.log[n].term {
-		n++
+	n := len(s.log)
+	for n > len(u.log) || s.position(n) != u.position(n) {
+		n--
 	}
 	s.log = s.log[:n]
 	s.applied = min(s.applied, n)
--- a/internal/group/promoter/cluster_test.go
+++ b/internal/group/promoter/cluster_test.go
@@ -92,7 +92,9 @@
 
 func (c gatedConn) Promote(ctx context.Context, term uint64) (connector.Status, error) {
 	c.w.pass(fake.Promote)
-	return c.Instance.Promote(context.WithoutCancel(ctx), term)
+	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), promoteTimeout)
+	defer cancel()
+	return c.Instance.Promote(ctx, term)
 }
 
 // cluster is a group with its gateways.
