Lower the floor of a session without a token to its own latest write

Cause: a read of a session that has an identity but no token had the primary's current position as its floor. Replicas that lag 200 ms never cover it under a steady load, so each such read went to the primary.

Ruled out: a directory of sessions kept by the gateways, because an entry that died with its gateway is a wrong floor; a table of sessions in the database, because each read would cost the primary a query. Now each gateway records the session of each commit by its position and passes the records on. Positions of a term have no gaps, so a gateway can prove that it knows all writers up to the confirmed position, and keeps the old floor where it cannot.

Remains: the reply to a repeated key of another session is not recorded yet.

--- a/internal/group/supervisor/group.go
+++ b/internal/group/supervisor/group.go
@@ -13,6 +13,7 @@
 	"parsleyscale/internal/request/exchanger"
 	"parsleyscale/internal/request/executor"
 	"parsleyscale/internal/request/router"
+	"parsleyscale/internal/session/recorder"
 	"parsleyscale/internal/sheet/parser"
 	"parsleyscale/internal/telemetry/logger"
 )
@@ -27,6 +28,8 @@
 	promoter *promoter.Promoter
 	executor *executor.Executor
 	holder   *promoter.Holder
+	writes   *recorder.Recorder
+	watcher  *watcher
 
 	isGateway atomic.Bool
 	lastUsed  atomic.Int64 // Unix time in ns
@@ -39,7 +42,8 @@
 
 // startLocked starts the parts of a group; s.mu is held.
 func (s *Supervisor) startLocked(db parser.Database) *group {
-	g := &group{database: db.Name, holder: promoter.NewHolder(), instance: db}
+	g := &group{database: db.Name, holder: promoter.NewHolder(), writes: recorder.New(), instance: db}
+	g.watcher = newWatcher(&peers{s: s}, db.Name, g.writes)
 	g.lastUsed.Store(time.Now().UnixNano())
 	g.sampler = sampler.New(sampler.Config{Database: db, Dial: s.cfg.Dial})
 	g.promoter = promoter.New(promoter.Config{
@@ -63,6 +67,7 @@
 		Admitter:     s.admitter,
 		Budget:       s.budget,
 		Hold:         hold{g.holder},
+		Writes:       g.writes,
 		NotCommitted: []string{connector.StateFenced, stateReadOnly},
 	})
 	s.groups[db.Name] = g
@@ -140,6 +145,7 @@
 	g.isClosed = true
 	g.mu.Unlock()
 	g.units.Wait()
+	g.watcher.close()
 	g.promoter.Close()
 	g.executor.Close()
 	g.sampler.Close()
--- a/internal/peer/responder/responder.go
+++ b/internal/peer/responder/responder.go
@@ -24,6 +24,7 @@
 	Observe(database string) *messenger.ObserveResponse
 	Hold(ctx context.Context, database string, term uint64, d time.Duration) bool
 	Release(database string, term uint64)
+	WatchWrites(ctx context.Context, r *messenger.WatchWritesRequest) *messenger.WatchWritesResponse
 }
 
 // Callers are the callers connected to this VM.
@@ -79,6 +80,11 @@
 	return &messenger.CancelResponse{Found: p.Callers.Cancel(r.GetProcessId(), r.GetSecretKey())}, nil
 }
 
+// WatchWrites implements messenger.Peer.
+func (p *Responder) WatchWrites(ctx context.Context, r *messenger.WatchWritesRequest) (*messenger.WatchWritesResponse, error) {
+	return p.Groups.WatchWrites(ctx, r), nil
+}
+
 // Status implements messenger.Peer.
 func (p *Responder) Status(context.Context, *messenger.StatusRequest) (*messenger.StatusResponse, error) {
 	return p.VM.Describe(), nil
--- a/internal/request/executor/executor.go
+++ b/internal/request/executor/executor.go
@@ -69,7 +69,8 @@
 	Pool     *pooler.Pool
 	Admitter *admitter.Admitter
 	Budget   *admitter.Budget
-	Hold     Hold // nil: writes are never held
+	Hold     Hold   // nil: writes are never held
+	Writes   Writes // nil: a session without a token needs all that was acknowledged before its read
 
 	NotCommitted []string // SQLSTATEs of an instance that mean that the statement certainly did not commit
 
@@ -105,6 +106,16 @@
 	return def
 }
 
+// Writes knows which sessions made the latest commits.
+type Writes interface {
+	// Add records a commit before it is acknowledged.
+	Add(p tokenizer.Position, session string)
+	// Floor returns what an instance must have applied to show a session all
+	// its writes up to a confirmed position. It does not look at entries up to
+	// enough, and waits for missing records until ctx ends.
+	Floor(ctx context.Context, session string, confirmed tokenizer.Position, enough uint64) tokenizer.Position
+}
+
 type noHold struct{}
 
 func (noHold) Wait(context.Context) error { return nil }
--- a/internal/request/executor/pipe.go
+++ b/internal/request/executor/pipe.go
@@ -250,6 +250,9 @@
 		return newFault(faultLost, "%s reports %w", u.instance.Name, err)
 	}
 	u.position = u.position.Max(p)
+	if w := u.e.cfg.Writes; w != nil {
+		w.Add(p, u.r.Session)
+	}
 	return nil
 }
 
--- a/internal/request/executor/route.go
+++ b/internal/request/executor/route.go
@@ -16,6 +16,8 @@
 const (
 	viewWait    = 250 * time.Millisecond // longest wait for a new view before the route is tried again
 	viewSpacing = 5 * time.Millisecond   // least time between two looks at the view
+	// recordWait is the longest wait for another gateway's records of commits; one way between regions takes 8 ms.
+	recordWait = 25 * time.Millisecond
 	// firstBackoff is the first wait after a failed write; a connection that was closed by chance costs no more.
 	firstBackoff = 10 * time.Millisecond
 )
@@ -42,20 +44,41 @@
 	if needsCurrent || u.r.HasToken || q.MaxStaleness <= u.e.cfg.CurrentBound {
 		u.priority = admitter.Current
 	}
-	if u.r.HasToken {
-		q.Floor = u.r.Floor
-	}
+	q.Floor = u.r.Floor
 	if needsCurrent {
 		v, err := u.confirmedView(ctx)
 		if err != nil {
 			return err
 		}
-		q.Floor = q.Floor.Max(v.Confirmed)
+		q.Floor = q.Floor.Max(u.currentFloor(ctx, v))
 	}
 	u.floor = q.Floor
 	return nil
 }
 
+// currentFloor returns the floor of a read that has to see the latest writes:
+// all of them when no staleness is allowed, else those of its session.
+func (u *unit) currentFloor(ctx context.Context, v sampler.View) tokenizer.Position {
+	if !u.query.Bounded || u.e.cfg.Writes == nil {
+		return v.Confirmed
+	}
+	ctx, cancel := context.WithTimeout(ctx, recordWait)
+	defer cancel()
+	return u.e.cfg.Writes.Floor(ctx, u.r.Session, v.Confirmed, mostApplied(v))
+}
+
+// mostApplied returns the latest index of the confirmed term that a replica has applied.
+func mostApplied(v sampler.View) uint64 {
+	var index uint64
+	for k := range v.Instances {
+		i := &v.Instances[k]
+		if i.Reachable && i.Instance.Name != v.Primary && i.Status.Applied.Term == v.Confirmed.Term {
+			index = max(index, i.Status.Applied.Index)
+		}
+	}
+	return index
+}
+
 func (u *unit) prepareWrite() {
 	u.query = u.baseQuery()
 	u.priority = admitter.Write
