--- a/internal/bench/builder/vm.go
+++ b/internal/bench/builder/vm.go
@@ -163,3 +163,23 @@
 	defer s.mu.Unlock()
 	return v.daemon != nil
 }
+
+// SheetVersions returns the version of the sheet in force on each running VM.
+func (s *System) SheetVersions() map[string]uint64 {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	m := map[string]uint64{}
+	for _, v := range s.vms {
+		if v.daemon != nil {
+			m[v.ID] = v.daemon.Describe().GetVm().GetSheetVersion()
+		}
+	}
+	return m
+}
+
+// Version returns the version of the sheet that was applied last.
+func (s *System) Version() uint64 {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.version
+}
--- a/internal/bench/runner/result.go
+++ b/internal/bench/runner/result.go
@@ -54,8 +54,10 @@
 	ReadLatencyMs    Quantiles          `json:"readLatencyMs"`
 	WriteLatencyMs   Quantiles          `json:"writeLatencyMs"`
 	RegionLinkBytes  int64              `json:"regionLinkBytes"`
-	Errors           map[string]int     `json:"errors"` // attempts that failed, by kind
-	FaultErrors      []string           `json:"faultErrors,omitempty"`
+	Errors           map[string]int     `json:"errors"`                   // attempts that failed, by kind
+	SheetInForceMs   float64            `json:"sheetInForceMs,omitempty"` // longest time until a change was in force on all VMs
+	ServedByLeaving  int                `json:"servedByLeaving"`          // sampled reads that an instance served long after it began to leave
+	FaultErrors      []string           `json:"faultErrors,omitempty"`    // of the experiment itself
 	Findings         []checker.Finding  `json:"findings,omitempty"`
 	History          checker.History    `json:"-"`
 }
@@ -123,3 +125,26 @@
 	}
 	r.LatencyMs, r.ReadLatencyMs, r.WriteLatencyMs = quantilesOf(l.all), quantilesOf(l.reads), quantilesOf(l.writes)
 }
+
+// leavingGrace is the time after which a leaving instance must get no new work.
+const leavingGrace = 3 * time.Second
+
+// leave is the time in which an instance was leaving.
+type leave struct {
+	instance string
+	from, to time.Duration
+}
+
+// addSheets adds the measures of changes of the sheet.
+func (r *Result) addSheets(inForce []time.Duration, leaving []leave) {
+	for _, d := range inForce {
+		r.SheetInForceMs = max(r.SheetInForceMs, milliseconds(d))
+	}
+	for _, l := range leaving {
+		for n := range r.History {
+			if op := &r.History[n]; op.ServedBy == l.instance && op.Start > l.from+leavingGrace && op.Start < l.to {
+				r.ServedByLeaving++
+			}
+		}
+	}
+}
--- a/internal/bench/runner/run.go
+++ b/internal/bench/runner/run.go
@@ -23,6 +23,7 @@
 	pollInterval = 5 * time.Millisecond
 	// failoverWriters keep the acknowledgements of a database a few milliseconds apart.
 	failoverWriters = 4
+	steadyWriters   = 1
 )
 
 // Config holds the settings of a run.
@@ -66,6 +67,8 @@
 	end     time.Time
 	next    int // database of the next failure
 	faults  []string
+	sheets  []time.Duration // from the change of a sheet until it was in force on all VMs
+	leaving []leave
 }
 
 func (r *run) measure(ctx context.Context, sc Scenario) (*Result, error) {
@@ -98,6 +101,7 @@
 	c := checker.Check(res.History, final)
 	res.Counts, res.Findings = c.Counts, c.Findings[:min(len(c.Findings), maxFindings)]
 	res.FaultErrors = r.faults
+	res.addSheets(r.sheets, r.leaving)
 	return res, ctx.Err()
 }
 
@@ -154,6 +158,7 @@
 			r.sys.Net.SetExtraDelay(a, b, 0)
 		}
 	}
+	r.healHosts()
 	r.sys.Platform.SetFaults(emulator.Faults{})
 	for _, db := range r.service.Databases {
 		for _, m := range db.Instances {
@@ -168,6 +173,15 @@
 	}
 }
 
+// healHosts ends the cuts between the hosts of instances and all others.
+func (r *run) healHosts() {
+	for _, db := range r.service.Databases {
+		for _, m := range db.Instances {
+			r.note(r.reconnect(m.Name))
+		}
+	}
+}
+
 // restore resumes an instance and starts it if it is killed.
 func (r *run) restore(name string) error {
 	i, err := r.sys.Instance(name)
--- a/internal/fault/relayer/network.go
+++ b/internal/fault/relayer/network.go
@@ -33,7 +33,7 @@
 
 	mu     sync.Mutex
 	hosts  map[netip.Addr]host
-	links  map[pair]*link
+	links  map[pair]*link         // by data centre or by IP number
 	pipes  map[pair]*rate.Limiter // by region
 	hosted map[netip.Addr]*link   // faults of one host, in addition to those of its links
 
@@ -81,6 +81,17 @@
 // HealHost ends a CutHost.
 func (n *Network) HealHost(a netip.Addr) { n.hostLink(a).setCut(false) }
 
+// CutBetween stops all data between two hosts, in both directions, until HealBetween.
+func (n *Network) CutBetween(a, b netip.Addr) { n.setBetween(a, b, true) }
+
+// HealBetween ends a CutBetween.
+func (n *Network) HealBetween(a, b netip.Addr) { n.setBetween(a, b, false) }
+
+func (n *Network) setBetween(a, b netip.Addr, isCut bool) {
+	n.linkOf(a.String(), b.String()).setCut(isCut)
+	n.linkOf(b.String(), a.String()).setCut(isCut)
+}
+
 // SilenceHost makes the open connections to and from a host carry nothing any more; new ones work.
 func (n *Network) SilenceHost(a netip.Addr) { n.hostLink(a).silence() }
 
@@ -133,7 +144,7 @@
 		b = host{place: a.place}
 	}
 	p := &path{n: n, delay: n.delayOf(a, b)}
-	p.links = []*link{n.linkOf(a.place.DataCentre, b.place.DataCentre), n.hostLink(from), n.hostLink(to)}
+	p.links = []*link{n.linkOf(a.place.DataCentre, b.place.DataCentre), n.hostLink(from), n.hostLink(to), n.linkOf(from.String(), to.String())}
 	if a.place.Region != b.place.Region {
 		p.isRegion = true
 		p.pipe = n.pipeOf(a.place.Region, b.place.Region)
