--- a/internal/operator/printer/printer.go
+++ b/internal/operator/printer/printer.go
@@ -8,6 +8,7 @@
 
 	"parsleyscale/internal/config/loader"
 	"parsleyscale/internal/failure/classifier"
+	"parsleyscale/internal/request/router"
 	"parsleyscale/internal/telemetry/logger"
 )
 
@@ -22,6 +23,7 @@
 	{"errors", "Error kinds", printErrors},
 	{"events", "Log events", printEvents},
 	{"settings", "Settings of a VM", printSettings},
+	{"reasons", "Reason codes of routes", printReasons},
 }
 
 // Pages returns all reference pages.
@@ -60,3 +62,13 @@
 	}
 	return b.String()
 }
+
+func printReasons() string {
+	var b strings.Builder
+	b.WriteString(heading("Reason codes of routes", "`SHOW parsleyscale.reason` and the metric `parsleyscale.units` carry them."))
+	b.WriteString("| reason | meaning |\n|---|---|\n")
+	for _, r := range router.Reasons() {
+		fmt.Fprintf(&b, "| `%s` | %s |\n", r.Reason, r.Title)
+	}
+	return b.String()
+}
