--- a/internal/sheet/distributor/distributor.go
+++ b/internal/sheet/distributor/distributor.go
@@ -62,6 +62,7 @@
 	cfg    Config
 	state  *state
 	out    *backoff.ExponentialBackOff
+	first  int // poller that the long polls begin with
 	cancel context.CancelFunc
 	ctx    context.Context
 	done   chan struct{}
@@ -75,6 +76,7 @@
 func New(cfg Config) *Distributor {
 	d := &Distributor{cfg: cfg, state: &state{changed: make(chan struct{})}, done: make(chan struct{})}
 	d.ctx, d.cancel = context.WithCancel(context.Background())
+	d.first = int(xxhash.Sum64String(cfg.Self.ID) % pollers)
 	d.out = backoff.NewExponentialBackOff()
 	d.out.InitialInterval = outFirstDelay
 	d.out.MaxInterval = outMaxDelay
@@ -174,11 +176,11 @@
 }
 
 // watch holds a long poll on the first poller that answers. VMs start at
-// different pollers, so that these share the load.
+// different pollers, so that these share the load, and stay away from one that
+// failed, because a silent one costs the deadline of a long poll each time.
 func (d *Distributor) watch(ctx context.Context, list []tracker.Member) bool {
-	start := int(xxhash.Sum64String(d.cfg.Self.ID) % pollers)
-	for i := range list {
-		p := list[(start+i)%len(list)]
+	for range list {
+		p := list[d.first%len(list)]
 		version, _, ok := d.Current()
 		r, err := d.call(ctx, p, version, watchWait)
 		if err == nil {
@@ -194,6 +196,7 @@
 			}
 			return true
 		}
+		d.first++
 	}
 	return false
 }
--- a/internal/sheet/distributor/distributor_test.go
+++ b/internal/sheet/distributor/distributor_test.go
@@ -229,6 +229,7 @@
 	}
 	for _, n := range []int{8, 16, 32} {
 		t.Run(fmt.Sprint(n), func(t *testing.T) {
+			t.Parallel()
 			s, c := startPlatform(t)
 			accept(t, c, "1", 0, example(t))
 			var bytes traffic
