Count only answers from after the suspicion towards a failover's majority

A gateway that lost its link to two of three instances sometimes fenced the third one: the first call to fail showed a lost primary while the call to the second instance was still outstanding, and so counted as reachable. The test of one unreachable instance now also covers writes and a second failure.

--- a/internal/group/promoter/decide.go
+++ b/internal/group/promoter/decide.go
@@ -43,6 +43,9 @@
 	if after := lostTurn(e).Sub(e.Now); after > 0 {
 		return Action{Kind: Wait, Reason: Turn, After: after}
 	}
+	if !isMajorityAlive(e) {
+		return askAgain(e, InstanceUnknown)
+	}
 	for _, o := range e.Peers {
 		if o.seesPrimary(e.View) {
 			return askAgain(e, PeerSeesPrimary)
@@ -81,6 +84,20 @@
 	return true
 }
 
+// isMajorityAlive reports whether a majority answered calls that were made after
+// the primary was suspected. An instance whose call is still outstanding counts
+// as reachable, but may have failed together with the primary.
+func isMajorityAlive(e Evidence) bool {
+	n := 0
+	for k := range e.View.Instances {
+		i := &e.View.Instances[k]
+		if sampler.IsVoter(i.Instance) && i.Reachable && !i.AnsweredAt.Before(e.SuspectAt) {
+			n++
+		}
+	}
+	return n >= sampler.Majority(e.View.Voters())
+}
+
 // lostTurn returns when this gateway may fail over.
 func lostTurn(e Evidence) time.Time {
 	start := e.LostAt
--- a/internal/group/promoter/promoter.go
+++ b/internal/group/promoter/promoter.go
@@ -137,10 +137,12 @@
 	}
 }
 
-// ask takes the other gateways' observations into the evidence.
+// ask takes the other gateways' observations into the evidence. A round of this
+// gateway runs at the same time.
 func (p *Promoter) ask() {
 	ctx, cancel := context.WithTimeout(p.ctx, ObserveTimeout)
 	defer cancel()
+	p.wg.Go(p.startRound)
 	p.tracker.e.Peers = nil
 	if p.cfg.Peers != nil {
 		p.tracker.e.Peers = p.cfg.Peers.Observe(ctx, p.tracker.e.View.Database)
@@ -148,6 +150,12 @@
 	p.tracker.e.ObservedAt = time.Now()
 }
 
+func (p *Promoter) startRound() {
+	ctx, cancel := context.WithTimeout(p.ctx, ObserveTimeout)
+	defer cancel()
+	_, _ = p.cfg.Sampler.Next(ctx) // the view shows the outcome
+}
+
 // finish sets the back-off after an attempt. The random part parts promoters
 // that race with each other.
 func (p *Promoter) finish(err error) {
--- a/internal/group/promoter/promoter_test.go
+++ b/internal/group/promoter/promoter_test.go
@@ -181,19 +181,26 @@
 	})
 }
 
-// Guards against a failover that needs all instances.
+// Guards against a group that needs all instances, for writes or for a
+// failover, and against a promotion when a second one fails.
 func TestOneOfThreeUnreachable(t *testing.T) {
 	inBubble(t, serving, 3, func(c *cluster) {
 		t := c.t
 		c.g.Pause("c")
-		c.g.Kill("a")
-		c.g.Restart("a")
 		time.Sleep(2 * time.Second)
-		if names := c.g.Primaries(); len(names) != 1 {
-			t.Errorf("primaries = %v", names)
+		p := c.writeConfirmed("a")
+		if n := c.g.Peek("b").FenceTerm; n != 1 {
+			t.Errorf("fence term of b = %d after a replica failed", n)
+		}
+		c.g.Kill("a")
+		time.Sleep(5 * time.Second)
+		if names := c.g.Primaries(); len(names) != 0 {
+			t.Errorf("primaries = %v with one instance of three", names)
 		}
 		c.g.Resume("c")
-		c.isWhole(3 * time.Second)
+		if v, _ := c.newPrimary(1, 3*time.Second); v.Primary != "b" || !c.g.Holds("b", p) {
+			t.Errorf("primary = %s; b holds %s: %v", v.Primary, p, c.g.Holds("b", p))
+		}
 	})
 }
 
