--- a/test/integration/callers_test.go
+++ b/test/integration/callers_test.go
@@ -12,6 +12,7 @@
 	"strings"
 	"time"
 
+	"github.com/google/uuid"
 	"github.com/jackc/pgx/v5/pgconn"
 	"github.com/jackc/pgx/v5/pgproto3"
 )
@@ -67,6 +68,18 @@
 	return c.query(strings.Join(args[1:], " "), limit).text()
 }
 
+func setKey(s *system, _ stepOptions, args []string) (string, error) {
+	c, err := s.session(args[0])
+	if err != nil {
+		return "", err
+	}
+	id, err := uuid.NewV7()
+	if err != nil {
+		return "", err
+	}
+	return c.query("SET parsleyscale.key = '"+id.String()+"'", statementTimeout).text()
+}
+
 func sendSQL(s *system, _ stepOptions, args []string) (string, error) {
 	c, err := s.session(args[0])
 	if err == nil {
--- a/test/integration/steps_test.go
+++ b/test/integration/steps_test.go
@@ -48,6 +48,7 @@
 	"open":     {"SESSION VM [PARAMETER=VALUE]...", 2, openSession},
 	"close":    {"SESSION", 1, closeSession},
 	"sql":      {"SESSION SQL", 2, runSQL},
+	"key":      {"SESSION (gives the next write a new key)", 1, setKey},
 	"send":     {"SESSION SQL (in the background)", 2, sendSQL},
 	"receive":  {"SESSION", 1, receiveSQL},
 	"load":     {"VM...", 1, startLoad},
