Answer a message over the limit before the connection closes

The new test fails without it. The case malformed now forges a token's floor under the old signature; the earlier forgeries were unreadable as well, so that they were refused without the signature.

--- a/internal/request/listener/life_test.go
+++ b/internal/request/listener/life_test.go
@@ -156,6 +156,27 @@
 	}
 }
 
+// TestTooLargeIsAnswered guards against a caller that sees a reset connection in
+// place of the error, because the VM closed with the message's rest unread.
+func TestTooLargeIsAnswered(t *testing.T) {
+	cfg := newTestConfig(t, &fakeRunner{})
+	cfg.Limits.MessageBytes = 1000
+	l := startListener(t, cfg)
+	large, _ := (&pgproto3.Query{String: strings.Repeat("x", 4<<20)}).Encode(nil)
+	for range 20 {
+		c := dialRaw(t, l.Addr().String())
+		c.conn.SetDeadline(time.Now().Add(5 * time.Second))
+		if _, err := c.conn.Write(large); err != nil {
+			t.Fatalf("write: %v", err)
+		}
+		m, err := c.f.Receive()
+		if e, ok := m.(*pgproto3.ErrorResponse); !ok || !strings.HasPrefix(e.Detail, "kind=messageTooLarge") {
+			t.Fatalf("got %+v, %v", m, err)
+		}
+		c.conn.Close()
+	}
+}
+
 // TestStatementLimits guards against a caller whose prepared statements fill the memory of the VM.
 func TestStatementLimits(t *testing.T) {
 	cfg := newTestConfig(t, &fakeRunner{})
--- a/internal/request/listener/session.go
+++ b/internal/request/listener/session.go
@@ -123,6 +123,22 @@
 	s.conn.SetWriteDeadline(time.Now().Add(stopWrite))
 	s.out.send(errorResponse(err, "FATAL"))
 	s.out.flush()
+	if classifier.Is(err, classifier.MessageTooLarge) {
+		s.discardInput()
+	}
+}
+
+// discardInput reads what the caller still sends, for a bounded time. Closing
+// with unread input resets the connection, and the caller would see the reset in place of the error.
+func (s *session) discardInput() {
+	conn, ok := s.conn.(interface{ CloseWrite() error })
+	if !ok || conn.CloseWrite() != nil {
+		return
+	}
+	s.conn.SetReadDeadline(time.Now().Add(stopWrite))
+	if s.l.ctx.Err() == nil {
+		io.Copy(io.Discard, s.conn)
+	}
 }
 
 // remote returns the address of the caller.
--- a/test/integration/callers_test.go
+++ b/test/integration/callers_test.go
@@ -1,7 +1,9 @@
 package integration
 
 import (
+	"bytes"
 	"context"
+	"encoding/base64"
 	"encoding/hex"
 	"errors"
 	"fmt"
@@ -121,6 +123,25 @@
 	return text + "\n", nil
 }
 
+// forge sets $FORGED to a session's token with another floor under the old signature.
+func forge(s *system, o stepOptions, args []string) (string, error) {
+	c, err := s.session(args[0])
+	if err != nil {
+		return "", err
+	}
+	raw, err := base64.RawURLEncoding.DecodeString(c.conn.ParameterStatus("parsleyscale.token"))
+	if err != nil {
+		return "", err
+	}
+	at := bytes.LastIndexAny(raw, "0123456789")
+	if at < 0 {
+		return "", fmt.Errorf("token of session %s has no number", args[0])
+	}
+	raw[at] ^= 1 // another digit
+	o.setenv("FORGED", base64.RawURLEncoding.EncodeToString(raw))
+	return "", nil
+}
+
 // checkEnded waits for the message that ends an idle session.
 func checkEnded(s *system, o stepOptions, args []string) (string, error) {
 	c, err := s.session(args[0])
@@ -171,7 +192,7 @@
 		}
 		a := c.query("SHOW parsleyscale.served_by", statementTimeout)
 		if a.err != nil || slices.Contains(a.rows, args[1]) {
-			return "", fmt.Errorf("read served by %v, %w", a.rows, a.err)
+			return "", errors.Join(fmt.Errorf("read served by %v", a.rows), a.err)
 		}
 	}
 	return "", err
--- a/test/integration/steps_test.go
+++ b/test/integration/steps_test.go
@@ -66,6 +66,7 @@
 	"avoids":   {"SESSION INSTANCE COUNT (reads are not served by the instance)", 3, avoids},
 	"uses":     {"INSTANCE COUNT (ordinary connections at most)", 2, uses},
 	"token":    {"SESSION (sets $TOKEN)", 1, token},
+	"forge":    {"SESSION (sets $FORGED to its token with another floor)", 1, forge},
 	"raw":      {"VM HEX (after the start-up)", 2, sendRaw},
 	"oversize": {"SESSION BYTES", 2, oversize},
 	"peer":     {"VM authority|other|none (TLS connection to the peer address)", 2, dialPeer},
