Let the settings name seed VMs

A VM that starts while the platform is out learns the other VMs from a seed, and takes the sheet from them. Without seeds it waits until one of them calls it.

--- a/internal/config/loader/check.go
+++ b/internal/config/loader/check.go
@@ -24,6 +24,7 @@
 		s.address("/peerAddress", s.PeerAddress),
 		s.address("/adminAddress", s.AdminAddress),
 		s.advertised(),
+		s.checkSeeds(),
 		checkURL("/platform", s.Platform),
 		s.checkTLS(),
 		s.checkUsers(),
@@ -62,6 +63,15 @@
 	return s.address("/advertisedAddress", s.AdvertisedAddress)
 }
 
+func (s Settings) checkSeeds() *fault {
+	for i, a := range s.Seeds {
+		if f := s.address(fmt.Sprintf("/seeds/%d", i), a); f != nil {
+			return f
+		}
+	}
+	return nil
+}
+
 func checkURL(pointer, v string) *fault {
 	u, err := url.Parse(v)
 	if err != nil || u.Host == "" || (u.Scheme != "http" && u.Scheme != "https") {
--- a/internal/config/loader/settings.go
+++ b/internal/config/loader/settings.go
@@ -38,6 +38,7 @@
 	PeerAddress       string   `json:"peerAddress" doc:"IP number and port for other VMs and parsleyctl"`
 	AdvertisedAddress string   `json:"advertisedAddress" doc:"address under which other VMs reach peerAddress, if it differs"`
 	AdminAddress      string   `json:"adminAddress" doc:"IP number and port for /metrics, /health and /ready"`
+	Seeds             []string `json:"seeds" doc:"peer addresses of some VMs, asked while the platform's list cannot be read"`
 	Platform          string   `json:"platform" doc:"URL of the platform's service"`
 	PlainText         bool     `json:"plainText" doc:"no TLS and no passwords; loopback addresses only"`
 	TLS               TLS      `json:"tls" doc:"keys for callers and for other VMs"`
--- a/internal/daemon/runner/runner.go
+++ b/internal/daemon/runner/runner.go
@@ -114,7 +114,7 @@
 	}
 	d.self = tracker.Member{ID: d.cfg.ID, Address: d.advertised(), Region: d.cfg.Region, DataCentre: d.cfg.DataCentre, State: tracker.Live}
 	once := d.platform.WithTries(1)
-	d.members = tracker.New(tracker.Config{Self: d.self, List: once, Dial: func(a string) tracker.Exchanger { return d.peer(a) }})
+	d.members = tracker.New(tracker.Config{Self: d.self, List: once, Seeds: d.cfg.Seeds, Dial: func(a string) tracker.Exchanger { return d.peer(a) }})
 	d.sheets = distributor.New(distributor.Config{Self: d.self, Store: once, Members: d.members, Dial: func(a string) distributor.Watcher { return d.peer(a) }})
 	return nil
 }
