Prove notRun for every keyed request that made an attempt

A test with random faults and repeats found two keyed requests that were told notRun and had committed: the repeat had sent no COMMIT, but an earlier run of the key had committed on another primary. An attempt that fails now looks the key up and confirms what it read, or cancels the key when a commit may be under way. A refusal after the insert of the key also confirms that the instance was still the primary.

--- a/internal/request/executor/ambiguous.go
+++ b/internal/request/executor/ambiguous.go
@@ -15,8 +15,8 @@
 // settlePause is the wait between two attempts to settle an ambiguous commit.
 const settlePause = 20 * time.Millisecond
 
-// errKeyVanished ends an attempt whose key was in use by a transaction that has rolled back since.
-var errKeyVanished = errors.New("the key was in use and is free again")
+// errNoKey means that the table has no record of the key.
+var errNoKey = errors.New("the request key has no record")
 
 // errNotInserted is the cause when the key table refused a key without a conflict.
 var errNotInserted = errors.New("the request key was not inserted")
@@ -30,6 +30,10 @@
 	if err != nil {
 		return false, err
 	}
+	return u.answerRecord(ctx, r)
+}
+
+func (u *unit) answerRecord(ctx context.Context, r reply) (done bool, err error) {
 	p, err := u.confirmSeen(ctx)
 	if err != nil {
 		return false, err
@@ -54,10 +58,12 @@
 	u.putBack()
 	r := replies[1]
 	switch {
+	case r.lacksTable():
+		return r, errNoKey
 	case r.code != "":
 		return r, r.err()
 	case len(r.row) != 3:
-		return r, errKeyVanished
+		return r, errNoKey
 	}
 	return r, nil
 }
@@ -118,26 +124,25 @@
 }
 
 // giveUp returns the answer of a keyed request that ran out of time or retries.
+// After an attempt, even one that sent no COMMIT, the answer needs a proof: an
+// earlier run of the key, through another gateway, may have committed.
 func (u *unit) giveUp(ctx context.Context, err error) error {
-	if u.ambiguous {
+	if u.tried {
 		return u.resolve(ctx, err)
 	}
-	var f *fault
-	if errors.As(err, &f) || classifier.KindOf(err) == classifier.Internal {
-		return notRun(err)
-	}
 	return err
 }
 
-// resolve settles an ambiguous commit: it cancels the key, or finds the commit.
+// resolve finds out whether the key is committed. When a commit of it may be
+// under way, it cancels the key.
 func (u *unit) resolve(ctx context.Context, cause error) error {
-	u.ambiguous, u.settling = true, true
+	u.settling = true
 	u.prepareWrite()
 	for ctx.Err() == nil {
 		if err := u.acquire(ctx); err != nil {
 			break
 		}
-		done, err := u.cancelKey(ctx)
+		done, err := u.resolveOnce(ctx, cause)
 		if done {
 			return err
 		}
@@ -148,6 +153,29 @@
 	return unknownOutcome(cause)
 }
 
+func (u *unit) resolveOnce(ctx context.Context, cause error) (done bool, err error) {
+	if u.ambiguous {
+		return u.cancelKey(ctx)
+	}
+	return u.proveAbsent(ctx, cause)
+}
+
+// proveAbsent looks the key up. Unlike cancelKey it leaves an unused key usable.
+func (u *unit) proveAbsent(ctx context.Context, cause error) (done bool, err error) {
+	u.startAnswer()
+	r, err := u.readKey(ctx)
+	if err == nil {
+		return u.answerRecord(ctx, r)
+	}
+	if !errors.Is(err, errNoKey) {
+		return false, err
+	}
+	if _, err := u.confirmSeen(ctx); err != nil {
+		return false, err
+	}
+	return true, notRun(cause)
+}
+
 // cancelKey inserts the key as cancelled. When that succeeds and is confirmed,
 // no other run of the key can commit any more.
 func (u *unit) cancelKey(ctx context.Context) (done bool, err error) {
--- a/internal/request/executor/keys.go
+++ b/internal/request/executor/keys.go
@@ -110,6 +110,7 @@
 		if err := u.acquire(work); err != nil {
 			return u.giveUp(ctx, err)
 		}
+		u.tried = true
 		done, err := try(work)
 		if done {
 			return err
@@ -229,18 +230,14 @@
 	return errors.Join(cause, u.rollBack(ctx))
 }
 
-// refuse rolls back and answers with an error. When an earlier attempt may
-// have committed, the insert of the key in this one has shown that it did not,
-// provided that the instance was still the primary.
+// refuse rolls back and answers with an error. The insert of the key has shown
+// that no earlier run committed, provided that the instance was still the primary.
 func (u *unit) refuse(ctx context.Context, answer error) (done bool, err error) {
 	if err := u.rollBack(ctx); err != nil {
 		return false, err
 	}
-	if u.ambiguous {
-		if _, err := u.confirmSeen(ctx); err != nil {
-			return false, err
-		}
-		u.ambiguous = false
+	if _, err := u.confirmSeen(ctx); err != nil {
+		return false, err
 	}
 	return true, answer
 }
--- a/internal/request/executor/outcome.go
+++ b/internal/request/executor/outcome.go
@@ -129,10 +129,12 @@
 		if err == nil || !u.keyed || u.position.IsZero() || classifier.Is(err, classifier.Canceled) {
 			return err
 		}
+		u.ambiguous = true
 		return u.resolve(ctx, err)
 	}
 	u.fail(ctx, err)
-	if u.keyed && u.isAmbiguous(err) {
+	if u.keyed && faultOf(err) != faultGone {
+		u.ambiguous = u.isAmbiguous(err)
 		return u.resolve(ctx, err)
 	}
 	return u.batchError(err)
--- a/internal/request/executor/unit.go
+++ b/internal/request/executor/unit.go
@@ -56,7 +56,8 @@
 
 	floor     tokenizer.Position // of the session after the unit
 	attempt   int
-	ambiguous bool // a commit of the key may have happened
+	tried     bool // an attempt with the key was made
+	ambiguous bool // a commit of the key may have happened or may be under way
 	keyed     bool // the open transaction holds the key
 	tooLarge  bool // the answer is over the limit of a recorded one
 	rest      bool // a batch after the first runs
