Record a repeated key for its session, and let a planned switch see each write unit

A session without a token that repeats another session's key got the recorded answer, but no commit was recorded for it, so its next read could miss the row. The repeat now commits an update without a change, whose position is recorded for the session.

A hold that began between the wait and the count of a unit answered that no unit was running. The unit now counts before it looks at the view, and looks at a new round after a hold, because the view may still show the old primary.

--- a/internal/group/supervisor/group.go
+++ b/internal/group/supervisor/group.go
@@ -66,7 +66,7 @@
 		Pool:         s.pool,
 		Admitter:     s.admitter,
 		Budget:       s.budget,
-		Hold:         hold{g.holder},
+		Hold:         hold{g.holder, g.sampler},
 		Writes:       g.writes,
 		NotCommitted: []string{connector.StateFenced, stateReadOnly},
 	})
--- a/internal/request/executor/ambiguous.go
+++ b/internal/request/executor/ambiguous.go
@@ -51,7 +51,13 @@
 
 // readKey ends the open transaction, if any, and reads the record of the key.
 func (u *unit) readKey(ctx context.Context) (reply, error) {
-	replies, err := u.own(ctx, "ROLLBACK", u.key.lookup())
+	statements := []string{"ROLLBACK", u.key.lookup()}
+	if u.r.Session != "" && !u.r.HasToken {
+		// The first run may belong to another session. Later reads of this one
+		// find their floor by the commits that are recorded for it.
+		statements = append(statements, u.key.touch())
+	}
+	replies, err := u.own(ctx, statements...)
 	if err != nil {
 		return reply{}, err
 	}
--- a/internal/request/executor/keytable.go
+++ b/internal/request/executor/keytable.go
@@ -23,6 +23,7 @@
 	sqlCreateIndex = `CREATE INDEX IF NOT EXISTS parsleyscale_requests_created ON parsleyscale_requests (createdMs)`
 	sqlInsert      = `INSERT INTO parsleyscale_requests (key, fingerprint, createdMs, state, answer) VALUES ('%s', '%s', %d, '%s', '') ON CONFLICT (key) DO NOTHING`
 	sqlUpdate      = `UPDATE parsleyscale_requests SET answer = '%s' WHERE key = '%s'`
+	sqlTouch       = `UPDATE parsleyscale_requests SET state = state WHERE key = '%s'`
 	sqlSelect      = `SELECT state, fingerprint, answer FROM parsleyscale_requests WHERE key = '%s'`
 	sqlSweep       = `DELETE FROM parsleyscale_requests WHERE key IN (SELECT key FROM parsleyscale_requests WHERE createdMs < %d LIMIT %d)`
 )
@@ -52,6 +53,9 @@
 
 func (k requestKey) update(r record) string { return fmt.Sprintf(sqlUpdate, r.String(), k.id) }
 
+// touch commits without a change, so that the commit can be recorded for the session of a repeat.
+func (k requestKey) touch() string { return fmt.Sprintf(sqlTouch, k.id) }
+
 func (k requestKey) lookup() string { return fmt.Sprintf(sqlSelect, k.id) }
 
 // inserted, conflicts and lacksTable read the reply to an insert of a key.
--- a/internal/request/executor/route.go
+++ b/internal/request/executor/route.go
@@ -221,13 +221,17 @@
 		return false, err
 	}
 	if !u.isRead() {
-		// A planned switch may have begun while the unit was in the queue.
-		err = u.e.cfg.Hold.Wait(ctx)
+		// A planned switch may have begun while the unit was in the queue. The
+		// unit counts as running before the look at the view, so that a switch
+		// either waits for it or is seen by it.
+		if err = u.e.cfg.Hold.Wait(ctx); err == nil {
+			u.begin()
+		}
 		if err != nil || u.e.cfg.Sampler.View().Primary != u.view.Primary {
 			t.Done()
+			u.end()
 			return false, err
 		}
-		u.begin()
 	}
 	c, err := u.e.cfg.Pool.Get(ctx, u.instance)
 	if err == nil {
