--- a/internal/group/promoter/promoter_test.go
+++ b/internal/group/promoter/promoter_test.go
@@ -102,28 +102,59 @@
 }
 
 // Guards against a promotion by a promoter that was paused after it fenced and
-// wakes up when another one has finished.
+// wakes up when another one has finished: at once after its instance returned,
+// or when that instance follows the new primary already.
 func TestPausedPromoter(t *testing.T) {
-	inBubble(t, serving, 2, func(c *cluster) {
-		t := c.t
-		p := c.writeConfirmed("a")
-		wake := c.gateways[0].block(fake.Promote)
-		c.g.Kill("a")
-		v, _ := c.newPrimary(2, 3*time.Second) // term 2 belongs to the paused promoter
-		q := c.writeConfirmed(v.Primary)
-		wake()
-		time.Sleep(100 * time.Millisecond)
-		if names := c.g.Primaries(); len(names) != 1 || names[0] != v.Primary {
-			t.Errorf("primaries = %v, want %s", names, v.Primary)
-		}
-		c.g.Restart("a")
-		c.isWhole(3 * time.Second)
-		for _, i := range []string{"a", "b", "c"} {
-			if !c.g.Holds(i, p) || !c.g.Holds(i, q) {
-				t.Errorf("%s lacks %s or %s", i, p, q)
+	for _, delay := range []time.Duration{0, 2 * time.Second} {
+		inBubble(t, serving, 2, func(c *cluster) {
+			t := c.t
+			p := c.writeConfirmed("a")
+			time.Sleep(100 * time.Millisecond)
+			wake := c.gateways[0].block(fake.Promote)
+			c.g.Kill("a")
+			c.gateways[0].sampler.Report("a", fake.ErrLost)
+			time.Sleep(100 * time.Millisecond)
+			if n := c.g.Peek("b").FenceTerm; n != 2 {
+				t.Fatalf("fence term of b = %d, want 2 of the paused promoter", n)
 			}
-		}
-	})
+			c.g.Kill("b")
+			c.g.Restart("a")
+			v, _ := c.newPrimary(2, 5*time.Second)
+			q := c.writeConfirmed(v.Primary)
+			c.g.Restart("b")
+			time.Sleep(delay)
+			wake()
+			time.Sleep(800 * time.Microsecond) // the call takes effect after half of its 1 ms
+			if names := c.g.Primaries(); delay > 0 && len(names) != 1 {
+				t.Errorf("primaries = %v after the late Promote", names)
+			}
+			time.Sleep(2 * time.Second)
+			c.isWhole(time.Second)
+			if names := c.g.Primaries(); len(names) != 1 || names[0] != v.Primary {
+				t.Errorf("primaries = %v, want %s", names, v.Primary)
+			}
+			for _, i := range []string{"a", "b", "c"} {
+				if !c.g.Holds(i, p) || !c.g.Holds(i, q) {
+					t.Errorf("%s lacks %s or %s", i, p, q)
+				}
+			}
+		})
+	}
+}
+
+// Guards against the promotion of an instance that lacks a confirmed write.
+func TestGreatestLast(t *testing.T) {
+	for behind, want := range map[string]string{"b": "c", "c": "b"} {
+		inBubble(t, serving, 2, func(c *cluster) {
+			t := c.t
+			c.g.Cut("a", behind)
+			p := c.writeConfirmed("a")
+			c.g.Kill("a")
+			if v, _ := c.newPrimary(1, 3*time.Second); v.Primary != want || !c.g.Holds(v.Primary, p) {
+				t.Errorf("primary = %s, want %s", v.Primary, want)
+			}
+		})
+	}
 }
 
 // Guards against a second promotion, in the same term or in a new one, when the
@@ -139,24 +170,30 @@
 		if n := c.g.Calls("b", fake.Promote) + c.g.Calls("c", fake.Promote); n != 1 {
 			t.Errorf("%d promotions, want 1", n)
 		}
+		if n := c.gateways[0].count(EventReplaced); n != 1 {
+			t.Errorf("the promoter counts %d replaced primaries, want 1", n)
+		}
 		c.g.Restart("a")
 		c.isWhole(2 * time.Second)
 	})
 }
 
 // Guards against a term that two promoters believe to own because a Fence
-// answer was lost and the instance's fence term looks right.
+// answer was lost and the instance's fence term looks right, and against a
+// promotion after fencing less than a majority.
 func TestLostFenceAnswers(t *testing.T) {
-	inBubble(t, serving, 1, func(c *cluster) {
-		t := c.t
-		c.g.Lose("b", fake.Fence, 1)
-		c.g.Lose("c", fake.Fence, 1)
-		c.g.Kill("a")
-		v, _ := c.newPrimary(1, 5*time.Second)
-		if v.Term < 3 {
-			t.Errorf("promoted in term %d, whose Fence answers were lost", v.Term)
-		}
-	})
+	for _, names := range [][]string{{"b", "c"}, {"b"}, {"c"}} {
+		inBubble(t, serving, 1, func(c *cluster) {
+			t := c.t
+			for _, n := range names {
+				c.g.Lose(n, fake.Fence, 1)
+			}
+			c.g.Kill("a")
+			if v, _ := c.newPrimary(1, 5*time.Second); v.Term < 3 {
+				t.Errorf("promoted in term %d, whose Fence answers of %v were lost", v.Term, names)
+			}
+		})
+	}
 }
 
 // Guards against a replaced primary that keeps its unconfirmed tail.
@@ -228,14 +265,33 @@
 	})
 }
 
-// Guards against a failover because open connections to a healthy primary went silent.
+// Guards against a failover because open connections to a healthy primary went
+// silent, also without a peer that sees the primary.
 func TestSilentConnection(t *testing.T) {
-	inBubble(t, serving, 3, func(c *cluster) {
-		for range 5 {
-			c.g.Silence("a")
-			c.staysIn(1, 2*time.Second)
-		}
-	})
+	for _, gateways := range []int{1, 3} {
+		inBubble(t, serving, gateways, func(c *cluster) {
+			for range 5 {
+				c.g.Silence("a")
+				c.staysIn(1, 2*time.Second)
+			}
+		})
+	}
+}
+
+// Guards against a failover of a healthy primary when the gateway's links
+// return and the replicas answer before the primary.
+func TestLinksReturn(t *testing.T) {
+	for n := range 10 {
+		inBubble(t, serving, 1, func(c *cluster) {
+			c.g.Cut("b", "g0")
+			c.g.Cut("c", "g0")
+			time.Sleep(time.Duration(n) * 45 * time.Millisecond)
+			c.g.Cut("a", "g0")
+			time.Sleep(3 * time.Second)
+			c.g.HealAll()
+			c.staysIn(1, 3*time.Second)
+		})
+	}
 }
 
 // Guards against a failover by a gateway whose own link to the primary is cut
--- a/internal/group/sampler/sampler_test.go
+++ b/internal/group/sampler/sampler_test.go
@@ -145,6 +145,10 @@
 		if v := mustNext(t, s); v.Primary != "b" || v.Term != 2 {
 			t.Errorf("primary = %q in term %d", v.Primary, v.Term)
 		}
+		// The new primary now has an entry of the same index.
+		if err := s.Confirm(t.Context(), p); !classifier.Is(err, classifier.PrimaryReplaced) {
+			t.Errorf("Confirm with the old index in the new term = %v", err)
+		}
 	})
 }
 
