Bound how long a cut-off VM keeps its locks on a primary

Sessions of the cut-off VM that wait for the lock presumably get it one after the other and each keeps it for the limit. Keep-alive of TCP would end them all at once, but relays answer it in place of the cut-off end.

--- a/internal/backend/pooler/dial.go
+++ b/internal/backend/pooler/dial.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"net"
 	"net/netip"
+	"strconv"
 	"time"
 
 	"github.com/jackc/pgx/v5/pgconn"
@@ -30,6 +31,10 @@
 	base.User, base.Password, base.TLSConfig = cfg.User, cfg.Password, cfg.TLS
 	base.Fallbacks = nil
 	base.RuntimeParams = map[string]string{"application_name": "parsleyscale"}
+	if ms := cfg.IdleInTransaction.Milliseconds(); ms > 0 {
+		// A VM that is cut off in the middle of a transaction leaves its locks behind.
+		base.RuntimeParams["idle_in_transaction_session_timeout"] = strconv.FormatInt(ms, 10)
+	}
 	base.ConnectTimeout = cfg.DialTimeout
 	base.DialFunc = cfg.Dial
 	if base.DialFunc == nil {
--- a/internal/backend/pooler/pooler.go
+++ b/internal/backend/pooler/pooler.go
@@ -38,6 +38,10 @@
 	DatabaseOf func(instance string) string                                         // database of an instance
 	Dial       func(ctx context.Context, network, address string) (net.Conn, error) // nil: TCP
 
+	// IdleInTransaction is the longest silence of this VM inside a transaction,
+	// after which the instance rolls it back; zero: the instance's own limit.
+	IdleInTransaction time.Duration
+
 	DialTimeout time.Duration // for the whole start-up of a connection and for a check of an idle one
 	IdleTimeout time.Duration // an idle connection is closed after it
 	CheckAfter  time.Duration // a connection that was idle longer is checked with a round trip before use
--- a/internal/daemon/runner/config.go
+++ b/internal/daemon/runner/config.go
@@ -6,6 +6,7 @@
 	"errors"
 	"fmt"
 	"os"
+	"time"
 
 	"parsleyscale/internal/backend/pooler"
 	"parsleyscale/internal/config/loader"
@@ -15,6 +16,9 @@
 	"parsleyscale/internal/session/tokenizer"
 )
 
+// idleGrace lets the VM end an idle transaction before the instance does, so that the caller is told why.
+const idleGrace = 500 * time.Millisecond
+
 // trialUser is the user at instances when the settings name none.
 const trialUser = "parsleyscale"
 
@@ -23,7 +27,12 @@
 	if user == "" {
 		user = trialUser
 	}
-	return pooler.Config{User: user, Password: d.cfg.Backend.Password, Dial: d.dial}
+	return pooler.Config{
+		User:              user,
+		Password:          d.cfg.Backend.Password,
+		Dial:              d.dial,
+		IdleInTransaction: d.cfg.Limits.IdleTransaction.Std() + idleGrace,
+	}
 }
 
 func (d *Daemon) listenerConfig(run exchanger.Runner, codec *tokenizer.Codec) listener.Config {
--- a/internal/group/emulator/pgx_test.go
+++ b/internal/group/emulator/pgx_test.go
@@ -343,3 +343,23 @@
 		t.Errorf("replica reads %v, %v, want %v", got, err, want)
 	}
 }
+
+// TestIdleInTransaction guards against a client that is cut off in a transaction
+// and keeps all other writers waiting for longer than the limit that it set.
+func TestIdleInTransaction(t *testing.T) {
+	c := connect(t, startOne(t, emulator.Config{}).server.Addr(), "app")
+	mustExec(t, c, createTypes)
+	cfg := c.Config().Copy()
+	cfg.RuntimeParams["idle_in_transaction_session_timeout"] = "200"
+	idle, err := pgx.ConnectConfig(t.Context(), cfg)
+	if err != nil {
+		t.Fatal(err)
+	}
+	mustExec(t, idle, "BEGIN")
+	mustExec(t, idle, "INSERT INTO types (id) VALUES (1)")
+	ctx, cancel := context.WithTimeout(t.Context(), 2*time.Second)
+	defer cancel()
+	if _, err := c.Exec(ctx, "INSERT INTO types (id) VALUES (1)"); err != nil {
+		t.Errorf("writer after an idle transaction: %v", err)
+	}
+}
--- a/internal/group/emulator/session.go
+++ b/internal/group/emulator/session.go
@@ -6,6 +6,7 @@
 	"errors"
 	"net"
 	"os"
+	"strconv"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -19,7 +20,8 @@
 	// startupTimeout bounds the start-up of a connection.
 	startupTimeout = 10 * time.Second
 	// idleInTransactionTimeout ends a session that keeps the write lock without
-	// sending anything, for example because its caller is cut off.
+	// sending anything, for example because its caller is cut off. A client may
+	// set another one at start-up with idle_in_transaction_session_timeout.
 	idleInTransactionTimeout = 10 * time.Second
 	// writeTimeout bounds each write to a client that does not read.
 	writeTimeout = 60 * time.Second
@@ -34,14 +36,15 @@
 
 // session serves one connection.
 type session struct {
-	server  *Server
-	conn    net.Conn
-	backend *pgproto3.Backend
-	user    string
-	control bool
-	pid     uint32
-	secret  []byte
-	writing atomic.Bool // holds the write lock or waits for it
+	idleLimit time.Duration // longest silence of the client while it keeps the write lock
+	server    *Server
+	conn      net.Conn
+	backend   *pgproto3.Backend
+	user      string
+	control   bool
+	pid       uint32
+	secret    []byte
+	writing   atomic.Bool // holds the write lock or waits for it
 
 	mu      sync.Mutex
 	reason  *pgError           // why the session ends
@@ -121,6 +124,7 @@
 func (x *session) admit(m *pgproto3.StartupMessage) (bool, error) {
 	x.user = m.Parameters["user"]
 	x.control = x.user == connector.ControlUser
+	x.idleLimit = idleLimit(m.Parameters["idle_in_transaction_session_timeout"])
 	x.secret = make([]byte, 4)
 	rand.Read(x.secret)
 	if err := x.server.register(x); err != nil {
@@ -145,6 +149,15 @@
 	return true, nil
 }
 
+// idleLimit reads a number of milliseconds. Another value gives the default.
+func idleLimit(text string) time.Duration {
+	ms, err := strconv.ParseUint(text, 10, 31)
+	if err != nil || ms == 0 {
+		return idleInTransactionTimeout
+	}
+	return time.Duration(ms) * time.Millisecond
+}
+
 // loop serves messages until the client leaves or the session is ended. The
 // error, if any, is sent to the client.
 func (x *session) loop() error {
@@ -166,7 +179,7 @@
 func (x *session) receive() (pgproto3.FrontendMessage, error) {
 	var deadline time.Time
 	if x.writing.Load() {
-		deadline = time.Now().Add(idleInTransactionTimeout)
+		deadline = time.Now().Add(x.idleLimit)
 	}
 	x.mu.Lock()
 	if x.reason == nil {
