--- a/test/integration/system_test.go
+++ b/test/integration/system_test.go
@@ -26,6 +26,7 @@
 	database     = "orders"
 	tokenKey     = "integration-test-key"
 	startTimeout = 15 * time.Second
+	listLag      = 200 * time.Millisecond // of the platform's list of VMs
 	// firstNet and lastNet bound the second number of the loopback IP numbers of
 	// a case. The numbers below are those of the bench.
 	firstNet, lastNet = 64, 250
@@ -73,6 +74,8 @@
 	sheet    parser.Sheet
 	sessions sessions
 	load     *load
+	watcher  *watcher
+	keys     authorities
 }
 
 func newSystem(bin, dir string) *system {
@@ -80,7 +83,7 @@
 		bin: bin, dir: dir, net: relayer.NewNetwork(relayer.Delays{}, 0),
 		prefix: [2]byte{byte(firstNet + rand.IntN(lastNet-firstNet)), byte(rand.IntN(256))},
 		hosts:  map[string]netip.Addr{}, programs: map[string][]string{}, running: map[string]*process{},
-		sessions: sessions{},
+		sessions: sessions{}, keys: authorities{},
 	}
 }
 
@@ -101,6 +104,9 @@
 	if s.load != nil {
 		s.load.stop()
 	}
+	if s.watcher != nil {
+		errs = append(errs, s.watcher.stop())
+	}
 	s.sessions.close()
 	for _, p := range s.running {
 		errs = append(errs, p.kill())
@@ -180,7 +186,7 @@
 	if _, err := s.listen(host, platformPort); err != nil {
 		return err
 	}
-	s.programs["platform"] = []string{"parsleystub", "platform", "--list-lag=200ms", "--listen=" + s.address("platform", platformPort)}
+	s.programs["platform"] = []string{"parsleystub", "platform", "--list-lag=" + listLag.String(), "--listen=" + s.address("platform", platformPort)}
 	return s.launchListening("platform", platformPort)
 }
 
@@ -254,6 +260,7 @@
 			return err
 		}
 	}
+	time.Sleep(listLag + 50*time.Millisecond) // a VM that reads the list too early serves all databases by itself
 	for _, name := range s.vms {
 		if err := s.launch(name); err != nil {
 			return err
