Change the voters of a database by one instance at a time

Two sheets can be in force at once for a while. When they differ by two voters, a majority of the old ones and one of the new ones need not share an instance, and each could confirm a promotion without the other. Accept now refuses such a step. It does not prove that the step before it is in force everywhere.

--- a/internal/sheet/distributor/acceptor.go
+++ b/internal/sheet/distributor/acceptor.go
@@ -100,6 +100,9 @@
 	if version != p.base {
 		return Record{}, a.conflict(ctx, p, version, current)
 	}
+	if err := current.CheckStep(p.sheet); err != nil {
+		return Record{}, err
+	}
 	r := Record{Version: p.base + 1, When: time.Now().UTC(), Who: p.who, Change: p.identity, Base: p.base, Diff: parser.Diff(current, p.sheet)}
 	t, err := transaction(p, r)
 	if err != nil {
