Replace a primary that its replicas cannot reach after 0.7 s instead of 1.5 s

Cause of the longest failover gaps: a primary that still answers the gateways but is cut from its replicas was replaced only after an entry had no majority for 1.5 s.

A gateway that is asked for its view now probes a suspected primary on a new connection first, as the promoter's rules expect.

--- a/internal/group/promoter/decide.go
+++ b/internal/group/promoter/decide.go
@@ -9,14 +9,16 @@
 )
 
 const (
-	rankDelay       = 300 * time.Millisecond  // between the turns of two gateways in a failover
-	switchRankDelay = 3 * time.Second         // the same in a planned switch, which takes longer
-	raisedGrace     = 300 * time.Millisecond  // left to another promoter that has fenced
-	aheadGrace      = time.Second             // the same while the primary is still confirmed
-	stallLimit      = 1500 * time.Millisecond // for an entry that no majority holds
-	observationLife = time.Second             // after which the peers are asked again
-	disagreeRetry   = 500 * time.Millisecond  // the same when a peer sees the primary
-	aliveAge        = 200 * time.Millisecond  // of an answer that proves an instance alive
+	rankDelay       = 300 * time.Millisecond // between the turns of two gateways in a failover
+	switchRankDelay = 3 * time.Second        // the same in a planned switch, which takes longer
+	raisedGrace     = 300 * time.Millisecond // left to another promoter that has fenced
+	aheadGrace      = time.Second            // the same while the primary is still confirmed
+	// stallLimit is the time without a majority for an entry. A replica's pull
+	// fails within 300 ms and is repeated, so the limit leaves two tries.
+	stallLimit      = 700 * time.Millisecond
+	observationLife = time.Second            // after which the peers are asked again
+	disagreeRetry   = 500 * time.Millisecond // the same when a peer sees the primary
+	aliveAge        = 200 * time.Millisecond // of an answer that proves an instance alive
 )
 
 // Decide is a pure function of the evidence.
--- a/internal/group/supervisor/peers.go
+++ b/internal/group/supervisor/peers.go
@@ -92,13 +92,24 @@
 }
 
 // Observe answers another gateway's question.
-func (s *Supervisor) Observe(database string) *messenger.ObserveResponse {
+func (s *Supervisor) Observe(ctx context.Context, database string) *messenger.ObserveResponse {
 	g := s.find(database)
 	if g == nil {
 		return &messenger.ObserveResponse{}
 	}
-	dead, total := s.otherGroups(database)
-	return &messenger.ObserveResponse{Instances: observations(g.sampler.View()), HealthyLinks: total == 0 || dead*2 <= total}
+	r := &messenger.ObserveResponse{}
+	for _, o := range promoter.Observe(ctx, g.sampler) {
+		r.Instances = append(r.Instances, &messenger.InstanceObservation{
+			Instance:  o.Instance,
+			Reachable: o.Reachable,
+			Role:      o.Role,
+			FenceTerm: o.FenceTerm,
+			LastTerm:  o.Last.Term,
+			LastIndex: o.Last.Index,
+			AgeMs:     uint64(max(o.Age, 0).Milliseconds()),
+		})
+	}
+	return r
 }
 
 func observations(v sampler.View) []*messenger.InstanceObservation {
--- a/internal/peer/responder/responder.go
+++ b/internal/peer/responder/responder.go
@@ -21,7 +21,7 @@
 
 // Groups are the groups that this VM is a gateway of.
 type Groups interface {
-	Observe(database string) *messenger.ObserveResponse
+	Observe(ctx context.Context, database string) *messenger.ObserveResponse
 	Hold(ctx context.Context, database string, term uint64, d time.Duration) bool
 	Release(database string, term uint64)
 	WatchWrites(ctx context.Context, r *messenger.WatchWritesRequest) *messenger.WatchWritesResponse
@@ -59,8 +59,8 @@
 }
 
 // Observe implements messenger.Peer.
-func (p *Responder) Observe(_ context.Context, r *messenger.ObserveRequest) (*messenger.ObserveResponse, error) {
-	return p.Groups.Observe(r.GetDatabase()), nil
+func (p *Responder) Observe(ctx context.Context, r *messenger.ObserveRequest) (*messenger.ObserveResponse, error) {
+	return p.Groups.Observe(ctx, r.GetDatabase()), nil
 }
 
 // Hold implements messenger.Peer.
