--- a/test/integration/steps_test.go
+++ b/test/integration/steps_test.go
@@ -48,6 +48,7 @@
 	"open":     {"SESSION VM [PARAMETER=VALUE]...", 2, openSession},
 	"close":    {"SESSION", 1, closeSession},
 	"sql":      {"SESSION SQL", 2, runSQL},
+	"serves":   {"SESSION SQL (repeated until it is not refused)", 2, serves},
 	"key":      {"SESSION (gives the next write a new key)", 1, setKey},
 	"send":     {"SESSION SQL (in the background)", 2, sendSQL},
 	"receive":  {"SESSION", 1, receiveSQL},
