--- a/internal/request/executor/fake_test.go
+++ b/internal/request/executor/fake_test.go
@@ -32,7 +32,7 @@
 	On       string `json:"on"`      // prefix of the statement
 	Skip     int    `json:"skip"`    // statements with the prefix before it
 	Times    int    `json:"times"`   // further times
-	Act      string `json:"act"`     // closeBefore, closeAfter, cutRows, silent, silentAfter, slow, locked, thenRefuse, fence (promotes before the statement); empty: none
+	Act      string `json:"act"`     // closeBefore, closeAfter, cutRows, silent, silentAfter, slow, locked, rebuilding, thenRefuse, fence (promotes before the statement); empty: none
 	Promote  string `json:"promote"` // new primary after the act
 	Lose     bool   `json:"lose"`    // commits are not replicated from now on, until the promotion
 }
@@ -402,6 +402,9 @@
 	case "silent":
 		s.in.g.apply(f)
 		return s.beSilent()
+	case "rebuilding":
+		s.fail("57P03", "instance rebuilds its rows")
+		return nil
 	case "locked":
 		s.fail("55P03", "lock not available")
 		return nil
--- a/internal/request/executor/pipe.go
+++ b/internal/request/executor/pipe.go
@@ -256,6 +256,9 @@
 	return nil
 }
 
+// stateCannotConnectNow is the SQLSTATE of an instance that starts or rebuilds its rows. Another one can serve the read.
+const stateCannotConnectNow = "57P03"
+
 // noteError finds errors that end the attempt instead of being passed on.
 func (u *unit) noteError(m *pgproto3.ErrorResponse) error {
 	u.failed = true
@@ -264,6 +267,9 @@
 	if u.e.notCommitted[m.Code] && repeatable {
 		return newFault(faultRefused, "%s refused with %s: %s", u.instance.Name, m.Code, m.Message)
 	}
+	if m.Code == stateCannotConnectNow && u.isRead() && !u.passed {
+		return newFault(faultRefused, "%s takes no reads now: %s", u.instance.Name, m.Message)
+	}
 	if isFatal(m.Severity) || isFatal(m.SeverityUnlocalized) {
 		return newFault(faultLost, "%s ended the connection with %s: %s", u.instance.Name, m.Code, m.Message)
 	}
--- a/internal/request/executor/unit.go
+++ b/internal/request/executor/unit.go
@@ -168,10 +168,12 @@
 	if gone || !errors.As(err, &f) {
 		return
 	}
-	if f.kind == faultRefused {
+	if f.kind == faultRefused && !u.isRead() {
 		return // a fenced instance works
 	}
-	u.e.cfg.Sampler.Report(u.instance.Name, err)
+	if f.kind != faultRefused {
+		u.e.cfg.Sampler.Report(u.instance.Name, err)
+	}
 	u.exclude = append(u.exclude, u.instance.Name)
 }
 
