--- a/internal/request/executor/pipe.go
+++ b/internal/request/executor/pipe.go
@@ -256,8 +256,8 @@
 	return nil
 }
 
-// instanceNotReady is the SQLSTATE of an instance that rebuilds its rows after a change of primary.
-const instanceNotReady = "57P03"
+// stateCannotConnectNow is the SQLSTATE of an instance that starts or rebuilds its rows. Another one can serve the read.
+const stateCannotConnectNow = "57P03"
 
 // noteError finds errors that end the attempt instead of being passed on.
 func (u *unit) noteError(m *pgproto3.ErrorResponse) error {
@@ -267,8 +267,8 @@
 	if u.e.notCommitted[m.Code] && repeatable {
 		return newFault(faultRefused, "%s refused with %s: %s", u.instance.Name, m.Code, m.Message)
 	}
-	if m.Code == instanceNotReady && u.isRead() && !u.passed {
-		return newFault(faultLost, "%s is not ready: %s", u.instance.Name, m.Message)
+	if m.Code == stateCannotConnectNow && u.isRead() && !u.passed {
+		return newFault(faultRefused, "%s takes no reads now: %s", u.instance.Name, m.Message)
 	}
 	if isFatal(m.Severity) || isFatal(m.SeverityUnlocalized) {
 		return newFault(faultLost, "%s ended the connection with %s: %s", u.instance.Name, m.Code, m.Message)
