--- a/cmd/parsleydev/main.go
+++ b/cmd/parsleydev/main.go
@@ -54,6 +54,7 @@
 	for n := range 3 {
 		fmt.Println(t.URL(n))
 	}
+	fmt.Println("platform", t.PlatformURL())
 	fmt.Println("waiting; end with Ctrl-C")
 	<-ctx.Done()
 	return t.Close()
--- a/internal/telemetry/logger/logger.go
+++ b/internal/telemetry/logger/logger.go
@@ -51,6 +51,14 @@
 	}
 }
 
+// WithVM returns a logger whose lines carry another VM's identity.
+func (l *Logger) WithVM(vm string) *Logger {
+	if l == nil {
+		return nil
+	}
+	return &Logger{out: l.out, vm: vm}
+}
+
 // Info writes an event of ordinary operation.
 func (l *Logger) Info(e Event, fields ...Field) {
 	if l != nil && l.out != nil {
--- a/internal/telemetry/meter/meter.go
+++ b/internal/telemetry/meter/meter.go
@@ -14,6 +14,9 @@
 	sdk "go.opentelemetry.io/otel/sdk/metric"
 )
 
+// buckets are the upper bounds of the duration histogram in seconds.
+var buckets = []float64{0.001, 0.0025, 0.005, 0.01, 0.025, 0.05, 0.1, 0.25, 0.5, 1, 2.5, 5, 10}
+
 // Meter holds the instruments of one VM.
 type Meter struct {
 	provider *sdk.MeterProvider
@@ -50,7 +53,7 @@
 	if m.failures, err = mt.Int64Counter("parsleyscale.failures", metric.WithDescription("units of work that ended with an error of the proxy, by kind")); err != nil {
 		return err
 	}
-	if m.seconds, err = mt.Float64Histogram("parsleyscale.unit.duration", metric.WithUnit("s"), metric.WithDescription("time from a unit's first message to its last answer")); err != nil {
+	if m.seconds, err = mt.Float64Histogram("parsleyscale.unit.duration", metric.WithUnit("s"), metric.WithExplicitBucketBoundaries(buckets...), metric.WithDescription("time from a unit's first message to its last answer")); err != nil {
 		return err
 	}
 	if m.callers, err = mt.Int64UpDownCounter("parsleyscale.callers", metric.WithDescription("open caller connections")); err != nil {
--- a/internal/trial/launcher/launcher.go
+++ b/internal/trial/launcher/launcher.go
@@ -151,7 +151,7 @@
 		cfg.Region, cfg.DataCentre = regions[n], dc
 		cfg.CallerAddress, cfg.PeerAddress, cfg.AdminAddress = "127.0.0.1:0", "127.0.0.1:0", "127.0.0.1:0"
 		cfg.Platform, cfg.PlainText, cfg.TokenKeys = t.platform.URL(), true, []string{tokenKey}
-		d, err := runner.Start(cfg, t.cfg.Log)
+		d, err := runner.Start(cfg, t.cfg.Log.WithVM(cfg.ID))
 		if err != nil {
 			return err
 		}
@@ -184,3 +184,6 @@
 func (t *Trial) DirectURL(n int) string {
 	return fmt.Sprintf("postgres://trial@%s/%s?sslmode=disable", t.instances[n].Addr(), database)
 }
+
+// PlatformURL returns the URL of the platform stand-in, for parsleyctl.
+func (t *Trial) PlatformURL() string { return t.platform.URL() }
