Try the next gateway when one has no sheet; keep an unknown outcome unknown

It now tries the next gateway.

Found on the way by reading: a keyed write whose first hop broke with an unknown outcome and whose second gateway refused it was answered as not run. It is now answered as outcomeUnknown. Both new cases of TestRun fail without the change.

--- a/internal/request/dispatcher/dispatcher.go
+++ b/internal/request/dispatcher/dispatcher.go
@@ -56,27 +56,42 @@
 func (d *Dispatcher) runOn(ctx context.Context, targets []tracker.Member, r exchanger.Request, s exchanger.Stream) (exchanger.Result, error) {
 	w := forwarder.NewRewinder(s)
 	var res exchanger.Result
-	var err error
+	var err, unknown error
 	for _, t := range targets {
 		if t.ID == d.cfg.ID {
-			return d.runLocal(ctx, r, w)
+			res, err = d.runLocal(ctx, r, w)
+			return res, withUnknown(err, unknown)
 		}
 		res, err = d.cfg.Remote(t.Address).Run(ctx, r, w)
 		if err == nil {
 			return res, nil
 		}
 		if !isBroken(r, err) || ctx.Err() != nil {
-			return res, err
+			return res, withUnknown(err, unknown)
+		}
+		if classifier.Is(err, classifier.OutcomeUnknown) {
+			unknown = err
+		}
+		if !classifier.Is(err, classifier.NotReady) { // a VM without a sheet lives and soon has one
+			d.cfg.Report(t.ID, err)
 		}
-		d.cfg.Report(t.ID, err)
 		if d.cfg.OnFailure != nil {
 			d.cfg.OnFailure(t.ID, r, err)
 		}
 		if !w.Rewind() {
-			return res, err
+			break
 		}
 	}
-	return res, err
+	return res, withUnknown(err, unknown)
+}
+
+// withUnknown keeps a refusal by a later gateway from claiming that the unit
+// did not run when an earlier gateway may have run it.
+func withUnknown(err, unknown error) error {
+	if err == nil || unknown == nil || classifier.AnswerTo(classifier.KindOf(err)).Ran != classifier.RanNo {
+		return err
+	}
+	return classifier.Wrap(classifier.OutcomeUnknown, err, "an earlier gateway may have run the request")
 }
 
 func (d *Dispatcher) runLocal(ctx context.Context, r exchanger.Request, s exchanger.Stream) (exchanger.Result, error) {
@@ -88,11 +103,11 @@
 }
 
 // isBroken reports whether a hop failed in a way that lets another gateway run
-// the same unit: nothing was sent, or the unit is a read, or it is a single
+// the same unit: nothing was sent, or the VM has no sheet yet, or the unit is a read, or it is a single
 // write whose key makes it idempotent.
 func isBroken(r exchanger.Request, err error) bool {
 	switch {
-	case forwarder.IsNothingSent(err):
+	case forwarder.IsNothingSent(err), classifier.Is(err, classifier.NotReady):
 		return true
 	case r.Class == exchanger.Read:
 		return classifier.Is(err, classifier.NotRun)
--- a/internal/request/dispatcher/dispatcher_test.go
+++ b/internal/request/dispatcher/dispatcher_test.go
@@ -115,17 +115,20 @@
 	cases := map[string]struct {
 		request exchanger.Request
 		first   error
+		second  error
 		answer  bool
 		want    string // VMs that ran the unit
 		kind    classifier.Kind
 	}{
-		"read on a broken hop":           {exchanger.Request{Class: exchanger.Read}, broken, false, "burgos1 burgos2", ""},
-		"read cut in its answer":         {exchanger.Request{Class: exchanger.Read}, broken, true, "burgos1", classifier.NotRun},
-		"refused read":                   {exchanger.Request{Class: exchanger.Read}, classifier.New(classifier.StaleBound, "x"), false, "burgos1", classifier.StaleBound},
-		"unkeyed write after sending":    {exchanger.Request{Class: exchanger.Write}, unknown, false, "burgos1", classifier.OutcomeUnknown},
-		"keyed write after sending":      {exchanger.Request{Class: exchanger.Write, Key: "k"}, unknown, false, "burgos1 burgos2", ""},
-		"keyed transaction":              {exchanger.Request{Class: exchanger.Transaction, Key: "k"}, unknown, false, "burgos1", classifier.OutcomeUnknown},
-		"transaction refused as not run": {exchanger.Request{Class: exchanger.Transaction}, broken, false, "burgos1", classifier.NotRun},
+		"read on a broken hop":           {exchanger.Request{Class: exchanger.Read}, broken, nil, false, "burgos1 burgos2", ""},
+		"read cut in its answer":         {exchanger.Request{Class: exchanger.Read}, broken, nil, true, "burgos1", classifier.NotRun},
+		"refused read":                   {exchanger.Request{Class: exchanger.Read}, classifier.New(classifier.StaleBound, "x"), nil, false, "burgos1", classifier.StaleBound},
+		"unkeyed write after sending":    {exchanger.Request{Class: exchanger.Write}, unknown, nil, false, "burgos1", classifier.OutcomeUnknown},
+		"keyed write after sending":      {exchanger.Request{Class: exchanger.Write, Key: "k"}, unknown, nil, false, "burgos1 burgos2", ""},
+		"keyed transaction":              {exchanger.Request{Class: exchanger.Transaction, Key: "k"}, unknown, nil, false, "burgos1", classifier.OutcomeUnknown},
+		"write on a VM without a sheet":  {exchanger.Request{Class: exchanger.Write}, classifier.New(classifier.NotReady, "x"), nil, false, "burgos1 burgos2", ""},
+		"keyed write refused later":      {exchanger.Request{Class: exchanger.Write, Key: "k"}, unknown, classifier.New(classifier.Overloaded, "x"), false, "burgos1 burgos2", classifier.OutcomeUnknown},
+		"transaction refused as not run": {exchanger.Request{Class: exchanger.Transaction}, broken, nil, false, "burgos1", classifier.NotRun},
 	}
 	for name, c := range cases {
 		t.Run(name, func(t *testing.T) {
@@ -137,8 +140,11 @@
 				Local: func(string) (exchanger.Runner, error) { return hop{name: "local", seen: &seen}, nil },
 				Remote: func(address string) exchanger.Runner {
 					h := hop{name: address, seen: &seen}
-					if address == "burgos1" {
+					switch address {
+					case "burgos1":
 						h.err, h.answer = c.first, c.answer
+					case "burgos2":
+						h.err = c.second
 					}
 					return h
 				},
