Choose the groups of a VM without ranking every database

Cause: twice a second the supervisor ranked all databases in all their data centres, and the tracker kept whole rankings and dropped them all with each change of a VM.

The tracker now keeps the first three VMs of a ranking, by data centre, and keeps the data centres that a change did not touch. The supervisor derives its view of the sheet once for each version and ranks only databases with an instance in its own data centre.

TestRank used the fourth VM of a ranking, which is not kept any more. It now removes each VM in turn, which includes the old case.

--- a/internal/group/supervisor/supervisor.go
+++ b/internal/group/supervisor/supervisor.go
@@ -52,7 +52,7 @@
 	pool     *pooler.Pool
 	admitter *admitter.Admitter
 	budget   *admitter.Budget
-	owner    atomic.Pointer[map[string]located] // by instance
+	layout   atomic.Pointer[layout]
 
 	ctx    context.Context
 	cancel context.CancelFunc
@@ -62,17 +62,11 @@
 	groups map[string]*group
 }
 
-// located is an instance and its database.
-type located struct {
-	database string
-	instance parser.Instance
-}
-
 // New returns a running Supervisor.
 func New(cfg Config) (*Supervisor, error) {
 	s := &Supervisor{cfg: cfg, groups: map[string]*group{}, budget: admitter.NewBudget()}
-	s.owner.Store(&map[string]located{})
-	s.cfg.PoolConfig.DatabaseOf = func(instance string) string { return (*s.owner.Load())[instance].database }
+	s.layout.Store(&layout{})
+	s.cfg.PoolConfig.DatabaseOf = func(instance string) string { return s.layout.Load().owner[instance].database }
 	pool, err := pooler.New(s.cfg.PoolConfig)
 	if err != nil {
 		return nil, err
@@ -86,7 +80,7 @@
 
 // share is the number of units that may run on an instance at once: as many as there are connections for them.
 func (s *Supervisor) share(instance string) int {
-	l, ok := (*s.owner.Load())[instance]
+	l, ok := s.layout.Load().owner[instance]
 	if !ok {
 		return 1
 	}
@@ -124,29 +118,30 @@
 
 // refresh makes the running groups match the sheet and the live VMs.
 func (s *Supervisor) refresh() {
-	_, sheet, ok := s.cfg.Sheets.Current()
+	version, sheet, ok := s.cfg.Sheets.Current()
 	if !ok {
 		return
 	}
-	s.locate(sheet)
-	s.stopUnused(sheet)
-	for _, v := range sheet.Services {
-		for _, db := range v.Databases {
+	l := s.layout.Load()
+	if l.version != version {
+		l = layoutOf(version, sheet, s.cfg.Self.DataCentre)
+		s.layout.Store(l)
+	}
+	s.stopUnused(l)
+	for _, g := range s.all() {
+		s.refreshGroup(l.databases[g.database])
+	}
+	for _, db := range l.near {
+		if s.isGateway(db) {
 			s.refreshGroup(db)
 		}
 	}
 }
 
-func (s *Supervisor) locate(sheet parser.Sheet) {
-	m := map[string]located{}
-	for _, v := range sheet.Services {
-		for _, db := range v.Databases {
-			for _, i := range db.Instances {
-				m[i.Name] = located{database: db.Name, instance: i}
-			}
-		}
-	}
-	s.owner.Store(&m)
+// isGateway reports whether this VM is a gateway of a database in its data
+// centre. It looks at no other data centre, because most databases are not the VM's concern.
+func (s *Supervisor) isGateway(db parser.Database) bool {
+	return indexOf(dispatcher.Gateways(s.cfg.Rank, db.Name, s.cfg.Self.DataCentre), s.cfg.Self.ID) >= 0
 }
 
 func (s *Supervisor) refreshGroup(db parser.Database) {
@@ -166,11 +161,11 @@
 }
 
 // stopUnused ends groups that this VM is no gateway of and has not used for a while, or that left the sheet.
-func (s *Supervisor) stopUnused(sheet parser.Sheet) {
+func (s *Supervisor) stopUnused(l *layout) {
 	s.mu.Lock()
 	var ended []*group
 	for name, g := range s.groups {
-		_, _, isKnown := sheet.Database(name)
+		_, isKnown := l.databases[name]
 		if isKnown && (g.isGateway.Load() || g.isInUse(keepUnused)) {
 			continue
 		}
--- a/internal/member/tracker/ring.go
+++ b/internal/member/tracker/ring.go
@@ -24,19 +24,6 @@
 	return d.Sum64()
 }
 
-// rank orders VMs by rendezvous hashing of a name, best first.
-func rank(name string, list []Member) []Member {
-	ranked := slices.Clone(list)
-	weights := make(map[string]uint64, len(list))
-	for _, m := range list {
-		weights[m.ID] = hash(name, m.ID)
-	}
-	slices.SortFunc(ranked, func(a, b Member) int {
-		return cmp.Or(cmp.Compare(weights[b.ID], weights[a.ID]), cmp.Compare(a.ID, b.ID))
-	})
-	return ranked
-}
-
 // ring orders VMs by hash, beginning after self.
 func ring(self string, list []Member) []Member {
 	start := hash(self)
--- a/internal/member/tracker/tracker.go
+++ b/internal/member/tracker/tracker.go
@@ -68,11 +68,11 @@
 
 // view is an immutable snapshot of the belief.
 type view struct {
-	members []Member // by identity, self included
+	members []Member           // by identity, self included
+	centres map[string]*centre // by name
 
 	mu            sync.Mutex // of what is derived at the first need
-	ranked        map[[2]string][]Member
-	selected      bool // local and remote hold the peers
+	selected      bool       // local and remote hold the peers
 	local, remote []Member
 }
 
@@ -119,11 +119,15 @@
 	return t.changed
 }
 
-// Ranked returns the live VMs of a data centre by rendezvous hashing. The two
-// first ones are the gateways of the database. The caller must not change the
+// Ranked returns the first live VMs of a data centre by rendezvous hashing, at
+// most rankedVMs. The two first ones are the gateways of the database. The caller must not change the
 // result.
 func (t *Tracker) Ranked(database, dataCentre string) []Member {
-	return t.current().rank(database, dataCentre)
+	c, ok := t.current().centres[dataCentre]
+	if !ok {
+		return nil
+	}
+	return c.rank(database)
 }
 
 func (t *Tracker) current() *view {
@@ -132,26 +136,6 @@
 	return t.view
 }
 
-func (v *view) rank(name, dataCentre string) []Member {
-	v.mu.Lock()
-	defer v.mu.Unlock()
-	key := [2]string{name, dataCentre}
-	if r, ok := v.ranked[key]; ok {
-		return r
-	}
-	var live []Member
-	for _, m := range v.members {
-		if m.State == Live && m.DataCentre == dataCentre {
-			live = append(live, m)
-		}
-	}
-	if v.ranked == nil {
-		v.ranked = map[[2]string][]Member{}
-	}
-	v.ranked[key] = rank(name, live)
-	return v.ranked[key]
-}
-
 // Report notes a direct observation: a good call to a VM, or a failed one. A
 // call that the caller canceled is no observation.
 func (t *Tracker) Report(id string, err error) {
@@ -222,7 +206,7 @@
 	}
 	slices.SortFunc(members, func(a, b Member) int { return strings.Compare(a.ID, b.ID) })
 	if !slices.Equal(members, t.view.members) {
-		t.view = &view{members: members}
+		t.view = &view{members: members, centres: centresOf(members, t.view.centres)}
 		close(t.changed)
 		t.changed = make(chan struct{})
 	}
--- a/internal/member/tracker/tracker_test.go
+++ b/internal/member/tracker/tracker_test.go
@@ -275,9 +275,12 @@
 			t.Fatalf("%s: ranking depends on the order of the list", name)
 		}
 		first[a[0].ID]++
-		rest := slices.DeleteFunc(slices.Clone(list), func(m Member) bool { return m.ID == a[3].ID })
-		if c := rank(name, rest); !slices.Equal(c[:3], a[:3]) {
-			t.Fatalf("%s: the gateways moved though another VM failed", name)
+		for _, failed := range list {
+			rest := slices.DeleteFunc(slices.Clone(list), func(m Member) bool { return m.ID == failed.ID })
+			kept := slices.DeleteFunc(slices.Clone(a), func(m Member) bool { return m.ID == failed.ID })
+			if c := rank(name, rest); len(c) != rankedVMs || !slices.Equal(c[:len(kept)], kept) {
+				t.Fatalf("%s: after a failure of %s: %v, before: %v", name, failed.ID, c, a)
+			}
 		}
 	}
 	for id, n := range first {
@@ -287,6 +290,29 @@
 	}
 }
 
+// A change of one VM must leave the rankings of the other data centres in place, or
+// each VM computes those of all databases again after each of 1,600 changes a day at the target.
+func TestCentresAreKept(t *testing.T) {
+	var list []Member
+	for i := range 9 {
+		m := memberOf(i)
+		m.State = Live
+		list = append(list, m)
+	}
+	before := centresOf(list, nil)
+	list = slices.Clone(list)
+	list[0].State = Dead
+	after := centresOf(list, before)
+	for name, c := range before {
+		if isSame := after[name] == c; isSame == (name == list[0].DataCentre) {
+			t.Errorf("%s: is kept: %v", name, isSame)
+		}
+	}
+	if got, want := len(after[list[0].DataCentre].live), len(before[list[0].DataCentre].live)-1; got != want {
+		t.Errorf("%s: %d live VMs, want %d", list[0].DataCentre, got, want)
+	}
+}
+
 // The number of peers must stay bounded, and reports must reach every VM.
 func TestPeersOf(t *testing.T) {
 	for _, n := range []int{1, 2, 9, 30, 100, 400} {
--- a/internal/sheet/parser/bench_test.go
+++ b/internal/sheet/parser/bench_test.go
@@ -68,3 +68,13 @@
 		}
 	}
 }
+
+// BenchmarkDatabaseAtTarget measures the search for a database, which each statement does.
+func BenchmarkDatabaseAtTarget(b *testing.B) {
+	s := target()
+	for b.Loop() {
+		if _, _, ok := s.Database("service-40-50"); !ok {
+			b.Fatal("no such database")
+		}
+	}
+}
