--- a/test/capacity/slopes_linux_test.go
+++ b/test/capacity/slopes_linux_test.go
@@ -32,7 +32,9 @@
 	t.Run("vms", func(t *testing.T) { measureVMs(t, program) })
 	t.Run("sheet", func(t *testing.T) { measureSheet(t, program) })
 	t.Run("callers", func(t *testing.T) { measureCallers(t, program) })
-	t.Run("statements", func(t *testing.T) { measureStatements(t, program) })
+	for _, k := range kinds {
+		t.Run(k.name, func(t *testing.T) { measureStatements(t, program, k) })
+	}
 }
 
 func build(t *testing.T) string {
@@ -150,17 +152,26 @@
 	return h.Conn
 }
 
-func urlOf(v *vm) string {
-	return "postgres://capacity@" + v.caller + "/orders0?sslmode=disable&parsleyscale.read=catalogue"
+func urlOf(v *vm) string { return "postgres://capacity@" + v.caller + "/orders0?sslmode=disable" }
+
+// kind is a kind of statement.
+type kind struct{ name, parameters, text string }
+
+var kinds = []kind{
+	{"plainReads", "&parsleyscale.read=catalogue", "SELECT 1"},
+	// Each of these reads needs a round that began after it arrived.
+	{"sessionReads", "&parsleyscale.session=clerk", "SELECT 1"},
+	{"writes", "&parsleyscale.session=clerk", "INSERT INTO entries VALUES ('plume')"},
 }
 
-// measureStatements measures an entry VM that forwards plain reads to a gateway in another data centre.
-func measureStatements(t *testing.T, program string) {
+// measureStatements measures an entry VM that forwards statements to a gateway in another data centre.
+func measureStatements(t *testing.T, program string, k kind) {
 	entry, gateway := &series{unit: "statements/s at the entry VM"}, &series{unit: "statements/s at the gateway"}
 	s := start(t, program, size{databases: 1, vms: 1, others: 1})
+	createTable(t, s.vms[1])
 	time.Sleep(settle)
 	for _, callers := range []int{1, 4, 16} {
-		l := startReads(t, s.vms[1], callers)
+		l := startLoad(t, urlOf(s.vms[1])+k.parameters, k.text, callers)
 		time.Sleep(time.Second)
 		before, at := l.done.Load(), time.Now()
 		r := s.measure(*window)
@@ -168,6 +179,7 @@
 		l.stop()
 		t.Logf("%d callers: %d statements/s, errors %d, microseconds of processor time for each: entry %.1f, gateway %.1f",
 			callers, perSecond, l.failed.Load(), 1e4*r[1].cpu/float64(perSecond), 1e4*r[0].cpu/float64(perSecond))
+		t.Logf("bytes in and out for each: entry %.0f, gateway %.0f", (r[1].in+r[1].out)/float64(perSecond), (r[0].in+r[0].out)/float64(perSecond))
 		entry.add(t, perSecond, r[1])
 		gateway.add(t, perSecond, r[0])
 	}
@@ -175,37 +187,52 @@
 	gateway.log(t)
 }
 
-// reads is a number of callers that read without a pause.
-type reads struct {
+func createTable(t *testing.T, v *vm) {
+	t.Helper()
+	ctx, cancel := context.WithTimeout(t.Context(), startTimeout)
+	defer cancel()
+	c, err := pgconn.Connect(ctx, urlOf(v))
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer c.Close(ctx)
+	if _, err := c.Exec(ctx, "CREATE TABLE entries (value text)").ReadAll(); err != nil {
+		t.Fatal(err)
+	}
+}
+
+// load is a number of callers that repeat a statement without a pause.
+type load struct {
+	url, text    string
 	done, failed atomic.Int64
 	cancel       context.CancelFunc
 	wg           sync.WaitGroup
 }
 
-func startReads(t *testing.T, v *vm, callers int) *reads {
-	l := &reads{}
+func startLoad(t *testing.T, url, text string, callers int) *load {
+	l := &load{url: url, text: text}
 	var ctx context.Context
 	ctx, l.cancel = context.WithCancel(t.Context())
 	for range callers {
-		l.wg.Go(func() { l.run(ctx, urlOf(v)) })
+		l.wg.Go(func() { l.run(ctx) })
 	}
 	return l
 }
 
-func (l *reads) stop() {
+func (l *load) stop() {
 	l.cancel()
 	l.wg.Wait()
 }
 
-func (l *reads) run(ctx context.Context, url string) {
-	c, err := pgconn.Connect(ctx, url)
+func (l *load) run(ctx context.Context) {
+	c, err := pgconn.Connect(ctx, l.url)
 	if err != nil {
 		l.failed.Add(1)
 		return
 	}
 	defer c.Close(context.Background())
 	for ctx.Err() == nil {
-		if _, err := c.Exec(ctx, "SELECT 1").ReadAll(); err != nil {
+		if _, err := c.Exec(ctx, l.text).ReadAll(); err != nil {
 			if ctx.Err() == nil {
 				l.failed.Add(1)
 			}
