End silent keyed writes after 1 s, and read from an unconfirmed primary within the bound

Keyed writes now set a local timeout of 1 s. Ruled out: a cancel request, which does not end an idle transaction.

What the instance had applied in the last confirmed round bounds its staleness like a replica's.

--- a/internal/group/emulator/session.go
+++ b/internal/group/emulator/session.go
@@ -1,6 +1,7 @@
 package emulator
 
 import (
+	"cmp"
 	"context"
 	"crypto/rand"
 	"errors"
@@ -37,14 +38,16 @@
 // session serves one connection.
 type session struct {
 	idleLimit time.Duration // longest silence of the client while it keeps the write lock
-	server    *Server
-	conn      net.Conn
-	backend   *pgproto3.Backend
-	user      string
-	control   bool
-	pid       uint32
-	secret    []byte
-	writing   atomic.Bool // holds the write lock or waits for it
+	// localIdleLimit replaces idleLimit until the transaction ends; zero: not set.
+	localIdleLimit time.Duration
+	server         *Server
+	conn           net.Conn
+	backend        *pgproto3.Backend
+	user           string
+	control        bool
+	pid            uint32
+	secret         []byte
+	writing        atomic.Bool // holds the write lock or waits for it
 
 	mu      sync.Mutex
 	reason  *pgError           // why the session ends
@@ -124,7 +127,7 @@
 func (x *session) admit(m *pgproto3.StartupMessage) (bool, error) {
 	x.user = m.Parameters["user"]
 	x.control = x.user == connector.ControlUser
-	x.idleLimit = idleLimit(m.Parameters["idle_in_transaction_session_timeout"])
+	x.idleLimit = idleLimit(m.Parameters[parameterIdle])
 	x.secret = make([]byte, 4)
 	rand.Read(x.secret)
 	if err := x.server.register(x); err != nil {
@@ -179,7 +182,7 @@
 func (x *session) receive() (pgproto3.FrontendMessage, error) {
 	var deadline time.Time
 	if x.writing.Load() {
-		deadline = time.Now().Add(x.idleLimit)
+		deadline = time.Now().Add(cmp.Or(x.localIdleLimit, x.idleLimit))
 	}
 	x.mu.Lock()
 	if x.reason == nil {
--- a/internal/group/emulator/setting.go
+++ b/internal/group/emulator/setting.go
@@ -8,12 +8,16 @@
 	"parsleyscale/internal/group/connector"
 )
 
-// executeSetting runs SET, RESET, SHOW, DISCARD and DEALLOCATE. Settings are kept for SHOW but have no effect.
+// parameterIdle is the setting that bounds the silence of a client inside a transaction, in milliseconds.
+const parameterIdle = "idle_in_transaction_session_timeout"
+
+// executeSetting runs SET, RESET, SHOW, DISCARD and DEALLOCATE. Settings are
+// kept for SHOW; only the idle timeout has an effect.
 func (x *session) executeSetting(p *portal) error {
 	s := p.statement
 	switch s.class {
 	case classSet:
-		x.settings[s.name] = s.value
+		x.set(s)
 	case classShow:
 		x.backend.Send(&pgproto3.DataRow{Values: [][]byte{[]byte(x.setting(s.name))}})
 	case classDiscard:
@@ -26,6 +30,17 @@
 	return nil
 }
 
+func (x *session) set(s *statement) {
+	switch {
+	case s.name == parameterIdle && s.local:
+		x.localIdleLimit = idleLimit(s.value)
+		return
+	case s.name == parameterIdle:
+		x.idleLimit = idleLimit(s.value)
+	}
+	x.settings[s.name] = s.value
+}
+
 // setting returns the value of a setting. Drivers read transaction_read_only to find a primary.
 func (x *session) setting(name string) string {
 	if name == "transaction_read_only" {
--- a/internal/group/emulator/statement.go
+++ b/internal/group/emulator/statement.go
@@ -37,6 +37,7 @@
 	tag       string   // command tag without the count
 	name      string   // savepoint, or parameter of SET and SHOW
 	value     string   // value of SET
+	local     bool     // SET LOCAL
 	params    []uint32 // type of each parameter, 0 when unknown
 	readOnly  bool     // BEGIN READ ONLY
 	snapshot  bool     // BEGIN with REPEATABLE READ or SERIALIZABLE
@@ -179,6 +180,7 @@
 func (s *statement) readSetting(tokens []token) {
 	rest := tokens[1:]
 	for len(rest) > 0 && (rest[0].is("SESSION") || rest[0].is("LOCAL")) {
+		s.local = rest[0].is("LOCAL")
 		rest = rest[1:]
 	}
 	var name strings.Builder
--- a/internal/group/emulator/transaction.go
+++ b/internal/group/emulator/transaction.go
@@ -184,6 +184,7 @@
 func (x *session) endTransaction() {
 	x.unlock()
 	x.tx = nil
+	x.localIdleLimit = 0
 }
 
 // failTransaction reacts to an error of a statement. Savepoints keep the
--- a/internal/request/executor/keys.go
+++ b/internal/request/executor/keys.go
@@ -141,8 +141,9 @@
 	u.tooLarge = false
 	var begin, insert reply
 	buf := appendQuery(nil, "BEGIN")
+	buf = appendQuery(buf, sqlIdle)
 	buf = appendQuery(buf, u.key.insert(stateDone))
-	err = u.exchange(ctx, append(buf, u.b.buf...), begin.take, insert.take, u.record)
+	err = u.exchange(ctx, append(buf, u.b.buf...), begin.take, u.ignoreLocal, insert.take, u.record)
 	switch {
 	case err != nil:
 		// Without an answer to the insert, another run of the key may be in progress.
@@ -168,6 +169,13 @@
 	return u.commitKeyed(ctx)
 }
 
+// ignoreLocal takes the answer to a setting that ends with the transaction and
+// therefore leaves the connection fit for reuse. The connection was fit before.
+func (u *unit) ignoreLocal(context.Context, pgproto3.BackendMessage) error {
+	u.dirty = false
+	return nil
+}
+
 // record keeps the answer for the table.
 func (u *unit) record(_ context.Context, m pgproto3.BackendMessage) error {
 	if u.tooLarge {
--- a/internal/request/executor/keytable.go
+++ b/internal/request/executor/keytable.go
@@ -23,9 +23,12 @@
 	sqlCreateIndex = `CREATE INDEX IF NOT EXISTS parsleyscale_requests_created ON parsleyscale_requests (createdMs)`
 	sqlInsert      = `INSERT INTO parsleyscale_requests (key, fingerprint, createdMs, state, answer) VALUES ('%s', '%s', %d, '%s', '') ON CONFLICT (key) DO NOTHING`
 	sqlUpdate      = `UPDATE parsleyscale_requests SET answer = '%s' WHERE key = '%s'`
-	sqlTouch       = `UPDATE parsleyscale_requests SET state = state WHERE key = '%s'`
-	sqlSelect      = `SELECT state, fingerprint, answer FROM parsleyscale_requests WHERE key = '%s'`
-	sqlSweep       = `DELETE FROM parsleyscale_requests WHERE key IN (SELECT key FROM parsleyscale_requests WHERE createdMs < %d LIMIT %d)`
+	// sqlIdle ends the transaction of a keyed write whose gateway or connection is
+	// silent between its two round trips. Until then the instance keeps the locks of the write.
+	sqlIdle   = `SET LOCAL idle_in_transaction_session_timeout = 1000`
+	sqlTouch  = `UPDATE parsleyscale_requests SET state = state WHERE key = '%s'`
+	sqlSelect = `SELECT state, fingerprint, answer FROM parsleyscale_requests WHERE key = '%s'`
+	sqlSweep  = `DELETE FROM parsleyscale_requests WHERE key IN (SELECT key FROM parsleyscale_requests WHERE createdMs < %d LIMIT %d)`
 )
 
 // SQLSTATEs of the key table.
--- a/internal/request/router/decide.go
+++ b/internal/request/router/decide.go
@@ -46,32 +46,37 @@
 	}
 	for at, n := range counts {
 		if n > 0 {
-			name := pick(v, q, at, q.Hash%uint64(n))
-			return Decision{Instance: name, Role: connector.RoleReplica, Reason: distances[at]}, true
+			i := pick(v, q, at, q.Hash%uint64(n))
+			return Decision{Instance: i.Instance.Name, Role: i.Status.Role, Reason: distances[at]}, true
 		}
 	}
 	return Decision{}, false
 }
 
 // pick returns the n-th replica at a distance that qualifies.
-func pick(v *sampler.View, q *Query, at int, n uint64) string {
+func pick(v *sampler.View, q *Query, at int, n uint64) *sampler.InstanceView {
 	for k := range v.Instances {
 		i := &v.Instances[k]
 		if !isUsableReplica(v, q, i) || !qualifies(q, i) || distance(q, i) != at {
 			continue
 		}
 		if n == 0 {
-			return i.Instance.Name
+			return i
 		}
 		n--
 	}
-	return ""
+	return nil
 }
 
 // isUsableReplica reports whether reads may go to an instance that is no
-// primary. An unconfirmed primary is neither: it may have been replaced.
+// confirmed primary. A primary that is not confirmed may have been replaced.
+// It still serves reads that accept staleness, since what it had applied in the
+// last confirmed round bounds its staleness as that of any replica.
 func isUsableReplica(v *sampler.View, q *Query, i *sampler.InstanceView) bool {
-	return i.Instance.Name != v.Primary && i.Status.Role == connector.RoleReplica && isUsable(q, i)
+	if i.Instance.Name == v.Primary || !isUsable(q, i) {
+		return false
+	}
+	return i.Status.Role == connector.RoleReplica || q.Bounded && q.MaxStaleness > 0
 }
 
 func isUsable(q *Query, i *sampler.InstanceView) bool {
