Give each deployment of a process IP numbers of its own

Two deployments of the parallel tests shared 127.1.0.x, and a relay of one took a port that the other had found free (TestScenarios/steady failed once with 'address already in use').

--- a/internal/bench/builder/system.go
+++ b/internal/bench/builder/system.go
@@ -43,7 +43,6 @@
 	relays   []*relayer.Relay
 	storeURL string
 	admin    *client.Client // operators' way to the platform, without a relay
-	hosts    hostNumbers
 
 	mu        sync.Mutex
 	instances map[string]*Instance
@@ -145,7 +144,7 @@
 	if s.admin, err = client.New(client.Config{URL: s.Platform.URL()}); err != nil {
 		return err
 	}
-	host := s.hosts.next(storeHosts)
+	host := hosts.next(storeHosts)
 	s.Net.AddHost(host, s.place(s.Deployment.Store))
 	r, err := s.listen(host, s.Platform.Addr())
 	if err == nil {
@@ -176,7 +175,7 @@
 	db.Instances = append([]parser.Instance(nil), db.Instances...)
 	upstream := ""
 	for n, i := range db.Instances {
-		host := s.hosts.next(instanceHosts)
+		host := hosts.next(instanceHosts)
 		s.Net.AddHost(host, s.place(i.DataCentre))
 		cfg := instance.Config{
 			Name:               i.Name,
--- a/internal/bench/builder/vm.go
+++ b/internal/bench/builder/vm.go
@@ -24,7 +24,7 @@
 // startVMs lists all VMs before it starts them, as the platform does.
 func (s *System) startVMs() error {
 	for n, dc := range s.Deployment.VMs {
-		v := &VM{ID: fmt.Sprintf("%s-vm%d", dc, n+1), DataCentre: dc, Host: s.hosts.next(vmHosts)}
+		v := &VM{ID: fmt.Sprintf("%s-vm%d", dc, n+1), DataCentre: dc, Host: hosts.next(vmHosts)}
 		s.Net.AddHost(v.Host, s.place(dc))
 		if err := s.listVM(v); err != nil {
 			return err
