Give each measured VM an IP number of its own

A VM of 16 did not start because another connection took its port between the choice and the start. A slope is no longer fitted when one of its sizes fails.

--- a/test/capacity/slopes_linux_test.go
+++ b/test/capacity/slopes_linux_test.go
@@ -6,6 +6,7 @@
 	"net"
 	"os/exec"
 	"path/filepath"
+	"strconv"
 	"sync"
 	"sync/atomic"
 	"testing"
@@ -59,6 +60,14 @@
 	t.Logf("%d %s: %v; machine load %s", x, s.unit, r, machineLoad())
 }
 
+// run measures one size. There is no slope when a size fails.
+func (s *series) run(t *testing.T, x int, f func(t *testing.T)) {
+	t.Helper()
+	if !t.Run(strconv.Itoa(x), f) {
+		t.FailNow()
+	}
+}
+
 // log fits a line for each figure.
 func (s *series) log(t *testing.T) {
 	t.Helper()
@@ -85,7 +94,7 @@
 func measureGateways(t *testing.T, program string) {
 	line := &series{unit: "databases as gateway"}
 	for _, n := range []int{1, 7, 20} {
-		t.Run("", func(t *testing.T) {
+		line.run(t, n, func(t *testing.T) {
 			s := start(t, program, size{databases: n, vms: 2})
 			time.Sleep(settle)
 			line.add(t, n, mean(s.measure(*window)))
@@ -98,7 +107,7 @@
 func measureVMs(t *testing.T, program string) {
 	line := &series{unit: "VMs"}
 	for _, n := range []int{4, 8, 16} {
-		t.Run("", func(t *testing.T) {
+		line.run(t, n, func(t *testing.T) {
 			s := start(t, program, size{away: 1, vms: n})
 			time.Sleep(settle)
 			line.add(t, n, mean(s.measure(*window)))
@@ -111,7 +120,7 @@
 func measureSheet(t *testing.T, program string) {
 	line := &series{unit: "databases in the sheet"}
 	for _, n := range []int{1, 1000, 8300} {
-		t.Run("", func(t *testing.T) {
+		line.run(t, n, func(t *testing.T) {
 			s := start(t, program, size{away: n, vms: 2})
 			time.Sleep(settle)
 			line.add(t, n, mean(s.measure(*window)))
--- a/test/capacity/system_linux_test.go
+++ b/test/capacity/system_linux_test.go
@@ -5,7 +5,7 @@
 	"encoding/json"
 	"errors"
 	"fmt"
-	"net"
+	"math/rand/v2"
 	"net/http"
 	"net/netip"
 	"os"
@@ -28,6 +28,16 @@
 	tokenKey     = "capacity-test-key"
 	startTimeout = 30 * time.Second
 	replicas     = 2
+	// firstNet and lastNet bound the second number of the VMs' IP numbers. The
+	// numbers below are those of the bench and of the integration tests.
+	firstNet, lastNet = 250, 254
+)
+
+// Ports of a VM.
+const (
+	callerPort = 5433
+	peerPort   = 7000
+	adminPort  = 7001
 )
 
 // Data centres of the sheet. Databases in awayCentre have no gateway, because no VM is there.
@@ -56,6 +66,9 @@
 	sheet   parser.Sheet
 	vms     []*vm
 	program string
+
+	prefix   [2]byte // second and third number of the VMs' IP numbers
+	lastHost byte
 }
 
 // vm is a VM process.
@@ -70,6 +83,7 @@
 func start(t *testing.T, program string, n size) *system {
 	t.Helper()
 	s := &system{t: t, program: program, dir: t.TempDir(), net: relayer.NewNetwork(relayer.Delays{}, 0)}
+	s.prefix = [2]byte{byte(firstNet + rand.IntN(lastNet-firstNet)), byte(rand.IntN(256))}
 	s.startPlatform()
 	s.startInstances(n)
 	s.applySheet()
@@ -178,12 +192,13 @@
 // startVM lists a VM and starts its process.
 func (s *system) startVM(id, dataCentre string) {
 	s.t.Helper()
-	ports := freeAddresses(s.t, 3)
+	host := s.nextHost()
+	caller, peer, admin := at(host, callerPort), at(host, peerPort), at(host, adminPort)
 	cfg := loader.Default()
 	cfg.ID, cfg.DataCentre, cfg.Region = id, dataCentre, "castilla"
-	cfg.CallerAddress, cfg.PeerAddress, cfg.AdminAddress = ports[0], ports[1], ports[2]
+	cfg.CallerAddress, cfg.PeerAddress, cfg.AdminAddress = caller, peer, admin
 	cfg.Platform, cfg.PlainText, cfg.TokenKeys = s.store, true, []string{tokenKey}
-	s.server.SetVM(client.VM{ID: id, Address: ports[1], Region: cfg.Region, DataCentre: dataCentre, State: client.VMLive})
+	s.server.SetVM(client.VM{ID: id, Address: peer, Region: cfg.Region, DataCentre: dataCentre, State: client.VMLive})
 	b, err := json.Marshal(cfg)
 	if err != nil {
 		s.t.Fatal(err)
@@ -192,7 +207,7 @@
 	if err := os.WriteFile(file, b, 0o600); err != nil {
 		s.t.Fatal(err)
 	}
-	v := &vm{id: id, caller: ports[0], admin: ports[2], cmd: exec.Command(s.program, "--settings", file)}
+	v := &vm{id: id, caller: caller, admin: admin, cmd: exec.Command(s.program, "--settings", file)}
 	v.cmd.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL}
 	if err := v.cmd.Start(); err != nil {
 		s.t.Fatal(err)
@@ -204,23 +219,13 @@
 	s.vms = append(s.vms, v)
 }
 
-// freeAddresses returns loopback addresses on which nothing listens.
-func freeAddresses(t *testing.T, n int) []string {
-	t.Helper()
-	var list []string
-	var open []net.Listener
-	for range n {
-		l, err := net.Listen("tcp", "127.0.0.1:0")
-		if err != nil {
-			t.Fatal(err)
-		}
-		open = append(open, l)
-		list = append(list, l.Addr().String())
-	}
-	for _, l := range open {
-		_ = l.Close()
-	}
-	return list
+func at(host netip.Addr, port uint16) string { return netip.AddrPortFrom(host, port).String() }
+
+// nextHost returns an IP number for a VM. Each VM has its own, and the ports are below
+// those of outgoing connections, so that no other connection takes a port before the VM listens.
+func (s *system) nextHost() netip.Addr {
+	s.lastHost++
+	return netip.AddrFrom4([4]byte{127, s.prefix[0], s.prefix[1], s.lastHost})
 }
 
 func (s *system) awaitReady(v *vm) {
