--- a/internal/group/supervisor/bench_test.go
+++ b/internal/group/supervisor/bench_test.go
@@ -5,6 +5,7 @@
 	"errors"
 	"fmt"
 	"runtime"
+	"sync"
 	"testing"
 	"time"
 
@@ -51,13 +52,28 @@
 	return connector.Status{}, errors.New("unreachable")
 }
 
-type fixedSheet struct {
+// sheets holds the sheet in force and tells no one of changes.
+type sheets struct {
+	mu      sync.Mutex
+	version uint64
 	sheet   parser.Sheet
-	changed chan struct{}
+	changed chan struct{} // never closed
 }
 
-func (f fixedSheet) Current() (uint64, parser.Sheet, bool) { return 1, f.sheet, true }
-func (f fixedSheet) Changed() <-chan struct{}              { return f.changed }
+func (s *sheets) set(sheet parser.Sheet) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.version++
+	s.sheet = sheet
+}
+
+func (s *sheets) Current() (uint64, parser.Sheet, bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.version, s.sheet, true
+}
+
+func (s *sheets) Changed() <-chan struct{} { return s.changed }
 
 func targetSheet() parser.Sheet {
 	v := parser.Service{Name: "plume-ledger"}
@@ -75,7 +91,7 @@
 }
 
 // atTarget returns a supervisor of the target's size that refreshes by hand only, and its tracker.
-func atTarget(b *testing.B) (*Supervisor, *tracker.Tracker) {
+func atTarget(b testing.TB) (*Supervisor, *tracker.Tracker) {
 	b.Helper()
 	self := tracker.Member{ID: vmName(0), Address: "10.0.0.0:7000", DataCentre: centreName(0)}
 	t := tracker.New(tracker.Config{Self: self, List: targetList{}, Dial: func(string) tracker.Exchanger { return silent{} }})
@@ -84,7 +100,7 @@
 		time.Sleep(time.Millisecond)
 	}
 	s, err := New(Config{
-		Self: self, Sheets: fixedSheet{sheet: targetSheet(), changed: make(chan struct{})}, Rank: t.Ranked,
+		Self: self, Sheets: &sheets{version: 1, sheet: targetSheet(), changed: make(chan struct{})}, Rank: t.Ranked,
 		Dial: func(parser.Instance) connector.Instance { return unreachable{} },
 	})
 	if err != nil {
