Rank only the own data centre on a gateway, and read views without exclusive locks

A gateway runs a unit itself whatever the rest of the plan says, so one ranking is enough where the plan made one for each data centre. The tracker's view is an atomic pointer, and its rankings and the sheet are under read locks.

--- a/internal/member/tracker/exchange.go
+++ b/internal/member/tracker/exchange.go
@@ -188,7 +188,7 @@
 // all returns self and every known VM.
 func (t *Tracker) all() []*messenger.VM {
 	list := []*messenger.VM{encode(t.self, t.self.State, 0)}
-	for _, m := range t.view.members {
+	for _, m := range t.current().members {
 		if m.ID != t.self.ID {
 			// The age keeps the entry from counting as a fresh observation.
 			list = append(list, encode(m, m.State, relayWindow+time.Second))
--- a/internal/member/tracker/tracker.go
+++ b/internal/member/tracker/tracker.go
@@ -8,6 +8,7 @@
 	"slices"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"parsleyscale/internal/peer/messenger"
@@ -51,12 +52,12 @@
 
 	mu          sync.Mutex
 	self        Member
-	vms         map[string]*entry // others than self
-	listVersion uint64            // 0 before the first list
-	wholeAt     time.Time         // when all VMs were last asked for
-	dirty       bool              // the belief has changed since the view was made
-	contested   map[string]*entry // VMs to report, and some that need not be any more
-	view        *view
+	vms         map[string]*entry    // others than self
+	listVersion uint64               // 0 before the first list
+	wholeAt     time.Time            // when all VMs were last asked for
+	dirty       bool                 // the belief has changed since the view was made
+	contested   map[string]*entry    // VMs to report, and some that need not be any more
+	view        atomic.Pointer[view] // replaced with mu held
 	changed     chan struct{}
 }
 
@@ -70,7 +71,7 @@
 type view struct {
 	members []Member // by identity, self included
 
-	mu            sync.Mutex // of what is derived at the first need
+	mu            sync.RWMutex // of what is derived at the first need
 	ranked        map[[2]string][]Member
 	selected      bool // local and remote hold the peers
 	local, remote []Member
@@ -78,7 +79,8 @@
 
 // New returns a running tracker.
 func New(cfg Config) *Tracker {
-	t := &Tracker{cfg: cfg, self: cfg.Self, vms: map[string]*entry{}, contested: map[string]*entry{}, view: &view{}, changed: make(chan struct{})}
+	t := &Tracker{cfg: cfg, self: cfg.Self, vms: map[string]*entry{}, contested: map[string]*entry{}, changed: make(chan struct{})}
+	t.view.Store(&view{})
 	t.self.State = Live
 	t.ctx, t.cancel = context.WithCancel(context.Background())
 	t.refresh(time.Now())
@@ -126,19 +128,19 @@
 	return t.current().rank(database, dataCentre)
 }
 
-func (t *Tracker) current() *view {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	return t.view
-}
+// current takes no lock, because each unit of work asks for the gateways.
+func (t *Tracker) current() *view { return t.view.Load() }
 
 func (v *view) rank(name, dataCentre string) []Member {
-	v.mu.Lock()
-	defer v.mu.Unlock()
 	key := [2]string{name, dataCentre}
-	if r, ok := v.ranked[key]; ok {
+	v.mu.RLock()
+	r, ok := v.ranked[key]
+	v.mu.RUnlock()
+	if ok {
 		return r
 	}
+	v.mu.Lock()
+	defer v.mu.Unlock()
 	var live []Member
 	for _, m := range v.members {
 		if m.State == Live && m.DataCentre == dataCentre {
@@ -221,8 +223,8 @@
 		}
 	}
 	slices.SortFunc(members, func(a, b Member) int { return strings.Compare(a.ID, b.ID) })
-	if !slices.Equal(members, t.view.members) {
-		t.view = &view{members: members}
+	if !slices.Equal(members, t.current().members) {
+		t.view.Store(&view{members: members})
 		close(t.changed)
 		t.changed = make(chan struct{})
 	}
--- a/internal/request/dispatcher/dispatcher.go
+++ b/internal/request/dispatcher/dispatcher.go
@@ -45,6 +45,9 @@
 		return d.runLocal(ctx, r, s)
 	}
 	self := place{id: d.cfg.ID, dataCentre: d.cfg.DataCentre, region: d.cfg.Region}
+	if isGateway(self, db, d.cfg.Rank) {
+		return d.runLocal(ctx, r, s)
+	}
 	targets := plan(self, sheet, db, d.cfg.Rank, r.Session+r.ID)
 	if targets[0].ID == d.cfg.ID {
 		return d.runLocal(ctx, r, s)
--- a/internal/request/dispatcher/dispatcher_test.go
+++ b/internal/request/dispatcher/dispatcher_test.go
@@ -156,3 +156,27 @@
 		})
 	}
 }
+
+// TestGatewayRanksOnce guards against a gateway that ranks the VMs of every
+// data centre for each unit, or runs the unit elsewhere.
+func TestGatewayRanksOnce(t *testing.T) {
+	var seen, ranked []string
+	d := New(Config{
+		ID: "palencia2", DataCentre: "palencia", Region: "castilla",
+		Sheet: func() (uint64, parser.Sheet, bool) { return 1, sheet, true },
+		Rank: func(database, dataCentre string) []tracker.Member {
+			ranked = append(ranked, dataCentre)
+			return ranking(map[string]int{"burgos": 3, "palencia": 3})(database, dataCentre)
+		},
+		Local: func(string) (exchanger.Runner, error) { return hop{name: "local", seen: &seen}, nil },
+	})
+	if _, err := d.Run(t.Context(), exchanger.Request{Database: "orders", Class: exchanger.Read}, &oneQuery{}); err != nil {
+		t.Fatal(err)
+	}
+	if diff := cmp.Diff([]string{"local"}, seen); diff != "" {
+		t.Error(diff)
+	}
+	if diff := cmp.Diff([]string{"palencia"}, ranked); diff != "" {
+		t.Error(diff)
+	}
+}
--- a/internal/request/dispatcher/plan.go
+++ b/internal/request/dispatcher/plan.go
@@ -43,6 +43,13 @@
 	region     string
 }
 
+// isGateway reports whether a VM is a gateway of a database in its own data
+// centre. It needs one ranking, while a plan needs one for each data centre.
+func isGateway(self place, db parser.Database, rank Ranking) bool {
+	hasInstance := slices.ContainsFunc(db.Instances, func(i parser.Instance) bool { return i.DataCentre == self.dataCentre })
+	return hasInstance && indexOf(Gateways(rank, db.Name, self.dataCentre), self.id) >= 0
+}
+
 // plan returns the VMs to try in order. A VM that is a gateway itself comes
 // first. It also comes last when it is none: with no gateway in reach, a direct connection is
 // better than a refusal.
--- a/internal/sheet/distributor/state.go
+++ b/internal/sheet/distributor/state.go
@@ -15,7 +15,7 @@
 
 // state is the sheet in force with the differences that led to it. Its version only rises.
 type state struct {
-	mu      sync.Mutex
+	mu      sync.RWMutex // each unit of work reads the sheet
 	version uint64
 	sheet   parser.Sheet
 	changed chan struct{}
@@ -25,8 +25,8 @@
 }
 
 func (s *state) current() (uint64, parser.Sheet, <-chan struct{}) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
+	s.mu.RLock()
+	defer s.mu.RUnlock()
 	return s.version, s.sheet, s.changed
 }
 
