--- a/internal/telemetry/meter/meter.go
+++ b/internal/telemetry/meter/meter.go
@@ -4,6 +4,7 @@
 import (
 	"context"
 	"net/http"
+	"sync"
 	"time"
 
 	"github.com/prometheus/client_golang/prometheus"
@@ -25,6 +26,31 @@
 	callers   metric.Int64UpDownCounter
 	running   metric.Int64UpDownCounter
 	primaries metric.Int64Counter
+
+	served sync.Map // of unitKey to unitOptions
+}
+
+// unitKey holds the attributes of an answered unit.
+type unitKey struct{ database, role, reason string }
+
+// unitOptions holds the attribute sets of a unitKey as the instruments take them.
+type unitOptions struct {
+	units   []metric.AddOption
+	seconds []metric.RecordOption
+}
+
+// options returns the attribute sets of a unit. They are built once, because
+// building them takes longer than counting the unit.
+func (m *Meter) options(k unitKey) unitOptions {
+	if o, ok := m.served.Load(k); ok {
+		return o.(unitOptions)
+	}
+	o := unitOptions{
+		units:   []metric.AddOption{metric.WithAttributeSet(attribute.NewSet(attribute.String("database", k.database), attribute.String("role", k.role), attribute.String("reason", k.reason)))},
+		seconds: []metric.RecordOption{metric.WithAttributeSet(attribute.NewSet(attribute.String("role", k.role)))},
+	}
+	m.served.Store(k, o)
+	return o
 }
 
 // New returns a meter with a registry of its own, so that several VMs can live in one process.
@@ -69,8 +95,9 @@
 // Unit counts an answered unit of work.
 func (m *Meter) Unit(database, role, reason string, d time.Duration) {
 	ctx := context.Background()
-	m.units.Add(ctx, 1, metric.WithAttributes(attribute.String("database", database), attribute.String("role", role), attribute.String("reason", reason)))
-	m.seconds.Record(ctx, d.Seconds(), metric.WithAttributes(attribute.String("role", role)))
+	o := m.options(unitKey{database, role, reason})
+	m.units.Add(ctx, 1, o.units...)
+	m.seconds.Record(ctx, d.Seconds(), o.seconds...)
 }
 
 // Failure counts a unit of work that ended with an error of the proxy.
