--- a/internal/group/promoter/decide.go
+++ b/internal/group/promoter/decide.go
@@ -49,7 +49,7 @@
 		return askAgain(e, InstanceUnknown)
 	}
 	for _, o := range e.Peers {
-		if o.seesPrimary(e.View) {
+		if o.seesPrimary(e.View) && !isSevered(e) {
 			return askAgain(e, PeerSeesPrimary)
 		}
 	}
@@ -59,6 +59,24 @@
 	return Action{Kind: Failover, Reason: PrimaryLost}
 }
 
+// isSevered reports whether a majority of replicas answers this gateway and has
+// lost its upstream for as long as an entry may be without a majority. The
+// primary, which this gateway does not reach, then confirms nothing, also for
+// the peers that still reach it.
+func isSevered(e Evidence) bool {
+	if e.LostAt.IsZero() || e.Now.Sub(e.LostAt) < stallLimit {
+		return false
+	}
+	n := 0
+	for k := range e.View.Instances {
+		i := &e.View.Instances[k]
+		if sampler.IsVoter(i.Instance) && i.Reachable && i.Status.Role == connector.RoleReplica && !i.Status.Connected {
+			n++
+		}
+	}
+	return n >= sampler.Majority(e.View.Voters())
+}
+
 // isUnobserved reports whether the peers were not asked since the primary was
 // suspected. They are asked early, because that makes them probe it, too.
 func isUnobserved(e Evidence) bool {
--- a/internal/member/tracker/tracker.go
+++ b/internal/member/tracker/tracker.go
@@ -8,6 +8,7 @@
 	"slices"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"parsleyscale/internal/peer/messenger"
@@ -51,12 +52,12 @@
 
 	mu          sync.Mutex
 	self        Member
-	vms         map[string]*entry // others than self
-	listVersion uint64            // 0 before the first list
-	wholeAt     time.Time         // when all VMs were last asked for
-	dirty       bool              // the belief has changed since the view was made
-	contested   map[string]*entry // VMs to report, and some that need not be any more
-	view        *view
+	vms         map[string]*entry    // others than self
+	listVersion uint64               // 0 before the first list
+	wholeAt     time.Time            // when all VMs were last asked for
+	dirty       bool                 // the belief has changed since the view was made
+	contested   map[string]*entry    // VMs to report, and some that need not be any more
+	view        atomic.Pointer[view] // replaced with mu held
 	changed     chan struct{}
 }
 
@@ -78,7 +79,8 @@
 
 // New returns a running tracker.
 func New(cfg Config) *Tracker {
-	t := &Tracker{cfg: cfg, self: cfg.Self, vms: map[string]*entry{}, contested: map[string]*entry{}, view: &view{}, changed: make(chan struct{})}
+	t := &Tracker{cfg: cfg, self: cfg.Self, vms: map[string]*entry{}, contested: map[string]*entry{}, changed: make(chan struct{})}
+	t.view.Store(&view{})
 	t.self.State = Live
 	t.ctx, t.cancel = context.WithCancel(context.Background())
 	t.refresh(time.Now())
@@ -130,11 +132,8 @@
 	return c.rank(database)
 }
 
-func (t *Tracker) current() *view {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	return t.view
-}
+// current takes no lock, because each unit of work asks for the gateways.
+func (t *Tracker) current() *view { return t.view.Load() }
 
 // Report notes a direct observation: a good call to a VM, or a failed one. A
 // call that the caller canceled is no observation.
@@ -205,8 +204,8 @@
 		}
 	}
 	slices.SortFunc(members, func(a, b Member) int { return strings.Compare(a.ID, b.ID) })
-	if !slices.Equal(members, t.view.members) {
-		t.view = &view{members: members, centres: centresOf(members, t.view.centres)}
+	if old := t.view.Load(); !slices.Equal(members, old.members) {
+		t.view.Store(&view{members: members, centres: centresOf(members, old.centres)})
 		close(t.changed)
 		t.changed = make(chan struct{})
 	}
