Wait for the next primary before a read is refused; index the sheet; let a fence take 900 ms

A fence over new connections takes three round trips.

A unit of work searched the sheet up to three times, 17 µs each at 8,300 databases. The sheet in force now has an index.

--- a/internal/group/promoter/failover.go
+++ b/internal/group/promoter/failover.go
@@ -14,8 +14,8 @@
 )
 
 const (
-	fenceTimeout   = 300 * time.Millisecond
-	fenceGrace     = 50 * time.Millisecond // for instances that answered the sampler but not yet Fence, after a majority did
+	fenceTimeout   = 900 * time.Millisecond // three round trips on a new connection between far regions
+	fenceGrace     = 50 * time.Millisecond  // for instances that answered the sampler but not yet Fence, after a majority did
 	promoteTimeout = 400 * time.Millisecond
 	checkTimeout   = 700 * time.Millisecond // for a round that shows a promotion whose answer was lost
 	followTimeout  = 400 * time.Millisecond
--- a/internal/request/router/decide.go
+++ b/internal/request/router/decide.go
@@ -113,9 +113,12 @@
 // a leaving one, which takes the writes until it is replaced.
 func decidePrimary(v *sampler.View, q *Query) Decision {
 	p := primary(v)
-	if p == nil || !p.Reachable || slices.Contains(q.Exclude, v.Primary) {
+	if p != nil && slices.Contains(q.Exclude, v.Primary) {
 		return refuse(v, q)
 	}
+	if p == nil || !p.Reachable {
+		return awaitPrimary(v, q)
+	}
 	if !isProven(v, q) || !p.Status.Applied.Covers(q.Floor) {
 		if left := RoundWait - q.Now.Sub(q.Arrived); left > 0 {
 			return Decision{Reason: WaitRound, Wait: left}
@@ -129,6 +132,15 @@
 	return Decision{Instance: v.Primary, Role: connector.RolePrimary, Reason: reason}
 }
 
+// awaitPrimary waits for the next primary, or for a replica that becomes fresh
+// through it, before it refuses: most failovers end sooner than a caller could repeat its read.
+func awaitPrimary(v *sampler.View, q *Query) Decision {
+	if left := PrimaryWait - q.Now.Sub(q.Arrived); left > 0 && len(q.Exclude) == 0 {
+		return Decision{Reason: WaitPrimary, Wait: left}
+	}
+	return refuse(v, q)
+}
+
 func primary(v *sampler.View) *sampler.InstanceView {
 	for k := range v.Instances {
 		if v.Primary != "" && v.Instances[k].Instance.Name == v.Primary {
--- a/internal/request/router/reason.go
+++ b/internal/request/router/reason.go
@@ -13,6 +13,7 @@
 	PrimaryAfterWait  Reason = "primaryAfterWait"
 	WaitReplica       Reason = "waitReplica"
 	WaitRound         Reason = "waitRound"
+	WaitPrimary       Reason = "waitPrimary"
 	NoPrimary         Reason = "noPrimary"
 	TooStale          Reason = "tooStale"
 	NoInstance        Reason = "noInstance"
@@ -34,6 +35,7 @@
 	{PrimaryAfterWait, "no replica qualified within the wait"},
 	{WaitReplica, "a replica is expected to qualify soon"},
 	{WaitRound, "the primary may serve the read after the next confirmed round"},
+	{WaitPrimary, "no primary is confirmed, and one may be soon"},
 	{NoPrimary, "no confirmed round shows a primary"},
 	{TooStale, "no instance is provably fresh enough"},
 	{NoInstance, "no instance may serve the read"},
--- a/internal/request/router/types.go
+++ b/internal/request/router/types.go
@@ -16,6 +16,9 @@
 // silent connection and another on a new one.
 const RoundWait = 600 * time.Millisecond
 
+// PrimaryWait bounds the wait of a read for a primary that is being replaced.
+const PrimaryWait = 2 * time.Second
+
 // Query is what a decision depends on besides the view.
 type Query struct {
 	Class        exchanger.Class
--- a/internal/sheet/distributor/state.go
+++ b/internal/sheet/distributor/state.go
@@ -60,7 +60,7 @@
 }
 
 func (s *state) set(version uint64, sheet parser.Sheet) {
-	s.version, s.sheet, s.whole = version, sheet, nil
+	s.version, s.sheet, s.whole = version, sheet.Indexed(), nil
 	close(s.changed)
 	s.changed = make(chan struct{})
 }
--- a/internal/sheet/parser/sheet.go
+++ b/internal/sheet/parser/sheet.go
@@ -45,6 +45,14 @@
 	Deployment string    `json:"deployment"`
 	Regions    []Region  `json:"regions"`
 	Services   []Service `json:"services"`
+
+	// Index holds the place of each database by name; see Indexed.
+	Index map[string]Place `json:"-"`
+}
+
+// Place is where a database stands in a sheet.
+type Place struct {
+	Service, Database int
 }
 
 // Region is a set of data centres joined by fast links.
@@ -83,8 +91,25 @@
 	State       State  `json:"state"`
 }
 
-// Database returns a database and its service by the database's name.
+// Indexed returns the sheet with an index. A VM looks a database up for each
+// unit of work, and a search through 8,300 databases takes 17 µs.
+func (s Sheet) Indexed() Sheet {
+	s.Index = map[string]Place{}
+	for n, v := range s.Services {
+		for k, d := range v.Databases {
+			s.Index[d.Name] = Place{Service: n, Database: k}
+		}
+	}
+	return s
+}
+
+// Database returns a database and its service by the database's name. An index
+// from before a change of the sheet is only a hint.
 func (s Sheet) Database(name string) (Database, Service, bool) {
+	if p, ok := s.Index[name]; ok && p.isOf(s, name) {
+		v := s.Services[p.Service]
+		return v.Databases[p.Database], v, true
+	}
 	for _, v := range s.Services {
 		for _, d := range v.Databases {
 			if d.Name == name {
@@ -95,6 +120,11 @@
 	return Database{}, Service{}, false
 }
 
+func (p Place) isOf(s Sheet, name string) bool {
+	return p.Service < len(s.Services) && p.Database < len(s.Services[p.Service].Databases) &&
+		s.Services[p.Service].Databases[p.Database].Name == name
+}
+
 // RegionOf returns the region of a data centre, or "" for an unknown one.
 func (s Sheet) RegionOf(dataCentre string) string {
 	for _, r := range s.Regions {
