--- a/internal/group/emulator/replicate.go
+++ b/internal/group/emulator/replicate.go
@@ -21,6 +21,8 @@
 	// pullReadTimeout bounds each read of a replica. It leaves 120 ms beyond
 	// pullWait for the network, and a silent connection is replaced within about 300 ms.
 	pullReadTimeout = 220 * time.Millisecond
+	// upstreamDialTimeout covers the three round trips until a pull can start, also between far regions.
+	upstreamDialTimeout = time.Second
 	// pullRetry is the mean pause before a reconnection.
 	pullRetry = 50 * time.Millisecond
 	// maxQueuedBatches bounds the batches that wait for their receive delay.
@@ -234,7 +236,7 @@
 
 // dialUpstream opens a control connection whose every read and write has a deadline of its own.
 func dialUpstream(ctx context.Context, address string, dial dialer.Func) (*connector.ControlConn, error) {
-	ctx, cancel := context.WithTimeout(ctx, pullReadTimeout)
+	ctx, cancel := context.WithTimeout(ctx, upstreamDialTimeout)
 	defer cancel()
 	return connector.OpenControl(ctx, address, func(ctx context.Context, network, address string) (net.Conn, error) {
 		c, err := dial(ctx, network, address)
