Free the locks of a silent keyed write before it is repeated

A keyed write on a silent connection is repeated after 1 s; the first attempt's transaction ended by its local idle timeout of 1 s at about the same moment or later, so that the repeat waited for its lock. The timeout is now 0.5 s.

--- a/internal/request/executor/ambiguous.go
+++ b/internal/request/executor/ambiguous.go
@@ -9,6 +9,7 @@
 
 	"github.com/jackc/pgx/v5/pgproto3"
 
+	"parsleyscale/internal/clock/sleeper"
 	"parsleyscale/internal/failure/classifier"
 )
 
@@ -154,7 +155,7 @@
 		}
 		u.fail(ctx, err)
 		u.attempt++
-		pause(ctx, settlePause)
+		sleeper.Sleep(ctx, settlePause)
 	}
 	return unknownOutcome(cause)
 }
--- a/internal/request/executor/keytable.go
+++ b/internal/request/executor/keytable.go
@@ -24,8 +24,9 @@
 	sqlInsert      = `INSERT INTO parsleyscale_requests (key, fingerprint, createdMs, state, answer) VALUES ('%s', '%s', %d, '%s', '') ON CONFLICT (key) DO NOTHING`
 	sqlUpdate      = `UPDATE parsleyscale_requests SET answer = '%s' WHERE key = '%s'`
 	// sqlIdle ends the transaction of a keyed write whose gateway or connection is
-	// silent between its two round trips. Until then the instance keeps the locks of the write.
-	sqlIdle   = `SET LOCAL idle_in_transaction_session_timeout = 1000`
+	// silent between its two round trips. Until then the instance keeps the locks of the write,
+	// which must be free when the gateway repeats it after DefaultSilence.
+	sqlIdle   = `SET LOCAL idle_in_transaction_session_timeout = 500`
 	sqlTouch  = `UPDATE parsleyscale_requests SET state = state WHERE key = '%s'`
 	sqlSelect = `SELECT state, fingerprint, answer FROM parsleyscale_requests WHERE key = '%s'`
 	sqlSweep  = `DELETE FROM parsleyscale_requests WHERE key IN (SELECT key FROM parsleyscale_requests WHERE createdMs < %d LIMIT %d)`
--- a/internal/request/executor/route.go
+++ b/internal/request/executor/route.go
@@ -4,6 +4,7 @@
 	"context"
 	"time"
 
+	"parsleyscale/internal/clock/sleeper"
 	"parsleyscale/internal/failure/classifier"
 	"parsleyscale/internal/group/connector"
 	"parsleyscale/internal/group/sampler"
@@ -96,7 +97,7 @@
 		if err == nil && !v.ConfirmedAt.Before(u.arrived) {
 			return v, nil
 		}
-		if !pause(ctx, viewSpacing) {
+		if !sleeper.Sleep(ctx, viewSpacing) {
 			return v, classifier.Wrap(classifier.StaleBound, ctx.Err(), "no confirmed round since the read arrived")
 		}
 	}
@@ -271,7 +272,7 @@
 	start := time.Now()
 	_, err := s.Next(round)
 	if d := viewSpacing - time.Since(start); d > 0 || err != nil && round.Err() == nil {
-		pause(ctx, max(d, viewSpacing))
+		sleeper.Sleep(ctx, max(d, viewSpacing))
 	}
 	return s.View()
 }
--- a/internal/request/executor/sweep.go
+++ b/internal/request/executor/sweep.go
@@ -6,6 +6,7 @@
 	"sync"
 	"time"
 
+	"parsleyscale/internal/clock/sleeper"
 	"parsleyscale/internal/request/admitter"
 	"parsleyscale/internal/request/exchanger"
 )
@@ -75,7 +76,7 @@
 		}
 		u.putBack()
 		u.end()
-		if replies[0].tag != fmt.Sprintf("DELETE %d", sweepRows) || !pause(ctx, sweepPause) {
+		if replies[0].tag != fmt.Sprintf("DELETE %d", sweepRows) || !sleeper.Sleep(ctx, sweepPause) {
 			return
 		}
 	}
--- a/internal/request/executor/unit.go
+++ b/internal/request/executor/unit.go
@@ -8,6 +8,7 @@
 	"github.com/jackc/pgx/v5/pgproto3"
 
 	"parsleyscale/internal/backend/pooler"
+	"parsleyscale/internal/clock/sleeper"
 	"parsleyscale/internal/failure/classifier"
 	"parsleyscale/internal/group/sampler"
 	"parsleyscale/internal/request/admitter"
@@ -194,7 +195,7 @@
 func (u *unit) retryWrite(ctx context.Context, err error) bool {
 	u.attempt++
 	for !u.spend() {
-		if !pause(ctx, retryPause) {
+		if !sleeper.Sleep(ctx, retryPause) {
 			return false
 		}
 	}
@@ -205,18 +206,6 @@
 	return ctx.Err() == nil
 }
 
-// pause waits and reports whether the context still runs.
-func pause(ctx context.Context, d time.Duration) bool {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-t.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
-}
-
 // deliver sends the kept answer and ReadyForQuery to the caller.
 func (u *unit) deliver() error {
 	err := u.a.pass(u.s)
