Use one sleep and one duration type

Five packages had a sleep of their own, and settings and sheet each a duration type with the same decoder.

--- /dev/null
+++ b/internal/clock/sleeper/sleeper.go
@@ -0,0 +1,28 @@
+// Package sleeper waits for a time or the end of a context, whichever comes first.
+package sleeper
+
+import (
+	"context"
+	"time"
+)
+
+// Sleep waits for d. It returns false when ctx ends first.
+func Sleep(ctx context.Context, d time.Duration) bool {
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-t.C:
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
+
+// Until waits until t. It returns false when ctx ends first.
+func Until(ctx context.Context, t time.Time) bool {
+	d := time.Until(t)
+	if d <= 0 {
+		return ctx.Err() == nil
+	}
+	return Sleep(ctx, d)
+}
--- a/internal/config/loader/settings.go
+++ b/internal/config/loader/settings.go
@@ -1,33 +1,13 @@
 package loader
 
 import (
-	"encoding/json"
-	"fmt"
 	"time"
-)
-
-// Duration is a time.Duration written as text, such as "300ms".
-type Duration time.Duration
 
-// Std returns the value as a time.Duration.
-func (d Duration) Std() time.Duration { return time.Duration(d) }
-
-// MarshalJSON writes the text form.
-func (d Duration) MarshalJSON() ([]byte, error) { return json.Marshal(d.Std().String()) }
+	"parsleyscale/internal/wire/decoder"
+)
 
-// UnmarshalJSON reads the text form.
-func (d *Duration) UnmarshalJSON(b []byte) error {
-	var s string
-	if err := json.Unmarshal(b, &s); err != nil {
-		return fmt.Errorf("duration %s is not a text such as \"300ms\"", b)
-	}
-	v, err := time.ParseDuration(s)
-	if err != nil {
-		return fmt.Errorf("duration %q: %w", s, err)
-	}
-	*d = Duration(v)
-	return nil
-}
+// Duration is a time.Duration written as text, such as "2s".
+type Duration = decoder.Duration
 
 // Settings are the settings of one entry VM. The doc tags make the reference page.
 type Settings struct {
--- a/internal/fault/relayer/link.go
+++ b/internal/fault/relayer/link.go
@@ -5,6 +5,8 @@
 	"sync"
 	"sync/atomic"
 	"time"
+
+	"parsleyscale/internal/clock/sleeper"
 )
 
 // link holds the faults of one direction between two data centres, or of one host.
@@ -90,7 +92,7 @@
 
 // carry waits until n bytes that were read at a time have crossed the path.
 func (p *path) carry(ctx context.Context, n int, read time.Time) bool {
-	if !sleepUntil(ctx, read.Add(p.oneWay())) || !p.wait(ctx) {
+	if !sleeper.Until(ctx, read.Add(p.oneWay())) || !p.wait(ctx) {
 		return false
 	}
 	if p.isRegion {
@@ -98,18 +100,3 @@
 	}
 	return p.pipe == nil || p.pipe.WaitN(ctx, n) == nil
 }
-
-func sleepUntil(ctx context.Context, t time.Time) bool {
-	d := time.Until(t)
-	if d <= 0 {
-		return ctx.Err() == nil
-	}
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
-}
--- a/internal/fault/relayer/relay.go
+++ b/internal/fault/relayer/relay.go
@@ -6,6 +6,8 @@
 	"net/netip"
 	"sync"
 	"time"
+
+	"parsleyscale/internal/clock/sleeper"
 )
 
 const (
@@ -67,7 +69,7 @@
 	there := r.n.pathOf(addrOf(c.RemoteAddr()), r.host)
 	back := r.n.pathOf(r.host, addrOf(c.RemoteAddr()))
 	opened := there.epoch() + back.epoch()
-	if !sleepUntil(ctx, time.Now().Add(there.oneWay()+back.oneWay())) || !there.wait(ctx) || !back.wait(ctx) {
+	if !sleeper.Until(ctx, time.Now().Add(there.oneWay()+back.oneWay())) || !there.wait(ctx) || !back.wait(ctx) {
 		return
 	}
 	d := net.Dialer{Timeout: dialTimeout}
--- a/internal/group/emulator/apply.go
+++ b/internal/group/emulator/apply.go
@@ -4,6 +4,7 @@
 	"context"
 	"time"
 
+	"parsleyscale/internal/clock/sleeper"
 	"parsleyscale/internal/group/connector"
 	"parsleyscale/internal/session/tokenizer"
 	"parsleyscale/internal/telemetry/logger"
@@ -22,7 +23,7 @@
 		if wait == 0 {
 			if err := g.applyDue(ctx); err != nil && ctx.Err() == nil {
 				g.events.Warn(logger.ApplyFailed, logger.Err(err))
-				sleep(ctx, applyRetry)
+				sleeper.Sleep(ctx, applyRetry)
 			}
 			continue
 		}
@@ -56,18 +57,6 @@
 	}
 }
 
-func sleep(ctx context.Context, d time.Duration) {
-	if d <= 0 {
-		return
-	}
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-t.C:
-	case <-ctx.Done():
-	}
-}
-
 // applyDue applies one batch of due entries.
 func (g *group) applyDue(ctx context.Context) error {
 	g.applying.Lock()
--- a/internal/group/emulator/replicate.go
+++ b/internal/group/emulator/replicate.go
@@ -11,6 +11,7 @@
 	"sync/atomic"
 	"time"
 
+	"parsleyscale/internal/clock/sleeper"
 	"parsleyscale/internal/group/connector"
 	"parsleyscale/internal/network/dialer"
 	"parsleyscale/internal/session/tokenizer"
@@ -113,7 +114,7 @@
 			return
 		}
 		r.g.events.Info(logger.PullFailed, logger.String("upstream", r.upstream), logger.Err(err))
-		sleep(ctx, pullRetry/2+rand.N(pullRetry))
+		sleeper.Sleep(ctx, pullRetry/2+rand.N(pullRetry))
 	}
 }
 
@@ -196,7 +197,7 @@
 		case <-ctx.Done():
 			return
 		}
-		sleep(ctx, time.Until(b.due))
+		sleeper.Sleep(ctx, time.Until(b.due))
 		if ctx.Err() != nil {
 			return
 		}
--- a/internal/group/emulator/server.go
+++ b/internal/group/emulator/server.go
@@ -9,6 +9,7 @@
 	"sync/atomic"
 	"time"
 
+	"parsleyscale/internal/clock/sleeper"
 	"parsleyscale/internal/group/connector"
 )
 
@@ -135,7 +136,7 @@
 			if s.ctx.Err() != nil {
 				return
 			}
-			sleep(s.ctx, 10*time.Millisecond) // out of file descriptors
+			sleeper.Sleep(s.ctx, 10*time.Millisecond) // out of file descriptors
 			continue
 		}
 		if !s.track(c) {
--- a/internal/group/emulator/session.go
+++ b/internal/group/emulator/session.go
@@ -14,6 +14,7 @@
 
 	"github.com/jackc/pgx/v5/pgproto3"
 
+	"parsleyscale/internal/clock/sleeper"
 	"parsleyscale/internal/group/connector"
 )
 
@@ -134,7 +135,7 @@
 		return false, err
 	}
 	if !x.control {
-		sleep(x.server.ctx, time.Duration(x.server.openDelay.Load()))
+		sleeper.Sleep(x.server.ctx, time.Duration(x.server.openDelay.Load()))
 	}
 	x.backend.Send(&pgproto3.AuthenticationOk{})
 	for _, p := range startupParameters {
--- a/internal/group/supervisor/watcher.go
+++ b/internal/group/supervisor/watcher.go
@@ -5,6 +5,7 @@
 	"sync"
 	"time"
 
+	"parsleyscale/internal/clock/sleeper"
 	"parsleyscale/internal/member/tracker"
 	"parsleyscale/internal/peer/messenger"
 	"parsleyscale/internal/session/recorder"
@@ -42,7 +43,7 @@
 // run keeps one long poll at each other gateway while the records are wanted.
 func (w *watcher) run() {
 	polls := map[string]context.CancelFunc{}
-	for sleep(w.ctx, watchCheck) {
+	for sleeper.Sleep(w.ctx, watchCheck) {
 		var gateways []tracker.Member
 		if w.writes.IsWanted() {
 			gateways = w.peers.others(w.database)
@@ -75,13 +76,13 @@
 		got, err := peer.WatchWrites(call, r)
 		cancel()
 		if err != nil {
-			sleep(ctx, watchRetry)
+			sleeper.Sleep(ctx, watchRetry)
 			continue
 		}
 		r.Epoch, r.After = got.GetEpoch(), got.GetNext()
 		w.writes.Merge(got.GetTerm(), writesOf(got))
 		if got.GetEpoch() == 0 { // the peer is no gateway yet
-			sleep(ctx, watchRetry)
+			sleeper.Sleep(ctx, watchRetry)
 		}
 	}
 }
@@ -111,15 +112,3 @@
 	}
 	return a
 }
-
-// sleep waits for a time; it returns false when ctx ends first.
-func sleep(ctx context.Context, d time.Duration) bool {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-ctx.Done():
-		return false
-	case <-t.C:
-		return true
-	}
-}
--- a/internal/session/recorder/feed.go
+++ b/internal/session/recorder/feed.go
@@ -4,6 +4,8 @@
 	"context"
 	"math/rand/v2"
 	"time"
+
+	"parsleyscale/internal/clock/sleeper"
 )
 
 // batchTime is the least time between two answers to one gateway, so that a busy database costs few calls.
@@ -61,7 +63,7 @@
 			return b
 		case <-changed:
 		}
-		pause(ctx, batchTime)
+		sleeper.Sleep(ctx, batchTime)
 	}
 }
 
@@ -70,12 +72,3 @@
 	defer r.mu.Unlock()
 	return Batch{Epoch: r.own.epoch, Next: r.own.next, Term: r.term, Writes: r.own.since(epoch, after)}, r.changed
 }
-
-func pause(ctx context.Context, d time.Duration) {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-ctx.Done():
-	case <-t.C:
-	}
-}
--- a/internal/sheet/distributor/distributor.go
+++ b/internal/sheet/distributor/distributor.go
@@ -13,6 +13,7 @@
 	"github.com/cenkalti/backoff/v5"
 	"github.com/cespare/xxhash/v2"
 
+	"parsleyscale/internal/clock/sleeper"
 	"parsleyscale/internal/failure/classifier"
 	"parsleyscale/internal/member/tracker"
 	"parsleyscale/internal/peer/messenger"
@@ -138,7 +139,7 @@
 func (d *Distributor) run() {
 	defer close(d.done)
 	for d.ctx.Err() == nil {
-		sleep(d.ctx, d.step(d.ctx))
+		sleeper.Sleep(d.ctx, d.step(d.ctx))
 	}
 }
 
@@ -328,15 +329,3 @@
 func jitter(d time.Duration) time.Duration {
 	return time.Duration(float64(d) * (1 - jitterShare + 2*jitterShare*rand.Float64()))
 }
-
-func sleep(ctx context.Context, d time.Duration) {
-	if d <= 0 {
-		return
-	}
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-t.C:
-	case <-ctx.Done():
-	}
-}
--- a/internal/sheet/parser/sheet.go
+++ b/internal/sheet/parser/sheet.go
@@ -4,10 +4,9 @@
 package parser
 
 import (
-	"encoding/json"
-	"fmt"
 	"slices"
-	"time"
+
+	"parsleyscale/internal/wire/decoder"
 )
 
 // State is the planners' intent for an instance.
@@ -21,24 +20,7 @@
 )
 
 // Duration is a time.Duration written as text, such as "2s".
-type Duration time.Duration
-
-// MarshalJSON writes the text form.
-func (d Duration) MarshalJSON() ([]byte, error) { return json.Marshal(time.Duration(d).String()) }
-
-// UnmarshalJSON reads the text form.
-func (d *Duration) UnmarshalJSON(b []byte) error {
-	var s string
-	if err := json.Unmarshal(b, &s); err != nil {
-		return fmt.Errorf("duration %s is not a text", b)
-	}
-	v, err := time.ParseDuration(s)
-	if err != nil {
-		return fmt.Errorf("duration %q: %w", s, err)
-	}
-	*d = Duration(v)
-	return nil
-}
+type Duration = decoder.Duration
 
 // Sheet is one whole configuration.
 type Sheet struct {
