--- a/internal/daemon/runner/runner.go
+++ b/internal/daemon/runner/runner.go
@@ -5,6 +5,7 @@
 	"crypto/tls"
 	"errors"
 	"net/http"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -51,6 +52,10 @@
 	admin      *adminServer
 	observer   *gatherer.Gatherer
 
+	watchCtx context.Context
+	watchEnd context.CancelFunc
+	watches  sync.WaitGroup
+
 	isStopping atomic.Bool
 	served     chan error
 }
@@ -66,7 +71,7 @@
 }
 
 func (d *Daemon) start() error {
-	for _, step := range []func() error{d.startTelemetry, d.startPeerServer, d.startMembers, d.startGroups, d.startListener, d.startAdmin} {
+	for _, step := range []func() error{d.startTelemetry, d.startPeerServer, d.startMembers, d.startGroups, d.startListener, d.startAdmin, d.startWatch} {
 		if err := step(); err != nil {
 			return err
 		}
--- a/internal/daemon/runner/stop.go
+++ b/internal/daemon/runner/stop.go
@@ -35,6 +35,10 @@
 func (d *Daemon) Close() error {
 	d.isStopping.Store(true)
 	var errs []error
+	if d.watchEnd != nil {
+		d.watchEnd()
+		d.watches.Wait()
+	}
 	if d.listener != nil {
 		errs = append(errs, d.listener.Close())
 	}
--- a/internal/sheet/distributor/distributor.go
+++ b/internal/sheet/distributor/distributor.go
@@ -103,14 +103,20 @@
 	return c
 }
 
+// Fault returns why the latest question for the sheet to the store or to a peer
+// failed, nil when both were answered.
+func (d *Distributor) Fault() error {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return errors.Join(d.storeErr, d.peerErr)
+}
+
 // Ready returns nil once a sheet is in force, and otherwise why there is none.
 func (d *Distributor) Ready() error {
 	if _, _, ok := d.Current(); ok {
 		return nil
 	}
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	if err := errors.Join(d.storeErr, d.peerErr); err != nil {
+	if err := d.Fault(); err != nil {
 		return classifier.Wrap(classifier.NotReady, err, "no sheet yet")
 	}
 	return classifier.New(classifier.NotReady, "no sheet yet: the store and the peers are being asked")
--- a/internal/telemetry/logger/event.go
+++ b/internal/telemetry/logger/event.go
@@ -9,30 +9,29 @@
 
 // The events.
 const (
-	VMStarted           Event = "vmStarted"
-	VMReady             Event = "vmReady"
-	VMStopping          Event = "vmStopping"
-	VMStopped           Event = "vmStopped"
-	SheetInForce        Event = "sheetInForce"
-	SheetFault          Event = "sheetFault"
-	MemberChanged       Event = "memberChanged"
-	GatewayStarted      Event = "gatewayStarted"
-	GatewayStopped      Event = "gatewayStopped"
-	PromoterDecision    Event = "promoterDecision"
-	GroupFenced         Event = "groupFenced"
-	PrimaryPromoted     Event = "primaryPromoted"
-	PrimaryReplaced     Event = "primaryReplaced"
-	PromotionFailed     Event = "promotionFailed"
-	WritesHeld          Event = "writesHeld"
-	InstanceFollows     Event = "instanceFollows"
-	PullFailed          Event = "pullFailed"
-	HoldFailed          Event = "holdFailed"
-	ApplyFailed         Event = "applyFailed"
-	TailDropped         Event = "tailDropped"
-	CallerRefused       Event = "callerRefused"
-	UnitFailed          Event = "unitFailed"
-	ForwardFailed       Event = "forwardFailed"
-	PlatformUnreachable Event = "platformUnreachable"
+	VMStarted        Event = "vmStarted"
+	VMReady          Event = "vmReady"
+	VMStopping       Event = "vmStopping"
+	VMStopped        Event = "vmStopped"
+	SheetInForce     Event = "sheetInForce"
+	SheetFault       Event = "sheetFault"
+	MemberChanged    Event = "memberChanged"
+	GatewayStarted   Event = "gatewayStarted"
+	GatewayStopped   Event = "gatewayStopped"
+	PromoterDecision Event = "promoterDecision"
+	GroupFenced      Event = "groupFenced"
+	PrimaryPromoted  Event = "primaryPromoted"
+	PrimaryReplaced  Event = "primaryReplaced"
+	PromotionFailed  Event = "promotionFailed"
+	WritesHeld       Event = "writesHeld"
+	InstanceFollows  Event = "instanceFollows"
+	PullFailed       Event = "pullFailed"
+	HoldFailed       Event = "holdFailed"
+	ApplyFailed      Event = "applyFailed"
+	TailDropped      Event = "tailDropped"
+	CallerRefused    Event = "callerRefused"
+	UnitFailed       Event = "unitFailed"
+	ForwardFailed    Event = "forwardFailed"
 )
 
 // Row describes an event for the reference page.
@@ -47,7 +46,7 @@
 	{VMStopping, "a planned stop has begun"},
 	{VMStopped, "the process ends"},
 	{SheetInForce, "a new version of the sheet is in force on this VM"},
-	{SheetFault, "a sheet could not be read from the store or a peer"},
+	{SheetFault, "questions for the sheet to the store or to peers begin to fail"},
 	{MemberChanged, "the belief about a VM changed"},
 	{GatewayStarted, "this VM became a gateway of a database"},
 	{GatewayStopped, "this VM is no longer a gateway of a database"},
@@ -65,7 +64,6 @@
 	{CallerRefused, "a caller's start-up was refused"},
 	{UnitFailed, "a unit of work ended with an error of the proxy"},
 	{ForwardFailed, "a gateway VM could not be reached or cut a unit"},
-	{PlatformUnreachable, "the platform's store does not answer"},
 }
 
 // Table returns a copy of the table of events.
