--- a/internal/request/router/decide_test.go
+++ b/internal/request/router/decide_test.go
@@ -1,6 +1,7 @@
 package router
 
 import (
+	"cmp"
 	"encoding/json"
 	"os"
 	"testing"
@@ -16,6 +17,9 @@
 	"parsleyscale/internal/sheet/parser"
 )
 
+// tableMaxWait is the wait for a replica in cases that state none.
+const tableMaxWait = 30 * time.Millisecond
+
 type instanceCase struct {
 	Reachable  *bool        `json:"reachable"`
 	Connected  *bool        `json:"connected"`
@@ -69,7 +73,7 @@
 func (c decideCase) query(t testing.TB) Query {
 	q := Query{
 		Class: c.Class, Floor: position(t, c.Floor, "0/0"), DataCentre: "d1", Region: "r1", RegionOf: regionOf,
-		Arrived: arrival, Now: at(c.Now), MaxWait: time.Duration(c.MaxWait), Hash: c.Hash, Exclude: c.Exclude,
+		Arrived: arrival, Now: at(c.Now), MaxWait: cmp.Or(time.Duration(c.MaxWait), tableMaxWait), Hash: c.Hash, Exclude: c.Exclude,
 	}
 	if q.Class == "" {
 		q.Class = exchanger.Read
--- a/internal/request/router/types.go
+++ b/internal/request/router/types.go
@@ -9,8 +9,9 @@
 	"parsleyscale/internal/session/tokenizer"
 )
 
-// DefaultMaxWait bounds the wait for a replica that is about to qualify.
-const DefaultMaxWait = 30 * time.Millisecond
+// DefaultMaxWait bounds the wait for a replica that is about to qualify. Replicas
+// that lag 200 ms then serve the reads that follow their session's write by more than 80 ms.
+const DefaultMaxWait = 120 * time.Millisecond
 
 // RoundWait bounds the wait for a confirmed round; it covers a status call on a
 // silent connection and another on a new one.
