Turn a view into observations in one place, and remove unused functions

The supervisor copied the fields of a view for operators beside the promoter's copy for peers; both now use promoter.Observations. Pool.Drop, Pool.ShareOf and Deployment.WithApplyDelay had no caller. Behaviour is unchanged; the tests of supervisor, promoter, pooler, trial and builder pass.

--- a/internal/backend/pooler/pooler.go
+++ b/internal/backend/pooler/pooler.go
@@ -123,15 +123,6 @@
 	}
 }
 
-// Drop closes the idle connections to an instance that has left the sheet.
-func (p *Pool) Drop(instance string) {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	if l, ok := p.lines[instance]; ok {
-		l.retire()
-	}
-}
-
 // Share returns how many connections this gateway may have to an instance at the moment.
 func (p *Pool) Share(i parser.Instance) int {
 	p.mu.Lock()
@@ -139,16 +130,6 @@
 	return p.share(p.line(i))
 }
 
-// ShareOf returns the share of an instance by name, or 1 before its first request. It suits admitter.Config.Limit.
-func (p *Pool) ShareOf(instance string) int {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	if l, ok := p.lines[instance]; ok {
-		return p.share(l)
-	}
-	return 1
-}
-
 // Stats returns the counts of each instance.
 func (p *Pool) Stats() map[string]Stats {
 	p.mu.Lock()
--- a/internal/bench/builder/deployment.go
+++ b/internal/bench/builder/deployment.go
@@ -51,9 +51,3 @@
 	}
 	return d, nil
 }
-
-// WithApplyDelay returns the deployment with another lag of its replicas.
-func (d Deployment) WithApplyDelay(lag time.Duration) Deployment {
-	d.ApplyDelay = lag
-	return d
-}
--- a/internal/group/promoter/observe.go
+++ b/internal/group/promoter/observe.go
@@ -25,6 +25,11 @@
 		defer cancel()
 		v, _ = s.Next(ctx)
 	}
+	return Observations(v)
+}
+
+// Observations returns what a view tells of each instance.
+func Observations(v sampler.View) []InstanceObservation {
 	now := time.Now()
 	all := make([]InstanceObservation, 0, len(v.Instances))
 	for k := range v.Instances {
--- a/internal/group/supervisor/peers.go
+++ b/internal/group/supervisor/peers.go
@@ -8,7 +8,6 @@
 	"golang.org/x/sync/errgroup"
 
 	"parsleyscale/internal/group/promoter"
-	"parsleyscale/internal/group/sampler"
 	"parsleyscale/internal/member/tracker"
 	"parsleyscale/internal/peer/messenger"
 	"parsleyscale/internal/request/dispatcher"
@@ -97,9 +96,13 @@
 	if g == nil {
 		return &messenger.ObserveResponse{}
 	}
-	r := &messenger.ObserveResponse{}
-	for _, o := range promoter.Observe(ctx, g.sampler) {
-		r.Instances = append(r.Instances, &messenger.InstanceObservation{
+	return &messenger.ObserveResponse{Instances: messages(promoter.Observe(ctx, g.sampler))}
+}
+
+func messages(observed []promoter.InstanceObservation) []*messenger.InstanceObservation {
+	list := make([]*messenger.InstanceObservation, 0, len(observed))
+	for _, o := range observed {
+		list = append(list, &messenger.InstanceObservation{
 			Instance:  o.Instance,
 			Reachable: o.Reachable,
 			Role:      o.Role,
@@ -109,22 +112,6 @@
 			AgeMs:     uint64(max(o.Age, 0).Milliseconds()),
 		})
 	}
-	return r
-}
-
-func observations(v sampler.View) []*messenger.InstanceObservation {
-	list := make([]*messenger.InstanceObservation, 0, len(v.Instances))
-	for _, i := range v.Instances {
-		list = append(list, &messenger.InstanceObservation{
-			Instance:  i.Instance.Name,
-			Reachable: i.Reachable,
-			Role:      i.Status.Role,
-			FenceTerm: i.Status.FenceTerm,
-			LastTerm:  i.Status.Last.Term,
-			LastIndex: i.Status.Last.Index,
-			AgeMs:     ageMs(i.AnsweredAt),
-		})
-	}
 	return list
 }
 
@@ -164,7 +151,7 @@
 			Primary:        v.Primary,
 			Confirmed:      v.Confirmed.String(),
 			ConfirmedAgeMs: ageMs(v.ConfirmedAt),
-			Instances:      observations(v),
+			Instances:      messages(promoter.Observations(v)),
 		})
 	}
 	return list
