Serve the users' platform: line protocol, routing by floors, replacement of primaries

Cause: the product spoke PostgreSQL to its own stand-ins only. The users' platform has another line protocol, commits that a replica acknowledges, one fenced order for a new primary, and a store with feeds.

Not here yet: tests of the new packages, design note, peers.

--- /dev/null
+++ b/cmd/parsleyline/main.go
@@ -0,0 +1,65 @@
+// Command parsleyline is the daemon of an entry VM on the users' platform.
+package main
+
+import (
+	"context"
+	"fmt"
+	"os"
+	"os/signal"
+	"syscall"
+
+	"github.com/jessevdk/go-flags"
+
+	"parsleyscale/internal/config/loader"
+	"parsleyscale/internal/daemon/assembler"
+	"parsleyscale/internal/telemetry/logger"
+	"parsleyscale/platform"
+)
+
+// Exit codes.
+const (
+	exitFault = 1
+	exitUsage = 2
+)
+
+type options struct {
+	Settings string `long:"settings" value-name:"FILE" required:"true" description:"run with the settings in FILE"`
+	Check    bool   `long:"check" description:"check the settings and exit"`
+}
+
+func main() {
+	var o options
+	if _, err := flags.Parse(&o); err != nil {
+		if flags.WroteHelp(err) {
+			return
+		}
+		os.Exit(exitUsage)
+	}
+	if err := run(o); err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		os.Exit(exitFault)
+	}
+}
+
+func run(o options) error {
+	cfg, err := loader.LoadLine(o.Settings)
+	if err != nil || o.Check {
+		return err
+	}
+	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
+	defer stop()
+	reload := assembler.Reload{Signal: hangups(), Load: func() (loader.LineSettings, error) { return loader.LoadLine(o.Settings) }}
+	return assembler.Run(ctx, cfg, platform.New(cfg.Store, cfg.Orders), reload, logger.New(os.Stdout, cfg.ID))
+}
+
+// hangups passes on SIGHUP, which says that the settings file has changed.
+func hangups() <-chan struct{} {
+	signals, out := make(chan os.Signal, 1), make(chan struct{})
+	signal.Notify(signals, syscall.SIGHUP)
+	go func() {
+		for range signals {
+			out <- struct{}{}
+		}
+	}()
+	return out
+}
--- /dev/null
+++ b/internal/backend/allotter/allotter.go
@@ -0,0 +1,278 @@
+// Package allotter keeps the links of a VM to the database instances and hands
+// them out, the most urgent request first.
+//
+// The connections of an instance belong to all VMs together, so each VM opens at
+// most its share. An instance that refuses a connection lowers the share for a
+// while. A request never waits for its own dial: whichever link is free first
+// serves it. A request that cannot get a link before its deadline is refused at once.
+package allotter
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"parsleyscale/internal/failure/classifier"
+	"parsleyscale/internal/session/tokenizer"
+	"parsleyscale/internal/statement/carrier"
+)
+
+// Defaults of Config.
+const (
+	DefaultDialTimeout = 400 * time.Millisecond
+	DefaultIdleTimeout = 20 * time.Second
+	DefaultGrowEvery   = 2 * time.Second
+	DefaultCheckAfter  = time.Second
+)
+
+// Config holds what an Allotter needs.
+type Config struct {
+	Dialer carrier.Dialer
+	// Share returns how many links this VM may have to an instance.
+	Share func(t carrier.Target) int
+	// Observe is told the outcome of each dial and the instance's position.
+	Observe func(t carrier.Target, p tokenizer.Position, took time.Duration, err error)
+
+	DialTimeout time.Duration
+	IdleTimeout time.Duration // a link that rested longer is closed
+	CheckAfter  time.Duration // a link that rested longer is checked with a round trip before use
+	GrowEvery   time.Duration // a share that was lowered grows by one link in this time
+}
+
+// Allotter holds the links of a VM.
+type Allotter struct {
+	cfg Config
+
+	mu     sync.Mutex
+	lines  map[string]*line // by instance
+	closed bool
+
+	ctx    context.Context
+	cancel context.CancelFunc
+	wg     sync.WaitGroup
+}
+
+// New returns an allotter and starts its upkeep. Close ends it.
+func New(cfg Config) *Allotter {
+	cfg.DialTimeout = orDefault(cfg.DialTimeout, DefaultDialTimeout)
+	cfg.IdleTimeout = orDefault(cfg.IdleTimeout, DefaultIdleTimeout)
+	cfg.CheckAfter = orDefault(cfg.CheckAfter, DefaultCheckAfter)
+	cfg.GrowEvery = orDefault(cfg.GrowEvery, DefaultGrowEvery)
+	a := &Allotter{cfg: cfg, lines: map[string]*line{}}
+	a.ctx, a.cancel = context.WithCancel(context.Background())
+	a.wg.Go(a.upkeep)
+	return a
+}
+
+func orDefault(d, def time.Duration) time.Duration {
+	if d > 0 {
+		return d
+	}
+	return def
+}
+
+// Load describes the use of one instance by this VM.
+type Load struct {
+	InUse   int
+	Waiting int
+	Idle    int
+	Limit   int
+}
+
+// IsFree reports whether a request would not have to wait for others.
+func (l Load) IsFree() bool { return l.Waiting == 0 && l.InUse < l.Limit }
+
+// Load returns the use of an instance.
+func (a *Allotter) Load(t carrier.Target) Load {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	l := a.line(t)
+	return Load{InUse: l.open - len(l.idle), Waiting: len(l.waiters), Idle: len(l.idle), Limit: a.limit(l)}
+}
+
+// Acquire returns a link to an instance that is outside a transaction. A lower
+// priority number goes first. It fails with kind overloaded when the deadline
+// of ctx passes or is too near, or with the error of the dial.
+func (a *Allotter) Acquire(ctx context.Context, t carrier.Target, priority int) (*Lease, error) {
+	for {
+		l, err := a.next(ctx, t, priority)
+		if err != nil {
+			return nil, err
+		}
+		if l.isUsable(ctx, a.cfg.CheckAfter) {
+			return l, nil
+		}
+		l.discardSilent()
+	}
+}
+
+func (a *Allotter) next(ctx context.Context, t carrier.Target, priority int) (*Lease, error) {
+	a.mu.Lock()
+	if a.closed {
+		a.mu.Unlock()
+		return nil, classifier.New(classifier.ShuttingDown, "links are closed")
+	}
+	ln := a.line(t)
+	if l := ln.takeIdle(); l != nil {
+		a.mu.Unlock()
+		return l, nil
+	}
+	if err := ln.refuse(ctx, priority, a.limit(ln)); err != nil {
+		a.mu.Unlock()
+		return nil, err
+	}
+	w := ln.enter(priority)
+	a.dialFor(ln)
+	a.mu.Unlock()
+	return a.await(ctx, ln, w)
+}
+
+func (a *Allotter) await(ctx context.Context, ln *line, w *waiter) (*Lease, error) {
+	select {
+	case g := <-w.ready:
+		return g.lease, g.err
+	case <-ctx.Done():
+	}
+	a.mu.Lock()
+	isWaiting := ln.leave(w)
+	a.mu.Unlock()
+	if !isWaiting {
+		if g := <-w.ready; g.lease != nil {
+			g.lease.Release()
+		}
+	}
+	return nil, classifier.Wrap(classifier.Overloaded, ctx.Err(), "no free connection to %s", ln.target.Instance)
+}
+
+// dialFor opens links for the waiting requests as far as the share allows. The allotter is locked.
+func (a *Allotter) dialFor(ln *line) {
+	for ln.dialing < len(ln.waiters) && ln.open < a.limit(ln) && !a.closed {
+		ln.open++
+		ln.dialing++
+		t := ln.target
+		a.wg.Go(func() { a.dial(ln, t) })
+	}
+}
+
+func (a *Allotter) dial(ln *line, t carrier.Target) {
+	ctx, cancel := context.WithTimeout(a.ctx, a.cfg.DialTimeout)
+	defer cancel()
+	start := time.Now()
+	link, p, err := a.cfg.Dialer.Dial(ctx, t)
+	if a.ctx.Err() == nil {
+		a.cfg.Observe(t, p, time.Since(start), err)
+	}
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	ln.dialing--
+	if err != nil {
+		ln.open--
+		a.dialFailed(ln, err)
+		return
+	}
+	ln.stats.Opened++
+	l := &Lease{a: a, line: ln, target: t, link: link, values: map[string]string{}, prepared: map[string]bool{}, usedAt: time.Now()}
+	a.putLocked(l)
+}
+
+// dialFailed lowers the share after a refusal. Requests that wait for no other
+// link are told of the failure.
+func (a *Allotter) dialFailed(ln *line, err error) {
+	if classifier.Is(err, classifier.TooManyConnections) {
+		ln.ceiling = max(1, ln.open)
+		ln.refusedAt = time.Now()
+		ln.stats.Refused++
+	}
+	if ln.open == 0 {
+		ln.failAll(err)
+	}
+}
+
+// putLocked gives a link to the first request in line, or keeps it.
+func (a *Allotter) putLocked(l *Lease) {
+	ln := l.line
+	switch {
+	case a.closed, ln.target.Address != l.target.Address, ln.open > a.limit(ln):
+		l.link.Close()
+		ln.open--
+		a.dialFor(ln)
+	case len(ln.waiters) > 0:
+		ln.grantFirst(grant{lease: l})
+	default:
+		ln.idle = append(ln.idle, l)
+	}
+}
+
+// limit is the VM's share of the links to an instance, or less for a while
+// after the instance refused one.
+func (a *Allotter) limit(ln *line) int {
+	n := max(1, a.cfg.Share(ln.target))
+	if ln.refusedAt.IsZero() {
+		return n
+	}
+	grown := ln.ceiling + int(time.Since(ln.refusedAt)/a.cfg.GrowEvery)
+	if grown >= n {
+		ln.refusedAt = time.Time{}
+	}
+	return min(n, grown)
+}
+
+// Forget closes the idle links to an instance that is gone.
+func (a *Allotter) Forget(instance string) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if ln, ok := a.lines[instance]; ok {
+		ln.closeIdle(time.Now())
+		if ln.open == 0 && len(ln.waiters) == 0 {
+			delete(a.lines, instance)
+		}
+	}
+}
+
+// Stats counts the links of one instance.
+type Stats struct {
+	Opened  uint64
+	Refused uint64 // by the instance, which had too many
+}
+
+// Stats returns the counts of all instances.
+func (a *Allotter) Stats() map[string]Stats {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	m := make(map[string]Stats, len(a.lines))
+	for name, ln := range a.lines {
+		m[name] = ln.stats
+	}
+	return m
+}
+
+// upkeep closes links that rest for long.
+func (a *Allotter) upkeep() {
+	t := time.NewTicker(a.cfg.IdleTimeout / 4)
+	defer t.Stop()
+	for {
+		select {
+		case <-a.ctx.Done():
+			return
+		case <-t.C:
+		}
+		a.mu.Lock()
+		for _, ln := range a.lines {
+			ln.closeIdle(time.Now().Add(-a.cfg.IdleTimeout))
+		}
+		a.mu.Unlock()
+	}
+}
+
+// Close closes the idle links and waits for dials. Links in use are closed when they come back.
+func (a *Allotter) Close() {
+	a.mu.Lock()
+	a.closed = true
+	for _, ln := range a.lines {
+		ln.closeIdle(time.Now())
+		ln.failAll(classifier.New(classifier.ShuttingDown, "links are closed"))
+	}
+	a.mu.Unlock()
+	a.cancel()
+	a.wg.Wait()
+}
--- /dev/null
+++ b/internal/backend/allotter/line.go
@@ -0,0 +1,137 @@
+package allotter
+
+import (
+	"context"
+	"slices"
+	"time"
+
+	"parsleyscale/internal/failure/classifier"
+	"parsleyscale/internal/statement/carrier"
+)
+
+// firstHold is the assumed time that a request keeps a link before any was measured.
+const firstHold = 10 * time.Millisecond
+
+// smoothing is the weight of the latest time in the moving average.
+const smoothing = 0.1
+
+// line holds the links to one instance and the requests that wait for one. The
+// allotter's mutex guards it.
+type line struct {
+	target    carrier.Target
+	idle      []*Lease // the most recently used one is last
+	open      int      // in use, idle or being dialed
+	dialing   int
+	waiters   []*waiter // by priority, then by arrival
+	hold      time.Duration
+	ceiling   int // links that the instance accepted at its last refusal
+	refusedAt time.Time
+	stats     Stats
+}
+
+type waiter struct {
+	priority int
+	ready    chan grant
+}
+
+type grant struct {
+	lease *Lease
+	err   error
+}
+
+func (a *Allotter) line(t carrier.Target) *line {
+	ln, ok := a.lines[t.Instance]
+	if !ok {
+		ln = &line{target: t, hold: firstHold}
+		a.lines[t.Instance] = ln
+	}
+	if ln.target.Address != t.Address {
+		ln.closeIdle(time.Now())
+		ln.target = t
+	}
+	return ln
+}
+
+func (ln *line) takeIdle() *Lease {
+	n := len(ln.idle)
+	if n == 0 {
+		return nil
+	}
+	l := ln.idle[n-1]
+	ln.idle = ln.idle[:n-1]
+	l.takenAt = time.Now()
+	return l
+}
+
+// refuse returns an error when a new request would get no link before its deadline.
+func (ln *line) refuse(ctx context.Context, priority, limit int) error {
+	d, ok := ctx.Deadline()
+	if !ok {
+		return nil
+	}
+	ahead := 0
+	for _, w := range ln.waiters {
+		if w.priority <= priority {
+			ahead++
+		}
+	}
+	if wait := ln.hold * time.Duration(ahead) / time.Duration(limit); wait > time.Until(d) {
+		return classifier.New(classifier.Overloaded, "%s is overloaded, repeat after %d ms", ln.target.Instance, wait.Milliseconds())
+	}
+	return nil
+}
+
+// enter puts a request in line behind those of the same priority.
+func (ln *line) enter(priority int) *waiter {
+	w := &waiter{priority: priority, ready: make(chan grant, 1)}
+	k := len(ln.waiters)
+	for k > 0 && ln.waiters[k-1].priority > priority {
+		k--
+	}
+	ln.waiters = slices.Insert(ln.waiters, k, w)
+	return w
+}
+
+// leave takes a request out of the line. It returns false when the request was already answered.
+func (ln *line) leave(w *waiter) bool {
+	k := slices.Index(ln.waiters, w)
+	if k < 0 {
+		return false
+	}
+	ln.waiters = slices.Delete(ln.waiters, k, k+1)
+	return true
+}
+
+func (ln *line) grantFirst(g grant) {
+	w := ln.waiters[0]
+	ln.waiters = slices.Delete(ln.waiters, 0, 1)
+	if g.lease != nil {
+		g.lease.takenAt = time.Now()
+	}
+	w.ready <- g
+}
+
+func (ln *line) failAll(err error) {
+	for len(ln.waiters) > 0 {
+		ln.grantFirst(grant{err: err})
+	}
+}
+
+// closeIdle closes the idle links that were last used before a time.
+func (ln *line) closeIdle(before time.Time) {
+	keep := ln.idle[:0]
+	for _, l := range ln.idle {
+		if l.usedAt.Before(before) {
+			l.link.Close()
+			ln.open--
+			continue
+		}
+		keep = append(keep, l)
+	}
+	clear(ln.idle[len(keep):])
+	ln.idle = keep
+}
+
+func (ln *line) measure(d time.Duration) {
+	ln.hold += time.Duration(smoothing * float64(d-ln.hold))
+}
--- a/internal/config/loader/check.go
+++ b/internal/config/loader/check.go
@@ -45,12 +45,18 @@
 	return nil
 }
 
-func (s Settings) address(pointer, v string) *fault {
-	a, err := netip.ParseAddrPort(v)
-	if err != nil {
+func checkAddress(pointer, v string) *fault {
+	if _, err := netip.ParseAddrPort(v); err != nil {
 		return &fault{pointer, fmt.Sprintf("%q is not an IP number and port", v)}
 	}
-	if s.PlainText && !a.Addr().IsLoopback() {
+	return nil
+}
+
+func (s Settings) address(pointer, v string) *fault {
+	if f := checkAddress(pointer, v); f != nil {
+		return f
+	}
+	if a, _ := netip.ParseAddrPort(v); s.PlainText && !a.Addr().IsLoopback() {
 		return &fault{pointer, fmt.Sprintf("%q: plainText allows loopback addresses only", v)}
 	}
 	return nil
--- a/internal/config/loader/load.go
+++ b/internal/config/loader/load.go
@@ -15,31 +15,47 @@
 
 // Load reads and checks the settings in a file.
 func Load(file string) (Settings, error) {
-	b, err := os.ReadFile(file)
-	if err != nil {
-		return Settings{}, classifier.Wrap(classifier.Invalid, err, "settings")
+	s := Default()
+	if err := loadFile(file, &s, func() *fault { return s.check() }); err != nil {
+		return Settings{}, err
 	}
-	return Decode(file, b)
+	return s, nil
 }
 
 // Decode reads and checks settings; file names the text in errors.
 func Decode(file string, b []byte) (Settings, error) {
+	s := Default()
+	if err := decode(file, b, &s, func() *fault { return s.check() }); err != nil {
+		return Settings{}, err
+	}
+	return s, nil
+}
+
+func loadFile(file string, to any, check func() *fault) error {
+	b, err := os.ReadFile(file)
+	if err != nil {
+		return classifier.Wrap(classifier.Invalid, err, "settings")
+	}
+	return decode(file, b, to, check)
+}
+
+// decode fills the settings and checks them.
+func decode(file string, b []byte, to any, check func() *fault) error {
 	tree, err := hujson.Parse(bytes.Clone(b))
 	if err != nil {
-		return Settings{}, classifier.Wrap(classifier.Invalid, err, "settings: %s", file)
+		return classifier.Wrap(classifier.Invalid, err, "settings: %s", file)
 	}
 	std := tree.Clone()
 	std.Standardize()
-	s := Default()
 	d := json.NewDecoder(bytes.NewReader(std.Pack()))
 	d.DisallowUnknownFields()
-	if err := d.Decode(&s); err != nil {
-		return Settings{}, decodeFault(file, b, tree, err)
+	if err := d.Decode(to); err != nil {
+		return decodeFault(file, b, tree, err)
 	}
-	if f := s.check(); f != nil {
-		return Settings{}, classifier.New(classifier.Invalid, "settings: %s:%d: %s: %s", file, lineOf(b, tree, f.pointer), fieldName(f.pointer), f.text)
+	if f := check(); f != nil {
+		return classifier.New(classifier.Invalid, "settings: %s:%d: %s: %s", file, lineOf(b, tree, f.pointer), fieldName(f.pointer), f.text)
 	}
-	return s, nil
+	return nil
 }
 
 var unknownField = regexp.MustCompile(`unknown field "([^"]+)"`)
--- /dev/null
+++ b/internal/daemon/assembler/assembler.go
@@ -0,0 +1,222 @@
+// Package assembler runs an entry VM whose callers and instances speak a line
+// protocol and whose configuration, registry and tokens lie in the platform's store.
+package assembler
+
+import (
+	"context"
+	"errors"
+	"net"
+	"net/http"
+	"sync/atomic"
+	"time"
+
+	"parsleyscale/internal/backend/allotter"
+	"parsleyscale/internal/config/loader"
+	"parsleyscale/internal/group/registrar"
+	"parsleyscale/internal/group/replacer"
+	"parsleyscale/internal/platform/follower"
+	"parsleyscale/internal/request/admitter"
+	"parsleyscale/internal/session/tokenizer"
+	"parsleyscale/internal/sheet/cataloger"
+	"parsleyscale/internal/statement/carrier"
+	"parsleyscale/internal/statement/conductor"
+	"parsleyscale/internal/statement/performer"
+	"parsleyscale/internal/telemetry/logger"
+)
+
+// Store is the platform's table service.
+type Store interface {
+	follower.Source
+	// Put writes a row and returns the version of that write, which is unique and higher than all before.
+	Put(ctx context.Context, table, key string, value []byte) (uint64, error)
+}
+
+// Platform is what the platform offers, in the product's terms.
+type Platform struct {
+	Store      Store
+	Dialer     carrier.Dialer
+	Controller carrier.Controller
+	Accept     func(c net.Conn) conductor.Caller
+	Promote    func(ctx context.Context, group, instance, holder string, token uint64) error
+
+	ConfigurationTable string
+	ConfigurationKey   string
+	ParseConfiguration func(b []byte) (*cataloger.Configuration, error)
+	RegistryTable      string
+	ParseEntry         func(id string, b []byte) (cataloger.Instance, error)
+
+	Clock func() time.Duration // counts suspensions
+}
+
+// VM is a running entry VM.
+type VM struct {
+	cfg      loader.LineSettings
+	platform Platform
+	log      *logger.Logger
+
+	limits        atomic.Pointer[loader.LineSettings] // of which stopGrace and stopNotice follow a reload
+	configuration atomic.Pointer[cataloger.Configuration]
+	registry      cataloger.Registry // owned by the follower of the registry
+	hasRegistry   atomic.Bool
+	isStopping    atomic.Bool
+
+	groups   *registrar.Registrar
+	links    *allotter.Allotter
+	perform  *performer.Performer
+	replacer *replacer.Replacer
+	members  *members
+	server   *conductor.Server
+	ready    *http.Server
+	feeds    []*follower.Follower
+}
+
+// Run runs a VM until ctx ends, then stops it as planned.
+func Run(ctx context.Context, cfg loader.LineSettings, p Platform, reload Reload, log *logger.Logger) error {
+	v, err := start(cfg, p, log)
+	if err != nil {
+		return err
+	}
+	go v.watchSettings(ctx, reload)
+	served := make(chan error, 1)
+	go func() { served <- v.server.Serve() }()
+	select {
+	case err := <-served:
+		return errors.Join(err, errors.New("the listener for callers ended"))
+	case <-ctx.Done():
+	}
+	v.stop()
+	return nil
+}
+
+func start(cfg loader.LineSettings, p Platform, log *logger.Logger) (*VM, error) {
+	v := &VM{cfg: cfg, platform: p, log: log, registry: cataloger.Registry{}}
+	v.limits.Store(&cfg)
+	v.groups = registrar.New(p.Clock)
+	v.links = allotter.New(allotter.Config{Dialer: p.Dialer, Share: v.share, Observe: v.dialed})
+	v.perform = performer.New(performer.Config{
+		DataCentre: cfg.DataCentre, Region: cfg.Region, RegionOf: func(dc string) string { return cfg.DataCentres[dc] },
+		Groups: v.groups, Links: v.links, Budget: admitter.NewBudget(), Observe: v.logStatement,
+	})
+	v.members = startMembers(cfg, p.Store)
+	v.replacer = replacer.Start(replacer.Config{
+		Groups: v.groups, Controller: p.Controller, Tokens: v.members, Probe: v.perform.Probe, Rank: v.members.rank,
+		Promote: func(ctx context.Context, group, instance string, token uint64) error {
+			return p.Promote(ctx, group, instance, cfg.ID, token)
+		},
+		Gone:    v.links.Forget,
+		Observe: v.logReplacement,
+	})
+	v.feeds = []*follower.Follower{
+		follower.Start(follower.Config{
+			Source: p.Store, Table: p.ConfigurationTable, Whole: v.configured, Changed: v.configured,
+			Fault: func(err error) { v.logStore(p.ConfigurationTable, err) },
+		}),
+		follower.Start(follower.Config{
+			Source: p.Store, Table: p.RegistryTable, Whole: v.registered, Changed: v.entriesChanged,
+			Fault: func(err error) { v.logStore(p.RegistryTable, err) },
+		}),
+	}
+	callers, err := net.Listen("tcp", cfg.CallerAddress)
+	if err != nil {
+		return nil, err
+	}
+	v.server = conductor.NewServer(conductor.Config{
+		Listener: callers, Accept: p.Accept, Configuration: v.configuration.Load, Performer: v.perform, Clock: p.Clock, Limit: cfg.Callers,
+	})
+	ready, err := net.Listen("tcp", cfg.ReadyAddress)
+	if err != nil {
+		return nil, err
+	}
+	v.ready = &http.Server{Handler: http.HandlerFunc(v.serveReady), ReadHeaderTimeout: time.Second}
+	go func() { _ = v.ready.Serve(ready) }()
+	log.Info(logger.VMStarted, logger.String("callerAddress", cfg.CallerAddress))
+	return v, nil
+}
+
+// stop ends the VM as planned: it counts as not ready at once, and its sessions
+// end when the balancer has taken it out.
+func (v *VM) stop() {
+	v.isStopping.Store(true)
+	v.log.Info(logger.VMStopping, logger.Int("sessions", int64(v.server.Open())))
+	limits := v.limits.Load()
+	v.server.Stop(limits.StopNotice.Std(), limits.StopGrace.Std()*5/6)
+	v.replacer.Close()
+	v.log.Info(logger.VMStopped)
+}
+
+func (v *VM) isReady() bool {
+	return !v.isStopping.Load() && v.configuration.Load() != nil && v.hasRegistry.Load()
+}
+
+func (v *VM) serveReady(w http.ResponseWriter, _ *http.Request) {
+	if !v.isReady() {
+		w.WriteHeader(http.StatusServiceUnavailable)
+	}
+}
+
+// configured takes over a configuration. Versions only rise.
+func (v *VM) configured(rows []follower.Row) {
+	for _, r := range rows {
+		if r.Key != v.platform.ConfigurationKey || r.IsRemoved {
+			continue
+		}
+		c, err := v.platform.ParseConfiguration(r.Value)
+		if err != nil {
+			v.log.Warn(logger.SheetFault, logger.Err(err))
+			continue
+		}
+		if old := v.configuration.Load(); old != nil && old.Version >= c.Version {
+			continue
+		}
+		v.configuration.Store(c)
+		v.log.Info(logger.SheetInForce, logger.Int("version", int64(c.Version)), logger.Int("routes", int64(len(c.Routes))))
+	}
+}
+
+// registered takes over the whole registry.
+func (v *VM) registered(rows []follower.Row) {
+	v.registry = cataloger.Registry{}
+	v.entriesChanged(rows)
+	v.hasRegistry.Store(true)
+}
+
+func (v *VM) entriesChanged(rows []follower.Row) {
+	changes := map[string]*cataloger.Instance{}
+	for _, r := range rows {
+		if r.IsRemoved {
+			changes[r.Key] = nil
+			continue
+		}
+		i, err := v.platform.ParseEntry(r.Key, r.Value)
+		if err != nil {
+			changes[r.Key] = nil
+			v.log.Warn(logger.EntryFault, logger.String("instance", r.Key), logger.Err(err))
+			continue
+		}
+		changes[r.Key] = &i
+	}
+	v.registry = v.registry.With(changes)
+	v.groups.Update(v.registry)
+}
+
+// share is this VM's part of the links that an instance accepts.
+func (v *VM) share(t carrier.Target) int {
+	c := v.configuration.Load()
+	if c == nil {
+		return 1
+	}
+	return max(1, c.Groups[t.Group].Connections/max(1, v.members.count()))
+}
+
+// dialed records what a dial says of an instance.
+func (v *VM) dialed(t carrier.Target, p tokenizer.Position, _ time.Duration, err error) {
+	g := v.groups.Group(t.Group)
+	if err == nil {
+		g.Answered(t.Instance, p, 0)
+		return
+	}
+	v.logDial(t, err)
+	if !isRefusal(err) {
+		g.Failed(t.Instance)
+	}
+}
--- a/internal/failure/classifier/kind.go
+++ b/internal/failure/classifier/kind.go
@@ -54,6 +54,13 @@
 	Conflict             Kind = "conflict"
 	Invalid              Kind = "invalid"
 	PlatformUnavailable  Kind = "platformUnavailable"
+	ReplicaBehind        Kind = "replicaBehind"
+	NotPrimary           Kind = "notPrimary"
+	WrongInstance        Kind = "wrongInstance"
+	TooManyConnections   Kind = "tooManyConnections"
+	StatementFailed      Kind = "statementFailed"
+	StatementTimeout     Kind = "statementTimeout"
+	UnknownStatement     Kind = "unknownStatement"
 	Internal             Kind = "internal"
 )
 
@@ -99,6 +106,13 @@
 	{Conflict, "40001", RanNo, RepeatNever, "another operator changed the sheet first", "look at the difference and apply again"},
 	{Invalid, "22023", RanNo, RepeatNever, "settings or sheet fail a check", "mend the named field"},
 	{PlatformUnavailable, "58000", RanUnknown, RepeatSafe, "the platform's store cannot be reached", "repeat later; a change identity makes it safe"},
+	{ReplicaBehind, "PS005", RanNo, RepeatSafe, "the instance has not applied the floor of the read", "repeat later"},
+	{NotPrimary, "25006", RanNo, RepeatSafe, "the instance is not the primary", "repeat later"},
+	{WrongInstance, "08001", RanNo, RepeatSafe, "another instance listens at the address", "repeat later"},
+	{TooManyConnections, "53300", RanNo, RepeatSafe, "the instance accepts no more connections", "repeat later"},
+	{StatementFailed, "58030", RanUnknown, RepeatNever, "the instance ran the statement and failed", "repeat a read; look a write up before sending it again"},
+	{StatementTimeout, "57014", RanUnknown, RepeatNever, "the instance ran the statement past its time limit", "repeat a read; look a write up before sending it again"},
+	{UnknownStatement, "26000", RanNo, RepeatNever, "prepared statement is unknown", "prepare it first"},
 	{Internal, "XX000", RanUnknown, RepeatWithKey, "fault in parsleyscale", "report it"},
 }
 
--- /dev/null
+++ b/internal/group/replacer/replacer.go
@@ -0,0 +1,303 @@
+// Package replacer replaces the primary of a group whose commits are
+// acknowledged once a number of replicas has received them, and whose next
+// primary is named by one fenced order to the platform.
+//
+// The order is safe because of four things.
+//   - The attempt takes its token before it looks at any instance. An attempt
+//     that began later has a higher token, and the platform refuses the lower one
+//     after it has seen the higher one.
+//   - Every replica is told to receive nothing more, so that the old primary can
+//     acknowledge nothing more, before their positions are compared.
+//   - All replicas must have answered: an acknowledged commit may be only on the
+//     one that did not. Instead of a missing replica, the old primary will do once it has
+//     been demoted, since its log holds all that it acknowledged.
+//   - The choice depends on the positions alone, so two VMs that compare the same
+//     held replicas choose the same one. A hold is never taken back: an order
+//     without an answer may be carried out later, and until then nothing may be
+//     acknowledged that the chosen replica lacks.
+package replacer
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"parsleyscale/internal/clock/sleeper"
+	"parsleyscale/internal/failure/classifier"
+	"parsleyscale/internal/group/registrar"
+	"parsleyscale/internal/statement/carrier"
+)
+
+const (
+	tick         = 50 * time.Millisecond
+	orderTimeout = 400 * time.Millisecond // of one order to an instance
+	tokenTimeout = 250 * time.Millisecond // for a token, until the spare one is used
+	promoteLimit = 400 * time.Millisecond // for the answer to a promote
+	retryPause   = 60 * time.Millisecond
+	attemptLimit = 6 * time.Second
+	probeEvery   = 100 * time.Millisecond // while no primary is known
+	checkEvery   = 250 * time.Millisecond // of a primary that was refused or silent
+)
+
+// Tokens gives out fencing tokens, each higher than all before.
+type Tokens interface {
+	Next(ctx context.Context) (uint64, error)
+}
+
+// Promote orders that an instance leads its group. An error of kind conflict
+// means that a higher token was seen, or that the instance does not run.
+type Promote func(ctx context.Context, group, instance string, token uint64) error
+
+// Config holds what a Replacer needs of its VM.
+type Config struct {
+	Groups     *registrar.Registrar
+	Controller carrier.Controller
+	Tokens     Tokens
+	Promote    Promote
+	Probe      func(g *registrar.Group, v registrar.View) error // asks an instance whether it is the primary
+	Rank       func(group string) int
+	Gone       func(instance string)
+	Observe    func(Event) // may be nil
+}
+
+// Event tells of a step, for logs and the audit trail.
+type Event struct {
+	Name     string
+	Group    string
+	Instance string
+	Reason   Reason
+	Token    uint64
+	Status   carrier.Status
+	Took     time.Duration
+	Err      error
+}
+
+// Names of events.
+const (
+	EventBegun    = "replacementBegun"
+	EventHeld     = "replicaHeld"
+	EventDemoted  = "primaryDemoted"
+	EventOrdered  = "promoteOrdered"
+	EventReplaced = "primaryReplaced"
+	EventFailed   = "replacementFailed"
+)
+
+// Replacer watches the groups of a VM. Close ends it.
+type Replacer struct {
+	cfg    Config
+	cancel context.CancelFunc
+	wg     sync.WaitGroup
+
+	mu    sync.Mutex
+	busy  map[string]bool      // by group
+	asked map[string]time.Time // last probe, by instance
+	spare uint64               // a token for times without the store
+}
+
+// Start returns a running replacer.
+func Start(cfg Config) *Replacer {
+	if cfg.Observe == nil {
+		cfg.Observe = func(Event) {}
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	r := &Replacer{cfg: cfg, cancel: cancel, busy: map[string]bool{}, asked: map[string]time.Time{}}
+	r.wg.Go(func() { r.run(ctx) })
+	r.wg.Go(func() { r.refill(ctx) })
+	return r
+}
+
+// Close ends the replacer and waits for it.
+func (r *Replacer) Close() {
+	r.cancel()
+	r.wg.Wait()
+}
+
+func (r *Replacer) run(ctx context.Context) {
+	t := time.NewTicker(tick)
+	defer t.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-t.C:
+		}
+		for _, g := range r.cfg.Groups.Groups() {
+			for _, id := range g.Sweep() {
+				r.cfg.Gone(id)
+			}
+			r.look(ctx, g)
+		}
+	}
+}
+
+// look probes a group whose primary is in doubt and replaces the primary if need be.
+func (r *Replacer) look(ctx context.Context, g *registrar.Group) {
+	h := g.Health()
+	r.probe(g, h)
+	a := Decide(Evidence{Health: h, Now: time.Now(), Rank: r.cfg.Rank(g.Name())})
+	if a.Kind == None || !r.enter(g.Name()) {
+		return
+	}
+	r.wg.Go(func() {
+		defer r.leave(g.Name())
+		r.replace(ctx, g, a)
+	})
+}
+
+// probe asks the instances that may be the primary.
+func (r *Replacer) probe(g *registrar.Group, h registrar.Health) {
+	switch {
+	case !h.Lead.IsKnown():
+		for _, v := range g.Views() {
+			r.ask(g, v, probeEvery)
+		}
+	case h.Primary.Failures > 0:
+		r.ask(g, h.Primary, checkEvery)
+	}
+}
+
+// ask probes an instance unless it was probed lately.
+func (r *Replacer) ask(g *registrar.Group, v registrar.View, every time.Duration) {
+	r.mu.Lock()
+	isDue := time.Since(r.asked[v.ID]) >= every
+	if isDue {
+		r.asked[v.ID] = time.Now()
+	}
+	r.mu.Unlock()
+	if isDue {
+		r.wg.Go(func() { _ = r.cfg.Probe(g, v) })
+	}
+}
+
+func (r *Replacer) enter(group string) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.busy[group] {
+		return false
+	}
+	r.busy[group] = true
+	return true
+}
+
+func (r *Replacer) leave(group string) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.busy[group] = false
+}
+
+// replace runs one attempt until another primary is known.
+func (r *Replacer) replace(ctx context.Context, g *registrar.Group, a Action) {
+	ctx, cancel := context.WithTimeout(ctx, attemptLimit)
+	defer cancel()
+	start := time.Now()
+	old := g.Lead()
+	r.cfg.Observe(Event{Name: EventBegun, Group: g.Name(), Instance: old.Instance, Reason: a.Reason})
+	for ctx.Err() == nil {
+		now := g.Lead()
+		if now.IsKnown() && now.Instance != old.Instance || now.Term > old.Term {
+			r.cfg.Observe(Event{Name: EventReplaced, Group: g.Name(), Instance: now.Instance, Reason: a.Reason, Took: time.Since(start)})
+			return
+		}
+		if recovered := a.Kind == Replace && Decide(Evidence{Health: g.Health(), Now: time.Now()}).Kind == None; recovered {
+			return
+		}
+		if err := r.attempt(ctx, g, a, old); err != nil {
+			r.cfg.Observe(Event{Name: EventFailed, Group: g.Name(), Instance: old.Instance, Reason: a.Reason, Err: err, Took: time.Since(start)})
+			sleeper.Sleep(ctx, retryPause)
+		}
+	}
+}
+
+// attempt takes a token, stops the old term, compares and orders.
+func (r *Replacer) attempt(ctx context.Context, g *registrar.Group, a Action, old registrar.Lead) error {
+	token, err := r.token(ctx)
+	if err != nil {
+		return err
+	}
+	s, err := r.stop(ctx, g, a, old)
+	if err != nil {
+		return err
+	}
+	target, err := choose(s)
+	if err != nil {
+		return err
+	}
+	return r.order(ctx, g, a, target, token)
+}
+
+// order sends the promote until the group has a new primary or the platform refuses it.
+func (r *Replacer) order(ctx context.Context, g *registrar.Group, a Action, target string, token uint64) error {
+	before := g.Lead()
+	for ctx.Err() == nil {
+		err := r.promote(ctx, g.Name(), target, token)
+		r.cfg.Observe(Event{Name: EventOrdered, Group: g.Name(), Instance: target, Reason: a.Reason, Token: token, Err: err})
+		if classifier.Is(err, classifier.Conflict) {
+			return err
+		}
+		if r.await(ctx, g, target, before.Term, err == nil) {
+			return nil
+		}
+	}
+	return ctx.Err()
+}
+
+func (r *Replacer) promote(ctx context.Context, group, target string, token uint64) error {
+	ctx, cancel := context.WithTimeout(ctx, promoteLimit)
+	defer cancel()
+	return r.cfg.Promote(ctx, group, target, token)
+}
+
+// await waits until the target has proved to be the primary, for a time that
+// depends on whether the order was accepted.
+func (r *Replacer) await(ctx context.Context, g *registrar.Group, target string, term uint64, isAccepted bool) bool {
+	limit := time.Now().Add(200 * time.Millisecond)
+	if isAccepted {
+		limit = time.Now().Add(2 * time.Second)
+	}
+	for time.Now().Before(limit) && ctx.Err() == nil {
+		if l := g.Lead(); l.Term > term && l.IsKnown() {
+			return true
+		}
+		if v, ok := g.View(target); ok {
+			_ = r.cfg.Probe(g, v)
+		}
+		sleeper.Sleep(ctx, 25*time.Millisecond)
+	}
+	return false
+}
+
+// token returns a new token, or the spare one while the store is out.
+func (r *Replacer) token(ctx context.Context) (uint64, error) {
+	ctx, cancel := context.WithTimeout(ctx, tokenTimeout)
+	defer cancel()
+	t, err := r.cfg.Tokens.Next(ctx)
+	if err == nil {
+		return t, nil
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.spare == 0 {
+		return 0, err
+	}
+	t, r.spare = r.spare, 0
+	return t, nil
+}
+
+// refill takes a spare token before it is needed.
+func (r *Replacer) refill(ctx context.Context) {
+	for pause := time.Second; ; {
+		r.mu.Lock()
+		need := r.spare == 0
+		r.mu.Unlock()
+		if need {
+			if t, err := r.cfg.Tokens.Next(ctx); err == nil {
+				r.mu.Lock()
+				r.spare = t
+				r.mu.Unlock()
+			}
+		}
+		if !sleeper.Sleep(ctx, pause) {
+			return
+		}
+	}
+}
--- /dev/null
+++ b/internal/group/replacer/stop.go
@@ -0,0 +1,181 @@
+package replacer
+
+import (
+	"cmp"
+	"context"
+	"slices"
+	"sync"
+	"time"
+
+	"parsleyscale/internal/clock/sleeper"
+	"parsleyscale/internal/failure/classifier"
+	"parsleyscale/internal/group/registrar"
+	"parsleyscale/internal/session/tokenizer"
+	"parsleyscale/internal/statement/carrier"
+)
+
+// stopped is an instance that acknowledges and receives nothing of the old term any more.
+type stopped struct {
+	id        string
+	isLeaving bool
+	isOld     bool // the old primary, demoted
+	received  tokenizer.Position
+}
+
+// stop ends the old term and returns what each instance holds. A planned switch
+// demotes the primary first and then lets a replica catch up with it.
+func (r *Replacer) stop(ctx context.Context, g *registrar.Group, a Action, old registrar.Lead) ([]stopped, error) {
+	views := g.Views()
+	if old.Term == 0 {
+		if old.Term = r.askTerm(ctx, g, views); old.Term == 0 {
+			return nil, classifier.New(classifier.NoPrimary, "group %s: its term is not known yet", g.Name())
+		}
+	}
+	if a.Kind == Switch {
+		return r.demoteAndCatchUp(ctx, g, views, old)
+	}
+	return r.holdAll(ctx, g, views, old)
+}
+
+// askTerm returns the highest term that an instance reports.
+func (r *Replacer) askTerm(ctx context.Context, g *registrar.Group, views []registrar.View) uint64 {
+	for _, v := range views {
+		if s, err := r.call(ctx, v, r.cfg.Controller.Status); err == nil {
+			g.SeeTerm(max(s.Term, s.Received.Term))
+		}
+	}
+	return g.Lead().Term
+}
+
+// demoteAndCatchUp demotes a working primary and waits until a replica that
+// stays has received all that it held.
+func (r *Replacer) demoteAndCatchUp(ctx context.Context, g *registrar.Group, views []registrar.View, old registrar.Lead) ([]stopped, error) {
+	v, ok := g.View(old.Instance)
+	if !ok {
+		return nil, classifier.New(classifier.NoPrimary, "group %s: the primary is gone", g.Name())
+	}
+	if !hasSuccessor(views, old.Instance) {
+		return nil, classifier.New(classifier.NoInstance, "group %s: no replica stays", g.Name())
+	}
+	s, err := r.call(ctx, v, func(ctx context.Context, t carrier.Target) (carrier.Status, error) {
+		return r.cfg.Controller.Demote(ctx, t, old.Term+1)
+	})
+	r.cfg.Observe(Event{Name: EventDemoted, Group: g.Name(), Instance: v.ID, Status: s, Err: err})
+	if err != nil {
+		return r.holdAll(ctx, g, views, old)
+	}
+	limit := time.Now().Add(time.Second)
+	for time.Now().Before(limit) && ctx.Err() == nil {
+		for _, w := range views {
+			if w.ID == v.ID || w.IsLeaving {
+				continue
+			}
+			st, err := r.call(ctx, w, r.cfg.Controller.Status)
+			if err == nil && st.Received.Covers(s.Received) {
+				return []stopped{{id: w.ID, received: st.Received}}, nil
+			}
+		}
+		sleeper.Sleep(ctx, 10*time.Millisecond)
+	}
+	return r.holdAll(ctx, g, views, old)
+}
+
+func hasSuccessor(views []registrar.View, primary string) bool {
+	return slices.ContainsFunc(views, func(v registrar.View) bool { return v.ID != primary && !v.IsLeaving && v.Failures == 0 })
+}
+
+// holdAll stops all replicas from receiving, and demotes the old primary where it answers.
+func (r *Replacer) holdAll(ctx context.Context, g *registrar.Group, views []registrar.View, old registrar.Lead) ([]stopped, error) {
+	term := old.Term + 1
+	var mu sync.Mutex
+	var list []stopped
+	var missing []error
+	hasOld := false
+	var wg sync.WaitGroup
+	for _, v := range views {
+		wg.Go(func() {
+			isOld := v.ID == old.Instance
+			s, err := r.call(ctx, v, func(ctx context.Context, t carrier.Target) (carrier.Status, error) {
+				if isOld {
+					return r.cfg.Controller.Demote(ctx, t, term)
+				}
+				return r.cfg.Controller.Hold(ctx, t, term)
+			})
+			r.cfg.Observe(Event{Name: EventHeld, Group: g.Name(), Instance: v.ID, Status: s, Err: err})
+			mu.Lock()
+			defer mu.Unlock()
+			switch {
+			case err == nil:
+				list = append(list, stopped{id: v.ID, isLeaving: v.IsLeaving, isOld: isOld, received: s.Received})
+				hasOld = hasOld || isOld
+				if s.IsPrimary || s.Received.Term > old.Term {
+					missing = append(missing, classifier.New(classifier.Conflict, "%s is in term %d already", v.ID, s.Received.Term))
+					g.SeeTerm(max(s.Term, s.Received.Term))
+				}
+			case !isOld:
+				missing = append(missing, err)
+			}
+		})
+	}
+	wg.Wait()
+	for _, err := range missing {
+		if classifier.Is(err, classifier.Conflict) || !hasOld {
+			return nil, err
+		}
+	}
+	return eligible(list, len(missing) == 0), nil
+}
+
+// eligible returns the instances that hold every acknowledged commit of the old
+// term, or may: if all replicas answered, the furthest of them does. Otherwise
+// those do that hold as much as the old primary, which answered, and itself.
+func eligible(list []stopped, hasAll bool) []stopped {
+	var old tokenizer.Position
+	for _, s := range list {
+		if s.isOld {
+			old = s.received
+		}
+	}
+	return slices.DeleteFunc(list, func(s stopped) bool {
+		if hasAll {
+			return s.isOld
+		}
+		return !s.received.Covers(old)
+	})
+}
+
+// call gives an order, again while the instance is too busy to take it.
+func (r *Replacer) call(ctx context.Context, v registrar.View, f func(context.Context, carrier.Target) (carrier.Status, error)) (carrier.Status, error) {
+	limit := time.Now().Add(2 * orderTimeout)
+	for {
+		one, cancel := context.WithTimeout(ctx, orderTimeout)
+		s, err := f(one, registrar.TargetOf(v.Instance))
+		cancel()
+		isBusy := classifier.Is(err, classifier.Overloaded) || classifier.Is(err, classifier.TooManyConnections)
+		if !isBusy || time.Now().After(limit) || !sleeper.Sleep(ctx, 10*time.Millisecond) {
+			return s, err
+		}
+	}
+}
+
+// choose returns the instance that holds the most; of equal ones, one that
+// stays, then one that was a replica, then the first by identity.
+func choose(list []stopped) (string, error) {
+	if len(list) == 0 {
+		return "", classifier.New(classifier.NoInstance, "no instance answered")
+	}
+	best := slices.MaxFunc(list, func(a, b stopped) int {
+		return cmp.Or(a.received.Compare(b.received), compareBool(b.isLeaving, a.isLeaving), compareBool(b.isOld, a.isOld), cmp.Compare(b.id, a.id))
+	})
+	return best.id, nil
+}
+
+func compareBool(a, b bool) int {
+	switch {
+	case a == b:
+		return 0
+	case a:
+		return 1
+	}
+	return -1
+}
--- a/internal/telemetry/logger/event.go
+++ b/internal/telemetry/logger/event.go
@@ -32,6 +32,20 @@
 	CallerRefused    Event = "callerRefused"
 	UnitFailed       Event = "unitFailed"
 	ForwardFailed    Event = "forwardFailed"
+
+	SettingsInForce   Event = "settingsInForce"
+	SettingsFault     Event = "settingsFault"
+	EntryFault        Event = "entryFault"
+	DialFailed        Event = "dialFailed"
+	StoreFault        Event = "storeFault"
+	StoreBack         Event = "storeBack"
+	StatementRepeated Event = "statementRepeated"
+	StatementRefused  Event = "statementRefused"
+	OutcomeUnknown    Event = "outcomeUnknown"
+	ReplacementBegun  Event = "replacementBegun"
+	ReplicaHeld       Event = "replicaHeld"
+	PrimaryDemoted    Event = "primaryDemoted"
+	PromoteOrdered    Event = "promoteOrdered"
 )
 
 // Row describes an event for the reference page.
@@ -64,6 +78,19 @@
 	{CallerRefused, "a caller's start-up was refused"},
 	{UnitFailed, "a unit of work ended with an error of the proxy"},
 	{ForwardFailed, "a gateway VM could not be reached or cut a unit"},
+	{SettingsInForce, "changed settings were read again"},
+	{SettingsFault, "changed settings fail a check; the old ones stay in force"},
+	{EntryFault, "an entry of the registry names no instance to use"},
+	{DialFailed, "a connection to an instance could not be opened"},
+	{StoreFault, "calls to the platform's store for a table begin to fail"},
+	{StoreBack, "calls to the platform's store for a table work again"},
+	{StatementRepeated, "an instance refused or did not answer a statement, which may run elsewhere"},
+	{StatementRefused, "a statement was refused"},
+	{OutcomeUnknown, "a write or a commit was sent and not answered"},
+	{ReplacementBegun, "this VM begins to replace a primary"},
+	{ReplicaHeld, "a replica was told to receive nothing more of the old term"},
+	{PrimaryDemoted, "a working primary was told to become a replica"},
+	{PromoteOrdered, "the platform was told which instance leads the next term"},
 }
 
 // Table returns a copy of the table of events.
