Give orders over the VM's own links, and queue at the VM instead of at the instance

Changes: orders use pooled links, first in line; refused dials pause 60 to 300 ms and links beyond the first close after 400 ms of rest; links in use shrink by 0.7 with each BUSY and grow with answers; a statement waits for a link for at most three quarters of its objective; a replica that refused a floor is left out for 100 ms.

Ruled out: a shortage of slots in the failover (the replicas were idle).

--- a/internal/backend/allotter/allotter.go
+++ b/internal/backend/allotter/allotter.go
@@ -23,6 +23,13 @@
 	DefaultIdleTimeout = 20 * time.Second
 	DefaultGrowEvery   = 2 * time.Second
 	DefaultCheckAfter  = time.Second
+	DefaultSpareTime   = 400 * time.Millisecond
+)
+
+// Pauses between dials that the instance refuses.
+const (
+	firstPause = 60 * time.Millisecond
+	maxPause   = 300 * time.Millisecond
 )
 
 // Config holds what an Allotter needs.
@@ -35,6 +42,7 @@
 
 	DialTimeout time.Duration
 	IdleTimeout time.Duration // a link that rested longer is closed
+	SpareTime   time.Duration // the same for the links to an instance beyond the first
 	CheckAfter  time.Duration // a link that rested longer is checked with a round trip before use
 	GrowEvery   time.Duration // a share that was lowered grows by one link in this time
 }
@@ -56,6 +64,7 @@
 func New(cfg Config) *Allotter {
 	cfg.DialTimeout = orDefault(cfg.DialTimeout, DefaultDialTimeout)
 	cfg.IdleTimeout = orDefault(cfg.IdleTimeout, DefaultIdleTimeout)
+	cfg.SpareTime = orDefault(cfg.SpareTime, DefaultSpareTime)
 	cfg.CheckAfter = orDefault(cfg.CheckAfter, DefaultCheckAfter)
 	cfg.GrowEvery = orDefault(cfg.GrowEvery, DefaultGrowEvery)
 	a := &Allotter{cfg: cfg, lines: map[string]*line{}}
@@ -77,6 +86,8 @@
 	Waiting int
 	Idle    int
 	Limit   int
+
+	IsBlocked bool // there is no link, and the instance refused one just now
 }
 
 // IsFree reports whether a request would not have to wait for others.
@@ -87,7 +98,7 @@
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	l := a.line(t)
-	return Load{InUse: l.open - len(l.idle), Waiting: len(l.waiters), Idle: len(l.idle), Limit: a.limit(l)}
+	return Load{InUse: l.inUse(), Waiting: len(l.waiters), Idle: len(l.idle), Limit: a.usable(l), IsBlocked: l.open == 0 && l.isBlocked()}
 }
 
 // Acquire returns a link to an instance that is outside a transaction. A lower
@@ -100,6 +111,7 @@
 			return nil, err
 		}
 		if l.isUsable(ctx, a.cfg.CheckAfter) {
+			l.takenAt = time.Now()
 			return l, nil
 		}
 		l.discardSilent()
@@ -113,16 +125,22 @@
 		return nil, classifier.New(classifier.ShuttingDown, "links are closed")
 	}
 	ln := a.line(t)
-	if l := ln.takeIdle(); l != nil {
-		a.mu.Unlock()
-		return l, nil
+	if ln.inUse() < a.usable(ln) && len(ln.waiters) == 0 {
+		if l := ln.takeIdle(); l != nil {
+			a.mu.Unlock()
+			return l, nil
+		}
 	}
-	if err := ln.refuse(ctx, priority, a.limit(ln)); err != nil {
+	if err := ln.refuse(ctx, priority, a.usable(ln)); err != nil {
 		a.mu.Unlock()
 		return nil, err
 	}
+	if ln.open == 0 && ln.isBlocked() {
+		a.mu.Unlock()
+		return nil, classifier.New(classifier.TooManyConnections, "%s refused a connection just now", t.Instance)
+	}
 	w := ln.enter(priority)
-	a.dialFor(ln)
+	a.serve(ln)
 	a.mu.Unlock()
 	return a.await(ctx, ln, w)
 }
@@ -138,15 +156,20 @@
 	a.mu.Unlock()
 	if !isWaiting {
 		if g := <-w.ready; g.lease != nil {
+			g.lease.takenAt = time.Now()
 			g.lease.Release()
 		}
 	}
 	return nil, classifier.Wrap(classifier.Overloaded, ctx.Err(), "no free connection to %s", ln.target.Instance)
 }
 
-// dialFor opens links for the waiting requests as far as the share allows. The allotter is locked.
-func (a *Allotter) dialFor(ln *line) {
-	for ln.dialing < len(ln.waiters) && ln.open < a.limit(ln) && !a.closed {
+// serve gives the waiting requests links, idle ones first, as far as the
+// instance takes work. The allotter is locked.
+func (a *Allotter) serve(ln *line) {
+	for len(ln.waiters) > 0 && len(ln.idle) > 0 && ln.inUse() < a.usable(ln) {
+		ln.grantFirst(grant{lease: ln.takeIdle()})
+	}
+	for ln.dialing < len(ln.waiters) && len(ln.idle) == 0 && ln.open < a.usable(ln) && !a.closed && !ln.isBlocked() {
 		ln.open++
 		ln.dialing++
 		t := ln.target
@@ -171,6 +194,7 @@
 		return
 	}
 	ln.stats.Opened++
+	ln.pause = 0
 	l := &Lease{a: a, line: ln, target: t, link: link, values: map[string]string{}, prepared: map[string]bool{}, usedAt: time.Now()}
 	a.putLocked(l)
 }
@@ -181,6 +205,7 @@
 	if classifier.Is(err, classifier.TooManyConnections) {
 		ln.ceiling = max(1, ln.open)
 		ln.refusedAt = time.Now()
+		ln.block()
 		ln.stats.Refused++
 	}
 	if ln.open == 0 {
@@ -188,21 +213,38 @@
 	}
 }
 
-// putLocked gives a link to the first request in line, or keeps it.
+// putLocked keeps a link for the first request in line, or for a later one.
 func (a *Allotter) putLocked(l *Lease) {
 	ln := l.line
-	switch {
-	case a.closed, ln.target.Address != l.target.Address, ln.open > a.limit(ln):
+	if a.closed || ln.target.Address != l.target.Address || ln.open > a.limit(ln) {
 		l.link.Close()
 		ln.open--
-		a.dialFor(ln)
-	case len(ln.waiters) > 0:
-		ln.grantFirst(grant{lease: l})
-	default:
+	} else {
 		ln.idle = append(ln.idle, l)
 	}
+	a.serve(ln)
 }
 
+// usable is how many links may be in use at once: fewer than there are while
+// the instance sheds load.
+func (a *Allotter) usable(ln *line) int { return max(1, min(a.limit(ln), int(ln.window))) }
+
+// Shed records that an instance refused a statement because it had too many.
+func (a *Allotter) Shed(t carrier.Target) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	ln := a.line(t)
+	ln.window = max(minWindow, min(ln.window, float64(a.limit(ln)))*shedFactor)
+}
+
+// Bounds and steps of the links in use at once.
+const (
+	minWindow  = 2.0
+	maxWindow  = 1000.0
+	shedFactor = 0.7
+	growStep   = 0.1
+)
+
 // limit is the VM's share of the links to an instance, or less for a while
 // after the instance refused one.
 func (a *Allotter) limit(ln *line) int {
@@ -248,7 +290,7 @@
 
 // upkeep closes links that rest for long.
 func (a *Allotter) upkeep() {
-	t := time.NewTicker(a.cfg.IdleTimeout / 4)
+	t := time.NewTicker(a.cfg.SpareTime / 2)
 	defer t.Stop()
 	for {
 		select {
@@ -259,6 +301,7 @@
 		a.mu.Lock()
 		for _, ln := range a.lines {
 			ln.closeIdle(time.Now().Add(-a.cfg.IdleTimeout))
+			ln.closeSpare(time.Now().Add(-a.cfg.SpareTime))
 		}
 		a.mu.Unlock()
 	}
--- a/internal/backend/allotter/lease.go
+++ b/internal/backend/allotter/lease.go
@@ -48,7 +48,7 @@
 	l.a.mu.Lock()
 	defer l.a.mu.Unlock()
 	l.line.open--
-	l.a.dialFor(l.line)
+	l.a.serve(l.line)
 }
 
 // discardSilent closes a link that failed its check, and the other idle ones,
--- a/internal/backend/allotter/line.go
+++ b/internal/backend/allotter/line.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"slices"
 	"time"
 
@@ -24,7 +25,10 @@
 	dialing   int
 	waiters   []*waiter // by priority, then by arrival
 	hold      time.Duration
-	ceiling   int // links that the instance accepted at its last refusal
+	window    float64       // links that may be in use at once
+	blocked   time.Time     // no dials until then, after a refusal
+	pause     time.Duration // before the next dial after a refusal
+	ceiling   int           // links that the instance accepted at its last refusal
 	refusedAt time.Time
 	stats     Stats
 }
@@ -42,7 +46,7 @@
 func (a *Allotter) line(t carrier.Target) *line {
 	ln, ok := a.lines[t.Instance]
 	if !ok {
-		ln = &line{target: t, hold: firstHold}
+		ln = &line{target: t, hold: firstHold, window: maxWindow}
 		a.lines[t.Instance] = ln
 	}
 	if ln.target.Address != t.Address {
@@ -52,6 +56,9 @@
 	return ln
 }
 
+// inUse returns how many links requests have.
+func (ln *line) inUse() int { return ln.open - ln.dialing - len(ln.idle) }
+
 func (ln *line) takeIdle() *Lease {
 	n := len(ln.idle)
 	if n == 0 {
@@ -59,7 +66,6 @@
 	}
 	l := ln.idle[n-1]
 	ln.idle = ln.idle[:n-1]
-	l.takenAt = time.Now()
 	return l
 }
 
@@ -105,9 +111,6 @@
 func (ln *line) grantFirst(g grant) {
 	w := ln.waiters[0]
 	ln.waiters = slices.Delete(ln.waiters, 0, 1)
-	if g.lease != nil {
-		g.lease.takenAt = time.Now()
-	}
 	w.ready <- g
 }
 
@@ -132,6 +135,27 @@
 	ln.idle = keep
 }
 
+// closeSpare closes the links beyond the first that were last used before a
+// time. VMs that start anew find room at the instance, which still counts the
+// links of those that vanished.
+func (ln *line) closeSpare(before time.Time) {
+	for ln.open > 1 && len(ln.idle) > 0 && ln.idle[0].usedAt.Before(before) {
+		ln.idle[0].link.Close()
+		ln.idle = slices.Delete(ln.idle, 0, 1)
+		ln.open--
+	}
+}
+
+func (ln *line) isBlocked() bool { return time.Now().Before(ln.blocked) }
+
+// block keeps dials away for a while; the pause grows with each refusal in a row.
+func (ln *line) block() {
+	ln.pause = min(max(2*ln.pause, firstPause), maxPause)
+	ln.blocked = time.Now().Add(ln.pause/2 + rand.N(ln.pause))
+}
+
+// measure records how long a request kept a link.
 func (ln *line) measure(d time.Duration) {
 	ln.hold += time.Duration(smoothing * float64(d-ln.hold))
+	ln.window = min(maxWindow, ln.window+growStep/max(1, ln.window))
 }
--- a/internal/daemon/assembler/assembler.go
+++ b/internal/daemon/assembler/assembler.go
@@ -12,6 +12,7 @@
 
 	"parsleyscale/internal/backend/allotter"
 	"parsleyscale/internal/config/loader"
+	"parsleyscale/internal/group/commander"
 	"parsleyscale/internal/group/registrar"
 	"parsleyscale/internal/group/replacer"
 	"parsleyscale/internal/platform/follower"
@@ -33,11 +34,12 @@
 
 // Platform is what the platform offers, in the product's terms.
 type Platform struct {
-	Store      Store
-	Dialer     carrier.Dialer
-	Controller carrier.Controller
-	Accept     func(c net.Conn) conductor.Caller
-	Promote    func(ctx context.Context, group, instance, holder string, token uint64) error
+	Store   Store
+	Dialer  carrier.Dialer
+	Accept  func(c net.Conn) conductor.Caller
+	Promote func(ctx context.Context, group, instance, holder string, token uint64) error
+
+	ParseCondition func(row string) (carrier.Condition, error)
 
 	ConfigurationTable string
 	ConfigurationKey   string
@@ -99,7 +101,7 @@
 	})
 	v.members = startMembers(cfg, p.Store)
 	v.replacer = replacer.Start(replacer.Config{
-		Groups: v.groups, Controller: p.Controller, Tokens: v.members, Probe: v.perform.Probe, Rank: v.members.rank,
+		Groups: v.groups, Controller: commander.Commander{Links: v.links, Parse: p.ParseCondition}, Tokens: v.members, Probe: v.perform.Probe, Rank: v.members.rank,
 		Promote: func(ctx context.Context, group, instance string, token uint64) error {
 			return p.Promote(ctx, group, instance, cfg.ID, token)
 		},
--- a/internal/daemon/assembler/log.go
+++ b/internal/daemon/assembler/log.go
@@ -11,7 +11,7 @@
 // isRefusal reports whether an instance answered a dial, if only to refuse it.
 func isRefusal(err error) bool {
 	switch classifier.KindOf(err) {
-	case classifier.TooManyConnections, classifier.WrongInstance, classifier.Overloaded, classifier.AuthenticationFailed:
+	case classifier.TooManyConnections, classifier.Overloaded, classifier.AuthenticationFailed:
 		return true
 	}
 	return false
--- a/internal/group/replacer/replacer.go
+++ b/internal/group/replacer/replacer.go
@@ -67,7 +67,7 @@
 	Instance string
 	Reason   Reason
 	Token    uint64
-	Status   carrier.Status
+	Status   carrier.Condition
 	Took     time.Duration
 	Err      error
 }
--- a/internal/group/replacer/stop.go
+++ b/internal/group/replacer/stop.go
@@ -4,7 +4,6 @@
 	"cmp"
 	"context"
 	"slices"
-	"sync"
 	"time"
 
 	"parsleyscale/internal/clock/sleeper"
@@ -57,7 +56,7 @@
 	if !hasSuccessor(views, old.Instance) {
 		return nil, classifier.New(classifier.NoInstance, "group %s: no replica stays", g.Name())
 	}
-	s, err := r.call(ctx, v, func(ctx context.Context, t carrier.Target) (carrier.Status, error) {
+	s, err := r.call(ctx, v, func(ctx context.Context, t carrier.Target) (carrier.Condition, error) {
 		return r.cfg.Controller.Demote(ctx, t, old.Term+1)
 	})
 	r.cfg.Observe(Event{Name: EventDemoted, Group: g.Name(), Instance: v.ID, Status: s, Err: err})
@@ -84,68 +83,78 @@
 	return slices.ContainsFunc(views, func(v registrar.View) bool { return v.ID != primary && !v.IsLeaving && v.Failures == 0 })
 }
 
-// holdAll stops all replicas from receiving, and demotes the old primary where it answers.
+// heldAnswer is an instance's answer to the order to stop.
+type heldAnswer struct {
+	stopped
+	term uint64 // newest that it knows
+	err  error
+}
+
+// holdAll stops all replicas from receiving, and demotes the old primary. It
+// waits for the old primary's answer only where a replica's is missing.
 func (r *Replacer) holdAll(ctx context.Context, g *registrar.Group, views []registrar.View, old registrar.Lead) ([]stopped, error) {
 	term := old.Term + 1
-	var mu sync.Mutex
-	var list []stopped
-	var missing []error
-	hasOld := false
-	var wg sync.WaitGroup
+	replicas, primary := make(chan heldAnswer, len(views)), make(chan heldAnswer, 1)
+	n := 0
 	for _, v := range views {
-		wg.Go(func() {
-			isOld := v.ID == old.Instance
-			s, err := r.call(ctx, v, func(ctx context.Context, t carrier.Target) (carrier.Status, error) {
-				if isOld {
-					return r.cfg.Controller.Demote(ctx, t, term)
-				}
-				return r.cfg.Controller.Hold(ctx, t, term)
-			})
-			r.cfg.Observe(Event{Name: EventHeld, Group: g.Name(), Instance: v.ID, Status: s, Err: err})
-			mu.Lock()
-			defer mu.Unlock()
-			switch {
-			case err == nil:
-				list = append(list, stopped{id: v.ID, isLeaving: v.IsLeaving, isOld: isOld, received: s.Received})
-				hasOld = hasOld || isOld
-				if s.IsPrimary || s.Received.Term > old.Term {
-					missing = append(missing, classifier.New(classifier.Conflict, "%s is in term %d already", v.ID, s.Received.Term))
-					g.SeeTerm(max(s.Term, s.Received.Term))
-				}
-			case !isOld:
-				missing = append(missing, err)
-			}
-		})
+		if v.ID == old.Instance {
+			r.wg.Go(func() { primary <- r.halt(ctx, g, v, true, term) })
+			continue
+		}
+		n++
+		r.wg.Go(func() { replicas <- r.halt(ctx, g, v, false, term) })
 	}
-	wg.Wait()
-	for _, err := range missing {
-		if classifier.Is(err, classifier.Conflict) || !hasOld {
-			return nil, err
+	var list []stopped
+	var missing error
+	for range n {
+		a := <-replicas
+		switch {
+		case a.err != nil:
+			missing = a.err
+		case a.term >= term:
+			g.SeeTerm(a.term)
+			return nil, classifier.New(classifier.Conflict, "%s is in term %d already", a.id, a.term)
+		default:
+			list = append(list, a.stopped)
 		}
 	}
-	return eligible(list, len(missing) == 0), nil
+	if missing == nil {
+		return list, nil
+	}
+	if n == len(views) {
+		return nil, missing
+	}
+	a := <-primary
+	if a.err != nil {
+		return nil, missing
+	}
+	return covering(append(list, a.stopped), a.received), nil
 }
 
-// eligible returns the instances that hold every acknowledged commit of the old
-// term, or may: if all replicas answered, the furthest of them does. Otherwise
-// those do that hold as much as the old primary, which answered, and itself.
-func eligible(list []stopped, hasAll bool) []stopped {
-	var old tokenizer.Position
-	for _, s := range list {
-		if s.isOld {
-			old = s.received
-		}
-	}
-	return slices.DeleteFunc(list, func(s stopped) bool {
-		if hasAll {
-			return s.isOld
+// halt gives one instance the order to stop.
+func (r *Replacer) halt(ctx context.Context, g *registrar.Group, v registrar.View, isOld bool, term uint64) heldAnswer {
+	s, err := r.call(ctx, v, func(ctx context.Context, t carrier.Target) (carrier.Condition, error) {
+		if isOld {
+			return r.cfg.Controller.Demote(ctx, t, term)
 		}
-		return !s.received.Covers(old)
+		return r.cfg.Controller.Hold(ctx, t, term)
 	})
+	r.cfg.Observe(Event{Name: EventHeld, Group: g.Name(), Instance: v.ID, Status: s, Err: err})
+	a := heldAnswer{stopped: stopped{id: v.ID, isLeaving: v.IsLeaving, isOld: isOld, received: s.Received}, err: err, term: s.Received.Term}
+	if s.IsPrimary && !isOld {
+		a.term = max(a.term, s.Term, term)
+	}
+	return a
+}
+
+// covering returns the instances that hold as much as the old primary, itself
+// included: they hold every commit that it acknowledged.
+func covering(list []stopped, old tokenizer.Position) []stopped {
+	return slices.DeleteFunc(list, func(s stopped) bool { return !s.received.Covers(old) })
 }
 
 // call gives an order, again while the instance is too busy to take it.
-func (r *Replacer) call(ctx context.Context, v registrar.View, f func(context.Context, carrier.Target) (carrier.Status, error)) (carrier.Status, error) {
+func (r *Replacer) call(ctx context.Context, v registrar.View, f func(context.Context, carrier.Target) (carrier.Condition, error)) (carrier.Condition, error) {
 	limit := time.Now().Add(2 * orderTimeout)
 	for {
 		one, cancel := context.WithTimeout(ctx, orderTimeout)
--- a/internal/request/ranker/ranker.go
+++ b/internal/request/ranker/ranker.go
@@ -16,7 +16,7 @@
 	// drainNotice is how long after the news of its leaving the primary still gets work.
 	drainNotice = 5 * time.Second
 	// behindLife is how long a refused floor keeps reads of the same floor away.
-	behindLife = 80 * time.Millisecond
+	behindLife = 100 * time.Millisecond
 	// failureLife is how long a failed instance goes last before it is tried again.
 	failureLife = 500 * time.Millisecond
 	// busyLife is how long an instance that shed load goes after the others.
@@ -56,7 +56,7 @@
 // Classes of candidates; a lower one is tried first.
 const (
 	likely   = iota
-	doubtful // refused the same floor, or shed load, just now
+	doubtful // shed load just now
 	failing
 )
 
@@ -64,7 +64,7 @@
 func Rank(list []Candidate, q Query) []Candidate {
 	order := make([]ranked, 0, len(list))
 	for _, c := range list {
-		if !isUsable(c.View, q) {
+		if c.Load.IsBlocked || !isUsable(c.View, q) || IsBehind(c.View, q.Floor, q.Now) {
 			continue
 		}
 		order = append(order, ranked{c: c, class: class(c.View, q), delay: delay(c, q)})
@@ -90,7 +90,7 @@
 	switch {
 	case v.Failures > 0 && q.Now.Sub(v.LastFail) < failureLife:
 		return failing
-	case IsBehind(v, q.Floor, q.Now), q.Now.Sub(v.BusyAt) < busyLife:
+	case q.Now.Sub(v.BusyAt) < busyLife:
 		return doubtful
 	}
 	return likely
--- a/internal/statement/carrier/link.go
+++ b/internal/statement/carrier/link.go
@@ -42,11 +42,9 @@
 
 // Controller gives orders to instances on links of their own.
 type Controller interface {
-	Status(ctx context.Context, t Target) (Status, error)
+	Status(ctx context.Context, t Target) (Condition, error)
 	// Hold stops a replica from receiving entries of terms below term.
-	Hold(ctx context.Context, t Target, term uint64) (Status, error)
+	Hold(ctx context.Context, t Target, term uint64) (Condition, error)
 	// Demote makes a primary of a lower term a replica.
-	Demote(ctx context.Context, t Target, term uint64) (Status, error)
-	// Resume ends a hold.
-	Resume(ctx context.Context, t Target) (Status, error)
+	Demote(ctx context.Context, t Target, term uint64) (Condition, error)
 }
--- a/internal/statement/carrier/reply.go
+++ b/internal/statement/carrier/reply.go
@@ -37,8 +37,8 @@
 // Refusal returns an error reply of the VM itself.
 func Refusal(k classifier.Kind, detail string) Reply { return Reply{Kind: k, Detail: detail} }
 
-// Status is what an instance says about itself.
-type Status struct {
+// Condition is what an instance says about itself.
+type Condition struct {
 	IsPrimary bool
 	Term      uint64
 	Received  tokenizer.Position
--- a/internal/statement/carrier/statement.go
+++ b/internal/statement/carrier/statement.go
@@ -17,9 +17,12 @@
 	Execute
 	Forget
 	Reset
+	Status // orders to instances, never from callers
+	Hold   // Args: the term below which a replica receives nothing
+	Demote // Args: the term below which a primary becomes a replica
 )
 
-var verbNames = [...]string{"unknown", "begin", "beginRead", "commit", "rollback", "read", "write", "set", "prepare", "execute", "forget", "reset"}
+var verbNames = [...]string{"unknown", "begin", "beginRead", "commit", "rollback", "read", "write", "set", "prepare", "execute", "forget", "reset", "status", "hold", "demote"}
 
 // String returns the name of the verb for logs.
 func (v Verb) String() string {
--- a/internal/statement/performer/performer.go
+++ b/internal/statement/performer/performer.go
@@ -117,6 +117,7 @@
 	floor tokenizer.Position
 	tried []string // instances that refused in this round
 	n     int
+	free  time.Time     // when a primary was found after there had been none
 	last  carrier.Reply // answer of the latest failed attempt
 }
 
@@ -162,6 +163,7 @@
 		if v, ok := a.g.View(a.g.Lead().Instance); ok && takesWork(v) {
 			return v, true
 		}
+		a.free = time.Now()
 		if !a.pause(ctx, changed, time.Second) {
 			return registrar.View{}, false
 		}
@@ -294,6 +296,36 @@
 	})
 }
 
+// acquire waits for a link. A request that would get one only when its
+// objective has passed is refused, so that the queue serves those that can still be in time.
+func (a *attempt) acquire(ctx context.Context, v registrar.View) (*allotter.Lease, error) {
+	if o := a.r.Route.Objective; o > 0 {
+		var cancel context.CancelFunc
+		ctx, cancel = context.WithDeadline(ctx, later(a.r.Arrived, a.free).Add(o*queueShare/100))
+		defer cancel()
+	}
+	return a.p.cfg.Links.Acquire(ctx, registrar.TargetOf(v.Instance), a.r.Route.Priority)
+}
+
+// queueShare is the part of the objective, in percent, that a request may wait for a link.
+const queueShare = 75
+
+func later(a, b time.Time) time.Time {
+	if a.After(b) {
+		return a
+	}
+	return b
+}
+
+// refused records that an instance refused a statement.
+func (a *attempt) refused(v registrar.View, k classifier.Kind) {
+	a.g.Refused(v.ID, k, a.floor)
+	if k == classifier.Overloaded {
+		a.p.cfg.Links.Shed(registrar.TargetOf(v.Instance))
+	}
+	a.report(EventRepeated, v.ID, k)
+}
+
 // silence returns how long an instance may take to answer a read before the read is sent elsewhere.
 func silence(v registrar.View) time.Duration {
 	return max(leastSilence, silenceFactor*v.Latency)
--- a/internal/statement/performer/read.go
+++ b/internal/statement/performer/read.go
@@ -72,7 +72,7 @@
 
 // readOn runs the read on one instance. It returns false when the read may go elsewhere.
 func (a *attempt) readOn(ctx context.Context, v registrar.View, isProved bool) (carrier.Reply, bool) {
-	l, err := a.p.cfg.Links.Acquire(ctx, registrar.TargetOf(v.Instance), a.r.Route.Priority)
+	l, err := a.acquire(ctx, v)
 	if err != nil {
 		return carrier.Refusal(classifier.KindOf(err), classifier.Message(err)), false
 	}
@@ -111,8 +111,7 @@
 		a.report(EventServed, v.ID, "")
 		return true
 	case classifier.ReplicaBehind, classifier.Overloaded, classifier.NotPrimary, classifier.UnknownStatement:
-		a.g.Refused(v.ID, r.Kind, a.floor)
-		a.report(EventRepeated, v.ID, r.Kind)
+		a.refused(v, r.Kind)
 		return false
 	case classifier.StatementFailed:
 		a.report(EventRepeated, v.ID, r.Kind)
--- a/internal/statement/performer/transaction.go
+++ b/internal/statement/performer/transaction.go
@@ -143,7 +143,7 @@
 // begin elsewhere. The first statement is sent only after the begin was
 // accepted: behind a refused begin it would run outside a transaction.
 func (t *Transaction) startOn(ctx context.Context, a *attempt, v registrar.View, onPrimary bool, limit time.Time) (carrier.Reply, bool) {
-	l, err := t.p.cfg.Links.Acquire(ctx, registrar.TargetOf(v.Instance), t.route.Priority)
+	l, err := a.acquire(ctx, v)
 	if err != nil {
 		return carrier.Reply{}, false
 	}
@@ -184,8 +184,7 @@
 
 // refusedStart handles an instance that refused to begin or to run the first statement.
 func (t *Transaction) refusedStart(a *attempt, l *allotter.Lease, v registrar.View, r carrier.Reply) (carrier.Reply, bool) {
-	a.g.Refused(v.ID, r.Kind, a.floor)
-	a.report(EventRepeated, v.ID, r.Kind)
+	a.refused(v, r.Kind)
 	if r.State == carrier.Idle {
 		finish(l, r)
 	} else {
--- a/internal/statement/performer/write.go
+++ b/internal/statement/performer/write.go
@@ -32,7 +32,7 @@
 
 // writeOn runs the write on one instance. It returns false when it certainly did not run there.
 func (a *attempt) writeOn(ctx context.Context, v registrar.View, limit time.Time) (carrier.Reply, bool) {
-	l, err := a.p.cfg.Links.Acquire(ctx, registrar.TargetOf(v.Instance), a.r.Route.Priority)
+	l, err := a.acquire(ctx, v)
 	if err != nil {
 		return carrier.Reply{}, false
 	}
@@ -62,8 +62,7 @@
 		a.report(EventServed, v.ID, "")
 		return true
 	case classifier.Overloaded, classifier.NotPrimary, classifier.UnknownStatement:
-		a.g.Refused(v.ID, r.Kind, a.floor)
-		a.report(EventRepeated, v.ID, r.Kind)
+		a.refused(v, r.Kind)
 		return false
 	case classifier.StatementTimeout:
 		a.g.Stalled()
