--- a/internal/backend/allotter/line.go
+++ b/internal/backend/allotter/line.go
@@ -23,7 +23,7 @@
 	idle      []*Lease // the most recently used one is last
 	open      int      // in use, idle or being dialed
 	dialing   int
-	waiters   []*waiter // by priority, then by arrival
+	waiters   []*waiter // by due time
 	hold      time.Duration
 	window    float64       // links that may be in use at once
 	blocked   time.Time     // no dials until then, after a refusal
@@ -33,11 +33,17 @@
 	stats     Stats
 }
 
+// priorityStep is how much later a request with the next priority number is
+// due. Waiting makes up for a lower priority, so that nothing waits for ever.
+const priorityStep = 300 * time.Millisecond
+
 type waiter struct {
-	priority int
-	ready    chan grant
+	due   time.Time // orders the requests
+	ready chan grant
 }
 
+func dueOf(priority int) time.Time { return time.Now().Add(time.Duration(priority) * priorityStep) }
+
 type grant struct {
 	lease *Lease
 	err   error
@@ -75,9 +81,9 @@
 	if !ok {
 		return nil
 	}
-	ahead := 0
+	ahead, due := 0, dueOf(priority)
 	for _, w := range ln.waiters {
-		if w.priority <= priority {
+		if !w.due.After(due) {
 			ahead++
 		}
 	}
@@ -87,11 +93,11 @@
 	return nil
 }
 
-// enter puts a request in line behind those of the same priority.
+// enter puts a request in line behind those that are due before it.
 func (ln *line) enter(priority int) *waiter {
-	w := &waiter{priority: priority, ready: make(chan grant, 1)}
+	w := &waiter{due: dueOf(priority), ready: make(chan grant, 1)}
 	k := len(ln.waiters)
-	for k > 0 && ln.waiters[k-1].priority > priority {
+	for k > 0 && ln.waiters[k-1].due.After(w.due) {
 		k--
 	}
 	ln.waiters = slices.Insert(ln.waiters, k, w)
--- a/internal/group/commander/commander.go
+++ b/internal/group/commander/commander.go
@@ -14,7 +14,7 @@
 )
 
 // first puts an order before all statements.
-const first = -1
+const first = -100
 
 // defaultLimit bounds an order whose context has no deadline.
 const defaultLimit = time.Second
--- a/internal/group/registrar/group.go
+++ b/internal/group/registrar/group.go
@@ -22,6 +22,7 @@
 	mu        sync.Mutex
 	instances map[string]*belief
 	lead      Lead
+	suggested string    // instance that the registry names instead of the primary; "": none
 	lostAt    time.Time // since when no primary is known
 	stalls    int       // writes without an answer since the last one with
 	stalledAt time.Time
@@ -144,15 +145,21 @@
 	}
 }
 
-// suggest makes an instance the believed primary on the word of the registry.
+// suggest takes up the registry's word on the primary. While there is another
+// one, the word may be old, so the instance is only asked.
 func (g *Group) suggest(id string) {
-	if g.lead.Instance != id {
+	switch g.lead.Instance {
+	case id:
+	case "":
 		g.setLead(id)
+	default:
+		g.suggested = id
 	}
 }
 
 func (g *Group) setLead(id string) {
 	g.lead.Instance = id
+	g.suggested = ""
 	g.lead.Since = time.Now()
 	g.stalls = 0
 	g.lostAt = time.Time{}
@@ -205,6 +212,9 @@
 func (g *Group) Refute(id string) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
+	if g.suggested == id {
+		g.suggested = ""
+	}
 	if g.lead.Instance == id {
 		g.setLead("")
 	}
@@ -302,13 +312,14 @@
 	Stalls    int
 	StalledAt time.Time
 	Instances int
+	Suggested string // instance that the registry names instead of the primary
 }
 
 // Health returns the state of the group's primary.
 func (g *Group) Health() Health {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	h := Health{Lead: g.lead, LostAt: g.lostAt, Stalls: g.stalls, StalledAt: g.stalledAt, Instances: len(g.instances)}
+	h := Health{Lead: g.lead, LostAt: g.lostAt, Stalls: g.stalls, StalledAt: g.stalledAt, Instances: len(g.instances), Suggested: g.suggested}
 	if b, ok := g.instances[g.lead.Instance]; ok {
 		h.Primary = b.View
 	}
--- a/internal/group/replacer/replacer.go
+++ b/internal/group/replacer/replacer.go
@@ -154,6 +154,9 @@
 	case h.Primary.Failures > 0:
 		r.ask(g, h.Primary, checkEvery)
 	}
+	if v, ok := g.View(h.Suggested); ok {
+		r.ask(g, v, probeEvery)
+	}
 }
 
 // ask probes an instance unless it was probed lately.
--- a/internal/group/replacer/stop.go
+++ b/internal/group/replacer/stop.go
@@ -63,6 +63,10 @@
 	if err != nil {
 		return r.holdAll(ctx, g, views, old)
 	}
+	if s.Received.Term > old.Term {
+		g.SeeTerm(s.Received.Term)
+		return nil, classifier.New(classifier.Conflict, "%s is in term %d already", v.ID, s.Received.Term)
+	}
 	limit := time.Now().Add(time.Second)
 	for time.Now().Before(limit) && ctx.Err() == nil {
 		for _, w := range views {
--- a/internal/platform/follower/follower.go
+++ b/internal/platform/follower/follower.go
@@ -34,8 +34,11 @@
 
 // Defaults of Config.
 const (
-	DefaultWait     = 25 * time.Second
-	DefaultMargin   = 2 * time.Second
+	// DefaultWait is short enough that a call which the store forgot in an outage
+	// does not hide changes for long after it.
+	DefaultWait     = 8 * time.Second
+	DefaultMargin   = time.Second
+	firstWait       = time.Second // after a fault, when the store may still be silent
 	DefaultMinPause = 50 * time.Millisecond
 	DefaultMaxPause = 800 * time.Millisecond
 )
@@ -82,12 +85,13 @@
 func (f *Follower) run(ctx context.Context) {
 	var version uint64
 	isRead, isFailing := false, false
+	wait := min(firstWait, f.cfg.Wait)
 	pause := DefaultMinPause
 	for ctx.Err() == nil {
 		var p Page
 		var err error
 		if isRead {
-			p, err = f.follow(ctx, version)
+			p, err = f.follow(ctx, version, wait)
 		} else {
 			p, err = f.read(ctx)
 		}
@@ -95,6 +99,7 @@
 			return
 		}
 		if err != nil {
+			wait = min(firstWait, f.cfg.Wait)
 			isRead = isRead && !classifier.Is(err, classifier.Conflict)
 			if !isFailing {
 				isFailing = true
@@ -109,6 +114,9 @@
 			f.cfg.Fault(nil)
 		}
 		pause = DefaultMinPause
+		if isRead {
+			wait = f.cfg.Wait
+		}
 		if !isRead {
 			f.cfg.Whole(p.Rows)
 		} else if len(p.Rows) > 0 {
@@ -125,8 +133,8 @@
 	return f.cfg.Source.Read(ctx, f.cfg.Table)
 }
 
-func (f *Follower) follow(ctx context.Context, after uint64) (Page, error) {
-	ctx, cancel := context.WithTimeout(ctx, f.cfg.Wait+DefaultMargin)
+func (f *Follower) follow(ctx context.Context, after uint64, wait time.Duration) (Page, error) {
+	ctx, cancel := context.WithTimeout(ctx, wait+DefaultMargin)
 	defer cancel()
-	return f.cfg.Source.Follow(ctx, f.cfg.Table, after, f.cfg.Wait)
+	return f.cfg.Source.Follow(ctx, f.cfg.Table, after, wait)
 }
--- a/internal/statement/conductor/server.go
+++ b/internal/statement/conductor/server.go
@@ -75,7 +75,7 @@
 	s.mu.Lock()
 	s.sessions[c] = conn
 	if !s.notice.IsZero() {
-		c.endAt = s.drawEnd()
+		c.endAt = s.end // the caller has only just come
 	}
 	s.mu.Unlock()
 	reason := c.serve(s.ctx)
@@ -108,6 +108,10 @@
 	go func() {
 		for s.Open() > 0 || time.Now().Before(s.notice) {
 			time.Sleep(stopPoll)
+			s.wakeEnded()
+			if time.Now().After(s.txEnd) {
+				_ = s.cfg.Listener.Close() // a caller that comes later would find no time for its statements
+			}
 		}
 		close(done)
 	}()
@@ -119,6 +123,18 @@
 	s.cancel()
 }
 
+// wakeEnded wakes the sessions whose end has come but that wait for their callers.
+func (s *Server) wakeEnded() {
+	now := time.Now()
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for c, conn := range s.sessions {
+		if now.After(c.endAt) || now.After(s.txEnd) {
+			_ = conn.SetReadDeadline(now)
+		}
+	}
+}
+
 const (
 	stopPoll  = 20 * time.Millisecond
 	stopSlack = 300 * time.Millisecond
