Let one VM at a time replace a primary, and look for its successor first

In the stand-in two VMs that had not read the list of VMs yet had the same rank and chose different replicas of a demoted primary (TestFailover/leaving).

Changes: a newer term ends the belief in the old primary; all others are asked before anything is held; a claim row in the store, written under a condition, lets one VM at a time end a term, and its version is the token; a planned switch prefers the first replica by identity. A planned stop closes a session right after an answer or after 50 ms of rest, never in between.

Ruled out: late promotes; the tokens refused them (409 in the log).

--- a/internal/daemon/assembler/assembler.go
+++ b/internal/daemon/assembler/assembler.go
@@ -12,6 +12,7 @@
 
 	"parsleyscale/internal/backend/allotter"
 	"parsleyscale/internal/config/loader"
+	"parsleyscale/internal/group/claimer"
 	"parsleyscale/internal/group/commander"
 	"parsleyscale/internal/group/registrar"
 	"parsleyscale/internal/group/replacer"
@@ -28,6 +29,7 @@
 // Store is the platform's table service.
 type Store interface {
 	follower.Source
+	claimer.Store
 	// Put writes a row and returns the version of that write, which is unique and higher than all before.
 	Put(ctx context.Context, table, key string, value []byte) (uint64, error)
 }
@@ -101,7 +103,7 @@
 	})
 	v.members = startMembers(cfg, p.Store)
 	v.replacer = replacer.Start(replacer.Config{
-		Groups: v.groups, Controller: commander.Commander{Links: v.links, Parse: p.ParseCondition}, Tokens: v.members, Probe: v.perform.Probe, Rank: v.members.rank,
+		Groups: v.groups, Controller: commander.Commander{Links: v.links, Parse: p.ParseCondition}, Tokens: v.members, Claims: claimer.New(p.Store, cfg.ID), Probe: v.perform.Probe, Rank: v.members.rank,
 		Promote: func(ctx context.Context, group, instance string, token uint64) error {
 			return p.Promote(ctx, group, instance, cfg.ID, token)
 		},
--- a/internal/group/registrar/group.go
+++ b/internal/group/registrar/group.go
@@ -220,11 +220,19 @@
 	}
 }
 
-// SeeTerm records a term that an instance reported.
+// SeeTerm records a term that an instance reported. A primary of a lower term
+// has been replaced, also when its successor is not known yet.
 func (g *Group) SeeTerm(term uint64) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	g.lead.Term = max(g.lead.Term, term)
+	if term <= g.lead.Term {
+		return
+	}
+	isReplaced := g.lead.Term > 0 && g.lead.IsKnown()
+	g.lead.Term = term
+	if isReplaced {
+		g.setLead("")
+	}
 }
 
 // Answered records an answer of an instance and how long it took.
--- a/internal/group/replacer/replacer.go
+++ b/internal/group/replacer/replacer.go
@@ -31,7 +31,7 @@
 const (
 	tick         = 50 * time.Millisecond
 	orderTimeout = 400 * time.Millisecond // of one order to an instance
-	tokenTimeout = 250 * time.Millisecond // for a token, until the spare one is used
+	tokenTimeout = 400 * time.Millisecond // for a token, until the spare one is used
 	promoteLimit = 400 * time.Millisecond // for the answer to a promote
 	retryPause   = 60 * time.Millisecond
 	attemptLimit = 6 * time.Second
@@ -39,11 +39,16 @@
 	checkEvery   = 250 * time.Millisecond // of a primary that was refused or silent
 )
 
-// Tokens gives out fencing tokens, each higher than all before.
+// Tokens gives out spare fencing tokens, each higher than all before.
 type Tokens interface {
 	Next(ctx context.Context) (uint64, error)
 }
 
+// Claims lets one VM at a time replace a primary, and gives it a token.
+type Claims interface {
+	Claim(ctx context.Context, group string, term uint64) (uint64, error)
+}
+
 // Promote orders that an instance leads its group. An error of kind conflict
 // means that a higher token was seen, or that the instance does not run.
 type Promote func(ctx context.Context, group, instance string, token uint64) error
@@ -53,6 +58,7 @@
 	Groups     *registrar.Registrar
 	Controller carrier.Controller
 	Tokens     Tokens
+	Claims     Claims
 	Promote    Promote
 	Probe      func(g *registrar.Group, v registrar.View) error // asks an instance whether it is the primary
 	Rank       func(group string) int
@@ -197,12 +203,12 @@
 	r.cfg.Observe(Event{Name: EventBegun, Group: g.Name(), Instance: old.Instance, Reason: a.Reason})
 	for ctx.Err() == nil {
 		now := g.Lead()
-		if now.IsKnown() && now.Instance != old.Instance || now.Term > old.Term {
+		if now.IsKnown() && (now.Instance != old.Instance || now.Term > old.Term) {
 			r.cfg.Observe(Event{Name: EventReplaced, Group: g.Name(), Instance: now.Instance, Reason: a.Reason, Took: time.Since(start)})
 			return
 		}
-		if recovered := a.Kind == Replace && Decide(Evidence{Health: g.Health(), Now: time.Now()}).Kind == None; recovered {
-			return
+		if now.Term > old.Term || a.Kind == Replace && Decide(Evidence{Health: g.Health(), Now: time.Now()}).Kind == None {
+			return // replaced by another VM, or back
 		}
 		if err := r.attempt(ctx, g, a, old); err != nil {
 			r.cfg.Observe(Event{Name: EventFailed, Group: g.Name(), Instance: old.Instance, Reason: a.Reason, Err: err, Took: time.Since(start)})
@@ -213,7 +219,10 @@
 
 // attempt takes a token, stops the old term, compares and orders.
 func (r *Replacer) attempt(ctx context.Context, g *registrar.Group, a Action, old registrar.Lead) error {
-	token, err := r.token(ctx)
+	if r.isReplaced(g, old) {
+		return nil
+	}
+	token, err := r.token(ctx, g.Name(), old.Term)
 	if err != nil {
 		return err
 	}
@@ -228,6 +237,20 @@
 	return r.order(ctx, g, a, target, token)
 }
 
+// isReplaced asks the other instances whether one of them leads already, as
+// after another VM's turn. Holding its replicas would stop the new primary's writes.
+func (r *Replacer) isReplaced(g *registrar.Group, old registrar.Lead) bool {
+	var wg sync.WaitGroup
+	for _, v := range g.Views() {
+		if v.ID != old.Instance {
+			wg.Go(func() { _ = r.cfg.Probe(g, v) })
+		}
+	}
+	wg.Wait()
+	l := g.Lead()
+	return l.IsKnown() && (l.Instance != old.Instance || l.Term > old.Term)
+}
+
 // order sends the promote until the group has a new primary or the platform refuses it.
 func (r *Replacer) order(ctx context.Context, g *registrar.Group, a Action, target string, token uint64) error {
 	before := g.Lead()
@@ -269,13 +292,13 @@
 	return false
 }
 
-// token returns a new token, or the spare one while the store is out.
-func (r *Replacer) token(ctx context.Context) (uint64, error) {
+// token claims the group, or returns the spare token while the store is out.
+func (r *Replacer) token(ctx context.Context, group string, term uint64) (uint64, error) {
 	ctx, cancel := context.WithTimeout(ctx, tokenTimeout)
 	defer cancel()
-	t, err := r.cfg.Tokens.Next(ctx)
-	if err == nil {
-		return t, nil
+	t, err := r.cfg.Claims.Claim(ctx, group, term)
+	if err == nil || classifier.Is(err, classifier.Conflict) {
+		return t, err
 	}
 	r.mu.Lock()
 	defer r.mu.Unlock()
--- a/internal/group/replacer/stop.go
+++ b/internal/group/replacer/stop.go
@@ -67,8 +67,9 @@
 		g.SeeTerm(s.Received.Term)
 		return nil, classifier.New(classifier.Conflict, "%s is in term %d already", v.ID, s.Received.Term)
 	}
-	limit := time.Now().Add(time.Second)
-	for time.Now().Before(limit) && ctx.Err() == nil {
+	slices.SortFunc(views, func(a, b registrar.View) int { return cmp.Compare(a.ID, b.ID) })
+	start := time.Now()
+	for n := 0; time.Since(start) < catchUpLimit && ctx.Err() == nil; n++ {
 		for _, w := range views {
 			if w.ID == v.ID || w.IsLeaving {
 				continue
@@ -77,12 +78,22 @@
 			if err == nil && st.Received.Covers(s.Received) {
 				return []stopped{{id: w.ID, received: st.Received}}, nil
 			}
+			if time.Since(start) < firstChoice {
+				break // another VM would choose the first, too
+			}
 		}
 		sleeper.Sleep(ctx, 10*time.Millisecond)
 	}
 	return r.holdAll(ctx, g, views, old)
 }
 
+const (
+	// catchUpLimit bounds the wait for a replica to receive what the demoted primary held.
+	catchUpLimit = time.Second
+	// firstChoice is the part of it that is left to the first replica by identity.
+	firstChoice = 200 * time.Millisecond
+)
+
 func hasSuccessor(views []registrar.View, primary string) bool {
 	return slices.ContainsFunc(views, func(v registrar.View) bool { return v.ID != primary && !v.IsLeaving && v.Failures == 0 })
 }
--- a/internal/statement/conductor/session.go
+++ b/internal/statement/conductor/session.go
@@ -88,6 +88,9 @@
 		if r.Kind == classifier.UnknownDatabase {
 			return "unknownDatabase"
 		}
+		if end := c.s.endOf(c); c.tx == nil && !end.IsZero() && c.replied.After(end) {
+			return "stopping"
+		}
 	}
 }
 
@@ -135,7 +138,7 @@
 		case !errors.Is(err, os.ErrDeadlineExceeded):
 			return "callerLeft"
 		}
-		if end, _ := c.deadline(); isStop && !time.Now().Before(end) {
+		if isStop && c.mayEnd() {
 			return "stopping"
 		}
 		if c.tx != nil && time.Since(c.replied) >= c.idleLimit() {
@@ -144,11 +147,24 @@
 	}
 }
 
+// restTime is how long a session must have rested to be closed without an
+// answer before: a caller whose next statement is under way would lose it.
+const restTime = 50 * time.Millisecond
+
+// mayEnd reports whether a planned stop closes the session now.
+func (c *session) mayEnd() bool {
+	end, isStop := c.deadline()
+	return isStop && !time.Now().Before(end)
+}
+
 // deadline returns until when to wait for the caller, and whether the session then ends.
 func (c *session) deadline() (t time.Time, isStop bool) {
 	end := c.s.endOf(c)
+	if c.tx == nil && end.IsZero() {
+		return end, false
+	}
 	if c.tx == nil {
-		return end, !end.IsZero()
+		return laterOf(end, c.replied.Add(restTime)), true
 	}
 	idle := c.replied.Add(c.idleLimit())
 	if c.tx.HasFailed() {
@@ -161,6 +177,13 @@
 	return idle, false
 }
 
+func laterOf(a, b time.Time) time.Time {
+	if a.After(b) {
+		return a
+	}
+	return b
+}
+
 func (c *session) idleLimit() time.Duration {
 	if cfg := c.s.cfg.Configuration(); cfg != nil && cfg.IdleTransaction > 0 {
 		return cfg.IdleTransaction
