--- a/internal/backend/allotter/allotter.go
+++ b/internal/backend/allotter/allotter.go
@@ -21,7 +21,7 @@
 const (
 	DefaultDialTimeout = 400 * time.Millisecond
 	DefaultIdleTimeout = 20 * time.Second
-	DefaultGrowEvery   = 2 * time.Second
+	DefaultGrowEvery   = 400 * time.Millisecond
 	DefaultCheckAfter  = time.Second
 	DefaultSpareTime   = 400 * time.Millisecond
 )
--- /dev/null
+++ b/internal/request/ranker/ranker_test.go
@@ -0,0 +1,71 @@
+package ranker
+
+import (
+	"testing"
+	"time"
+
+	"github.com/google/go-cmp/cmp"
+
+	"parsleyscale/internal/backend/allotter"
+	"parsleyscale/internal/group/registrar"
+	"parsleyscale/internal/session/tokenizer"
+	"parsleyscale/internal/sheet/cataloger"
+)
+
+var now = time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
+
+func candidate(id, dc string, change func(*Candidate)) Candidate {
+	c := Candidate{
+		View: registrar.View{Instance: cataloger.Instance{ID: id, DataCentre: dc, Slots: 2}, Latency: 10 * time.Millisecond, UsedAt: now.Add(-10 * time.Millisecond)},
+		Load: allotter.Load{Limit: 4},
+	}
+	if change != nil {
+		change(&c)
+	}
+	return c
+}
+
+func order(list []Candidate, floor uint64) []string {
+	q := Query{
+		Floor: tokenizer.Position{Term: 1, Index: floor}, DataCentre: "d1", Region: "r1", Primary: "p", Now: now,
+		RegionOf: func(dc string) string { return map[string]string{"d1": "r1", "d2": "r1", "d3": "r2"}[dc] },
+	}
+	var ids []string
+	for _, c := range Rank(list, q) {
+		ids = append(ids, c.View.ID)
+	}
+	return ids
+}
+
+func behind(index uint64, age time.Duration) func(*Candidate) {
+	return func(c *Candidate) {
+		c.View.RefusedFloor, c.View.RefusedAt = tokenizer.Position{Term: 1, Index: index}, now.Add(-age)
+	}
+}
+
+// Guards against reads that go far, or to the primary, while a near replica can serve them.
+func TestRank(t *testing.T) {
+	for _, c := range []struct {
+		name  string
+		list  []Candidate
+		floor uint64
+		want  []string
+	}{
+		{"near before far, primary after a replica", []Candidate{candidate("p", "d1", nil), candidate("b", "d3", nil), candidate("a", "d1", nil)}, 5, []string{"a", "p", "b"}},
+		{"a busy near replica yields", []Candidate{
+			candidate("a", "d1", func(c *Candidate) { c.Load.InUse, c.Load.Waiting = 4, 6 }), candidate("b", "d2", nil),
+		}, 5, []string{"b", "a"}},
+		{"a replica that refused the floor is left out", []Candidate{candidate("a", "d1", behind(4, 20*time.Millisecond)), candidate("p", "d3", nil)}, 5, []string{"p"}},
+		{"it still serves lower floors", []Candidate{candidate("a", "d1", behind(4, 20*time.Millisecond)), candidate("p", "d3", nil)}, 3, []string{"a", "p"}},
+		{"it is asked again after a while", []Candidate{candidate("a", "d1", behind(4, 200*time.Millisecond)), candidate("p", "d3", nil)}, 5, []string{"a", "p"}},
+		{"a failing replica goes last", []Candidate{
+			candidate("a", "d1", func(c *Candidate) { c.View.Failures, c.View.LastFail = 1, now.Add(-50*time.Millisecond) }), candidate("b", "d3", nil),
+		}, 5, []string{"b", "a"}},
+		{"a leaving replica gets nothing", []Candidate{candidate("a", "d1", func(c *Candidate) { c.View.IsLeaving = true }), candidate("b", "d3", nil)}, 5, []string{"b"}},
+		{"an instance that refuses connections gets nothing", []Candidate{candidate("a", "d1", func(c *Candidate) { c.Load.IsBlocked = true })}, 5, nil},
+	} {
+		if d := cmp.Diff(c.want, order(c.list, c.floor)); d != "" {
+			t.Errorf("%s:\n%s", c.name, d)
+		}
+	}
+}
--- a/internal/statement/performer/performer.go
+++ b/internal/statement/performer/performer.go
@@ -301,14 +301,14 @@
 func (a *attempt) acquire(ctx context.Context, v registrar.View) (*allotter.Lease, error) {
 	if o := a.r.Route.Objective; o > 0 {
 		var cancel context.CancelFunc
-		ctx, cancel = context.WithDeadline(ctx, later(a.r.Arrived, a.free).Add(o*queueShare/100))
+		ctx, cancel = context.WithDeadline(ctx, later(a.r.Arrived, a.free).Add(max(o/leastQueueShare, o-v.Latency*5/4)))
 		defer cancel()
 	}
 	return a.p.cfg.Links.Acquire(ctx, registrar.TargetOf(v.Instance), a.r.Route.Priority)
 }
 
-// queueShare is the part of the objective, in percent, that a request may wait for a link.
-const queueShare = 75
+// leastQueueShare: a request may wait for a link at least for this part of its objective.
+const leastQueueShare = 4
 
 func later(a, b time.Time) time.Time {
 	if a.After(b) {
