Bound the log of statements, never wait for its reader, and serve metrics

Lines of one event and reason are limited to 10 a second and say how many were left out; lines that find the queue full are lost. Each line of a statement has what decided it: floor, primary, candidates, requests in line, attempt, time. Metrics count the same events and calls to the platform by outcome, with gauges of links, lines and floors' ages.

--- a/cmd/parsleyline/main.go
+++ b/cmd/parsleyline/main.go
@@ -49,7 +49,7 @@
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
 	defer stop()
 	reload := assembler.Reload{Signal: hangups(), Load: func() (loader.LineSettings, error) { return loader.LoadLine(o.Settings) }}
-	return assembler.Run(ctx, cfg, platform.New(cfg.Store, cfg.Orders), reload, logger.New(os.Stdout, cfg.ID))
+	return assembler.Run(ctx, cfg, platform.New(cfg.Store, cfg.Orders), reload, logger.NewBounded(os.Stdout, cfg.ID))
 }
 
 // hangups passes on SIGHUP, which says that the settings file has changed.
--- a/internal/backend/allotter/allotter.go
+++ b/internal/backend/allotter/allotter.go
@@ -97,7 +97,21 @@
 func (a *Allotter) Load(t carrier.Target) Load {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	l := a.line(t)
+	return a.load(a.line(t))
+}
+
+// Loads returns the use of all instances.
+func (a *Allotter) Loads() map[string]Load {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	m := make(map[string]Load, len(a.lines))
+	for id, l := range a.lines {
+		m[id] = a.load(l)
+	}
+	return m
+}
+
+func (a *Allotter) load(l *line) Load {
 	return Load{InUse: l.inUse(), Waiting: len(l.waiters), Idle: len(l.idle), Limit: a.usable(l), IsBlocked: l.open == 0 && l.isBlocked()}
 }
 
--- a/internal/config/loader/line.go
+++ b/internal/config/loader/line.go
@@ -15,6 +15,7 @@
 	CallerAddress string            `json:"callerAddress" doc:"IP number and port for callers"`
 	ReadyAddress  string            `json:"readyAddress" doc:"IP number and port for /ready"`
 	PeerAddress   string            `json:"peerAddress" doc:"IP number and port for other VMs"`
+	AdminAddress  string            `json:"adminAddress" doc:"IP number and port for /metrics; empty: none"`
 	Seeds         []string          `json:"seeds" doc:"peer addresses of some VMs"`
 	Store         string            `json:"store" doc:"IP number and port of the platform's store"`
 	Orders        string            `json:"orders" doc:"IP number and port for orders to the platform"`
--- a/internal/daemon/assembler/assembler.go
+++ b/internal/daemon/assembler/assembler.go
@@ -24,6 +24,7 @@
 	"parsleyscale/internal/statement/conductor"
 	"parsleyscale/internal/statement/performer"
 	"parsleyscale/internal/telemetry/logger"
+	"parsleyscale/internal/telemetry/meter"
 )
 
 // Store is the platform's table service.
@@ -49,7 +50,9 @@
 	RegistryTable      string
 	ParseEntry         func(id string, b []byte) (cataloger.Instance, error)
 
-	Clock func() time.Duration // counts suspensions
+	// OnCall sets what is told of each call to the platform.
+	OnCall func(f func(call string, err error))
+	Clock  func() time.Duration // counts suspensions
 }
 
 // VM is a running entry VM.
@@ -71,6 +74,8 @@
 	members  *members
 	server   *conductor.Server
 	ready    *http.Server
+	admin    *http.Server // nil: no metrics
+	meter    *meter.Lines
 	feeds    []*follower.Follower
 }
 
@@ -95,6 +100,11 @@
 func start(cfg loader.LineSettings, p Platform, log *logger.Logger) (*VM, error) {
 	v := &VM{cfg: cfg, platform: p, log: log, registry: cataloger.Registry{}}
 	v.limits.Store(&cfg)
+	var err error
+	if v.meter, err = meter.NewLines(v.gauges()...); err != nil {
+		return nil, err
+	}
+	p.OnCall(v.countCall)
 	v.groups = registrar.New(p.Clock)
 	v.links = allotter.New(allotter.Config{Dialer: p.Dialer, Share: v.share, Observe: v.dialed})
 	v.perform = performer.New(performer.Config{
@@ -125,7 +135,7 @@
 		return nil, err
 	}
 	v.server = conductor.NewServer(conductor.Config{
-		Listener: callers, Accept: p.Accept, Configuration: v.configuration.Load, Performer: v.perform, Clock: p.Clock, Limit: cfg.Callers,
+		Listener: callers, Accept: p.Accept, Configuration: v.configuration.Load, Performer: v.perform, Clock: p.Clock, Limit: cfg.Callers, OnEnd: v.logSession,
 	})
 	ready, err := net.Listen("tcp", cfg.ReadyAddress)
 	if err != nil {
@@ -133,6 +143,9 @@
 	}
 	v.ready = &http.Server{Handler: http.HandlerFunc(v.serveReady), ReadHeaderTimeout: time.Second}
 	go func() { _ = v.ready.Serve(ready) }()
+	if err := v.serveMetrics(); err != nil {
+		return nil, err
+	}
 	log.Info(logger.VMStarted, logger.String("callerAddress", cfg.CallerAddress))
 	return v, nil
 }
@@ -148,6 +161,22 @@
 	v.log.Info(logger.VMStopped)
 }
 
+// serveMetrics opens the metrics address, where there is one.
+func (v *VM) serveMetrics() error {
+	if v.cfg.AdminAddress == "" {
+		return nil
+	}
+	l, err := net.Listen("tcp", v.cfg.AdminAddress)
+	if err != nil {
+		return err
+	}
+	mux := http.NewServeMux()
+	mux.Handle("/metrics", v.meter.Handler())
+	v.admin = &http.Server{Handler: mux, ReadHeaderTimeout: time.Second}
+	go func() { _ = v.admin.Serve(l) }()
+	return nil
+}
+
 func (v *VM) isReady() bool {
 	return !v.isStopping.Load() && v.configuration.Load() != nil && v.hasRegistry.Load()
 }
--- a/internal/daemon/assembler/log.go
+++ b/internal/daemon/assembler/log.go
@@ -1,11 +1,13 @@
 package assembler
 
 import (
+	"parsleyscale/internal/backend/allotter"
 	"parsleyscale/internal/failure/classifier"
 	"parsleyscale/internal/group/replacer"
 	"parsleyscale/internal/statement/carrier"
 	"parsleyscale/internal/statement/performer"
 	"parsleyscale/internal/telemetry/logger"
+	"parsleyscale/internal/telemetry/meter"
 )
 
 // isRefusal reports whether an instance answered a dial, if only to refuse it.
@@ -18,7 +20,7 @@
 }
 
 func (v *VM) logDial(t carrier.Target, err error) {
-	v.log.Warn(logger.DialFailed, logger.String("group", t.Group), logger.String("instance", t.Instance), logger.String("address", t.Address), logger.Err(err))
+	v.log.Sample(logger.DialFailed, string(classifier.KindOf(err)), logger.String("group", t.Group), logger.String("instance", t.Instance), logger.String("address", t.Address), logger.Err(err))
 }
 
 func (v *VM) logStore(table string, err error) {
@@ -29,19 +31,60 @@
 	v.log.Warn(logger.StoreFault, logger.String("table", table), logger.Err(err))
 }
 
+// statementEvents are the log's names of the performer's events.
+var statementEvents = map[string]logger.Event{
+	performer.EventServed:   logger.StatementServed,
+	performer.EventRepeated: logger.StatementRepeated,
+	performer.EventRefused:  logger.StatementRefused,
+	performer.EventUnknown:  logger.OutcomeUnknown,
+}
+
 func (v *VM) logStatement(e performer.Event) {
-	if e.Name == performer.EventServed {
-		return
+	v.meter.Statement(e.Name, e.Group, string(e.Kind), e.Took)
+	v.log.Sample(statementEvents[e.Name], string(e.Kind), logger.String("id", e.ID), logger.String("group", e.Group), logger.String("instance", e.Instance),
+		logger.String("kind", string(e.Kind)), logger.String("floor", e.Floor.String()), logger.String("primary", e.Primary), logger.Int("candidates", int64(e.Candidates)),
+		logger.Int("waiting", int64(e.Waiting)), logger.Int("attempt", int64(e.Attempt)), logger.Millis("took", e.Took))
+}
+
+func (v *VM) logSession(reason string) {
+	v.meter.Session(reason)
+	v.log.Sample(logger.SessionEnded, reason, logger.String("reason", reason))
+}
+
+func (v *VM) countCall(call string, err error) {
+	outcome := "ok"
+	if err != nil {
+		outcome = string(classifier.KindOf(err))
 	}
-	name := logger.StatementRepeated
-	switch e.Name {
-	case performer.EventRefused:
-		name = logger.StatementRefused
-	case performer.EventUnknown:
-		name = logger.OutcomeUnknown
+	v.meter.Call(call, outcome)
+}
+
+// gauges are read at each scrape.
+func (v *VM) gauges() []meter.Gauge {
+	return []meter.Gauge{
+		{Name: "parsleyscale.sessions", Help: "open sessions", Read: func(o func(int64, string)) { o(int64(v.server.Open()), "") }},
+		{Name: "parsleyscale.vms", Help: "VMs in the store's list", Read: func(o func(int64, string)) { o(int64(v.members.count()), "") }},
+		{Name: "parsleyscale.links", Help: "links to an instance in use", Read: v.loads(func(l allotter.Load) int { return l.InUse })},
+		{Name: "parsleyscale.links.waiting", Help: "requests in line for a link to an instance", Read: v.loads(func(l allotter.Load) int { return l.Waiting })},
+		{Name: "parsleyscale.links.limit", Help: "links to an instance that may be in use", Read: v.loads(func(l allotter.Load) int { return l.Limit })},
+		{Name: "parsleyscale.floor.age", Help: "milliseconds since the newest proof of a group's primary, by group", Read: v.floorAges},
+	}
+}
+
+func (v *VM) loads(f func(allotter.Load) int) func(func(int64, string)) {
+	return func(o func(int64, string)) {
+		for id, l := range v.links.Loads() {
+			o(int64(f(l)), id)
+		}
+	}
+}
+
+func (v *VM) floorAges(o func(int64, string)) {
+	for _, g := range v.groups.Groups() {
+		if s := g.Samples.Newest(); s.At > 0 {
+			o((g.Now() - s.At).Milliseconds(), g.Name())
+		}
 	}
-	v.log.Warn(name, logger.String("id", e.ID), logger.String("group", e.Group), logger.String("instance", e.Instance), logger.String("kind", string(e.Kind)),
-		logger.String("floor", e.Floor.String()), logger.Int("attempt", int64(e.Attempt)), logger.Millis("took", e.Took))
 }
 
 func (v *VM) logReplacement(e replacer.Event) {
--- a/internal/statement/performer/performer.go
+++ b/internal/statement/performer/performer.go
@@ -59,6 +59,10 @@
 	Floor    tokenizer.Position
 	Took     time.Duration
 	Attempt  int
+
+	Primary    string // believed at the time
+	Candidates int    // instances left to try; reads that replicas may serve only
+	Waiting    int    // requests in line for the instance
 }
 
 // Names of events.
@@ -111,14 +115,16 @@
 
 // attempt is the state of one request over its attempts.
 type attempt struct {
-	p     *Performer
-	r     Request
-	g     *registrar.Group
-	floor tokenizer.Position
-	tried []string // instances that refused in this round
-	n     int
-	free  time.Time     // when a primary was found after there had been none
-	last  carrier.Reply // answer of the latest failed attempt
+	p       *Performer
+	r       Request
+	g       *registrar.Group
+	floor   tokenizer.Position
+	tried   []string // instances that refused in this round
+	n       int
+	free    time.Time     // when a primary was found after there had been none
+	left    int           // candidates at the latest choice
+	waiting int           // in line at the instance that was chosen last
+	last    carrier.Reply // answer of the latest failed attempt
 }
 
 func (p *Performer) begin(r Request) *attempt {
@@ -139,6 +145,7 @@
 	a.p.cfg.Observe(Event{
 		Name: name, ID: a.r.Statement.ID, Group: a.r.Route.Group, Instance: instance, Kind: k,
 		Floor: a.floor, Took: time.Since(a.r.Arrived), Attempt: a.n,
+		Primary: a.g.Lead().Instance, Candidates: a.left, Waiting: a.waiting,
 	})
 }
 
@@ -290,10 +297,14 @@
 	for k, v := range views {
 		list[k] = ranker.Candidate{View: v, Load: a.p.cfg.Links.Load(registrar.TargetOf(v.Instance))}
 	}
-	return ranker.Rank(list, ranker.Query{
+	ranked := ranker.Rank(list, ranker.Query{
 		Floor: a.floor, DataCentre: a.p.cfg.DataCentre, Region: a.p.cfg.Region, RegionOf: a.p.cfg.RegionOf,
 		Primary: a.g.Lead().Instance, Now: time.Now(), Exclude: a.tried,
 	})
+	if a.left = len(ranked); a.left > 0 {
+		a.waiting = ranked[0].Load.Waiting
+	}
+	return ranked
 }
 
 // acquire waits for a link. A request that would get one only when its
--- a/internal/telemetry/logger/event.go
+++ b/internal/telemetry/logger/event.go
@@ -39,6 +39,8 @@
 	DialFailed        Event = "dialFailed"
 	StoreFault        Event = "storeFault"
 	StoreBack         Event = "storeBack"
+	StatementServed   Event = "statementServed"
+	SessionEnded      Event = "sessionEnded"
 	StatementRepeated Event = "statementRepeated"
 	StatementRefused  Event = "statementRefused"
 	OutcomeUnknown    Event = "outcomeUnknown"
@@ -84,6 +86,8 @@
 	{DialFailed, "a connection to an instance could not be opened"},
 	{StoreFault, "calls to the platform's store for a table begin to fail"},
 	{StoreBack, "calls to the platform's store for a table work again"},
+	{StatementServed, "an instance ran a statement; a sample"},
+	{SessionEnded, "a session ended, and why; a sample"},
 	{StatementRepeated, "an instance refused or did not answer a statement, which may run elsewhere"},
 	{StatementRefused, "a statement was refused"},
 	{OutcomeUnknown, "a write or a commit was sent and not answered"},
--- a/internal/telemetry/logger/logger.go
+++ b/internal/telemetry/logger/logger.go
@@ -35,8 +35,9 @@
 
 // Logger writes events. The zero value discards them.
 type Logger struct {
-	out *log.Logger
-	vm  string
+	samples *samples // nil: nothing is left out
+	out     *log.Logger
+	vm      string
 }
 
 // New returns a logger whose lines carry the VM's identity.
@@ -56,7 +57,7 @@
 	if l == nil {
 		return nil
 	}
-	return &Logger{out: l.out, vm: vm}
+	return &Logger{out: l.out, vm: vm, samples: l.samples}
 }
 
 // Info writes an event of ordinary operation.
