Spread the configuration and the registry among VMs by readers

The seeds of the settings serve their copies of the tables. With more than 24 VMs the others follow them and call the store only when no reader serves; with fewer each follows the store and asks a reader where the store fails.

A reader whose call fails stops serving at once, and its calls are short (1.5 s) where others rely on it.

--- a/internal/daemon/assembler/assembler.go
+++ b/internal/daemon/assembler/assembler.go
@@ -17,6 +17,7 @@
 	"parsleyscale/internal/group/registrar"
 	"parsleyscale/internal/group/replacer"
 	"parsleyscale/internal/platform/follower"
+	"parsleyscale/internal/platform/replicator"
 	"parsleyscale/internal/request/admitter"
 	"parsleyscale/internal/session/tokenizer"
 	"parsleyscale/internal/sheet/cataloger"
@@ -73,7 +74,10 @@
 	replacer *replacer.Replacer
 	members  *members
 	server   *conductor.Server
+	copies   map[string]*replicator.Copy
+	source   follower.Source
 	ready    *http.Server
+	peers    *http.Server // nil: not a reader
 	admin    *http.Server // nil: no metrics
 	meter    *meter.Lines
 	feeds    []*follower.Follower
@@ -111,7 +115,8 @@
 		DataCentre: cfg.DataCentre, Region: cfg.Region, RegionOf: func(dc string) string { return cfg.DataCentres[dc] },
 		Groups: v.groups, Links: v.links, Budget: admitter.NewBudget(), Observe: v.logStatement,
 	})
-	v.members = startMembers(cfg, p.Store)
+	v.source = v.newSource()
+	v.members = startMembers(cfg, p.Store, v.source)
 	v.replacer = replacer.Start(replacer.Config{
 		Groups: v.groups, Controller: commander.Commander{Links: v.links, Parse: p.ParseCondition}, Tokens: v.members, Claims: claimer.New(p.Store, cfg.ID), Probe: v.perform.Probe, Rank: v.members.rank,
 		Promote: func(ctx context.Context, group, instance string, token uint64) error {
@@ -120,16 +125,7 @@
 		Gone:    v.links.Forget,
 		Observe: v.logReplacement,
 	})
-	v.feeds = []*follower.Follower{
-		follower.Start(follower.Config{
-			Source: p.Store, Table: p.ConfigurationTable, Whole: v.configured, Changed: v.configured,
-			Fault: func(err error) { v.logStore(p.ConfigurationTable, err) },
-		}),
-		follower.Start(follower.Config{
-			Source: p.Store, Table: p.RegistryTable, Whole: v.registered, Changed: v.entriesChanged,
-			Fault: func(err error) { v.logStore(p.RegistryTable, err) },
-		}),
-	}
+	v.startFeeds()
 	callers, err := net.Listen("tcp", cfg.CallerAddress)
 	if err != nil {
 		return nil, err
@@ -143,7 +139,7 @@
 	}
 	v.ready = &http.Server{Handler: http.HandlerFunc(v.serveReady), ReadHeaderTimeout: time.Second}
 	go func() { _ = v.ready.Serve(ready) }()
-	if err := v.serveMetrics(); err != nil {
+	if err := errors.Join(v.servePeers(), v.serveMetrics()); err != nil {
 		return nil, err
 	}
 	log.Info(logger.VMStarted, logger.String("callerAddress", cfg.CallerAddress))
@@ -188,7 +184,7 @@
 }
 
 // configured takes over a configuration. Versions only rise.
-func (v *VM) configured(rows []follower.Row) {
+func (v *VM) configured(rows []follower.Row, _ uint64) {
 	for _, r := range rows {
 		if r.Key != v.platform.ConfigurationKey || r.IsRemoved {
 			continue
@@ -207,13 +203,13 @@
 }
 
 // registered takes over the whole registry.
-func (v *VM) registered(rows []follower.Row) {
+func (v *VM) registered(rows []follower.Row, version uint64) {
 	v.registry = cataloger.Registry{}
-	v.entriesChanged(rows)
+	v.entriesChanged(rows, version)
 	v.hasRegistry.Store(true)
 }
 
-func (v *VM) entriesChanged(rows []follower.Row) {
+func (v *VM) entriesChanged(rows []follower.Row, _ uint64) {
 	changes := map[string]*cataloger.Instance{}
 	for _, r := range rows {
 		if r.IsRemoved {
--- a/internal/daemon/assembler/members.go
+++ b/internal/daemon/assembler/members.go
@@ -11,6 +11,7 @@
 
 	"parsleyscale/internal/clock/sleeper"
 	"parsleyscale/internal/config/loader"
+	"parsleyscale/internal/platform/follower"
 )
 
 const (
@@ -35,12 +36,13 @@
 type members struct {
 	cfg    loader.LineSettings
 	store  Store
+	source follower.Source
 	mu     sync.Mutex
 	others []string // identities, this VM included
 }
 
-func startMembers(cfg loader.LineSettings, s Store) *members {
-	m := &members{cfg: cfg, store: s}
+func startMembers(cfg loader.LineSettings, s Store, source follower.Source) *members {
+	m := &members{cfg: cfg, store: s, source: source}
 	go m.run()
 	return m
 }
--- a/internal/platform/follower/follower.go
+++ b/internal/platform/follower/follower.go
@@ -48,11 +48,13 @@
 	Source Source
 	Table  string
 	// Whole is called with all rows after a read, Changed with the rows of a feed.
-	Whole   func(rows []Row)
-	Changed func(rows []Row)
+	Whole   func(rows []Row, version uint64)
+	Changed func(rows []Row, version uint64)
+	// Heard is called after each answer; may be nil.
+	Heard func()
 	// Fault is called when calls begin to fail, and with nil when they work again; may be nil.
 	Fault func(err error)
-	Wait  time.Duration // of one call to the feed
+	Wait  func() time.Duration // of one call to the feed; nil: DefaultWait
 }
 
 // Follower follows one table. Close ends it.
@@ -64,12 +66,15 @@
 
 // Start returns a running follower.
 func Start(cfg Config) *Follower {
-	if cfg.Wait <= 0 {
-		cfg.Wait = DefaultWait
+	if cfg.Wait == nil {
+		cfg.Wait = func() time.Duration { return DefaultWait }
 	}
 	if cfg.Fault == nil {
 		cfg.Fault = func(error) {}
 	}
+	if cfg.Heard == nil {
+		cfg.Heard = func() {}
+	}
 	ctx, cancel := context.WithCancel(context.Background())
 	f := &Follower{cfg: cfg, cancel: cancel}
 	f.wg.Go(func() { f.run(ctx) })
@@ -85,7 +90,7 @@
 func (f *Follower) run(ctx context.Context) {
 	var version uint64
 	isRead, isFailing := false, false
-	wait := min(firstWait, f.cfg.Wait)
+	wait := firstWait
 	pause := DefaultMinPause
 	for ctx.Err() == nil {
 		var p Page
@@ -99,7 +104,7 @@
 			return
 		}
 		if err != nil {
-			wait = min(firstWait, f.cfg.Wait)
+			wait = firstWait
 			isRead = isRead && !classifier.Is(err, classifier.Conflict)
 			if !isFailing {
 				isFailing = true
@@ -115,12 +120,16 @@
 		}
 		pause = DefaultMinPause
 		if isRead {
-			wait = f.cfg.Wait
+			wait = f.cfg.Wait()
 		}
+		f.cfg.Heard()
 		if !isRead {
-			f.cfg.Whole(p.Rows)
+			f.cfg.Whole(p.Rows, p.Version)
 		} else if len(p.Rows) > 0 {
-			f.cfg.Changed(p.Rows)
+			f.cfg.Changed(p.Rows, p.Version)
+		}
+		if !isRead {
+			version = p.Version
 		}
 		isRead = true
 		version = max(version, p.Version)
--- /dev/null
+++ b/internal/platform/replicator/replicator.go
@@ -0,0 +1,210 @@
+// Package replicator spreads the store's tables among the VMs. A few VMs, the
+// readers, follow the store and serve their copies to the others, so that the
+// calls to the store do not grow with the number of VMs. A reader that has not
+// heard from the store for a moment refuses to serve, since its copy may be old;
+// a VM without a reader follows the store itself.
+package replicator
+
+import (
+	"context"
+	"encoding/json"
+	"net/http"
+	"net/url"
+	"strconv"
+	"sync"
+	"time"
+
+	"parsleyscale/internal/failure/classifier"
+	"parsleyscale/internal/platform/follower"
+)
+
+const (
+	// keepChanges bounds the history of a copy; a VM that is further behind reads the whole table.
+	keepChanges = 4000
+	// freshFor is how long a reader serves its copy after the last word of the
+	// store. It covers one call to the feed.
+	freshFor = 2200 * time.Millisecond
+	// ReaderWait is the wait of a reader's calls to the feed, which bounds how
+	// long a reader that is cut off goes unnoticed.
+	ReaderWait = 1500 * time.Millisecond
+	// PeerWait is the wait of a call to a reader.
+	PeerWait = 2 * time.Second
+)
+
+// Copy is a VM's copy of a table, with its latest changes.
+type Copy struct {
+	mu      sync.Mutex
+	rows    map[string]follower.Row
+	changes []follower.Row
+	base    uint64 // changes up to this version are not kept
+	version uint64
+	heardAt time.Time
+	changed chan struct{}
+}
+
+// NewCopy returns an empty copy.
+func NewCopy() *Copy { return &Copy{changed: make(chan struct{})} }
+
+// Replace takes over a whole table.
+func (c *Copy) Replace(rows []follower.Row, version uint64) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.rows = make(map[string]follower.Row, len(rows))
+	for _, r := range rows {
+		c.rows[r.Key] = r
+	}
+	c.changes, c.base, c.version = nil, version, version
+	c.notify()
+}
+
+// Apply takes over changes.
+func (c *Copy) Apply(rows []follower.Row, version uint64) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for _, r := range rows {
+		if r.IsRemoved {
+			delete(c.rows, r.Key)
+		} else {
+			c.rows[r.Key] = r
+		}
+	}
+	c.changes = append(c.changes, rows...)
+	if n := len(c.changes) - keepChanges; n > 0 {
+		c.base = c.changes[n-1].Version
+		c.changes = append([]follower.Row(nil), c.changes[n:]...)
+	}
+	c.version = max(c.version, version)
+	if len(rows) > 0 {
+		c.notify()
+	}
+}
+
+// Hear records that the store answered.
+func (c *Copy) Hear() {
+	c.mu.Lock()
+	c.heardAt = time.Now()
+	c.mu.Unlock()
+}
+
+// Lose records that the store could not be asked: the copy may be old from now on.
+func (c *Copy) Lose() {
+	c.mu.Lock()
+	c.heardAt = time.Time{}
+	c.notify()
+	c.mu.Unlock()
+}
+
+func (c *Copy) notify() {
+	close(c.changed)
+	c.changed = make(chan struct{})
+}
+
+// isFresh reports whether the copy may be served. The copy is locked.
+func (c *Copy) isFresh() bool { return c.rows != nil && time.Since(c.heardAt) < freshFor }
+
+// page is the answer of a reader.
+type page struct {
+	Rows    []row  `json:"rows"`
+	Version uint64 `json:"version"`
+}
+
+type row struct {
+	Key       string `json:"key"`
+	Value     []byte `json:"value,omitempty"`
+	Version   uint64 `json:"version"`
+	IsRemoved bool   `json:"removed,omitempty"`
+}
+
+// whole returns all rows.
+func (c *Copy) whole() (follower.Page, error) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if !c.isFresh() {
+		return follower.Page{}, errOld
+	}
+	p := follower.Page{Version: c.version}
+	for _, r := range c.rows {
+		p.Rows = append(p.Rows, r)
+	}
+	return p, nil
+}
+
+var errOld = classifier.New(classifier.PlatformUnavailable, "the reader's copy may be old")
+
+// after returns the changes after a version, and what to wait for where there are none.
+func (c *Copy) after(version uint64) (follower.Page, <-chan struct{}, error) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	switch {
+	case !c.isFresh():
+		return follower.Page{}, nil, errOld
+	case version < c.base:
+		return follower.Page{}, nil, classifier.New(classifier.Conflict, "history before version %d is not kept", c.base)
+	}
+	p := follower.Page{Version: max(version, c.version)}
+	for _, r := range c.changes {
+		if r.Version > version {
+			p.Rows = append(p.Rows, r)
+		}
+	}
+	return p, c.changed, nil
+}
+
+// Handler serves copies to other VMs.
+type Handler struct {
+	Copies map[string]*Copy // by table
+}
+
+// ServeHTTP implements http.Handler: parameters table, after and waitMs; without after, the whole table.
+func (h *Handler) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	q := r.URL.Query()
+	c, ok := h.Copies[q.Get("table")]
+	if !ok {
+		w.WriteHeader(http.StatusNotFound)
+		return
+	}
+	p, err := serve(r.Context(), c, q)
+	switch {
+	case classifier.Is(err, classifier.Conflict):
+		w.WriteHeader(http.StatusGone)
+		return
+	case err != nil:
+		w.WriteHeader(http.StatusServiceUnavailable)
+		return
+	}
+	out := page{Version: p.Version, Rows: make([]row, 0, len(p.Rows))}
+	for _, r := range p.Rows {
+		out.Rows = append(out.Rows, row(r))
+	}
+	_ = json.NewEncoder(w).Encode(out)
+}
+
+func serve(ctx context.Context, c *Copy, q url.Values) (follower.Page, error) {
+	if !q.Has("after") {
+		return c.whole()
+	}
+	after, err := strconv.ParseUint(q.Get("after"), 10, 64)
+	if err != nil {
+		return follower.Page{}, classifier.Wrap(classifier.BadMessage, err, "after")
+	}
+	wait, err := strconv.Atoi(q.Get("waitMs"))
+	if err != nil {
+		return follower.Page{}, classifier.Wrap(classifier.BadMessage, err, "waitMs")
+	}
+	t := time.NewTimer(min(time.Duration(wait)*time.Millisecond, PeerWait))
+	defer t.Stop()
+	for {
+		p, changed, err := c.after(after)
+		if err != nil || len(p.Rows) > 0 {
+			return p, err
+		}
+		select {
+		case <-changed: // or lost
+		case <-ctx.Done():
+			return p, nil
+		case <-t.C:
+			_, _, err := c.after(after) // the copy may have grown old meanwhile
+			return p, err
+		}
+	}
+}
--- /dev/null
+++ b/internal/platform/replicator/source.go
@@ -0,0 +1,161 @@
+package replicator
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"net/http"
+	"net/url"
+	"strconv"
+	"sync"
+	"time"
+
+	"parsleyscale/internal/failure/classifier"
+	"parsleyscale/internal/platform/follower"
+)
+
+// Path is where readers serve their copies.
+const Path = "/copy"
+
+// readTimeout bounds the answer to a read of a whole table.
+const readTimeout = 700 * time.Millisecond
+
+// avoidFor is how long a reader that failed is not asked.
+const avoidFor = 2 * time.Second
+
+// helpWait is the wait of a call to a reader after the store has failed.
+const helpWait = 500 * time.Millisecond
+
+// Source is a VM's way to the tables. With few VMs it is the store, and a reader
+// helps out when the store fails or turns this VM away. With many VMs it is a
+// reader, and the store helps out. It implements follower.Source.
+type Source struct {
+	Store         follower.Source
+	Readers       []string // addresses
+	Client        *http.Client
+	PreferReaders func() bool
+
+	mu     sync.Mutex
+	next   int
+	failed map[string]time.Time
+}
+
+// Read implements follower.Source.
+func (s *Source) Read(ctx context.Context, table string) (follower.Page, error) {
+	if s.PreferReaders() {
+		if p, err := s.readFromReaders(ctx, table); err == nil {
+			return p, nil
+		}
+		return s.Store.Read(ctx, table)
+	}
+	p, err := s.Store.Read(ctx, table)
+	if err == nil {
+		return p, nil
+	}
+	if p, helpErr := s.readFromReaders(context.WithoutCancel(ctx), table); helpErr == nil {
+		return p, nil
+	}
+	return p, err
+}
+
+func (s *Source) readFromReaders(ctx context.Context, table string) (follower.Page, error) {
+	for range s.Readers {
+		address, ok := s.reader()
+		if !ok {
+			break
+		}
+		one, cancel := context.WithTimeout(ctx, readTimeout)
+		p, err := s.get(one, address, url.Values{"table": {table}})
+		cancel()
+		if err == nil {
+			return p, nil
+		}
+		s.avoid(address)
+	}
+	return follower.Page{}, errNoReader
+}
+
+var errNoReader = classifier.New(classifier.PlatformUnavailable, "no reader serves")
+
+// Follow implements follower.Source.
+func (s *Source) Follow(ctx context.Context, table string, after uint64, wait time.Duration) (follower.Page, error) {
+	if s.PreferReaders() {
+		if p, err := s.followReader(ctx, table, after, min(wait, PeerWait)); !errors.Is(err, errNoReader) {
+			return p, err
+		}
+		return s.Store.Follow(ctx, table, after, min(wait, ReaderWait))
+	}
+	p, err := s.Store.Follow(ctx, table, after, wait)
+	if err == nil || classifier.Is(err, classifier.Conflict) {
+		return p, err
+	}
+	if p, helpErr := s.followReader(context.WithoutCancel(ctx), table, after, helpWait); helpErr == nil {
+		return p, nil
+	}
+	return p, err
+}
+
+func (s *Source) followReader(ctx context.Context, table string, after uint64, wait time.Duration) (follower.Page, error) {
+	address, ok := s.reader()
+	if !ok {
+		return follower.Page{}, errNoReader
+	}
+	one, cancel := context.WithTimeout(ctx, wait+readTimeout)
+	defer cancel()
+	p, err := s.get(one, address, url.Values{"table": {table}, "after": {strconv.FormatUint(after, 10)}, "waitMs": {strconv.FormatInt(wait.Milliseconds(), 10)}})
+	if err != nil && !classifier.Is(err, classifier.Conflict) {
+		s.avoid(address)
+	}
+	return p, err
+}
+
+// reader returns a reader that did not fail lately.
+func (s *Source) reader() (string, bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for k := range s.Readers {
+		a := s.Readers[(s.next+k)%len(s.Readers)]
+		if time.Since(s.failed[a]) >= avoidFor {
+			return a, true
+		}
+	}
+	return "", false
+}
+
+func (s *Source) avoid(address string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.failed == nil {
+		s.failed = map[string]time.Time{}
+	}
+	s.failed[address] = time.Now()
+	s.next++
+}
+
+func (s *Source) get(ctx context.Context, address string, q url.Values) (follower.Page, error) {
+	req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+address+Path+"?"+q.Encode(), nil)
+	if err != nil {
+		return follower.Page{}, err
+	}
+	res, err := s.Client.Do(req)
+	if err != nil {
+		return follower.Page{}, classifier.Wrap(classifier.PlatformUnavailable, err, "reader %s", address)
+	}
+	defer func() { _ = res.Body.Close() }()
+	switch res.StatusCode {
+	case http.StatusOK:
+	case http.StatusGone:
+		return follower.Page{}, classifier.New(classifier.Conflict, "reader %s does not keep the history", address)
+	default:
+		return follower.Page{}, classifier.New(classifier.PlatformUnavailable, "reader %s: status %d", address, res.StatusCode)
+	}
+	var in page
+	if err := json.NewDecoder(res.Body).Decode(&in); err != nil {
+		return follower.Page{}, classifier.Wrap(classifier.PlatformUnavailable, err, "reader %s", address)
+	}
+	out := follower.Page{Version: in.Version}
+	for _, r := range in.Rows {
+		out.Rows = append(out.Rows, follower.Row(r))
+	}
+	return out, nil
+}
