Keep the links to an instance on gateways where VMs are many

An instance that accepts fewer than two connections from each VM now has up to four gateways: VMs of its data centre, the largest first, in an order that differs from instance to instance. Other VMs connect to a gateway as if it were the instance, and the gateway runs each statement on a link of its own.

--- a/internal/backend/allotter/lease.go
+++ b/internal/backend/allotter/lease.go
@@ -81,6 +81,21 @@
 	return err == nil && r.OK()
 }
 
+// Exchange sends commands in one go and returns the last answer.
+func (l *Lease) Exchange(cmds ...carrier.Command) (carrier.Reply, error) {
+	var r carrier.Reply
+	if err := l.link.Send(cmds...); err != nil {
+		return r, err
+	}
+	for range cmds {
+		var err error
+		if r, err = l.link.Receive(); err != nil {
+			return r, err
+		}
+	}
+	return r, nil
+}
+
 func (l *Lease) forgetAll() {
 	clear(l.values)
 	clear(l.prepared)
--- a/internal/config/loader/line.go
+++ b/internal/config/loader/line.go
@@ -16,6 +16,8 @@
 	ReadyAddress  string            `json:"readyAddress" doc:"IP number and port for /ready"`
 	PeerAddress   string            `json:"peerAddress" doc:"IP number and port for other VMs"`
 	AdminAddress  string            `json:"adminAddress" doc:"IP number and port for /metrics; empty: none"`
+	LinkAddress   string            `json:"linkAddress" doc:"IP number and port for other VMs' links to instances; empty: this VM is no gateway"`
+	CoreShare     float64           `json:"coreShare" doc:"share of a core that the VM has; larger VMs become gateways first"`
 	Seeds         []string          `json:"seeds" doc:"peer addresses of some VMs"`
 	Store         string            `json:"store" doc:"IP number and port of the platform's store"`
 	Orders        string            `json:"orders" doc:"IP number and port for orders to the platform"`
--- a/internal/daemon/assembler/assembler.go
+++ b/internal/daemon/assembler/assembler.go
@@ -23,6 +23,8 @@
 	"parsleyscale/internal/sheet/cataloger"
 	"parsleyscale/internal/statement/carrier"
 	"parsleyscale/internal/statement/conductor"
+	"parsleyscale/internal/statement/forwarder"
+	"parsleyscale/internal/statement/namer"
 	"parsleyscale/internal/statement/performer"
 	"parsleyscale/internal/telemetry/logger"
 	"parsleyscale/internal/telemetry/meter"
@@ -38,10 +40,11 @@
 
 // Platform is what the platform offers, in the product's terms.
 type Platform struct {
-	Store   Store
-	Dialer  carrier.Dialer
-	Accept  func(c net.Conn) conductor.Caller
-	Promote func(ctx context.Context, group, instance, holder string, token uint64) error
+	Store      Store
+	Dialer     carrier.Dialer
+	Accept     func(c net.Conn) conductor.Caller
+	AcceptPort func(c net.Conn) forwarder.Port
+	Promote    func(ctx context.Context, group, instance, holder string, token uint64) error
 
 	ParseCondition func(row string) (carrier.Condition, error)
 
@@ -70,6 +73,9 @@
 
 	groups   *registrar.Registrar
 	links    *allotter.Allotter
+	gateways *gateways
+	names    namer.Namer
+	forward  *forwarder.Server // nil: no address for links
 	perform  *performer.Performer
 	replacer *replacer.Replacer
 	members  *members
@@ -110,13 +116,14 @@
 	}
 	p.OnCall(v.countCall)
 	v.groups = registrar.New(p.Clock)
-	v.links = allotter.New(allotter.Config{Dialer: p.Dialer, Share: v.share, Observe: v.dialed})
+	v.gateways = &gateways{v: v, failed: map[string]time.Time{}}
+	v.source = v.newSource()
+	v.members = startMembers(cfg, p.Store, v.source)
+	v.links = allotter.New(allotter.Config{Dialer: v.gateways, Share: v.gateways.share, Observe: v.dialed})
 	v.perform = performer.New(performer.Config{
 		DataCentre: cfg.DataCentre, Region: cfg.Region, RegionOf: func(dc string) string { return cfg.DataCentres[dc] },
 		Groups: v.groups, Links: v.links, Budget: admitter.NewBudget(), Observe: v.logStatement,
 	})
-	v.source = v.newSource()
-	v.members = startMembers(cfg, p.Store, v.source)
 	v.replacer = replacer.Start(replacer.Config{
 		Groups: v.groups, Controller: commander.Commander{Links: v.links, Parse: p.ParseCondition}, Tokens: v.members, Claims: claimer.New(p.Store, cfg.ID), Probe: v.perform.Probe, Rank: v.members.rank,
 		Promote: func(ctx context.Context, group, instance string, token uint64) error {
@@ -131,7 +138,7 @@
 		return nil, err
 	}
 	v.server = conductor.NewServer(conductor.Config{
-		Listener: callers, Accept: p.Accept, Configuration: v.configuration.Load, Performer: v.perform, Clock: p.Clock, Limit: cfg.Callers, OnEnd: v.logSession,
+		Listener: callers, Accept: p.Accept, Configuration: v.configuration.Load, Performer: v.perform, Clock: p.Clock, Limit: cfg.Callers, Names: &v.names, OnEnd: v.logSession,
 	})
 	ready, err := net.Listen("tcp", cfg.ReadyAddress)
 	if err != nil {
@@ -139,7 +146,7 @@
 	}
 	v.ready = &http.Server{Handler: http.HandlerFunc(v.serveReady), ReadHeaderTimeout: time.Second}
 	go func() { _ = v.ready.Serve(ready) }()
-	if err := errors.Join(v.servePeers(), v.serveMetrics()); err != nil {
+	if err := errors.Join(v.servePeers(), v.serveLinks(), v.serveMetrics()); err != nil {
 		return nil, err
 	}
 	log.Info(logger.VMStarted, logger.String("callerAddress", cfg.CallerAddress))
@@ -228,15 +235,6 @@
 	v.groups.Update(v.registry)
 }
 
-// share is this VM's part of the links that an instance accepts.
-func (v *VM) share(t carrier.Target) int {
-	c := v.configuration.Load()
-	if c == nil {
-		return 1
-	}
-	return max(1, c.Groups[t.Group].Connections/max(1, v.members.count()))
-}
-
 // dialed records what a dial says of an instance.
 func (v *VM) dialed(t carrier.Target, p tokenizer.Position, _ time.Duration, err error) {
 	g := v.groups.Group(t.Group)
--- /dev/null
+++ b/internal/daemon/assembler/gateway.go
@@ -0,0 +1,122 @@
+package assembler
+
+import (
+	"context"
+	"net"
+	"slices"
+	"sync"
+	"time"
+
+	"parsleyscale/internal/group/registrar"
+	"parsleyscale/internal/session/tokenizer"
+	"parsleyscale/internal/statement/carrier"
+	"parsleyscale/internal/statement/forwarder"
+)
+
+const (
+	// leastShare is the share of an instance's connections below which VMs use gateways.
+	leastShare = 2
+	// gatewayLinks is how many links a gateway should have at least; it sets the number of gateways.
+	gatewayLinks = 8
+	maxGateways  = 4
+	// remoteLinks is how many connections a VM may have to the gateways of one instance.
+	remoteLinks = 3
+	// avoidGateway is how long a gateway that could not be reached is not asked.
+	avoidGateway = 2 * time.Second
+)
+
+// gateways decides on which VMs the links to an instance are kept.
+type gateways struct {
+	v      *VM
+	mu     sync.Mutex
+	failed map[string]time.Time // by address
+}
+
+// of returns the gateways of an instance; none means that each VM has links of its own.
+func (w *gateways) of(t carrier.Target) []member {
+	limit := w.v.connections(t.Group)
+	if n := w.v.members.count(); limit == 0 || limit/max(1, n) >= leastShare {
+		return nil
+	}
+	i, ok := w.v.groups.Group(t.Group).View(t.Instance)
+	if !ok {
+		return nil
+	}
+	return w.v.members.gateways(t.Instance, i.DataCentre, min(maxGateways, max(1, limit/gatewayLinks)))
+}
+
+// share returns how many links this VM may have to an instance.
+func (w *gateways) share(t carrier.Target) int {
+	limit := w.v.connections(t.Group)
+	list := w.of(t)
+	switch {
+	case len(list) == 0:
+		return max(1, limit/max(1, w.v.members.count()))
+	case w.isSelf(list):
+		return max(1, limit/len(list))
+	}
+	return remoteLinks
+}
+
+func (w *gateways) isSelf(list []member) bool {
+	return slices.ContainsFunc(list, func(m member) bool { return m.ID == w.v.cfg.ID })
+}
+
+// Dial implements carrier.Dialer: it dials the instance, or one of its gateways.
+func (w *gateways) Dial(ctx context.Context, t carrier.Target) (carrier.Link, tokenizer.Position, error) {
+	list := w.of(t)
+	if len(list) == 0 || w.isSelf(list) {
+		return w.v.platform.Dialer.Dial(ctx, t)
+	}
+	g := w.pick(list)
+	via := t
+	via.Address = g.LinkAddress
+	l, p, err := w.v.platform.Dialer.Dial(ctx, via)
+	if err != nil && !isRefusal(err) {
+		w.mu.Lock()
+		w.failed[g.LinkAddress] = time.Now()
+		w.mu.Unlock()
+	}
+	return l, p, err
+}
+
+// pick spreads VMs over the gateways and passes over those that failed lately.
+func (w *gateways) pick(list []member) member {
+	first := int(weight(w.v.cfg.ID, list[0].ID) % uint64(len(list)))
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	for k := range list {
+		if g := list[(first+k)%len(list)]; time.Since(w.failed[g.LinkAddress]) >= avoidGateway {
+			return g
+		}
+	}
+	return list[first]
+}
+
+// serveLinks opens the address for links of other VMs.
+func (v *VM) serveLinks() error {
+	if v.cfg.LinkAddress == "" {
+		return nil
+	}
+	l, err := net.Listen("tcp", v.cfg.LinkAddress)
+	if err != nil {
+		return err
+	}
+	v.forward = forwarder.NewServer(forwarder.Config{Listener: l, Accept: v.platform.AcceptPort, Links: v.links, Names: &v.names, Find: v.find})
+	go v.forward.Serve()
+	return nil
+}
+
+// find returns an instance of the registry for another VM.
+func (v *VM) find(group, instance string) (carrier.Target, tokenizer.Position, bool) {
+	i, ok := v.groups.Group(group).View(instance)
+	return registrar.TargetOf(i.Instance), i.Known, ok
+}
+
+func (v *VM) connections(group string) int {
+	c := v.configuration.Load()
+	if c == nil {
+		return 0
+	}
+	return c.Groups[group].Connections
+}
--- a/internal/daemon/assembler/members.go
+++ b/internal/daemon/assembler/members.go
@@ -1,6 +1,7 @@
 package assembler
 
 import (
+	"cmp"
 	"context"
 	"encoding/json"
 	"slices"
@@ -28,8 +29,10 @@
 
 // member is a VM's row.
 type member struct {
-	DataCentre  string `json:"dataCentre"`
-	PeerAddress string `json:"peerAddress"`
+	ID          string  `json:"-"`
+	DataCentre  string  `json:"dataCentre"`
+	LinkAddress string  `json:"linkAddress"` // for links to instances that this VM is a gateway of
+	Size        float64 `json:"size"`        // share of a core
 }
 
 // members is the list of VMs as the store has it. It also gives out tokens.
@@ -38,7 +41,7 @@
 	store  Store
 	source follower.Source
 	mu     sync.Mutex
-	others []string // identities, this VM included
+	others []member // this VM included
 }
 
 func startMembers(cfg loader.LineSettings, s Store, source follower.Source) *members {
@@ -47,9 +50,13 @@
 	return m
 }
 
+func (m *members) self() member {
+	return member{ID: m.cfg.ID, DataCentre: m.cfg.DataCentre, LinkAddress: m.cfg.LinkAddress, Size: m.cfg.CoreShare}
+}
+
 // Next implements replacer.Tokens.
 func (m *members) Next(ctx context.Context) (uint64, error) {
-	b, err := json.Marshal(member{DataCentre: m.cfg.DataCentre, PeerAddress: m.cfg.PeerAddress})
+	b, err := json.Marshal(m.self())
 	if err != nil {
 		return 0, err
 	}
@@ -58,11 +65,15 @@
 
 func (m *members) run() {
 	ctx := context.Background()
-	pause := settleTime
-	for sleeper.Sleep(ctx, pause) {
-		pause = memberRefresh
-		if err := m.refresh(ctx); err != nil {
-			pause = memberRetry
+	for pauses := []time.Duration{0, settleTime, 2 * settleTime}; ; {
+		pause := memberRefresh
+		if len(pauses) > 0 {
+			pause, pauses = pauses[0], pauses[1:]
+		}
+		if !sleeper.Sleep(ctx, pause) {
+			return
+		}
+		for m.refresh(ctx) != nil && sleeper.Sleep(ctx, memberRetry) {
 		}
 	}
 }
@@ -74,15 +85,15 @@
 	if err != nil {
 		return err
 	}
-	var ids []string
+	list := []member{m.self()}
 	for _, r := range p.Rows {
-		ids = append(ids, r.Key)
-	}
-	if !slices.Contains(ids, m.cfg.ID) {
-		ids = append(ids, m.cfg.ID)
+		one := member{ID: r.Key}
+		if json.Unmarshal(r.Value, &one) == nil && r.Key != m.cfg.ID {
+			list = append(list, one)
+		}
 	}
 	m.mu.Lock()
-	m.others = ids
+	m.others = list
 	m.mu.Unlock()
 	return nil
 }
@@ -102,12 +113,28 @@
 	defer m.mu.Unlock()
 	own := weight(m.cfg.ID, group)
 	n := 0
-	for _, id := range m.others {
-		if weight(id, group) > own {
+	for _, o := range m.others {
+		if weight(o.ID, group) > own {
 			n++
 		}
 	}
 	return n
 }
 
+// gateways returns the VMs that keep the links to an instance: large ones of its
+// data centre, in an order that differs from instance to instance.
+func (m *members) gateways(instance, dataCentre string, n int) []member {
+	m.mu.Lock()
+	list := slices.Clone(m.others)
+	m.mu.Unlock()
+	near := slices.DeleteFunc(slices.Clone(list), func(o member) bool { return o.DataCentre != dataCentre || o.LinkAddress == "" })
+	if len(near) == 0 {
+		near = slices.DeleteFunc(list, func(o member) bool { return o.LinkAddress == "" })
+	}
+	slices.SortFunc(near, func(a, b member) int {
+		return cmp.Or(cmp.Compare(b.Size, a.Size), cmp.Compare(weight(b.ID, instance), weight(a.ID, instance)))
+	})
+	return near[:min(n, len(near))]
+}
+
 func weight(id, group string) uint64 { return xxhash.Sum64String(id + " " + group) }
--- a/internal/statement/carrier/statement.go
+++ b/internal/statement/carrier/statement.go
@@ -52,3 +52,6 @@
 	s.Name = name
 	return s
 }
+
+// IsOrder reports whether the statement is an order to an instance.
+func (s Statement) IsOrder() bool { return s.Verb == Status || s.Verb == Hold || s.Verb == Demote }
--- a/internal/statement/conductor/server.go
+++ b/internal/statement/conductor/server.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"parsleyscale/internal/sheet/cataloger"
+	"parsleyscale/internal/statement/namer"
 )
 
 // Config holds what a Server needs of its VM.
@@ -18,6 +19,7 @@
 	Accept        func(c net.Conn) Caller
 	Configuration func() *cataloger.Configuration // nil: none yet
 	Performer     Performer
+	Names         *namer.Namer         // of all links of the VM
 	Clock         func() time.Duration // counts suspensions
 	OnEnd         func(reason string)  // a session has ended; may be nil
 	Limit         int                  // sessions at once; zero: no limit
@@ -25,8 +27,7 @@
 
 // Server serves the callers of a VM.
 type Server struct {
-	cfg   Config
-	names names
+	cfg Config
 
 	mu       sync.Mutex
 	sessions map[*session]net.Conn
--- a/internal/statement/conductor/session.go
+++ b/internal/statement/conductor/session.go
@@ -326,6 +326,6 @@
 	if c.prepared == nil {
 		c.prepared = map[string]carrier.Statement{}
 	}
-	c.prepared[st.Name] = st.WithName(c.s.names.name(st))
+	c.prepared[st.Name] = st.WithName(c.s.cfg.Names.Name(st))
 	return carrier.Reply{State: c.state()}
 }
