--- /dev/null
+++ b/internal/backend/allotter/allotter_test.go
@@ -0,0 +1,176 @@
+package allotter
+
+import (
+	"context"
+	"errors"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"parsleyscale/internal/failure/classifier"
+	"parsleyscale/internal/session/tokenizer"
+	"parsleyscale/internal/statement/carrier"
+)
+
+type fakeDialer struct {
+	mu    sync.Mutex
+	dials int
+	open  int
+	most  int
+	err   error
+}
+
+func (f *fakeDialer) Dial(context.Context, carrier.Target) (carrier.Link, tokenizer.Position, error) {
+	time.Sleep(10 * time.Millisecond)
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.dials++
+	if f.err != nil {
+		return nil, tokenizer.Position{}, f.err
+	}
+	f.open++
+	f.most = max(f.most, f.open)
+	return &fakeLink{f: f}, tokenizer.Position{}, nil
+}
+
+type fakeLink struct {
+	f        *fakeDialer
+	sent     []carrier.Command
+	isBroken bool
+	isSilent bool
+}
+
+func (l *fakeLink) Send(c ...carrier.Command) error { l.sent = append(l.sent, c...); return nil }
+func (l *fakeLink) Receive() (carrier.Reply, error) {
+	if l.isSilent {
+		return carrier.Reply{}, errors.New("silent")
+	}
+	return carrier.Reply{}, nil
+}
+func (*fakeLink) SetDeadline(time.Time) {}
+func (l *fakeLink) IsBroken() bool      { return l.isBroken }
+func (l *fakeLink) Close() {
+	l.f.mu.Lock()
+	l.f.open--
+	l.f.mu.Unlock()
+}
+
+var target = carrier.Target{Instance: "i", Group: "g", Address: "a"}
+
+func newAllotter(f *fakeDialer, share int) *Allotter {
+	return New(Config{
+		Dialer: f, Share: func(carrier.Target) int { return share },
+		Observe: func(carrier.Target, tokenizer.Position, time.Duration, error) {},
+	})
+}
+
+func acquire(t *testing.T, a *Allotter, limit time.Duration) (*Lease, error) {
+	t.Helper()
+	ctx, cancel := context.WithTimeout(context.Background(), limit)
+	defer cancel()
+	return a.Acquire(ctx, target, 1)
+}
+
+// Guards against more links than the share, and against requests that are forgotten in line.
+func TestShare(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := &fakeDialer{}
+		a := newAllotter(f, 3)
+		defer a.Close()
+		var wg sync.WaitGroup
+		for range 50 {
+			wg.Go(func() {
+				l, err := acquire(t, a, time.Minute)
+				if err != nil {
+					t.Error(err)
+					return
+				}
+				time.Sleep(5 * time.Millisecond)
+				l.Release()
+			})
+		}
+		wg.Wait()
+		if f.most != 3 {
+			t.Errorf("%d links at once, the share is 3", f.most)
+		}
+	})
+}
+
+// Guards against a request that waits although it cannot get a link in time.
+func TestRefusedAtOnce(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		a := newAllotter(&fakeDialer{}, 1)
+		defer a.Close()
+		l, err := acquire(t, a, time.Second)
+		if err != nil {
+			t.Fatal(err)
+		}
+		for range 30 {
+			go func() { _, _ = acquire(t, a, time.Minute) }()
+		}
+		synctest.Wait()
+		start := time.Now()
+		if _, err := acquire(t, a, 50*time.Millisecond); !classifier.Is(err, classifier.Overloaded) || time.Since(start) > 0 {
+			t.Errorf("%v after %s; want a refusal at once", err, time.Since(start))
+		}
+		l.Discard()
+	})
+}
+
+// Guards against a link that broke, or went silent, while it rested.
+func TestRestedLinks(t *testing.T) {
+	for _, c := range []struct {
+		name  string
+		spoil func(*fakeLink)
+		rest  time.Duration
+	}{
+		{"closed by the instance", func(l *fakeLink) { l.isBroken = true }, time.Millisecond},
+		{"silent", func(l *fakeLink) { l.isSilent = true }, 2 * time.Second},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				f := &fakeDialer{}
+				a := newAllotter(f, 4)
+				defer a.Close()
+				l, err := acquire(t, a, time.Second)
+				if err != nil {
+					t.Fatal(err)
+				}
+				first := l.link.(*fakeLink)
+				l.Release()
+				c.spoil(first)
+				time.Sleep(c.rest)
+				if l, err = acquire(t, a, time.Second); err != nil || l.link == first {
+					t.Errorf("%v; the spoiled link was handed out", err)
+				} else {
+					l.Release()
+				}
+			})
+		})
+	}
+}
+
+// Guards against values or prepared statements of one session that another sees.
+func TestAlign(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		a := newAllotter(&fakeDialer{}, 1)
+		defer a.Close()
+		l, err := acquire(t, a, time.Second)
+		if err != nil {
+			t.Fatal(err)
+		}
+		p := carrier.Statement{Verb: carrier.Prepare, Name: "p1", Prepares: carrier.Read, Args: "q"}
+		if n := len(l.Align(map[string]string{"x": "1"}, &p)); n != 2 {
+			t.Errorf("%d statements to set a value and to prepare, want 2", n)
+		}
+		if n := len(l.Align(map[string]string{"x": "1"}, &p)); n != 0 {
+			t.Errorf("%d statements although nothing changed", n)
+		}
+		cmds := l.Align(nil, &p)
+		if len(cmds) != 2 || cmds[0].Verb != carrier.Reset || cmds[1].Verb != carrier.Prepare {
+			t.Errorf("%+v; want a reset, and the statement prepared anew", cmds)
+		}
+		l.Release()
+	})
+}
--- /dev/null
+++ b/internal/config/loader/line_test.go
@@ -0,0 +1,46 @@
+package loader
+
+import (
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+)
+
+const lineFile = `// settings
+{
+  "id": "vm-1", "region": "r1", "dataCentre": "d1",
+  "dataCentres": {"d1": "r1"},
+  "callerAddress": "127.0.0.1:1",
+  "readyAddress": "127.0.0.1:2",
+  "peerAddress": "127.0.0.1:3",
+  "store": "127.0.0.1:4",
+  "orders": "127.0.0.1:5",
+  "stopGrace": "6s",
+}`
+
+// Guards against settings whose fault is found only when they are used, and
+// against errors that do not name the file, the line and the field.
+func TestLoadLine(t *testing.T) {
+	for _, c := range []struct{ old, changed, want string }{
+		{"", "", ""},
+		{`"vm-1"`, `""`, `:3: id: is missing`},
+		{`"127.0.0.1:4"`, `"store.example:80"`, `:8: store: "store.example:80" is not an IP number and port`},
+		{`"6s"`, `"2s"`, `stopNotice: must be shorter than stopGrace`},
+		{`"6s"`, `6`, `stopGrace`},
+		{`"region"`, `"regoin"`, `regoin: unknown field`},
+		{`"orders"`, `"orders`, `settings: `},
+	} {
+		file := filepath.Join(t.TempDir(), "vm.jsonc")
+		if err := os.WriteFile(file, []byte(strings.Replace(lineFile, c.old, c.changed, 1)), 0o600); err != nil {
+			t.Fatal(err)
+		}
+		s, err := LoadLine(file)
+		switch {
+		case c.want == "" && (err != nil || s.ID != "vm-1" || s.StopNotice == 0):
+			t.Errorf("%+v, %v", s, err)
+		case c.want != "" && (err == nil || !strings.Contains(err.Error(), c.want) || !strings.Contains(err.Error(), file)):
+			t.Errorf("%s for %s: got %v, want %q", c.changed, c.old, err, c.want)
+		}
+	}
+}
--- a/internal/config/loader/table.go
+++ b/internal/config/loader/table.go
@@ -14,6 +14,9 @@
 // Table returns one row for each setting, made from the tags of the types.
 func Table() []Row { return rowsOf("", reflect.TypeOf(Settings{})) }
 
+// LineTable returns one row for each setting of LineSettings.
+func LineTable() []Row { return rowsOf("", reflect.TypeOf(LineSettings{})) }
+
 func rowsOf(prefix string, t reflect.Type) []Row {
 	var rows []Row
 	for i := range t.NumField() {
--- a/internal/operator/printer/printer.go
+++ b/internal/operator/printer/printer.go
@@ -23,6 +23,7 @@
 	{"errors", "Error kinds", printErrors},
 	{"events", "Log events", printEvents},
 	{"settings", "Settings of a VM", printSettings},
+	{"line-settings", "Settings of a VM on the users' platform", printLineSettings},
 	{"reasons", "Reason codes of routes", printReasons},
 }
 
@@ -56,11 +57,22 @@
 func printSettings() string {
 	var b strings.Builder
 	b.WriteString(heading("Settings of a VM", "JSON with comments. Durations are texts such as `300ms`."))
+	writeSettings(&b, loader.Table())
+	return b.String()
+}
+
+func printLineSettings() string {
+	var b strings.Builder
+	b.WriteString(heading("Settings of a VM on the users' platform", "JSON with comments; `deploy/settings.jsonc` is the template. After SIGHUP `stopGrace` and `stopNotice` are\ntaken over; settings that fail a check change nothing."))
+	writeSettings(&b, loader.LineTable())
+	return b.String()
+}
+
+func writeSettings(b *strings.Builder, rows []loader.Row) {
 	b.WriteString("| field | type | meaning |\n|---|---|---|\n")
-	for _, r := range loader.Table() {
-		fmt.Fprintf(&b, "| `%s` | %s | %s |\n", r.Field, r.Type, r.Text)
+	for _, r := range rows {
+		fmt.Fprintf(b, "| `%s` | %s | %s |\n", r.Field, r.Type, r.Text)
 	}
-	return b.String()
 }
 
 func printReasons() string {
