--- a/internal/config/loader/load.go
+++ b/internal/config/loader/load.go
@@ -6,7 +6,10 @@
 	"errors"
 	"fmt"
 	"os"
+	"reflect"
 	"regexp"
+	"strings"
+	"time"
 
 	"github.com/tailscale/hujson"
 
@@ -64,7 +67,11 @@
 func decodeFault(file string, b []byte, tree hujson.Value, err error) error {
 	var typ *json.UnmarshalTypeError
 	if errors.As(err, &typ) {
-		return classifier.New(classifier.Invalid, "settings: %s:%d: %s: got %s, want %s", file, lineAt(b, int(typ.Offset)), typ.Field, typ.Value, typ.Type)
+		line := lineAt(b, int(typ.Offset))
+		if typ.Type == reflect.TypeFor[time.Duration]() { // its decoder does not know the place
+			return classifier.New(classifier.Invalid, "settings: %s:%d: %s: %s is not a duration such as \"300ms\"", file, lineOf(b, tree, "/"+strings.ReplaceAll(typ.Field, ".", "/")), typ.Field, typ.Value)
+		}
+		return classifier.New(classifier.Invalid, "settings: %s:%d: %s: got %s, want %s", file, line, typ.Field, typ.Value, typ.Type)
 	}
 	if m := unknownField.FindStringSubmatch(err.Error()); m != nil {
 		return classifier.New(classifier.Invalid, "settings: %s:%d: %s: unknown field", file, lineOfName(b, &tree, m[1]), m[1])
--- a/internal/wire/decoder/duration.go
+++ b/internal/wire/decoder/duration.go
@@ -3,7 +3,8 @@
 
 import (
 	"encoding/json"
-	"fmt"
+	"reflect"
+	"strconv"
 	"time"
 )
 
@@ -16,16 +17,21 @@
 // MarshalJSON writes the text form.
 func (d Duration) MarshalJSON() ([]byte, error) { return json.Marshal(d.Std().String()) }
 
-// UnmarshalJSON reads the text form.
+// UnmarshalJSON reads the text form. Its error is of the type to which the JSON
+// decoder adds the name of the field.
 func (d *Duration) UnmarshalJSON(b []byte) error {
 	var s string
 	if err := json.Unmarshal(b, &s); err != nil {
-		return fmt.Errorf("duration %s is not a text such as \"300ms\"", b)
+		return d.fault(string(b))
 	}
 	v, err := time.ParseDuration(s)
 	if err != nil {
-		return fmt.Errorf("duration %q: %w", s, err)
+		return d.fault(strconv.Quote(s))
 	}
 	*d = Duration(v)
 	return nil
 }
+
+func (d *Duration) fault(value string) error {
+	return &json.UnmarshalTypeError{Value: value, Type: reflect.TypeFor[time.Duration]()}
+}
