--- a/internal/config/loader/load.go
+++ b/internal/config/loader/load.go
@@ -8,8 +8,6 @@
 	"os"
 	"reflect"
 	"regexp"
-	"strings"
-	"time"
 
 	"github.com/tailscale/hujson"
 
@@ -53,7 +51,7 @@
 	d := json.NewDecoder(bytes.NewReader(std.Pack()))
 	d.DisallowUnknownFields()
 	if err := d.Decode(to); err != nil {
-		return decodeFault(file, b, tree, err)
+		return decodeFault(file, b, tree, to, err)
 	}
 	if f := check(); f != nil {
 		return classifier.New(classifier.Invalid, "settings: %s:%d: %s: %s", file, lineOf(b, tree, f.pointer), fieldName(f.pointer), f.text)
@@ -64,14 +62,13 @@
 var unknownField = regexp.MustCompile(`unknown field "([^"]+)"`)
 
 // decodeFault adds the line and the field to an error of the JSON decoder.
-func decodeFault(file string, b []byte, tree hujson.Value, err error) error {
+func decodeFault(file string, b []byte, tree hujson.Value, to any, err error) error {
 	var typ *json.UnmarshalTypeError
 	if errors.As(err, &typ) {
-		line := lineAt(b, int(typ.Offset))
-		if typ.Type == reflect.TypeFor[time.Duration]() { // its decoder does not know the place
-			return classifier.New(classifier.Invalid, "settings: %s:%d: %s: %s is not a duration such as \"300ms\"", file, lineOf(b, tree, "/"+strings.ReplaceAll(typ.Field, ".", "/")), typ.Field, typ.Value)
-		}
-		return classifier.New(classifier.Invalid, "settings: %s:%d: %s: got %s, want %s", file, line, typ.Field, typ.Value, typ.Type)
+		return classifier.New(classifier.Invalid, "settings: %s:%d: %s: got %s, want %s", file, lineAt(b, int(typ.Offset)), typ.Field, typ.Value, typ.Type)
+	}
+	if f := durationFault(tree, "", reflect.TypeOf(to).Elem()); f != nil {
+		return classifier.New(classifier.Invalid, "settings: %s:%d: %s: %s", file, lineOf(b, tree, f.pointer), fieldName(f.pointer), f.text)
 	}
 	if m := unknownField.FindStringSubmatch(err.Error()); m != nil {
 		return classifier.New(classifier.Invalid, "settings: %s:%d: %s: unknown field", file, lineOfName(b, &tree, m[1]), m[1])
@@ -79,6 +76,31 @@
 	return classifier.New(classifier.Invalid, "settings: %s: %s", file, err)
 }
 
+// durationFault finds the duration that cannot be read. The JSON decoder does
+// not add the field to the error of a type's own decoder.
+func durationFault(tree hujson.Value, pointer string, t reflect.Type) *fault {
+	for k := range t.NumField() {
+		f := t.Field(k)
+		at := pointer + "/" + f.Tag.Get("json")
+		v := tree.Find(at)
+		if v == nil {
+			continue
+		}
+		if f.Type.Kind() == reflect.Struct {
+			if d := durationFault(tree, at, f.Type); d != nil {
+				return d
+			}
+		}
+		if l, ok := v.Value.(hujson.Literal); ok && f.Type == reflect.TypeFor[Duration]() {
+			var d Duration
+			if err := json.Unmarshal(l, &d); err != nil {
+				return &fault{at, err.Error()}
+			}
+		}
+	}
+	return nil
+}
+
 // lineOf returns the line of the value at a JSON pointer, or of its nearest parent that is present.
 func lineOf(b []byte, tree hujson.Value, pointer string) int {
 	for p := pointer; p != ""; p = parentOf(p) {
--- a/internal/wire/decoder/duration.go
+++ b/internal/wire/decoder/duration.go
@@ -3,8 +3,7 @@
 
 import (
 	"encoding/json"
-	"reflect"
-	"strconv"
+	"fmt"
 	"time"
 )
 
@@ -17,21 +16,16 @@
 // MarshalJSON writes the text form.
 func (d Duration) MarshalJSON() ([]byte, error) { return json.Marshal(d.Std().String()) }
 
-// UnmarshalJSON reads the text form. Its error is of the type to which the JSON
-// decoder adds the name of the field.
+// UnmarshalJSON reads the text form.
 func (d *Duration) UnmarshalJSON(b []byte) error {
 	var s string
 	if err := json.Unmarshal(b, &s); err != nil {
-		return d.fault(string(b))
+		return fmt.Errorf("duration %s is not a text such as \"300ms\"", b)
 	}
 	v, err := time.ParseDuration(s)
 	if err != nil {
-		return d.fault(strconv.Quote(s))
+		return fmt.Errorf("duration %q: %w", s, err)
 	}
 	*d = Duration(v)
 	return nil
 }
-
-func (d *Duration) fault(value string) error {
-	return &json.UnmarshalTypeError{Value: value, Type: reflect.TypeFor[time.Duration]()}
-}
