--- a/internal/daemon/assembler/gateway.go
+++ b/internal/daemon/assembler/gateway.go
@@ -16,6 +16,10 @@
 const (
 	// leastShare is the share of an instance's connections below which VMs use gateways.
 	leastShare = 2
+	// slotsFactor times the slots of an instance is the number of VMs above which
+	// they use gateways: with a link from each, the instance's own queue overflows
+	// before any VM sees it grow.
+	slotsFactor = 8
 	// gatewayLinks is how many links a gateway should have at least; it sets the number of gateways.
 	gatewayLinks = 8
 	maxGateways  = 4
@@ -34,12 +38,12 @@
 
 // of returns the gateways of an instance; none means that each VM has links of its own.
 func (w *gateways) of(t carrier.Target) []member {
-	limit := w.v.connections(t.Group)
-	if n := w.v.members.count(); limit == 0 || limit/max(1, n) >= leastShare {
+	limit, n := w.v.connections(t.Group), w.v.members.count()
+	i, ok := w.v.groups.Group(t.Group).View(t.Instance)
+	if !ok || limit == 0 || n <= 1 {
 		return nil
 	}
-	i, ok := w.v.groups.Group(t.Group).View(t.Instance)
-	if !ok {
+	if limit/n >= leastShare && n <= slotsFactor*max(1, i.Slots) {
 		return nil
 	}
 	return w.v.members.gateways(t.Instance, i.DataCentre, min(maxGateways, max(1, limit/gatewayLinks)))
--- a/internal/statement/performer/performer.go
+++ b/internal/statement/performer/performer.go
@@ -11,6 +11,7 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"time"
 
 	"golang.org/x/sync/singleflight"
@@ -28,9 +29,10 @@
 // Waits and bounds.
 const (
 	DefaultTimeout = time.Second           // of a statement whose route states none
-	retryPause     = 15 * time.Millisecond // between two rounds over the instances
-	leaveAfter     = 5 * time.Second       // a leaving primary gets no work after it
-	abandonedLife  = 2 * time.Second       // that a late answer is waited for
+	retryPause     = 15 * time.Millisecond // between two rounds over the instances, at first
+	maxRetryPause  = 120 * time.Millisecond
+	leaveAfter     = 5 * time.Second // a leaving primary gets no work after it
+	abandonedLife  = 2 * time.Second // that a late answer is waited for
 	leastSilence   = 250 * time.Millisecond
 	silenceFactor  = 5 // times the usual latency until an instance counts as silent
 	rollbackLimit  = time.Second
@@ -122,6 +124,7 @@
 	tried   []string // instances that refused in this round
 	n       int
 	free    time.Time     // when a primary was found after there had been none
+	rounds  int           // waits between rounds
 	left    int           // candidates at the latest choice
 	waiting int           // in line at the instance that was chosen last
 	last    carrier.Reply // answer of the latest failed attempt
@@ -149,6 +152,14 @@
 	})
 }
 
+// back waits before the next round, longer each time, since an instance that
+// sheds load is only kept from its work by repeats. It returns false when ctx ends first.
+func (a *attempt) back(ctx context.Context) bool {
+	d := min(retryPause<<min(a.rounds, 3), maxRetryPause)
+	a.rounds++
+	return a.pause(ctx, a.g.Changed(), d/2+rand.N(d))
+}
+
 // pause waits for a change of the group, at most for d. It returns false when ctx ends first.
 func (a *attempt) pause(ctx context.Context, changed <-chan struct{}, d time.Duration) bool {
 	t := time.NewTimer(d)
--- a/internal/statement/performer/read.go
+++ b/internal/statement/performer/read.go
@@ -40,7 +40,7 @@
 			return r
 		}
 		a.last = r
-		if !a.pause(ctx, a.g.Changed(), retryPause) {
+		if !a.back(ctx) {
 			return a.refuse(classifier.Overloaded, "the primary did not serve the read in time")
 		}
 	}
@@ -52,7 +52,7 @@
 		list := a.candidates()
 		if len(list) == 0 {
 			a.tried = a.tried[:0]
-			if !a.pause(ctx, a.g.Changed(), retryPause) {
+			if !a.back(ctx) {
 				return a.refuse(classifier.Overloaded, "no instance served the read in time")
 			}
 			continue
--- a/internal/statement/performer/transaction.go
+++ b/internal/statement/performer/transaction.go
@@ -118,7 +118,7 @@
 			return reply
 		}
 		a.tried = append(a.tried, v.ID)
-		if onPrimary && !a.pause(ctx, a.g.Changed(), retryPause) || ctx.Err() != nil {
+		if onPrimary && !a.back(ctx) || ctx.Err() != nil {
 			return a.refuse(classifier.Overloaded, "no instance took the transaction in time")
 		}
 	}
@@ -133,7 +133,7 @@
 			return list[0].View, true
 		}
 		a.tried = a.tried[:0]
-		if !a.pause(ctx, a.g.Changed(), retryPause) {
+		if !a.back(ctx) {
 			return registrar.View{}, false
 		}
 	}
--- a/internal/statement/performer/write.go
+++ b/internal/statement/performer/write.go
@@ -24,7 +24,7 @@
 		if isFinal {
 			return reply
 		}
-		if !a.pause(ctx, a.g.Changed(), retryPause) {
+		if !a.back(ctx) {
 			return a.refuse(classifier.Overloaded, "the primary did not take the write in time")
 		}
 	}
