--- a/internal/backend/allotter/allotter.go
+++ b/internal/backend/allotter/allotter.go
@@ -256,7 +256,7 @@
 	minWindow  = 2.0
 	maxWindow  = 1000.0
 	shedFactor = 0.7
-	growStep   = 0.1
+	growStep   = 0.2
 )
 
 // limit is the VM's share of the links to an instance, or less for a while
--- a/internal/statement/forwarder/server.go
+++ b/internal/statement/forwarder/server.go
@@ -15,8 +15,9 @@
 )
 
 const (
-	// acquireLimit bounds the wait for a link; the other VM has its own limits.
-	acquireLimit = 600 * time.Millisecond
+	// acquireLimit bounds the wait for a link. It is shorter than the time after which
+	// the other VM takes the instance for silent and asks elsewhere.
+	acquireLimit = 150 * time.Millisecond
 	// answerLimit bounds the wait for an instance's answer. The other VM gives up earlier as a rule.
 	answerLimit = 10 * time.Second
 	// orderPriority puts orders before statements.
--- a/internal/statement/performer/performer.go
+++ b/internal/statement/performer/performer.go
@@ -124,7 +124,8 @@
 	tried   []string // instances that refused in this round
 	n       int
 	free    time.Time     // when a primary was found after there had been none
-	rounds  int           // waits between rounds
+	rounds  int           // rounds that ended with shed load
+	isShed  bool          // an instance shed load in this round
 	left    int           // candidates at the latest choice
 	waiting int           // in line at the instance that was chosen last
 	last    carrier.Reply // answer of the latest failed attempt
@@ -152,11 +153,15 @@
 	})
 }
 
-// back waits before the next round, longer each time, since an instance that
-// sheds load is only kept from its work by repeats. It returns false when ctx ends first.
+// back waits before the next round, longer each time while the instances shed
+// load, since repeats only keep them from their work. It returns false when ctx ends first.
 func (a *attempt) back(ctx context.Context) bool {
-	d := min(retryPause<<min(a.rounds, 3), maxRetryPause)
-	a.rounds++
+	d := retryPause
+	if a.isShed {
+		d = min(retryPause<<min(a.rounds, 3), maxRetryPause)
+		a.rounds++
+		a.isShed = false
+	}
 	return a.pause(ctx, a.g.Changed(), d/2+rand.N(d))
 }
 
@@ -343,6 +348,7 @@
 func (a *attempt) refused(v registrar.View, k classifier.Kind) {
 	a.g.Refused(v.ID, k, a.floor)
 	if k == classifier.Overloaded {
+		a.isShed = true
 		a.p.cfg.Links.Shed(registrar.TargetOf(v.Instance))
 	}
 	a.report(EventRepeated, v.ID, k)
