--- a/internal/group/claimer/claimer.go
+++ b/internal/group/claimer/claimer.go
@@ -22,7 +22,7 @@
 	// table holds a row for each group.
 	table = "claims"
 	// life is how long a claim keeps others away. An attempt usually takes less than a second.
-	life = 2500 * time.Millisecond
+	life = 2 * time.Second
 	// tries bounds the writes of one claim.
 	tries = 3
 )
