--- a/internal/daemon/assembler/log.go
+++ b/internal/daemon/assembler/log.go
@@ -67,6 +67,8 @@
 		{Name: "parsleyscale.links", Help: "links to an instance in use", Read: v.loads(func(l allotter.Load) int { return l.InUse })},
 		{Name: "parsleyscale.links.waiting", Help: "requests in line for a link to an instance", Read: v.loads(func(l allotter.Load) int { return l.Waiting })},
 		{Name: "parsleyscale.links.limit", Help: "links to an instance that may be in use", Read: v.loads(func(l allotter.Load) int { return l.Limit })},
+		{Name: "parsleyscale.links.opened", Help: "links to an instance opened since the start", Read: v.linkCounts(func(s allotter.Stats) uint64 { return s.Opened })},
+		{Name: "parsleyscale.links.refused", Help: "links that an instance refused since the start", Read: v.linkCounts(func(s allotter.Stats) uint64 { return s.Refused })},
 		{Name: "parsleyscale.floor.age", Help: "milliseconds since the newest proof of a group's primary, by group", Read: v.floorAges},
 	}
 }
@@ -79,6 +81,14 @@
 	}
 }
 
+func (v *VM) linkCounts(f func(allotter.Stats) uint64) func(func(int64, string)) {
+	return func(o func(int64, string)) {
+		for id, s := range v.links.Stats() {
+			o(int64(f(s)), id)
+		}
+	}
+}
+
 func (v *VM) floorAges(o func(int64, string)) {
 	for _, g := range v.groups.Groups() {
 		if s := g.Samples.Newest(); s.At > 0 {
--- a/internal/group/registrar/registrar.go
+++ b/internal/group/registrar/registrar.go
@@ -34,9 +34,8 @@
 type Registrar struct {
 	clock Clock
 
-	mu       sync.Mutex
-	groups   map[string]*Group
-	registry cataloger.Registry
+	mu     sync.Mutex
+	groups map[string]*Group
 }
 
 // New returns an empty registrar.
@@ -81,7 +80,6 @@
 	for _, i := range registry {
 		byGroup[i.Group] = append(byGroup[i.Group], i)
 	}
-	r.registry = registry
 	groups := make(map[*Group][]cataloger.Instance, len(byGroup))
 	for name, list := range byGroup {
 		groups[r.groupLocked(name)] = list
--- a/internal/statement/performer/performer.go
+++ b/internal/statement/performer/performer.go
@@ -121,8 +121,8 @@
 	r       Request
 	g       *registrar.Group
 	floor   tokenizer.Position
-	tried   []string // instances that refused in this round
-	n       int
+	tried   []string      // instances that refused in this round
+	n       int           // attempts
 	free    time.Time     // when a primary was found after there had been none
 	rounds  int           // rounds that ended with shed load
 	isShed  bool          // an instance shed load in this round
