--- a/internal/group/replacer/replacer.go
+++ b/internal/group/replacer/replacer.go
@@ -37,8 +37,6 @@
 	attemptLimit = 6 * time.Second
 	probeEvery   = 100 * time.Millisecond // while no primary is known
 	checkEvery   = 250 * time.Millisecond // of a primary that was refused or silent
-	giveWayAfter = 3                      // failed attempts
-	restTime     = 3500 * time.Millisecond
 )
 
 // Tokens gives out spare fencing tokens, each higher than all before.
@@ -98,7 +96,6 @@
 
 	mu    sync.Mutex
 	busy  map[string]bool      // by group
-	rest  map[string]time.Time // by group: no attempt until then
 	asked map[string]time.Time // last probe, by instance
 	spare uint64               // a token for times without the store
 }
@@ -109,7 +106,7 @@
 		cfg.Observe = func(Event) {}
 	}
 	ctx, cancel := context.WithCancel(context.Background())
-	r := &Replacer{cfg: cfg, cancel: cancel, busy: map[string]bool{}, rest: map[string]time.Time{}, asked: map[string]time.Time{}}
+	r := &Replacer{cfg: cfg, cancel: cancel, busy: map[string]bool{}, asked: map[string]time.Time{}}
 	r.wg.Go(func() { r.run(ctx) })
 	r.wg.Go(func() { r.refill(ctx) })
 	return r
@@ -184,7 +181,7 @@
 func (r *Replacer) enter(group string) bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	if r.busy[group] || time.Now().Before(r.rest[group]) {
+	if r.busy[group] {
 		return false
 	}
 	r.busy[group] = true
@@ -203,7 +200,6 @@
 	defer cancel()
 	start := time.Now()
 	old := g.Lead()
-	failures := 0
 	r.cfg.Observe(Event{Name: EventBegun, Group: g.Name(), Instance: old.Instance, Reason: a.Reason})
 	for ctx.Err() == nil {
 		now := g.Lead()
@@ -214,30 +210,13 @@
 		if now.Term > old.Term || a.Kind == Replace && Decide(Evidence{Health: g.Health(), Now: time.Now()}).Kind == None {
 			return // replaced by another VM, or back
 		}
-		err := r.attempt(ctx, g, a, old)
-		if err == nil {
-			continue
+		if err := r.attempt(ctx, g, a, old); err != nil {
+			r.cfg.Observe(Event{Name: EventFailed, Group: g.Name(), Instance: old.Instance, Reason: a.Reason, Err: err, Took: time.Since(start)})
+			sleeper.Sleep(ctx, retryPause)
 		}
-		r.cfg.Observe(Event{Name: EventFailed, Group: g.Name(), Instance: old.Instance, Reason: a.Reason, Err: err, Took: time.Since(start)})
-		if !classifier.Is(err, classifier.Conflict) {
-			failures++
-		}
-		if failures >= giveWayAfter {
-			r.giveWay(g.Name())
-			return
-		}
-		sleeper.Sleep(ctx, retryPause)
 	}
 }
 
-// giveWay keeps this VM from further attempts until its claim has run out and
-// another VM, which may reach more instances, has had time for its own.
-func (r *Replacer) giveWay(group string) {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	r.rest[group] = time.Now().Add(restTime)
-}
-
 // attempt takes a token, stops the old term, compares and orders.
 func (r *Replacer) attempt(ctx context.Context, g *registrar.Group, a Action, old registrar.Lead) error {
 	if r.isReplaced(g, old) {
