Assume the usual number of VMs until the others had time to enter themselves

Cause, from the log of TestFailoverWithFullInstances (pauses of 4,563, 3,199 and 3,424 ms): the VM that had claimed the group could not hold a replica, since that refused its connections (tooManyConnections), and the VM that had links was turned away by the claim. Read from the code, not from the log: right after its start a VM finds only itself in the list and takes all connections.

--- a/internal/daemon/assembler/members.go
+++ b/internal/daemon/assembler/members.go
@@ -37,15 +37,16 @@
 
 // members is the list of VMs as the store has it. It also gives out tokens.
 type members struct {
-	cfg    loader.LineSettings
-	store  Store
-	source follower.Source
-	mu     sync.Mutex
-	others []member // this VM included
+	cfg     loader.LineSettings
+	store   Store
+	source  follower.Source
+	mu      sync.Mutex
+	others  []member  // this VM included
+	settled time.Time // before it VMs that started together may still be missing
 }
 
 func startMembers(cfg loader.LineSettings, s Store, source follower.Source) *members {
-	m := &members{cfg: cfg, store: s, source: source}
+	m := &members{cfg: cfg, store: s, source: source, settled: time.Now().Add(settleTime)}
 	go m.run()
 	return m
 }
@@ -101,8 +102,8 @@
 func (m *members) count() int {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	if len(m.others) == 0 {
-		return firstMembers
+	if len(m.others) == 0 || time.Now().Before(m.settled) {
+		return max(firstMembers, len(m.others))
 	}
 	return len(m.others)
 }
