--- a/internal/clock/sleeper/sleeper.go
+++ b/internal/clock/sleeper/sleeper.go
@@ -8,6 +8,9 @@
 
 // Sleep waits for d. It returns false when ctx ends first.
 func Sleep(ctx context.Context, d time.Duration) bool {
+	if d <= 0 {
+		return ctx.Err() == nil
+	}
 	t := time.NewTimer(d)
 	defer t.Stop()
 	select {
@@ -20,9 +23,5 @@
 
 // Until waits until t. It returns false when ctx ends first.
 func Until(ctx context.Context, t time.Time) bool {
-	d := time.Until(t)
-	if d <= 0 {
-		return ctx.Err() == nil
-	}
-	return Sleep(ctx, d)
+	return Sleep(ctx, time.Until(t))
 }
