Exchange commands with an instance in one place

The performer, the forwarder and the commander each sent and received on their own, and the priority of orders stood twice. Behaviour is unchanged; the tests of platform, performer, replacer and allotter pass.

--- a/internal/backend/allotter/lease.go
+++ b/internal/backend/allotter/lease.go
@@ -81,19 +81,21 @@
 	return err == nil && r.OK()
 }
 
-// Exchange sends commands in one go and returns the last answer.
-func (l *Lease) Exchange(cmds ...carrier.Command) (carrier.Reply, error) {
-	var r carrier.Reply
+// Exchange sends commands in one go and receives the answers. With an error it
+// returns those that came before.
+func (l *Lease) Exchange(cmds ...carrier.Command) ([]carrier.Reply, error) {
 	if err := l.link.Send(cmds...); err != nil {
-		return r, err
+		return nil, err
 	}
+	rs := make([]carrier.Reply, 0, len(cmds))
 	for range cmds {
-		var err error
-		if r, err = l.link.Receive(); err != nil {
-			return r, err
+		r, err := l.link.Receive()
+		if err != nil {
+			return rs, err
 		}
+		rs = append(rs, r)
 	}
-	return r, nil
+	return rs, nil
 }
 
 func (l *Lease) forgetAll() {
--- a/internal/backend/allotter/line.go
+++ b/internal/backend/allotter/line.go
@@ -37,6 +37,9 @@
 // due. Waiting makes up for a lower priority, so that nothing waits for ever.
 const priorityStep = 300 * time.Millisecond
 
+// OrderPriority puts orders to an instance before all statements.
+const OrderPriority = -100
+
 type waiter struct {
 	due   time.Time // orders the requests
 	ready chan grant
--- a/internal/group/commander/commander.go
+++ b/internal/group/commander/commander.go
@@ -13,9 +13,6 @@
 	"parsleyscale/internal/statement/carrier"
 )
 
-// first puts an order before all statements.
-const first = -100
-
 // defaultLimit bounds an order whose context has no deadline.
 const defaultLimit = time.Second
 
@@ -49,7 +46,7 @@
 }
 
 func (c Commander) order(ctx context.Context, t carrier.Target, s carrier.Statement) (carrier.Condition, error) {
-	l, err := c.Links.Acquire(ctx, t, first)
+	l, err := c.Links.Acquire(ctx, t, allotter.OrderPriority)
 	if err != nil {
 		return carrier.Condition{}, err
 	}
@@ -58,16 +55,13 @@
 		limit = time.Now().Add(defaultLimit)
 	}
 	l.Link().SetDeadline(limit)
-	if err := l.Link().Send(carrier.Command{Statement: s}); err != nil {
-		l.Discard()
-		return carrier.Condition{}, err
-	}
-	r, err := l.Link().Receive()
+	rs, err := l.Exchange(carrier.Command{Statement: s})
 	if err != nil {
 		l.Discard()
 		return carrier.Condition{}, err
 	}
 	l.Release()
+	r := rs[0]
 	if !r.OK() {
 		return carrier.Condition{}, classifier.New(r.Kind, "%s: %s: %s", t.Instance, s.Verb, r.Detail)
 	}
--- a/internal/statement/forwarder/server.go
+++ b/internal/statement/forwarder/server.go
@@ -20,8 +20,6 @@
 	acquireLimit = 150 * time.Millisecond
 	// answerLimit bounds the wait for an instance's answer. The other VM gives up earlier as a rule.
 	answerLimit = 10 * time.Second
-	// orderPriority puts orders before statements.
-	orderPriority = -100
 	// statementPriority is that of statements, whose own priority has ordered them at their VM.
 	statementPriority = 1
 )
@@ -197,7 +195,7 @@
 	defer cancel()
 	priority := statementPriority
 	if cmd.IsOrder() {
-		priority = orderPriority
+		priority = allotter.OrderPriority
 	}
 	return c.s.cfg.Links.Acquire(ctx, c.target, priority)
 }
@@ -216,12 +214,13 @@
 	}
 	cmds = append(cmds, cmd)
 	l.Link().SetDeadline(time.Now().Add(answerLimit))
-	r, err := l.Exchange(cmds...)
+	rs, err := l.Exchange(cmds...)
 	if err != nil {
 		l.Discard()
 		c.lease = nil
-		return r, err
+		return carrier.Reply{}, err
 	}
+	r := rs[len(rs)-1]
 	if r.State == carrier.Idle {
 		c.lease = nil
 		l.Release()
--- a/internal/statement/performer/performer.go
+++ b/internal/statement/performer/performer.go
@@ -251,7 +251,7 @@
 	}
 	l.Link().SetDeadline(time.Now().Add(leastSilence))
 	at := g.Now()
-	rs, err := exchange(l, carrier.Command{Statement: carrier.Own(carrier.Begin)}, carrier.Command{Statement: carrier.Own(carrier.Rollback)})
+	rs, err := l.Exchange(carrier.Command{Statement: carrier.Own(carrier.Begin)}, carrier.Command{Statement: carrier.Own(carrier.Rollback)})
 	if err != nil {
 		p.broken(g, l)
 		return err
@@ -275,22 +275,6 @@
 	}
 }
 
-// exchange sends commands in one go and receives the answers.
-func exchange(l *allotter.Lease, cmds ...carrier.Command) ([]carrier.Reply, error) {
-	if err := l.Link().Send(cmds...); err != nil {
-		return nil, err
-	}
-	rs := make([]carrier.Reply, 0, len(cmds))
-	for range cmds {
-		r, err := l.Link().Receive()
-		if err != nil {
-			return rs, err
-		}
-		rs = append(rs, r)
-	}
-	return rs, nil
-}
-
 // finish gives a link back after its last answer.
 func finish(l *allotter.Lease, last carrier.Reply) {
 	if last.State != carrier.Idle || last.Kind == classifier.UnknownStatement {
--- a/internal/statement/performer/read.go
+++ b/internal/statement/performer/read.go
@@ -87,7 +87,7 @@
 	}
 	start := time.Now()
 	l.Link().SetDeadline(start.Add(silence(v)))
-	rs, err := exchange(l, cmds...)
+	rs, err := l.Exchange(cmds...)
 	if err != nil {
 		a.lost(l, err, len(cmds)-len(rs))
 		return carrier.Refusal(classifier.Overloaded, "no answer from "+v.ID), false
--- a/internal/statement/performer/transaction.go
+++ b/internal/statement/performer/transaction.go
@@ -155,7 +155,7 @@
 	at, start := a.g.Now(), time.Now()
 	cmds := append(l.Align(a.r.Values, a.r.Prepared), begin)
 	l.Link().SetDeadline(earlier(limit, start.Add(silence(v))))
-	rs, err := exchange(l, cmds...)
+	rs, err := l.Exchange(cmds...)
 	if err != nil {
 		a.lostBegin(l, err, len(cmds)-len(rs))
 		return carrier.Reply{}, false
@@ -168,7 +168,7 @@
 		return t.refusedStart(a, l, v, begun)
 	}
 	l.Link().SetDeadline(limit)
-	rs, err = exchange(l, carrier.Command{Statement: a.r.Statement})
+	rs, err = l.Exchange(carrier.Command{Statement: a.r.Statement})
 	if err != nil {
 		a.lostBegin(l, err, 1)
 		return carrier.Reply{}, false
@@ -225,7 +225,7 @@
 	id := t.lease.Target().Instance
 	start := time.Now()
 	t.lease.Link().SetDeadline(limit)
-	rs, err := exchange(t.lease, cmds...)
+	rs, err := t.lease.Exchange(cmds...)
 	if err != nil {
 		t.g.Failed(id)
 		return carrier.Refusal(classifier.NotRun, "no answer from "+id+"; the transaction is rolled back")
@@ -253,7 +253,7 @@
 	t.lease = nil
 	at := t.g.Now()
 	l.Link().SetDeadline(limit.Add(commitSlack))
-	rs, err := exchange(l, carrier.Command{Statement: r.Statement})
+	rs, err := l.Exchange(carrier.Command{Statement: r.Statement})
 	if err != nil {
 		t.p.broken(t.g, l)
 		return t.commitLost(r, id), tokenizer.Position{}
--- a/internal/statement/performer/write.go
+++ b/internal/statement/performer/write.go
@@ -40,7 +40,7 @@
 	cmds := append(l.Align(a.r.Values, a.r.Prepared), carrier.Command{Statement: a.r.Statement})
 	at, start := a.g.Now(), time.Now()
 	l.Link().SetDeadline(limit.Add(commitSlack))
-	rs, err := exchange(l, cmds...)
+	rs, err := l.Exchange(cmds...)
 	if err != nil {
 		a.p.broken(a.g, l)
 		a.g.Stalled()
