Count a replica that has left as missing in a replacement

Cause: a replica that leaves counts for the acknowledgement of commits until it is gone, with its log. Once it was removed from the registry, the replacement compared only the replicas that remained, although commits acknowledged with its help could be on the primary alone. The demoted primary was compared only if a present replica did not answer.

Change: a group remembers the departure of a replica and the first position that the primary proved after it. Until a replica holds that position, the departed one counts as missing: the old primary has to answer its demotion, and only instances that hold all of its entries are candidates. A stall that only the old primary could be chosen for is not replaced. The VMs that act first ask the primary for its position after a departure.

--- a/internal/group/registrar/group.go
+++ b/internal/group/registrar/group.go
@@ -22,6 +22,8 @@
 	mu               sync.Mutex
 	instances        map[string]*instanceState // by identity
 	primary          Primary
+	latestPrimary    string        // the known primary, or else the one that was known last
+	departure        departure     // the latest departure of a replica
 	registryPrimary  string        // instance that the registry names instead of the known primary; "": none
 	noPrimarySince   time.Time     // when the last primary became unknown; zero: a primary is known or there was none yet
 	unansweredWrites int           // unanswered writes since the last answered one, or since the primary or its term changed
@@ -123,6 +125,9 @@
 func (g *Group) applyEntry(i cataloger.Instance) bool {
 	s, ok := g.instances[i.ID]
 	if !ok || s.StartedAtMs != i.StartedAtMs || s.Address != i.Address {
+		if ok {
+			g.recordDeparture(i.ID)
+		}
 		s = &instanceState{View: View{Instance: i}}
 		g.instances[i.ID] = s
 		if i.IsPrimary {
@@ -166,6 +171,9 @@
 // setPrimary sets the primary, "" if it is unknown. It discards the registry primary and the count of unanswered writes.
 func (g *Group) setPrimary(id string) {
 	g.primary.Instance = id
+	if id != "" {
+		g.latestPrimary = id
+	}
 	g.registryPrimary = ""
 	g.primary.Since = time.Now()
 	g.unansweredWrites = 0
@@ -191,6 +199,7 @@
 			continue
 		}
 		delete(g.instances, id)
+		g.recordDeparture(id)
 		removed = append(removed, id)
 		if g.primary.Instance == id {
 			g.setPrimary("")
@@ -216,6 +225,7 @@
 	if g.primary.Instance != p.Instance {
 		g.setPrimary(p.Instance)
 	}
+	g.recordDepartureSample(p)
 	g.Samples.Add(p.SentAt, g.clock(), p.Position)
 }
 
--- a/internal/group/replacer/endterm.go
+++ b/internal/group/replacer/endterm.go
@@ -66,21 +66,28 @@
 }
 
 // checkStallCanEnd returns an error if a replacement cannot end a stall of writes. While one replica
-// does not answer and the others lack entries of the primary, only the primary itself could be chosen.
-// Its demotion and promotion would interrupt the reads as well, and the missing replica would still not answer.
+// does not answer or has left, and the others lack entries of the primary, only the primary itself could be chosen.
+// Its demotion and promotion would interrupt the reads as well, and the writes would still wait for a replica.
 // A replacement does help if a replica is held, because a promotion ends holds.
 func (r *Replacer) checkStallCanEnd(ctx context.Context, g *registrar.Group, primary string) error {
 	statuses, failed := r.statusOfAll(ctx, g)
 	old, hasAnswered := statuses[primary]
-	if len(failed) == 0 || !hasAnswered {
+	if !hasAnswered {
 		return nil
 	}
+	var furthest tokenizer.Position
 	for id, s := range statuses {
 		if id != primary && (s.HoldTerm > 0 || s.Received.Covers(old.Received)) {
 			return nil
 		}
+		if id != primary {
+			furthest = furthest.Max(s.Received)
+		}
+	}
+	if len(failed) == 0 && g.IsCoveredDespiteDepartures(furthest) {
+		return nil
 	}
-	return classifier.Wrap(classifier.NoInstance, errors.Join(slices.Collect(maps.Values(failed))...), "a replacement cannot end the stall of primary %s: a replica does not answer, and no other one holds all entries of the primary", primary)
+	return classifier.Wrap(classifier.NoInstance, errors.Join(slices.Collect(maps.Values(failed))...), "a replacement cannot end the stall of primary %s: a replica does not answer or has left, and no other one holds all entries of the primary", primary)
 }
 
 // demoteAndCatchUp demotes a working primary and waits until a replica that is not leaving has received
@@ -148,7 +155,8 @@
 
 // holdAll holds all replicas, so that they stop receiving entries, and demotes the old primary. It waits
 // for the old primary's answer if that of a replica is missing or if awaitsOldPrimary is true. With a
-// replica missing, only the instances that hold all entries of the old primary are candidates.
+// replica missing, or after one has left with entries that the others may lack, only the instances that
+// hold all entries of the old primary are candidates.
 func (r *Replacer) holdAll(ctx context.Context, g *registrar.Group, views []registrar.View, old registrar.Primary, awaitsOldPrimary bool) ([]candidate, error) {
 	nextTerm := old.Term + 1
 	replicaAnswers, primaryAnswer := make(chan haltAnswer, len(views)), make(chan haltAnswer, 1)
@@ -178,6 +186,9 @@
 			candidates = append(candidates, a.candidate)
 		}
 	}
+	if replicaErr == nil && !g.IsCoveredDespiteDepartures(furthestReceived(candidates)) {
+		replicaErr = classifier.New(classifier.NoInstance, "a replica of group %s has left, and the others may lack entries that it had received", g.Name())
+	}
 	if replicaErr == nil && (!awaitsOldPrimary || replicas == len(views)) {
 		return candidates, nil
 	}
@@ -194,6 +205,15 @@
 	return covering(append(candidates, a.candidate), a.received), nil
 }
 
+// furthestReceived returns the newest position among candidates, or the zero position if there are none.
+func furthestReceived(candidates []candidate) tokenizer.Position {
+	var p tokenizer.Position
+	for _, c := range candidates {
+		p = p.Max(c.received)
+	}
+	return p
+}
+
 // holdOrDemote holds a replica, or demotes the old primary, for the term that follows the old one.
 func (r *Replacer) holdOrDemote(ctx context.Context, g *registrar.Group, v registrar.View, isOldPrimary bool, nextTerm uint64) haltAnswer {
 	s, err := r.callWithRetry(ctx, v, func(ctx context.Context, t carrier.Target) (carrier.InstanceStatus, error) {
--- a/internal/group/replacer/replacer.go
+++ b/internal/group/replacer/replacer.go
@@ -13,7 +13,9 @@
 //     acknowledge any commit.
 //   - All replicas must have answered, since the one that did not may be the only
 //     one with an acknowledged commit. The demoted old primary can stand in for a
-//     missing replica, because its log holds every commit that it acknowledged.
+//     missing replica, because its log holds every commit that it acknowledged. A
+//     replica that has left the group counts as missing until another one holds
+//     everything that was acknowledged before its departure was noticed.
 //   - The chosen instance is recorded with the claim before the promote request is
 //     sent. A later attempt at the same term, which may have reached other
 //     instances, keeps that choice as long as no instance holds more than the chosen
@@ -176,7 +178,8 @@
 }
 
 // probePossiblePrimaries probes all instances while no primary is known, a known primary that has failed,
-// and the instance that the registry names instead of the known primary.
+// and the instance that the registry names instead of the known primary. After the departure of a replica,
+// the VMs that replace the primary first learn its position, because they need it if the primary fails next.
 func (r *Replacer) probePossiblePrimaries(g *registrar.Group, h registrar.Health) {
 	switch {
 	case !h.Primary.IsKnown():
@@ -185,6 +188,8 @@
 		}
 	case h.PrimaryView.Failures > 0:
 		r.probeIfDue(g, h.PrimaryView, recheckInterval)
+	case g.NeedsDepartureSample() && r.cfg.Rank(g.Name()) <= maxDelayedRank:
+		r.probeIfDue(g, h.PrimaryView, searchInterval)
 	}
 	if v, ok := g.View(h.RegistryPrimary); ok {
 		r.probeIfDue(g, v, searchInterval)
--- a/internal/group/replacer/replacer_test.go
+++ b/internal/group/replacer/replacer_test.go
@@ -409,3 +409,50 @@
 		})
 	}
 }
+
+// Guards against the promotion of a replica that lacks an acknowledged commit, after the replica on
+// which the commit was acknowledged has left: 54 commits were lost while the old primary, which
+// had them, was alive and had been compared.
+func TestReplicaHasLeft(t *testing.T) {
+	leave := func(r *registrar.Registrar, reg cataloger.Registry, g *registrar.Group) {
+		r.Update(reg.With(map[string]*cataloger.Instance{"c": nil}))
+		time.Sleep(3 * time.Second)
+		g.RemoveMissing()
+	}
+	stall := func(g *registrar.Group) {
+		g.RecordUnansweredWrite()
+		g.RecordUnansweredWrite()
+	}
+	proveAt := func(g *registrar.Group, index uint64) {
+		g.RecordProof(registrar.Proof{Instance: "a", SentAt: g.Now(), Position: tokenizer.Position{Term: 3, Index: index}})
+	}
+	for _, c := range []struct {
+		name  string
+		f     *fakeGroup
+		setUp func(g *registrar.Group)
+		want  string // promoted instance; "": none
+	}{
+		{"writes stall, and only the primary has what the departed replica received", &fakeGroup{received: map[string]uint64{"a": 9, "b": 7}, errs: map[string]error{"probe a": nil}}, stall, ""},
+		{"writes stall, and the other replica has caught up", &fakeGroup{received: map[string]uint64{"a": 9, "b": 9}, errs: map[string]error{"probe a": nil}}, stall, "b"},
+		{"the primary has failed and answers the demotion", &fakeGroup{received: map[string]uint64{"a": 9, "b": 7}}, failPrimary, "a"},
+		{"the primary has failed before it proved its position", &fakeGroup{received: map[string]uint64{"a": 9, "b": 9}, errs: map[string]error{"demote a": errNoAnswer}}, failPrimary, ""},
+		{"the primary has failed, and the other replica holds all that was acknowledged with the departed one", &fakeGroup{received: map[string]uint64{"a": 9, "b": 9}, errs: map[string]error{"demote a": errNoAnswer}}, func(g *registrar.Group) { proveAt(g, 8); failPrimary(g) }, "b"},
+		{"the primary has failed, and the other replica lacks some of it", &fakeGroup{received: map[string]uint64{"a": 9, "b": 7}, errs: map[string]error{"demote a": errNoAnswer}}, func(g *registrar.Group) { proveAt(g, 8); failPrimary(g) }, ""},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				c.f.primary, c.f.term = "a", 3
+				got := promotedInstances(t, c.f, func(g *registrar.Group, r *registrar.Registrar, reg cataloger.Registry) {
+					leave(r, reg, g)
+					c.setUp(g)
+				})
+				switch {
+				case c.want == "" && len(got) > 0:
+					t.Errorf("%v promoted, want none; commands %v", got, c.f.commands)
+				case c.want != "" && (len(got) != 1 || got[0] != c.want):
+					t.Errorf("%v promoted, want %s; commands %v", got, c.want, c.f.commands)
+				}
+			})
+		})
+	}
+}
