Claim each replacement where the platform does not check tokens

Cause: where fences are not checked, the platform refuses no promote request, so all that the tokens' order guarantees falls. A VM on the wrong side of a split primary, without an answer from the store, took a spare token, demoted the replaced primary that it still reached, and promoted it again: 5.2 s after its successor. Also possible in both assemblies of tokens: a claim on a term that had ended, if the claim on the later term was older than its TTL.

Change: the setting fencing (the platform's enforce_fencing) tells which platform it is. Without fencing there are no spare tokens, the claim is renewed before each repeated request, an earlier attempt's choice is kept, a primary of an earlier term is demoted before it is held, and the next term cannot be claimed for 10 s while a request of this one is unanswered. On each platform, a term below a claimed one cannot be claimed.

TestUnfenced and TestEndedTermCannotBeClaimed cover the decisions.

--- a/internal/config/loader/line.go
+++ b/internal/config/loader/line.go
@@ -19,6 +19,7 @@
 	Seeds         []string          `json:"seeds" doc:"peer addresses of some VMs"`
 	Store         string            `json:"store" doc:"IP address and port of the platform's store"`
 	Orders        string            `json:"orders" doc:"IP address and port for control requests to the platform"`
+	Fencing       bool              `json:"fencing" doc:"whether the platform checks the fencing tokens of promote requests, so that a promotion ends the lead of the old primary; if false, each VM verifies the lead of a primary with a replica"`
 	StopGrace     Duration          `json:"stopGrace" doc:"time from the stop signal to the end of the process"`
 	StopNotice    Duration          `json:"stopNotice" doc:"time from reporting not ready to closing idle sessions"`
 	Callers       int               `json:"callers" doc:"limit of concurrent client connections"`
@@ -26,7 +27,7 @@
 
 // DefaultLine returns the default values of the settings.
 func DefaultLine() LineSettings {
-	return LineSettings{StopGrace: Duration(6 * time.Second), StopNotice: Duration(2300 * time.Millisecond), Callers: 20000}
+	return LineSettings{Fencing: true, StopGrace: Duration(6 * time.Second), StopNotice: Duration(2300 * time.Millisecond), Callers: 20000}
 }
 
 // LoadLine reads and validates the settings in a file.
--- a/internal/daemon/assembler/assembler.go
+++ b/internal/daemon/assembler/assembler.go
@@ -126,12 +126,13 @@
 	v.members = startMembers(cfg, p.Store)
 	v.auditor = auditor.Start(p.Store, cfg.ID)
 	v.pool = allotter.New(allotter.Config{Dialer: v.gateways, Limits: v.gateways.connectionLimits, Observe: v.recordDial})
+	controller := commander.Controller{Pool: v.pool, Parse: p.ParseCondition}
 	v.performer = performer.New(performer.Config{
 		DataCentre: cfg.DataCentre, Region: cfg.Region, RegionOf: func(dc string) string { return cfg.DataCentres[dc] },
 		Groups: v.groups, Pool: v.pool, RetryBudget: admitter.NewRetryBudget(), Observe: v.logStatement,
 	})
 	v.replacer = replacer.Start(replacer.Config{
-		Groups: v.groups, Controller: commander.Controller{Pool: v.pool, Parse: p.ParseCondition}, Tokens: v.members, Claims: claimer.New(p.Store, cfg.ID), Probe: v.performer.Probe, Rank: v.members.rank,
+		Groups: v.groups, Controller: controller, Tokens: v.members, Claims: claimer.New(p.Store, cfg.ID, v.promoteRequestLifetime()), IsUnfenced: !cfg.Fencing, Probe: v.performer.Probe, Sample: v.performer.SamplePrimaryPosition, Rank: v.members.rank,
 		Promote: func(ctx context.Context, group, instance string, token uint64) error {
 			return p.Promote(ctx, group, instance, cfg.ID, token)
 		},
@@ -160,6 +161,15 @@
 	return v, nil
 }
 
+// promoteRequestLifetime returns how long a promote request without an answer may still be carried out, or 0 if the
+// platform refuses it once it has seen a later token.
+func (v *VM) promoteRequestLifetime() time.Duration {
+	if v.cfg.Fencing {
+		return 0
+	}
+	return claimer.UnfencedRequestLifetime
+}
+
 // stop stops the VM gracefully. The VM reports not ready at once, but closes its sessions only after stopNotice, which
 // gives the load balancer time to remove the VM.
 func (v *VM) stop() {
--- a/internal/group/claimer/claimer.go
+++ b/internal/group/claimer/claimer.go
@@ -6,6 +6,10 @@
 // still be carried out. A VM therefore records the instance that it has chosen before it requests the promotion,
 // and the record fails if another VM has claimed the group in the meantime. So either the VM with the later
 // claim learns the earlier choice, or the VM with the earlier claim does not request a promotion.
+//
+// Where the platform checks the fencing tokens, it refuses a promote request that arrives after one of a later claim.
+// Elsewhere, a claim stays open from the record of the choice until each promote request was answered, and the next
+// term cannot be claimed before an open claim is so old that its requests cannot be carried out any more.
 package claimer
 
 import (
@@ -25,6 +29,9 @@
 	claimTTL = 2 * time.Second
 	// maxSwapAttempts limits the conditional writes of one Claim.
 	maxSwapAttempts = 3
+	// UnfencedRequestLifetime is how long a promote request without an answer may still be carried out, where the platform
+	// does not check its token.
+	UnfencedRequestLifetime = 10 * time.Second
 )
 
 // Store writes rows conditionally.
@@ -45,6 +52,7 @@
 	Holder         string `json:"holder"`           // VM that made the claim
 	Term           uint64 `json:"term"`             // term whose primary is being replaced
 	ChosenInstance string `json:"choice,omitempty"` // instance to promote
+	IsOpen         bool   `json:"open,omitempty"`   // a promote request for it may have been sent and not been answered
 
 	version uint64    // of the row
 	seenAt  time.Time // when this VM first saw or wrote this version
@@ -52,31 +60,34 @@
 
 // Claimer claims groups for one VM.
 type Claimer struct {
-	store Store
-	self  string // ID of the VM
+	store           Store
+	self            string        // ID of the VM
+	requestLifetime time.Duration // how long a promote request without an answer may still be carried out; 0: its token is checked
 
 	mu     sync.Mutex
 	latest map[string]claim // latest known claim, by group
 }
 
-// New returns a Claimer for the VM with the ID self.
-func New(s Store, self string) *Claimer {
-	return &Claimer{store: s, self: self, latest: map[string]claim{}}
+// New returns a Claimer for the VM with the ID self. The request lifetime is how long a promote request without an answer
+// may still be carried out, or 0 if the platform checks its token.
+func New(s Store, self string, requestLifetime time.Duration) *Claimer {
+	return &Claimer{store: s, self: self, requestLifetime: requestLifetime, latest: map[string]claim{}}
 }
 
 // Claim returns the permission for replacing the primary of a term. It fails with kind conflict while another VM has
-// an unexpired claim on that term or a later one.
+// an unexpired claim on that term, after any claim on a later term, and while a promote request of an earlier term may
+// still be carried out.
 func (c *Claimer) Claim(ctx context.Context, group string, term uint64) (ClaimResult, error) {
 	c.mu.Lock()
 	latest := c.latest[group]
 	c.mu.Unlock()
 	for range maxSwapAttempts {
-		if latest.Holder != "" && latest.Holder != c.self && latest.Term >= term && time.Since(latest.seenAt) < claimTTL {
-			return ClaimResult{}, classifier.New(classifier.Conflict, "group %s: VM %s is already replacing the primary of term %d", group, latest.Holder, latest.Term)
+		if err := c.checkClaimable(group, latest, term); err != nil {
+			return ClaimResult{}, err
 		}
 		own := claim{Holder: c.self, Term: term}
 		if latest.Term == term {
-			own.ChosenInstance = latest.ChosenInstance
+			own.ChosenInstance, own.IsOpen = latest.ChosenInstance, latest.IsOpen
 		}
 		token, row, err := c.swap(ctx, group, own, latest.version)
 		switch {
@@ -90,16 +101,42 @@
 	return ClaimResult{}, classifier.New(classifier.Conflict, "group %s: claim on term %d: the row changed before each of %d writes", group, term, maxSwapAttempts)
 }
 
+// checkClaimable returns an error of kind conflict if the latest claim does not allow this VM to claim a term.
+func (c *Claimer) checkClaimable(group string, latest claim, term uint64) error {
+	age := time.Since(latest.seenAt)
+	switch {
+	case latest.Holder == "":
+		return nil
+	case latest.Term > term:
+		return classifier.New(classifier.Conflict, "group %s: VM %s has claimed the later term %d", group, latest.Holder, latest.Term)
+	case latest.Term == term && latest.Holder != c.self && age < claimTTL:
+		return classifier.New(classifier.Conflict, "group %s: VM %s is already replacing the primary of term %d", group, latest.Holder, latest.Term)
+	case latest.Term < term && latest.IsOpen && age < c.requestLifetime:
+		return classifier.New(classifier.Conflict, "group %s: the request to promote %s in place of the primary of term %d may still be carried out", group, latest.ChosenInstance, latest.Term)
+	}
+	return nil
+}
+
 // Record records the instance that will be promoted, and returns the fencing token for the promote request. It
 // fails with kind conflict if another VM has claimed the group since token was issued.
 func (c *Claimer) Record(ctx context.Context, group string, term, token uint64, chosenInstance string) (uint64, error) {
-	newToken, row, err := c.swap(ctx, group, claim{Holder: c.self, Term: term, ChosenInstance: chosenInstance}, token)
+	newToken, row, err := c.swap(ctx, group, claim{Holder: c.self, Term: term, ChosenInstance: chosenInstance, IsOpen: c.requestLifetime > 0}, token)
 	if classifier.Is(err, classifier.Conflict) {
 		c.cacheRow(group, row)
 	}
 	return newToken, err
 }
 
+// Settle records that each promote request of the claim with the given token was answered. Where the platform checks the
+// tokens, it does nothing.
+func (c *Claimer) Settle(ctx context.Context, group string, term, token uint64, chosenInstance string) error {
+	if c.requestLifetime == 0 {
+		return nil
+	}
+	_, _, err := c.swap(ctx, group, claim{Holder: c.self, Term: term, ChosenInstance: chosenInstance}, token)
+	return err
+}
+
 // swap replaces the given version of the group's row, and caches the new claim.
 func (c *Claimer) swap(ctx context.Context, group string, next claim, version uint64) (uint64, follower.Row, error) {
 	value, err := json.Marshal(next)
--- a/internal/group/claimer/claimer_test.go
+++ b/internal/group/claimer/claimer_test.go
@@ -38,7 +38,7 @@
 func TestClaim(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		f := &fakeStore{rows: map[string]follower.Row{}}
-		a, b := New(f, "vm-a"), New(f, "vm-b")
+		a, b := New(f, "vm-a", 0), New(f, "vm-b", 0)
 		ctx := context.Background()
 		first, err := a.Claim(ctx, "g", 1)
 		if err != nil {
@@ -67,7 +67,7 @@
 // Guards against a claim that blocks its own VM because the answer to its write was lost.
 func TestClaimWithLostAnswer(t *testing.T) {
 	f := &fakeStore{rows: map[string]follower.Row{}, losesAnswer: true}
-	a := New(f, "vm-a")
+	a := New(f, "vm-a", 0)
 	if _, err := a.Claim(context.Background(), "g", 1); !classifier.Is(err, classifier.PlatformUnavailable) {
 		t.Fatal(err)
 	}
@@ -83,7 +83,7 @@
 func TestRecord(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		f := &fakeStore{rows: map[string]follower.Row{}}
-		a, b := New(f, "vm-a"), New(f, "vm-b")
+		a, b := New(f, "vm-a", 0), New(f, "vm-b", 0)
 		ctx := context.Background()
 		first, err := a.Claim(ctx, "g", 1)
 		if err != nil || first.ChosenInstance != "" {
@@ -108,3 +108,62 @@
 		}
 	})
 }
+
+// Guards against a claim on a term that has ended, whose promote request would undo a replacement: a VM that had missed
+// the replacement promoted the old primary again, and 89 acknowledged commits were lost.
+func TestEndedTermCannotBeClaimed(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := &fakeStore{rows: map[string]follower.Row{}}
+		a, b := New(f, "vm-a", 0), New(f, "vm-b", 0)
+		if _, err := a.Claim(t.Context(), "g", 2); err != nil {
+			t.Fatal(err)
+		}
+		time.Sleep(time.Hour)
+		if _, err := b.Claim(t.Context(), "g", 1); !classifier.Is(err, classifier.Conflict) {
+			t.Errorf("Claim of term 1 after one of term 2 = %v, want kind conflict", err)
+		}
+	})
+}
+
+// Guards against a promote request that is carried out after the next replacement, where the platform does not check the
+// tokens: the instance would lack the commits that were acknowledged in between.
+func TestNextTermWaitsForUnansweredRequest(t *testing.T) {
+	for _, c := range []struct {
+		name      string
+		lifetime  time.Duration
+		isSettled bool
+		wait      time.Duration
+		wantErr   bool
+	}{
+		{"a request is unanswered", UnfencedRequestLifetime, false, time.Second, true},
+		{"an unanswered request is too old to be carried out", UnfencedRequestLifetime, false, UnfencedRequestLifetime + time.Millisecond, false},
+		{"all requests were answered", UnfencedRequestLifetime, true, 0, false},
+		{"tokens are checked", 0, false, 0, false},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				f := &fakeStore{rows: map[string]follower.Row{}}
+				a, b := New(f, "vm-a", c.lifetime), New(f, "vm-b", c.lifetime)
+				ctx := t.Context()
+				r, err := a.Claim(ctx, "g", 1)
+				if err != nil {
+					t.Fatal(err)
+				}
+				token, err := a.Record(ctx, "g", 1, r.FencingToken, "i")
+				if err != nil {
+					t.Fatal(err)
+				}
+				if c.isSettled {
+					if err := a.Settle(ctx, "g", 1, token, "i"); err != nil {
+						t.Fatal(err)
+					}
+				}
+				_, _ = b.Claim(ctx, "g", 2) // the age of the claim counts from here
+				time.Sleep(c.wait)
+				if _, err := b.Claim(ctx, "g", 2); (err != nil) != c.wantErr || err != nil && !classifier.Is(err, classifier.Conflict) {
+					t.Errorf("Claim of the next term = %v, want a conflict: %t", err, c.wantErr)
+				}
+			})
+		})
+	}
+}
--- a/internal/group/replacer/endterm.go
+++ b/internal/group/replacer/endterm.go
@@ -220,7 +220,7 @@
 		if isOldPrimary {
 			return r.cfg.Controller.Demote(ctx, t, nextTerm)
 		}
-		return r.cfg.Controller.Hold(ctx, t, nextTerm)
+		return r.hold(ctx, t, nextTerm)
 	})
 	r.cfg.Observe(Event{Name: EventHeld, Group: g.Name(), Instance: v.ID, Status: s, Err: err})
 	a := haltAnswer{candidate: candidate{id: v.ID, isLeaving: v.IsLeaving, isOldPrimary: isOldPrimary, received: s.Received}, err: err, receivedTerm: s.Received.Term}
@@ -230,6 +230,19 @@
 	return a
 }
 
+// hold holds a replica for a term. An instance that has been replaced and still acts as the primary of an earlier term
+// has to be demoted first.
+func (r *Replacer) hold(ctx context.Context, t carrier.Target, term uint64) (carrier.InstanceStatus, error) {
+	s, err := r.cfg.Controller.Hold(ctx, t, term)
+	if err != nil || !s.IsPrimary || s.Term+1 >= term {
+		return s, err
+	}
+	if s, err = r.cfg.Controller.Demote(ctx, t, term); err != nil {
+		return s, err
+	}
+	return r.cfg.Controller.Hold(ctx, t, term)
+}
+
 // covering returns the candidates that hold all entries of the old primary up to its position, and
 // therefore every commit that it acknowledged. The old primary itself is one of them.
 func covering(candidates []candidate, oldPrimary tokenizer.Position) []candidate {
--- a/internal/group/replacer/replacer.go
+++ b/internal/group/replacer/replacer.go
@@ -22,6 +22,13 @@
 //     one, and does not proceed without the chosen instance's answer. A hold is
 //     never undone: a promote request that got no answer may still be carried out
 //     later, and until then nothing may be acknowledged that the chosen replica lacks.
+//
+// On a platform that does not check the tokens, three more rules take the place of the refusal.
+//   - There are no spare tokens: a VM that cannot claim the group leaves it alone.
+//   - The claim is renewed before each repeated promote request, so that none is sent
+//     after that of a later claim.
+//   - An attempt that finds the choice of an earlier one does not choose otherwise, and
+//     the next term cannot be claimed while a request of this one may be outstanding.
 package replacer
 
 import (
@@ -69,6 +76,8 @@
 	// Record stores the chosen instance before the promote request is sent, and returns the token of that
 	// request. It fails with kind conflict when another VM has claimed the group in the meantime.
 	Record(ctx context.Context, group string, term, token uint64, chosenInstance string) (uint64, error)
+	// Settle records that each promote request of the claim with the given token was answered.
+	Settle(ctx context.Context, group string, term, token uint64, chosenInstance string) error
 }
 
 // Promote asks the platform to make an instance the primary of its group. An error of kind conflict
@@ -82,8 +91,13 @@
 	Tokens     TokenSource
 	Claims     Claims
 	Promote    Promote
+	// IsUnfenced states that the platform does not check the tokens of promote requests, and that a replaced primary goes
+	// on answering until it is demoted or learns of its successor.
+	IsUnfenced bool
 	// Probe asks an instance whether it is the primary and records the answer in the group.
 	Probe func(g *registrar.Group, v registrar.View) error
+	// Sample asks the primary for its position and records it in the group.
+	Sample func(ctx context.Context, g *registrar.Group) error
 	// AnswersDirectly reports whether an instance that this VM usually reaches through gateways answers
 	// a direct connection. It is nil if there are no gateways.
 	AnswersDirectly   func(ctx context.Context, v registrar.View) bool
@@ -135,7 +149,9 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	r := &Replacer{cfg: cfg, cancel: cancel, isReplacing: map[string]bool{}, lastProbe: map[string]time.Time{}}
 	r.wg.Go(func() { r.run(ctx) })
-	r.wg.Go(func() { r.refillSpareToken(ctx) })
+	if !cfg.IsUnfenced {
+		r.wg.Go(func() { r.refillSpareToken(ctx) })
+	}
 	return r
 }
 
@@ -166,7 +182,7 @@
 // checkGroup probes a group whose primary is in doubt, and replaces the primary if this VM has to.
 func (r *Replacer) checkGroup(ctx context.Context, g *registrar.Group) {
 	h := g.Health()
-	r.probePossiblePrimaries(g, h)
+	r.probePossiblePrimaries(ctx, g, h)
 	a := Decide(Evidence{Health: h, Now: time.Now(), Rank: r.cfg.Rank(g.Name())})
 	if a.Kind == None || !r.beginReplacement(g.Name()) {
 		return
@@ -180,7 +196,7 @@
 // probePossiblePrimaries probes all instances while no primary is known, a known primary that has failed,
 // and the instance that the registry names instead of the known primary. After the departure of a replica,
 // the VMs that replace the primary first learn its position, because they need it if the primary fails next.
-func (r *Replacer) probePossiblePrimaries(g *registrar.Group, h registrar.Health) {
+func (r *Replacer) probePossiblePrimaries(ctx context.Context, g *registrar.Group, h registrar.Health) {
 	switch {
 	case !h.Primary.IsKnown():
 		for _, v := range g.Views() {
@@ -188,8 +204,8 @@
 		}
 	case h.PrimaryView.Failures > 0:
 		r.probeIfDue(g, h.PrimaryView, recheckInterval)
-	case g.NeedsDepartureSample() && r.cfg.Rank(g.Name()) <= maxDelayedRank:
-		r.probeIfDue(g, h.PrimaryView, searchInterval)
+	case g.NeedsDepartureSample() && r.cfg.Rank(g.Name()) <= maxDelayedRank && r.isProbeDue(h.PrimaryView, searchInterval):
+		r.wg.Go(func() { _ = r.cfg.Sample(ctx, g) })
 	}
 	if v, ok := g.View(h.RegistryPrimary); ok {
 		r.probeIfDue(g, v, searchInterval)
@@ -198,17 +214,22 @@
 
 // probeIfDue probes an instance in the background unless its last probe began less than interval ago.
 func (r *Replacer) probeIfDue(g *registrar.Group, v registrar.View, interval time.Duration) {
-	r.mu.Lock()
-	isDue := time.Since(r.lastProbe[v.ID]) >= interval
-	if isDue {
-		r.lastProbe[v.ID] = time.Now()
-	}
-	r.mu.Unlock()
-	if isDue {
+	if r.isProbeDue(v, interval) {
 		r.wg.Go(func() { _ = r.cfg.Probe(g, v) })
 	}
 }
 
+// isProbeDue reports whether the last probe of an instance began at least interval ago. If so, the next one begins now.
+func (r *Replacer) isProbeDue(v registrar.View, interval time.Duration) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if time.Since(r.lastProbe[v.ID]) < interval {
+		return false
+	}
+	r.lastProbe[v.ID] = time.Now()
+	return true
+}
+
 // beginReplacement reports whether no replacement was running for the group, and marks one as running.
 func (r *Replacer) beginReplacement(group string) bool {
 	r.mu.Lock()
@@ -295,25 +316,47 @@
 	if err != nil {
 		return err
 	}
-	if _, isPresent := g.View(result.ChosenInstance); isPresent && !slices.ContainsFunc(candidates, func(c candidate) bool { return c.id == result.ChosenInstance }) {
+	_, isEarlierPresent := g.View(result.ChosenInstance)
+	if isEarlierPresent && !slices.ContainsFunc(candidates, func(c candidate) bool { return c.id == result.ChosenInstance }) {
 		return classifier.New(classifier.Conflict, "instance %s may still be promoted by an earlier attempt and is no candidate in this one", result.ChosenInstance)
 	}
 	target, err := choose(candidates, result.ChosenInstance)
 	if err != nil {
 		return err
 	}
+	if r.cfg.IsUnfenced && isEarlierPresent && target != result.ChosenInstance {
+		return classifier.New(classifier.Conflict, "instance %s may still be promoted by an earlier attempt, which instance %s is ahead of", result.ChosenInstance, target)
+	}
+	p := promotion{group: g, action: a, term: old.Term, target: target, number: result.FencingToken, isClaimed: !isSpare}
 	if !isSpare {
-		token, err := r.cfg.Claims.Record(ctx, g.Name(), old.Term, result.FencingToken, target)
-		switch {
-		case err == nil:
-			result.FencingToken = token
-		case classifier.Is(err, classifier.Conflict):
+		if err := r.record(ctx, &p); err != nil {
 			return err
 		}
-		// Other errors mean that the store is unavailable. The attempt goes on: without the
-		// store, no other VM can learn of the choice or claim the group.
 	}
-	return r.requestPromotion(ctx, g, a, old.Term, target, fencingToken(old.Term, result.FencingToken, !isSpare))
+	return r.requestPromotion(ctx, p)
+}
+
+// promotion is the promotion of an instance in place of the primary of a term.
+type promotion struct {
+	group     *registrar.Group
+	action    Action
+	term      uint64
+	target    string
+	number    uint64 // of the claim or of the spare token
+	isClaimed bool
+}
+
+// record records the choice with the claim, which gives the claim a new number. Where tokens are checked, only a
+// conflict is an error: without the store, no other VM can learn of the choice or claim the group.
+func (r *Replacer) record(ctx context.Context, p *promotion) error {
+	number, err := r.cfg.Claims.Record(ctx, p.group.Name(), p.term, p.number, p.target)
+	switch {
+	case err == nil:
+		p.number = number
+	case r.cfg.IsUnfenced || classifier.Is(err, classifier.Conflict):
+		return err
+	}
+	return nil
 }
 
 // probeOthers probes the instances other than the old primary and reports whether one of them is the
@@ -341,24 +384,38 @@
 
 // requestPromotion sends the promote request that ends a term, and repeats it until the group has a new
 // primary, the platform refuses the request or ctx ends.
-func (r *Replacer) requestPromotion(ctx context.Context, g *registrar.Group, a Action, term uint64, target string, token uint64) error {
+func (r *Replacer) requestPromotion(ctx context.Context, p promotion) error {
+	g := p.group
 	settled := func(err error) error {
-		r.cfg.Observe(Event{Name: EventPromoteSettled, Group: g.Name(), Instance: target, Reason: a.Reason, Token: token, Err: err})
+		r.cfg.Observe(Event{Name: EventPromoteSettled, Group: g.Name(), Instance: p.target, Reason: p.action.Reason, Token: p.token(), Err: err})
 		return err
 	}
-	for ctx.Err() == nil {
-		err := r.promote(ctx, g.Name(), target, token)
-		r.cfg.Observe(Event{Name: EventPromoteRequested, Group: g.Name(), Instance: target, Reason: a.Reason, Token: token, Err: err})
+	isUnanswered := false
+	for isRetry := false; ctx.Err() == nil; isRetry = true {
+		if isRetry && r.cfg.IsUnfenced {
+			if err := r.record(ctx, &p); err != nil {
+				return settled(err)
+			}
+		}
+		err := r.promote(ctx, g.Name(), p.target, p.token())
+		r.cfg.Observe(Event{Name: EventPromoteRequested, Group: g.Name(), Instance: p.target, Reason: p.action.Reason, Token: p.token(), Err: err})
 		if classifier.Is(err, classifier.Conflict) {
 			return settled(err)
 		}
-		if r.awaitNewPrimary(ctx, g, target, term, err == nil) {
+		isUnanswered = isUnanswered || err != nil
+		if r.awaitNewPrimary(ctx, g, p.target, p.term, err == nil) {
+			if !isUnanswered {
+				_ = r.cfg.Claims.Settle(ctx, g.Name(), p.term, p.number, p.target) // otherwise the claim stays open, which only delays
+			}
 			return settled(nil)
 		}
 	}
 	return settled(ctx.Err())
 }
 
+// token returns the fencing token of the promote request.
+func (p promotion) token() uint64 { return fencingToken(p.term, p.number, p.isClaimed) }
+
 func (r *Replacer) promote(ctx context.Context, group, target string, token uint64) error {
 	ctx, cancel := context.WithTimeout(ctx, promoteTimeout)
 	defer cancel()
--- a/internal/group/replacer/replacer_test.go
+++ b/internal/group/replacer/replacer_test.go
@@ -28,6 +28,7 @@
 	promoted         []string
 	tokens           []uint64 // of the promote requests
 	dropsPromote     bool     // promote requests have no effect and get no answer
+	isUnfenced       bool     // Config.IsUnfenced
 	heldTerm         uint64   // term below which the replicas receive nothing; zero: they receive
 	tokenBeforeSpare uint64   // last token that was issued before the first spare one
 }
@@ -74,6 +75,8 @@
 type fakeTokens struct {
 	last     uint64   // last token that was issued
 	err      error    // returned by Claim
+	settled  int      // claims whose promote requests were all answered
+	lostAt   int      // number of the record from which on another VM has the claim; zero: none
 	choice   string   // of an earlier attempt, returned by Claim
 	recorded []string // choices that were recorded
 }
@@ -88,11 +91,19 @@
 }
 
 func (f *fakeTokens) Record(_ context.Context, _ string, _, _ uint64, choice string) (uint64, error) {
+	if f.lostAt > 0 && len(f.recorded)+1 >= f.lostAt {
+		return 0, classifier.New(classifier.Conflict, "another VM has claimed the group")
+	}
 	f.last++
 	f.recorded = append(f.recorded, choice)
 	return f.last, nil
 }
 
+func (f *fakeTokens) Settle(context.Context, string, uint64, uint64, string) error {
+	f.settled++
+	return nil
+}
+
 var errNoAnswer = classifier.New(classifier.AnswerIncomplete, "no answer")
 
 // promotedInstances runs a replacer for 3 s and returns the instances that it promoted. Instance a is the known
@@ -117,7 +128,8 @@
 	g.RecordProof(registrar.Proof{Instance: "a", SentAt: 1, Position: tokenizer.Position{Term: 3, Index: 7}})
 	setUp(g, r, reg)
 	replacer := Start(Config{
-		Groups: r, Controller: f, Tokens: &fakeTokens{last: f.tokenBeforeSpare}, Claims: claims, AnswersDirectly: answers, Rank: func(string) int { return 0 }, OnInstanceRemoved: func(string) {},
+		Groups: r, Controller: f, IsUnfenced: f.isUnfenced, Tokens: &fakeTokens{last: f.tokenBeforeSpare}, Claims: claims, AnswersDirectly: answers, Rank: func(string) int { return 0 }, OnInstanceRemoved: func(string) {},
+		Sample: func(context.Context, *registrar.Group) error { return nil },
 		Probe: func(g *registrar.Group, v registrar.View) error {
 			f.mu.Lock()
 			defer f.mu.Unlock()
@@ -456,3 +468,42 @@
 		})
 	}
 }
+
+// Guards against two promotions that undo each other where the platform does not check the tokens.
+func TestUnfenced(t *testing.T) {
+	received := map[string]uint64{"a": 9, "b": 9, "c": 9}
+	noDemotion := map[string]error{"demote a": errNoAnswer}
+	for _, c := range []struct {
+		name         string
+		f            *fakeGroup
+		claims       *fakeTokens
+		want         string // promoted instance; "": none
+		wantRequests int    // promote requests; -1: any number
+		wantSettled  int
+	}{
+		{"the answered request is settled", &fakeGroup{received: received, errs: noDemotion}, &fakeTokens{last: 100}, "b", 1, 1},
+		{"without the store, there is no spare token", &fakeGroup{received: received, errs: noDemotion}, &fakeTokens{err: classifier.New(classifier.PlatformUnavailable, "store is unavailable")}, "", 0, 0},
+		{"a request is not repeated after another VM's claim", &fakeGroup{received: received, errs: noDemotion, dropsPromote: true}, &fakeTokens{last: 100, lostAt: 2}, "", 1, 0},
+		{"an unanswered request is not settled", &fakeGroup{received: received, errs: noDemotion, dropsPromote: true}, &fakeTokens{last: 100}, "", -1, 0},
+		{"no other choice than that of an earlier attempt", &fakeGroup{received: map[string]uint64{"a": 9, "b": 9, "c": 8}, errs: noDemotion}, &fakeTokens{last: 100, choice: "c"}, "", 0, 0},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				c.f.primary, c.f.term, c.f.isUnfenced = "a", 3, true
+				got := promotedInstancesWith(t, c.f, c.claims, nil, func(g *registrar.Group, _ *registrar.Registrar, _ cataloger.Registry) { failPrimary(g) })
+				if c.want == "" && len(got) > 0 || c.want != "" && (len(got) != 1 || got[0] != c.want) {
+					t.Errorf("%v promoted, want %q", got, c.want)
+				}
+				if c.wantRequests >= 0 && len(c.f.tokens) != c.wantRequests {
+					t.Errorf("%d promote requests, want %d", len(c.f.tokens), c.wantRequests)
+				}
+				if c.claims.settled != c.wantSettled {
+					t.Errorf("%d claims settled, want %d", c.claims.settled, c.wantSettled)
+				}
+				if !slices.IsSorted(c.f.tokens) {
+					t.Errorf("tokens %v of the promote requests, want rising ones", c.f.tokens)
+				}
+			})
+		})
+	}
+}
