Verify the lead of a primary that may have been replaced

Cause: on a platform without fencing, a replaced primary goes on until it is demoted or for a second after it reaches its successor, so its answer to a begin proves nothing. VMs beside such a primary served reads from it, and took samples of its position for reads elsewhere, that lacked commits acknowledged by the successor. A successor's position also keeps the old term until its first commit, so a position does not tell the term.

Change: package verifier asks the other instances while the read is on its way. The primary leads if all of them refuse a begin, which takes no slot, or if the states reported by all but as many as a commit waits for show no later term. An acknowledged write is a proof by itself. Reads, first statements of transactions and samples wait for the proof; a single write to a primary in doubt that left writes unanswered waits for it, too. If too few instances can be reached, the request is refused at once. The registrar keeps the term of which an instance reported to be the primary.

--- a/internal/daemon/assembler/assembler.go
+++ b/internal/daemon/assembler/assembler.go
@@ -129,7 +129,7 @@
 	controller := commander.Controller{Pool: v.pool, Parse: p.ParseCondition}
 	v.performer = performer.New(performer.Config{
 		DataCentre: cfg.DataCentre, Region: cfg.Region, RegionOf: func(dc string) string { return cfg.DataCentres[dc] },
-		Groups: v.groups, Pool: v.pool, RetryBudget: admitter.NewRetryBudget(), Observe: v.logStatement,
+		Groups: v.groups, Pool: v.pool, RetryBudget: admitter.NewRetryBudget(), Observe: v.logStatement, Unfenced: v.unfenced(controller),
 	})
 	v.replacer = replacer.Start(replacer.Config{
 		Groups: v.groups, Controller: controller, Tokens: v.members, Claims: claimer.New(p.Store, cfg.ID, v.promoteRequestLifetime()), IsUnfenced: !cfg.Fencing, Probe: v.performer.Probe, Sample: v.performer.SamplePrimaryPosition, Rank: v.members.rank,
@@ -137,7 +137,7 @@
 			return p.Promote(ctx, group, instance, cfg.ID, token)
 		},
 		AnswersDirectly:   v.gateways.answersDirectly,
-		OnInstanceRemoved: v.pool.Forget,
+		OnInstanceRemoved: v.performer.Forget,
 		Observe:           v.recordReplacement,
 	})
 	v.startFollowers()
@@ -161,6 +161,16 @@
 	return v, nil
 }
 
+// unfenced returns what the verification of primaries needs, or nil where a promotion ends the lead of the old primary.
+func (v *VM) unfenced(c commander.Controller) *performer.Unfenced {
+	if v.cfg.Fencing {
+		return nil
+	}
+	return &performer.Unfenced{Status: c.Status, SyncReplicas: func(group string) int {
+		return v.groupConfiguration(group).SyncReplicas
+	}}
+}
+
 // promoteRequestLifetime returns how long a promote request without an answer may still be carried out, or 0 if the
 // platform refuses it once it has seen a later token.
 func (v *VM) promoteRequestLifetime() time.Duration {
--- a/internal/daemon/assembler/gateway.go
+++ b/internal/daemon/assembler/gateway.go
@@ -11,6 +11,7 @@
 	"parsleyscale/internal/failure/classifier"
 	"parsleyscale/internal/group/registrar"
 	"parsleyscale/internal/session/tokenizer"
+	"parsleyscale/internal/sheet/cataloger"
 	"parsleyscale/internal/statement/carrier"
 	"parsleyscale/internal/statement/forwarder"
 )
@@ -177,9 +178,14 @@
 
 // maxConnections returns how many connections each instance of a group accepts, or 0 while there is no configuration.
 func (v *VM) maxConnections(group string) int {
+	return v.groupConfiguration(group).MaxConnectionsPerInstance
+}
+
+// groupConfiguration returns the configuration of a group, or the zero value while there is none.
+func (v *VM) groupConfiguration(group string) cataloger.Group {
 	c := v.configuration.Load()
 	if c == nil {
-		return 0
+		return cataloger.Group{}
 	}
-	return c.Groups[group].MaxConnectionsPerInstance
+	return c.Groups[group]
 }
--- a/internal/group/registrar/group.go
+++ b/internal/group/registrar/group.go
@@ -8,6 +8,7 @@
 	"parsleyscale/internal/group/witness"
 	"parsleyscale/internal/session/tokenizer"
 	"parsleyscale/internal/sheet/cataloger"
+	"parsleyscale/internal/statement/carrier"
 )
 
 // latencyWeight is the weight of the latest latency in the moving average.
@@ -33,7 +34,8 @@
 
 type instanceState struct {
 	View
-	missingAt time.Time // when the registry entry was first found missing; zero: it is present
+	missingAt   time.Time // when the registry entry was first found missing; zero: it is present
+	primaryTerm uint64    // highest term of which it has reported to be the primary
 }
 
 // View is what a VM knows about an instance.
@@ -213,20 +215,41 @@
 func (g *Group) RecordProof(p Proof) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	s, ok := g.instances[p.Instance]
-	if !ok || p.Position.Term < g.primary.Term {
+	if !g.recordRole(p) {
 		return
 	}
-	if p.Position.Term > g.primary.Term {
+	g.recordDepartureSample(p)
+	g.Samples.Add(p.SentAt, g.clock(), p.Position)
+}
+
+// RecordRole records an answer that only a primary gives, on a platform where a replaced primary may give it, too. Unlike
+// a proof, it yields no sample of the primary's position.
+func (g *Group) RecordRole(p Proof) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.recordRole(p)
+}
+
+// recordRole makes an instance the known primary, and reports whether its answer is of the highest seen term. A primary
+// without an entry of its term yet has a position of an earlier one, but may have reported its term.
+func (g *Group) recordRole(p Proof) bool {
+	s, ok := g.instances[p.Instance]
+	if !ok {
+		return false
+	}
+	term := max(p.Position.Term, s.primaryTerm)
+	if term < g.primary.Term {
+		return false
+	}
+	if term > g.primary.Term {
 		g.unansweredWrites = 0 // unanswered writes of an earlier term do not indicate a stall in this one
 	}
-	g.primary.Term = p.Position.Term
+	g.primary.Term = term
 	s.Position = s.Position.Max(p.Position)
 	if g.primary.Instance != p.Instance {
 		g.setPrimary(p.Instance)
 	}
-	g.recordDepartureSample(p)
-	g.Samples.Add(p.SentAt, g.clock(), p.Position)
+	return true
 }
 
 // RecordDenial records that an instance has denied being the primary.
@@ -241,6 +264,20 @@
 	}
 }
 
+// RecordStatus records the state that an instance reported. The primary of the highest term is the known primary, even if
+// it has no entry of that term yet.
+func (g *Group) RecordStatus(id string, status carrier.InstanceStatus) {
+	g.RecordTerm(max(status.Term, status.Received.Term))
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	s, ok := g.instances[id]
+	if !ok || !status.IsPrimary {
+		return
+	}
+	s.primaryTerm = max(s.primaryTerm, status.Term)
+	g.recordRole(Proof{Instance: id, Position: status.Received})
+}
+
 // RecordTerm records a term that an instance reported. A known primary of a lower term has been replaced
 // and is dropped, even if its successor is not known yet. A primary whose term is not known yet is kept.
 func (g *Group) RecordTerm(term uint64) {
--- a/internal/sheet/cataloger/catalog.go
+++ b/internal/sheet/cataloger/catalog.go
@@ -28,6 +28,7 @@
 	StatementTimeout time.Duration // of one statement; 0: the default of package performer
 	LatencyObjective time.Duration // 0: none
 	Priority         int           // 0 is the highest
+	SyncReplicas     int           // of the group: replicas that must hold a commit before it is acknowledged
 }
 
 // Group is a set of instances with one primary.
--- a/internal/statement/performer/performer.go
+++ b/internal/statement/performer/performer.go
@@ -3,7 +3,8 @@
 // Three rules govern it:
 //
 //   - A read of the current state runs inside a transaction that only a primary
-//     opens, so that a replaced primary cannot serve it.
+//     opens, so that a replaced primary cannot serve it. Where a replaced primary
+//     may still open one, the read is served only if its lead is verified, too.
 //   - A read that accepts bounded staleness, or that must see the session's own
 //     writes, states the log position that the instance must have applied. An
 //     instance that lacks it refuses the read, which is then sent to another one.
@@ -22,6 +23,7 @@
 	"parsleyscale/internal/backend/allotter"
 	"parsleyscale/internal/failure/classifier"
 	"parsleyscale/internal/group/registrar"
+	"parsleyscale/internal/group/verifier"
 	"parsleyscale/internal/request/admitter"
 	"parsleyscale/internal/request/ranker"
 	"parsleyscale/internal/session/tokenizer"
@@ -63,7 +65,15 @@
 	Groups      *registrar.Registrar
 	Pool        *allotter.Allotter
 	RetryBudget *admitter.RetryBudget
-	Observe     func(Event) // may be nil
+	// Unfenced is set where a replaced primary goes on answering, so that the lead of a primary has to be verified.
+	Unfenced *Unfenced
+	Observe  func(Event) // may be nil
+}
+
+// Unfenced holds what the verification of a primary's lead needs.
+type Unfenced struct {
+	Status       func(ctx context.Context, t carrier.Target) (carrier.InstanceStatus, error) // asks an instance for its state
+	SyncReplicas func(group string) int                                                      // that must have received a commit before it is acknowledged
 }
 
 // Event describes the outcome of a statement, or of one attempt to run it, for logs and metrics.
@@ -94,6 +104,7 @@
 // Performer executes statements on the instances of the database groups.
 type Performer struct {
 	cfg            Config
+	verifier       *verifier.Verifier // nil if a begin proves the primary
 	primarySamples singleflight.Group // by group name
 }
 
@@ -102,7 +113,19 @@
 	if cfg.Observe == nil {
 		cfg.Observe = func(Event) {}
 	}
-	return &Performer{cfg: cfg}
+	p := &Performer{cfg: cfg}
+	if u := cfg.Unfenced; u != nil {
+		p.verifier = verifier.New(verifier.Config{Begin: p.probe, Status: u.Status, SyncReplicas: u.SyncReplicas})
+	}
+	return p
+}
+
+// Forget drops what is known about an instance that has left its group.
+func (p *Performer) Forget(instance string) {
+	p.cfg.Pool.Forget(instance)
+	if p.verifier != nil {
+		p.verifier.Forget(instance)
+	}
 }
 
 // Request is a statement together with its route and the state of its session.
@@ -261,7 +284,7 @@
 // SamplePrimaryPosition asks the primary for its log position in a transaction that only a primary
 // opens and that occupies none of its execution slots. Concurrent calls for a group share one request.
 func (p *Performer) SamplePrimaryPosition(ctx context.Context, g *registrar.Group) error {
-	done := p.primarySamples.DoChan(g.Name(), func() (any, error) { return nil, p.probePrimary(g) })
+	done := p.primarySamples.DoChan(g.Name(), func() (any, error) { return nil, p.samplePrimary(g) })
 	select {
 	case r := <-done:
 		return r.Err
@@ -270,50 +293,84 @@
 	}
 }
 
-func (p *Performer) probePrimary(g *registrar.Group) error {
+func (p *Performer) samplePrimary(g *registrar.Group) error {
 	v, ok := g.View(g.Primary().Instance)
 	if !ok {
 		return classifier.New(classifier.NoPrimary, "group %s: no primary is known", g.Name())
 	}
-	return p.Probe(g, v)
+	lead := p.startLeadCheck(g, v.ID)
+	sentAt := g.Now()
+	ctx, cancel := context.WithTimeout(context.Background(), minReplyTimeout)
+	defer cancel()
+	reply, err := p.exchangeBegin(ctx, g, v)
+	if err != nil {
+		return err
+	}
+	if !reply.OK() {
+		return classifier.New(reply.Kind, "%s: %s", v.ID, reply.Detail)
+	}
+	return lead.wait(ctx, sentAt, reply.Position)
 }
 
-// Probe asks an instance whether it is the primary and records the answer. It returns
-// an error if the instance is not the primary or could not be asked.
+// Probe asks an instance whether it acts as the primary and records the answer. It returns
+// an error if the instance does not or could not be asked.
 func (p *Performer) Probe(g *registrar.Group, v registrar.View) error {
-	ctx, cancel := context.WithTimeout(context.Background(), minReplyTimeout)
+	return p.probe(context.Background(), g, v)
+}
+
+func (p *Performer) probe(ctx context.Context, g *registrar.Group, v registrar.View) error {
+	ctx, cancel := context.WithTimeout(ctx, minReplyTimeout)
 	defer cancel()
+	reply, err := p.exchangeBegin(ctx, g, v)
+	if err == nil && !reply.OK() {
+		err = classifier.New(reply.Kind, "%s: %s", v.ID, reply.Detail)
+	}
+	return err
+}
+
+// exchangeBegin begins a transaction on an instance and rolls it back. It records and returns the reply to the begin.
+func (p *Performer) exchangeBegin(ctx context.Context, g *registrar.Group, v registrar.View) (carrier.Reply, error) {
 	lease, err := p.cfg.Pool.Acquire(ctx, registrar.NewTarget(v.Instance), 0)
 	if err != nil {
-		return err
+		return carrier.Reply{}, err
 	}
 	lease.Conn().SetDeadline(time.Now().Add(minReplyTimeout))
 	sentAt := g.Now()
 	replies, err := lease.Exchange(carrier.Command{Statement: carrier.Internal(carrier.Begin)}, carrier.Command{Statement: carrier.Internal(carrier.Rollback)})
 	if err != nil {
 		p.discardFailed(g, lease)
-		return err
+		return carrier.Reply{}, err
 	}
 	releaseOrDiscard(lease, replies[1])
-	p.recordPrimaryEvidence(g, v.ID, sentAt, replies[0])
+	p.recordBeginReply(g, v.ID, sentAt, replies[0])
 	recordReply(g, v.ID, replies[0], 0)
-	if !replies[0].OK() {
-		return classifier.New(replies[0].Kind, "%s: %s", v.ID, replies[0].Detail)
-	}
-	return nil
+	return replies[0], nil
 }
 
-// recordPrimaryEvidence records what the reply to a write, or to the begin of a read-write
-// transaction, shows about whether the instance is the primary.
-func (p *Performer) recordPrimaryEvidence(g *registrar.Group, id string, sentAt time.Duration, r carrier.Reply) {
+// recordBeginReply records what the reply to the begin of a read-write transaction shows about whether the
+// instance is the primary.
+func (p *Performer) recordBeginReply(g *registrar.Group, id string, sentAt time.Duration, r carrier.Reply) {
+	proof := registrar.Proof{Instance: id, SentAt: sentAt, Position: r.Position}
 	switch {
+	case r.OK() && p.verifier == nil:
+		g.RecordProof(proof)
 	case r.OK():
-		g.RecordProof(registrar.Proof{Instance: id, SentAt: sentAt, Position: r.Position})
+		g.RecordRole(proof)
 	case r.Kind == classifier.NotPrimary:
 		g.RecordDenial(id)
 	}
 }
 
+// recordCommitReply records what the reply to a write or to the commit of one shows about whether the instance is the
+// primary. A commit that waited for a replica proves the lead also where a replaced primary still answers.
+func (p *Performer) recordCommitReply(g *registrar.Group, id string, sentAt time.Duration, r carrier.Reply, syncReplicas int) {
+	if r.OK() && syncReplicas > 0 {
+		g.RecordProof(registrar.Proof{Instance: id, SentAt: sentAt, Position: r.Position})
+		return
+	}
+	p.recordBeginReply(g, id, sentAt, r)
+}
+
 // recordReply records a reply for the instance that sent it. A latency of zero is not counted.
 // A reply of kind NoInstance, by which a gateway says that it cannot reach the instance, is
 // recorded as a failure of the instance.
--- a/internal/statement/performer/read.go
+++ b/internal/statement/performer/read.go
@@ -79,6 +79,10 @@
 	}
 	e.attempts++
 	e.group.RecordReadSent(v.ID)
+	var lead leadCheck
+	if needsPrimary {
+		lead = e.performer.startLeadCheck(e.group, v.ID)
+	}
 	cmds := lease.SessionCommands(e.request.SessionValues, e.request.Prepared)
 	sentAt, readIndex := e.group.Now(), len(cmds)
 	if needsPrimary {
@@ -97,9 +101,13 @@
 	reply := replies[readIndex]
 	releaseOrDiscard(lease, replies[len(replies)-1])
 	if needsPrimary {
-		e.performer.recordPrimaryEvidence(e.group, v.ID, sentAt, replies[readIndex-1])
-		if !replies[readIndex-1].OK() {
-			return replies[readIndex-1], false
+		begin := replies[readIndex-1]
+		e.performer.recordBeginReply(e.group, v.ID, sentAt, begin)
+		if !begin.OK() {
+			return begin, false
+		}
+		if err := e.awaitLead(ctx, lead, sentAt, begin.Position); err != nil {
+			return carrier.ErrorReplyFor(err), false
 		}
 	}
 	recordReply(e.group, v.ID, reply, time.Since(start))
--- a/internal/statement/performer/transaction.go
+++ b/internal/statement/performer/transaction.go
@@ -154,6 +154,10 @@
 	if !needsPrimary {
 		begin = carrier.Command{Statement: carrier.Internal(carrier.BeginRead), After: e.floor}
 	}
+	var lead leadCheck
+	if needsPrimary {
+		lead = t.performer.startLeadCheck(e.group, v.ID)
+	}
 	sentAt, start := e.group.Now(), time.Now()
 	cmds := append(lease.SessionCommands(e.request.SessionValues, e.request.Prepared), begin)
 	lease.Conn().SetDeadline(earlier(deadline, start.Add(replyTimeout(v))))
@@ -164,7 +168,7 @@
 	}
 	beginReply := replies[len(replies)-1]
 	if needsPrimary {
-		t.performer.recordPrimaryEvidence(e.group, v.ID, sentAt, beginReply)
+		t.performer.recordBeginReply(e.group, v.ID, sentAt, beginReply)
 	}
 	recordReply(e.group, v.ID, beginReply, 0)
 	if !beginReply.OK() {
@@ -179,6 +183,10 @@
 	if isRefusal(replies[0]) {
 		return t.handleRefusedStart(e, lease, v, replies[0])
 	}
+	if needsPrimary && e.awaitLead(ctx, lead, sentAt, beginReply.Position) != nil {
+		t.performer.rollback(e.group, lease)
+		return carrier.Reply{}, false
+	}
 	e.group.RecordAnswer(v.ID, replies[0].Position, time.Since(start))
 	e.report(EventServed, v.ID, replies[0].Kind)
 	t.lease = lease
@@ -271,7 +279,7 @@
 	releaseOrDiscard(lease, replies[0])
 	recordReply(t.group, id, replies[0], 0)
 	if !t.isReadOnly && (t.hasWritten || !replies[0].OK()) {
-		t.performer.recordPrimaryEvidence(t.group, id, sentAt, replies[0])
+		t.performer.recordCommitReply(t.group, id, sentAt, replies[0], t.route.SyncReplicas)
 	}
 	return t.handleCommitReply(replies[0])
 }
--- a/internal/statement/performer/write.go
+++ b/internal/statement/performer/write.go
@@ -32,6 +32,9 @@
 
 // writeTo executes the write on one instance. It returns false if the write certainly did not run there.
 func (e *execution) writeTo(ctx context.Context, v registrar.View, deadline time.Time) (carrier.Reply, bool) {
+	if e.verifyBeforeWrite(ctx, v.ID) != nil {
+		return carrier.Reply{}, false
+	}
 	lease, err := e.acquire(ctx, v)
 	if err != nil {
 		return carrier.Reply{}, false
@@ -50,7 +53,7 @@
 	reply := replies[len(replies)-1]
 	releaseOrDiscard(lease, reply)
 	recordReply(e.group, v.ID, reply, time.Since(start))
-	e.performer.recordPrimaryEvidence(e.group, v.ID, sentAt, reply)
+	e.performer.recordCommitReply(e.group, v.ID, sentAt, reply, e.request.Route.SyncReplicas)
 	return reply.WithState(carrier.Idle), e.handleWriteReply(v, reply)
 }
 
