Back off between failed attempts at a replacement

Cause: a VM repeated a failed attempt after 60 ms until it succeeded or the primary recovered, and began again at once after 6 s.

Change: the pause doubles with each failed attempt of a group from 60 to 600 ms, with jitter, and ends early when the group changes. The count starts anew when the group has no reason for a replacement.

--- a/internal/group/replacer/replacer.go
+++ b/internal/group/replacer/replacer.go
@@ -33,6 +33,7 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"slices"
 	"sync"
 	"time"
@@ -54,8 +55,9 @@
 	claimTimeout = 400 * time.Millisecond
 	// promoteTimeout bounds the wait for the answer to a promote request.
 	promoteTimeout = 400 * time.Millisecond
-	// retryDelay is the pause after a failed attempt.
-	retryDelay = 60 * time.Millisecond
+	// minRetryDelay is the mean pause after the first failed attempt. It doubles with each further one, up to maxRetryDelay.
+	minRetryDelay = 60 * time.Millisecond
+	maxRetryDelay = 600 * time.Millisecond
 	// replaceTimeout bounds a replacement with all its attempts.
 	replaceTimeout = 6 * time.Second
 	// searchInterval is the least time between two probes of a possible primary: of each instance
@@ -137,6 +139,7 @@
 
 	mu          sync.Mutex
 	isReplacing map[string]bool      // by group
+	failures    map[string]int       // failed attempts since the group last had no reason for a replacement
 	lastProbe   map[string]time.Time // by instance
 	spareToken  uint64               // for a replacement while the store is unavailable; zero: none
 }
@@ -147,7 +150,7 @@
 		cfg.Observe = func(Event) {}
 	}
 	ctx, cancel := context.WithCancel(context.Background())
-	r := &Replacer{cfg: cfg, cancel: cancel, isReplacing: map[string]bool{}, lastProbe: map[string]time.Time{}}
+	r := &Replacer{cfg: cfg, cancel: cancel, isReplacing: map[string]bool{}, failures: map[string]int{}, lastProbe: map[string]time.Time{}}
 	r.wg.Go(func() { r.run(ctx) })
 	if !cfg.IsUnfenced {
 		r.wg.Go(func() { r.refillSpareToken(ctx) })
@@ -184,6 +187,9 @@
 	h := g.Health()
 	r.probePossiblePrimaries(ctx, g, h)
 	a := Decide(Evidence{Health: h, Now: time.Now(), Rank: r.cfg.Rank(g.Name())})
+	if a.Reason == Healthy {
+		r.clearFailures(g.Name())
+	}
 	if a.Kind == None || !r.beginReplacement(g.Name()) {
 		return
 	}
@@ -273,11 +279,38 @@
 		}
 		if err := r.attempt(ctx, g, a, old); err != nil {
 			r.cfg.Observe(Event{Name: EventFailed, Group: g.Name(), Instance: old.Instance, Reason: a.Reason, Err: err, Took: time.Since(start)})
-			sleeper.Sleep(ctx, retryDelay)
+			r.backOff(ctx, g)
 		}
 	}
 }
 
+// backOff waits after a failed attempt, at most until the instances or the primary of the group change.
+func (r *Replacer) backOff(ctx context.Context, g *registrar.Group) {
+	r.mu.Lock()
+	delay := retryDelay(r.failures[g.Name()])
+	r.failures[g.Name()]++
+	r.mu.Unlock()
+	t := time.NewTimer(delay/2 + rand.N(delay))
+	defer t.Stop()
+	select {
+	case <-t.C:
+	case <-g.Changed():
+	case <-ctx.Done():
+	}
+}
+
+// retryDelay returns the mean pause after an attempt that follows a number of failed ones.
+func retryDelay(failures int) time.Duration {
+	const maxDoublings = 10 // keeps the shift from overflowing
+	return min(minRetryDelay<<min(failures, maxDoublings), maxRetryDelay)
+}
+
+func (r *Replacer) clearFailures(group string) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	delete(r.failures, group)
+}
+
 // answersDirectly reports whether the primary answers a connection that does not lead through a
 // gateway. If so, the failures recorded against the primary are cleared.
 func (r *Replacer) answersDirectly(ctx context.Context, g *registrar.Group, id string) bool {
--- a/internal/group/replacer/replacer_test.go
+++ b/internal/group/replacer/replacer_test.go
@@ -507,3 +507,22 @@
 		})
 	}
 }
+
+// Guards against attempts at a replacement that cannot succeed and are repeated without end: five VMs made one each 60 ms,
+// and each occupied slots of the instances.
+func TestFailedAttemptsBackOff(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := &fakeGroup{primary: "a", term: 3, received: map[string]uint64{"a": 9, "b": 9, "c": 9}, errs: map[string]error{"demote a": errNoAnswer, "hold c": errNoAnswer}}
+		got := promotedInstances(t, f, func(g *registrar.Group, _ *registrar.Registrar, _ cataloger.Registry) { failPrimary(g) })
+		holds := 0
+		for _, c := range f.commands {
+			if c == "hold b" {
+				holds++
+			}
+		}
+		// In 3 s: the first attempts after 60, 120, 240 and 480 ms, then at most one each 300 ms.
+		if maxHolds := 14; len(got) > 0 || holds == 0 || holds > maxHolds {
+			t.Errorf("%v promoted, replica b held %d times in 3 s, want none and 1 to %d times", got, holds, maxHolds)
+		}
+	})
+}
