Enter the VM in the list of VMs also without fencing

Each VM believed that it was alone, and took all connections of an instance.

Change: spare tokens are fetched on each platform, and not used without fencing.

--- a/internal/group/replacer/replacer.go
+++ b/internal/group/replacer/replacer.go
@@ -24,7 +24,7 @@
 //     later, and until then nothing may be acknowledged that the chosen replica lacks.
 //
 // On a platform that does not check the tokens, three more rules take the place of the refusal.
-//   - There are no spare tokens: a VM that cannot claim the group leaves it alone.
+//   - Spare tokens are not used: a VM that cannot claim the group leaves it alone.
 //   - The claim is renewed before each repeated promote request, so that none is sent
 //     after that of a later claim.
 //   - An attempt that finds the choice of an earlier one does not choose otherwise, and
@@ -152,9 +152,7 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	r := &Replacer{cfg: cfg, cancel: cancel, isReplacing: map[string]bool{}, failures: map[string]int{}, lastProbe: map[string]time.Time{}}
 	r.wg.Go(func() { r.run(ctx) })
-	if !cfg.IsUnfenced {
-		r.wg.Go(func() { r.refillSpareToken(ctx) })
-	}
+	r.wg.Go(func() { r.refillSpareToken(ctx) })
 	return r
 }
 
@@ -475,7 +473,7 @@
 }
 
 // acquireToken claims the group. If the claim fails for another reason than a conflict, as while the
-// store is unavailable, it returns the spare token instead, which can be used only once.
+// store is unavailable, it returns the spare token instead, which can be used only once and only where tokens are checked.
 func (r *Replacer) acquireToken(ctx context.Context, group string, term uint64) (t claimer.ClaimResult, isSpare bool, err error) {
 	ctx, cancel := context.WithTimeout(ctx, claimTimeout)
 	defer cancel()
@@ -485,14 +483,15 @@
 	}
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	if r.spareToken == 0 {
+	if r.cfg.IsUnfenced || r.spareToken == 0 {
 		return t, false, err
 	}
 	t, r.spareToken = claimer.ClaimResult{FencingToken: r.spareToken}, 0
 	return t, true, nil
 }
 
-// refillSpareToken fetches a spare token whenever there is none, so that one is at hand when the store fails.
+// refillSpareToken fetches a spare token whenever there is none, so that one is at hand when the store fails. The first one
+// also enters the VM in the list of VMs.
 func (r *Replacer) refillSpareToken(ctx context.Context) {
 	for interval := time.Second; ; {
 		r.mu.Lock()
