Serve the list of VMs from the readers

Cause: each VM read the list of VMs from the store at its start, again after 1.5 s, and each minute. The store takes in 150 rows a second, so that the second read after a start of 295 VMs lacked a third of them, for a minute.

Change: readers follow the list and serve it, with feed calls of 8 s. A VM reads it from a reader after its first read, once more 3 s later in a large deployment, and from the store if no reader answers.

TestListAfterCommonStart.

--- a/internal/daemon/assembler/assembler.go
+++ b/internal/daemon/assembler/assembler.go
@@ -91,6 +91,7 @@
 	metricsServer  *http.Server // nil if the settings have no admin address
 	meter          *meter.LineMeter
 	followers      []*follower.Follower // of the configuration table and the registry table, in this order
+	vmFollower     *follower.Follower   // of the list of VMs; nil if this VM is no reader
 	puller         *replicator.Puller
 }
 
@@ -123,7 +124,8 @@
 	v.groups = registrar.New(p.Clock)
 	v.gateways = &gatewayDialer{vm: v, failed: map[string]time.Time{}}
 	v.tableSource = v.newSource()
-	v.members = startMembers(cfg, p.Store)
+	v.members = newMembers(cfg, p.Store, v.tableSource)
+	go v.members.refreshLoop(context.Background())
 	v.auditor = auditor.Start(p.Store, cfg.ID)
 	v.pool = allotter.New(allotter.Config{Dialer: v.gateways, Limits: v.gateways.connectionLimits, Observe: v.recordDial})
 	controller := commander.Controller{Pool: v.pool, Parse: p.ParseCondition}
--- a/internal/daemon/assembler/followers.go
+++ b/internal/daemon/assembler/followers.go
@@ -71,12 +71,33 @@
 		v.startFollower(v.platform.ConfigurationTable, v.applyConfiguration, v.applyConfiguration),
 		v.startFollower(v.platform.RegistryTable, v.replaceRegistry, v.applyRegistryChanges),
 	}
+	if v.isReader() {
+		v.followVMs()
+	}
 	v.puller = replicator.StartPuller(replicator.PullerConfig{
 		Followers: map[string]*follower.Follower{v.platform.ConfigurationTable: v.followers[0], v.platform.RegistryTable: v.followers[1]},
 		Peers:     v.peersToPull, Client: newPeerClient(), OnMerge: v.logMergedChange,
 	})
 }
 
+// vmListFreshness is how long a reader serves its copy of the list of VMs after the store last answered. The list changes
+// rarely, and no decision needs the latest one, so that a feed call may wait longer than for the other tables.
+const vmListFreshness = follower.DefaultWait + time.Second
+
+// followVMs follows the list of VMs, for this reader's copy only.
+func (v *VM) followVMs() {
+	c := replicator.NewTableCopy(vmListFreshness)
+	v.tableCopies[inspector.VMTable] = c
+	v.vmFollower = follower.Start(follower.Config{
+		Source: v.platform.Store, Table: inspector.VMTable, OnTable: c.Replace, OnChanges: c.Apply, OnAnswer: c.ConfirmFresh,
+		OnFault: func(err error) {
+			if err != nil {
+				c.MarkStale()
+			}
+		},
+	})
+}
+
 // readerSilenceTimeout is how long a follower may get no answer before a VM that uses readers pulls changes from other
 // VMs. It is longer than the longest wait of a request to a reader.
 const readerSilenceTimeout = replicator.PeerWait + 500*time.Millisecond
@@ -94,7 +115,7 @@
 // startFollower follows a table. It applies each update to the copy that this VM serves to other VMs, and then calls
 // onTable for a whole table or onChanges for changed rows.
 func (v *VM) startFollower(table string, onTable, onChanges func([]follower.Row, uint64)) *follower.Follower {
-	c := replicator.NewTableCopy()
+	c := replicator.NewTableCopy(replicator.DefaultFreshness)
 	v.tableCopies[table] = c
 	return follower.Start(follower.Config{
 		Source: v.tableSource, Table: table, Wait: v.followWait,
--- a/internal/daemon/assembler/members.go
+++ b/internal/daemon/assembler/members.go
@@ -13,6 +13,7 @@
 	"parsleyscale/internal/clock/sleeper"
 	"parsleyscale/internal/config/loader"
 	"parsleyscale/internal/operator/inspector"
+	"parsleyscale/internal/platform/follower"
 )
 
 const (
@@ -37,6 +38,7 @@
 type members struct {
 	cfg          loader.LineSettings
 	store        Store
+	source       tableReader
 	mu           sync.Mutex
 	vms          []member  // including this VM; empty until the table has been read
 	settledAt    time.Time // until then, VMs that started together may be missing in vms
@@ -50,10 +52,13 @@
 	maxGateways          int
 }
 
-func startMembers(cfg loader.LineSettings, s Store) *members {
-	m := &members{cfg: cfg, store: s, gatewayLists: map[gatewayQuery][]member{}, ranks: map[string]int{}, settledAt: time.Now().Add(settlePeriod)}
-	go m.refreshLoop()
-	return m
+// tableReader reads the list of VMs: from a reader in a large deployment, and otherwise from the store.
+type tableReader interface {
+	Read(ctx context.Context, table string) (follower.Page, error)
+}
+
+func newMembers(cfg loader.LineSettings, s Store, source tableReader) *members {
+	return &members{cfg: cfg, store: s, source: source, gatewayLists: map[gatewayQuery][]member{}, ranks: map[string]int{}, settledAt: time.Now().Add(settlePeriod)}
 }
 
 func (m *members) self() member {
@@ -69,15 +74,20 @@
 	return m.store.Put(ctx, inspector.VMTable, m.cfg.ID, b)
 }
 
-// refreshLoop reads the table at the start, again after settlePeriod, and then at intervals.
-func (m *members) refreshLoop() {
-	ctx := context.Background()
-	for pauses := []time.Duration{0, settlePeriod}; ; {
+// refreshLoop reads the table at the start, again after settlePeriod, and then at intervals. In a large deployment, it
+// reads the table once more soon after the start, because the store takes in the rows of VMs that start together one
+// after the other.
+func (m *members) refreshLoop(ctx context.Context) {
+	for n := 0; ; n++ {
 		pause, retry := refreshInterval, refreshRetryInterval
-		switch {
-		case len(pauses) > 0:
-			pause, pauses = pauses[0], pauses[1:]
-		case m.count() > largeDeploymentVMs:
+		switch isLarge := m.count() > largeDeploymentVMs; {
+		case n == 0:
+			pause = 0
+		case n == 1:
+			pause = settlePeriod
+		case n == 2 && isLarge:
+			pause = 2 * settlePeriod
+		case isLarge:
 			pause, retry = largeRefreshInterval, 5*refreshRetryInterval
 		}
 		if !sleeper.Sleep(ctx, pause) {
@@ -91,7 +101,7 @@
 func (m *members) refresh(ctx context.Context) error {
 	ctx, cancel := context.WithTimeout(ctx, refreshTimeout)
 	defer cancel()
-	p, err := m.store.Read(ctx, inspector.VMTable)
+	p, err := m.source.Read(ctx, inspector.VMTable)
 	if err != nil {
 		return err
 	}
--- a/internal/daemon/assembler/members_test.go
+++ b/internal/daemon/assembler/members_test.go
@@ -30,7 +30,7 @@
 // Guards against computing a rank from all VMs at each call, since the replacer asks for the rank of each group 20
 // times a second, and against a cached rank that is kept after the list of VMs has changed.
 func TestRank(t *testing.T) {
-	m := &members{cfg: loader.LineSettings{ID: "vm-0"}, store: fixedStore(memberRows(300))}
+	m := &members{cfg: loader.LineSettings{ID: "vm-0"}, source: fixedStore(memberRows(300))}
 	if err := m.refresh(t.Context()); err != nil {
 		t.Fatal(err)
 	}
@@ -38,7 +38,7 @@
 	if n := testing.AllocsPerRun(100, func() { m.rank("g") }); n > 0 {
 		t.Errorf("a call for a cached rank makes %v allocations, want 0", n)
 	}
-	m.store = fixedStore(memberRows(0))
+	m.source = fixedStore(memberRows(0))
 	if err := m.refresh(t.Context()); err != nil {
 		t.Fatal(err)
 	}
@@ -47,6 +47,37 @@
 	}
 }
 
+// growingTable is the table of VMs while VMs that started together are still being entered.
+type growingTable struct {
+	start time.Time
+	reads int
+	vms   int // in the end
+}
+
+func (g *growingTable) Read(context.Context, string) (follower.Page, error) {
+	g.reads++
+	n := min(g.vms, int(time.Since(g.start)/time.Millisecond)*150/1000)
+	return follower.Page{Rows: memberRows(n)}, nil
+}
+
+// Guards against a list that lacks VMs for a minute after all VMs have started, since the store takes in 150 rows a
+// second, and against more reads of the table than that takes.
+func TestListAfterCommonStart(t *testing.T) {
+	for _, c := range []struct{ vms, wantReads int }{{300, 3}, {12, 2}} {
+		synctest.Test(t, func(t *testing.T) {
+			table := &growingTable{start: time.Now(), vms: c.vms}
+			m := newMembers(loader.LineSettings{ID: "vm-0"}, fixedStore(nil), table)
+			ctx, cancel := context.WithCancel(t.Context())
+			go m.refreshLoop(ctx)
+			time.Sleep(15 * time.Second)
+			if n := m.count(); n != c.vms+1 || table.reads != c.wantReads {
+				t.Errorf("%d VMs listed after %d reads, want %d after %d", n, table.reads, c.vms+1, c.wantReads)
+			}
+			cancel()
+		})
+	}
+}
+
 // fixedStore is a Store with fixed rows in each table.
 type fixedStore []follower.Row
 
--- a/internal/platform/replicator/replicator.go
+++ b/internal/platform/replicator/replicator.go
@@ -24,9 +24,9 @@
 const (
 	// maxKeptChanges is the number of changes that a copy keeps. A VM that lacks older ones reads the whole table.
 	maxKeptChanges = 4000
-	// freshnessLimit is how long a reader serves its copy after the store last answered. It is longer than
+	// DefaultFreshness is how long a reader serves its copy after the store last answered. It is longer than
 	// ReaderWait, so that a feed call that waits for a change does not make the copy stale.
-	freshnessLimit = 2200 * time.Millisecond
+	DefaultFreshness = 2200 * time.Millisecond
 	// ReaderWait is the longest wait of feed calls to the store by readers, and by VMs that fall back to the store.
 	// The shorter it is, the sooner a reader that is cut off from the store is noticed.
 	ReaderWait = 1500 * time.Millisecond
@@ -41,6 +41,7 @@
 	changes       []follower.Row          // latest changes, oldest first
 	historyStart  uint64                  // changes up to this version are not in changes
 	version       uint64                  // of the table
+	freshness     time.Duration           // how long the copy is served after the store last answered
 	storeAnswerAt time.Time               // when the store last answered; zero after MarkStale
 	changed       chan struct{}           // closed and replaced by notify
 
@@ -54,8 +55,10 @@
 	body    []byte
 }
 
-// NewTableCopy returns an empty copy.
-func NewTableCopy() *TableCopy { return &TableCopy{changed: make(chan struct{})} }
+// NewTableCopy returns an empty copy, which is served for the given time after the store last answered.
+func NewTableCopy(freshness time.Duration) *TableCopy {
+	return &TableCopy{freshness: freshness, changed: make(chan struct{})}
+}
 
 // Replace replaces the copy by all rows of the table at a version, and drops the kept changes.
 func (c *TableCopy) Replace(rows []follower.Row, version uint64) {
@@ -118,7 +121,7 @@
 
 // isFresh reports whether the copy may be served as current. The caller holds c.mu.
 func (c *TableCopy) isFresh() bool {
-	return c.rows != nil && time.Since(c.storeAnswerAt) < freshnessLimit
+	return c.rows != nil && time.Since(c.storeAnswerAt) < c.freshness
 }
 
 // wholeTable returns all rows. If the copy is stale, it returns an error and a channel that is closed on the next
--- a/internal/platform/replicator/replicator_test.go
+++ b/internal/platform/replicator/replicator_test.go
@@ -59,7 +59,7 @@
 
 // TestFollowReader guards against changes that are lost or duplicated when a VM follows a reader.
 func TestFollowReader(t *testing.T) {
-	c := NewTableCopy()
+	c := NewTableCopy(DefaultFreshness)
 	c.ConfirmFresh()
 	c.Replace(rows(5, "a", "b"), 5)
 	store := &fakeStore{}
@@ -95,7 +95,7 @@
 // TestReaderWithoutTheStoreDoesNotServe guards against a reader that goes on serving its stale copy after it lost the
 // store. Such a reader violated the check CONFIG in arrieta-plumas trouble-1.
 func TestReaderWithoutTheStoreDoesNotServe(t *testing.T) {
-	c := NewTableCopy()
+	c := NewTableCopy(DefaultFreshness)
 	c.ConfirmFresh()
 	c.Replace(rows(5, "a"), 5)
 	store := &fakeStore{page: follower.Page{Rows: rows(9, "z"), Version: 9}}
@@ -130,7 +130,7 @@
 // where a reader kept the old configuration for 9 s. Of the peers here, one is not running and one is cut off from
 // the store as well; they are asked before the one that has the change.
 func TestAskerBringsChanges(t *testing.T) {
-	staleCopy, currentCopy := NewTableCopy(), NewTableCopy()
+	staleCopy, currentCopy := NewTableCopy(DefaultFreshness), NewTableCopy(DefaultFreshness)
 	for _, c := range []*TableCopy{staleCopy, currentCopy} {
 		c.Replace(rows(5, "a"), 5)
 	}
@@ -140,7 +140,7 @@
 		return strings.TrimPrefix(s.URL, "http://")
 	}
 	peers := []string{"127.0.0.1:1", serveChanges(staleCopy), serveChanges(currentCopy)}
-	merged := NewTableCopy()
+	merged := NewTableCopy(DefaultFreshness)
 	f := follower.Start(follower.Config{Source: &unresponsiveStore{}, Table: "t", OnTable: merged.Replace, OnChanges: merged.Apply})
 	defer f.Close()
 	a := StartPuller(PullerConfig{Followers: map[string]*follower.Follower{"t": f}, Peers: func() []string { return peers }, Client: http.DefaultClient})
@@ -167,7 +167,7 @@
 func TestReadersThatAllRefuse(t *testing.T) {
 	var readers []string
 	for range 3 {
-		c := NewTableCopy()
+		c := NewTableCopy(DefaultFreshness)
 		c.Replace(rows(5, "a"), 5)
 		readers = append(readers, serveCopy(t, c))
 	}
@@ -211,7 +211,7 @@
 // not running yet. In arrieta-plumas trouble-2, 222 instead of 327 operations were then in time in the window of that
 // failure.
 func TestStartReadsFromTheStore(t *testing.T) {
-	c := NewTableCopy()
+	c := NewTableCopy(DefaultFreshness)
 	c.Replace(rows(5, "a"), 5)
 	c.ConfirmFresh()
 	store := &fakeStore{page: follower.Page{Rows: rows(6, "a"), Version: 6}}
@@ -246,7 +246,7 @@
 			unresponsive := httptest.NewServer(http.HandlerFunc(func(http.ResponseWriter, *http.Request) { <-stop }))
 			defer unresponsive.Close()
 			defer close(stop)
-			readerCopy := NewTableCopy()
+			readerCopy := NewTableCopy(DefaultFreshness)
 			time.AfterFunc(c.readerDelay, func() {
 				readerCopy.Replace(rows(5, "a"), 5)
 				readerCopy.ConfirmFresh()
@@ -312,7 +312,7 @@
 // against more than two calls to the store in three seconds from each VM, and against a VM that never calls the store
 // again. In scale-2 of ktgc-scaling-grown, 63 VMs that followed two tables made 1,511 calls in an outage of 3 s.
 func TestFailingStoreIsSpared(t *testing.T) {
-	c := NewTableCopy()
+	c := NewTableCopy(DefaultFreshness)
 	c.Replace(rows(5, "a"), 5)
 	store := &fakeStore{err: classifier.New(classifier.PlatformUnavailable, "out")}
 	s := &Source{Store: store, Readers: fixedReaders(serveCopy(t, c)), Client: http.DefaultClient, PreferReaders: func() bool { return true }}
@@ -343,7 +343,7 @@
 // made 2,836 such calls in 2 s. The readers start a little later than this VM.
 func TestStartWithReaders(t *testing.T) {
 	store := &fakeStore{page: follower.Page{Rows: rows(1, "a"), Version: 1}}
-	c := NewTableCopy()
+	c := NewTableCopy(DefaultFreshness)
 	c.Replace(rows(1, "a"), 1)
 	h := &Handler{Copies: map[string]*TableCopy{"t": c}}
 	readyAt := time.Now().Add(300 * time.Millisecond)
