Let readers learn the changes before their own read, and spare tokens

Change: a reader fetches the 300 versions before its read once. Only VMs of the first eight ranks of a group keep a spare token, once the VMs that start with them have read their tables; a VM that is not listed enters itself.

TestCopyReadLater.

--- a/internal/daemon/assembler/followers.go
+++ b/internal/daemon/assembler/followers.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"context"
 	"net"
 	"net/http"
 	"slices"
@@ -119,7 +120,13 @@
 	v.tableCopies[table] = c
 	return follower.Start(follower.Config{
 		Source: v.tableSource, Table: table, Wait: v.followWait,
-		OnTable:   func(rows []follower.Row, version uint64) { c.Replace(rows, version); onTable(rows, version) },
+		OnTable: func(rows []follower.Row, version uint64) {
+			c.Replace(rows, version)
+			onTable(rows, version)
+			if v.isReader() && v.usesReaders() {
+				go v.extendHistory(table, c, version)
+			}
+		},
 		OnChanges: func(rows []follower.Row, version uint64) { c.Apply(rows, version); onChanges(rows, version) },
 		OnAnswer:  c.ConfirmFresh,
 		OnFault: func(err error) {
@@ -131,6 +138,21 @@
 	})
 }
 
+// earlierVersions is how many versions of the store before its own read of a table a reader also learns. It covers the
+// writes of the second in which all VMs start and read the tables in any order.
+const earlierVersions = 300
+
+// extendHistory adds the changes before a version to a reader's copy. It is not repeated if it fails: the VMs that have
+// read the table before this reader then call the store once.
+func (v *VM) extendHistory(table string, c *replicator.TableCopy, version uint64) {
+	after := version - min(version, earlierVersions)
+	ctx, cancel := context.WithTimeout(context.Background(), time.Second)
+	defer cancel()
+	if p, err := v.platform.Store.Follow(ctx, table, after, 0); err == nil {
+		c.ExtendHistory(after, p.Rows)
+	}
+}
+
 // followWait returns the longest wait of a call for changes. It is shorter for readers that other VMs use.
 func (v *VM) followWait() time.Duration {
 	if v.isReader() && v.usesReaders() {
--- a/internal/daemon/assembler/members.go
+++ b/internal/daemon/assembler/members.go
@@ -41,6 +41,7 @@
 	source       tableReader
 	mu           sync.Mutex
 	vms          []member  // including this VM; empty until the table has been read
+	isListed     bool      // the table has the row of this VM
 	settledAt    time.Time // until then, VMs that started together may be missing in vms
 	gatewayLists map[gatewayQuery][]member
 	ranks        map[string]int // by group
@@ -71,7 +72,32 @@
 	if err != nil {
 		return 0, err
 	}
-	return m.store.Put(ctx, inspector.VMTable, m.cfg.ID, b)
+	version, err := m.store.Put(ctx, inspector.VMTable, m.cfg.ID, b)
+	if err == nil {
+		m.mu.Lock()
+		m.isListed = true
+		m.mu.Unlock()
+	}
+	return version, err
+}
+
+// maxSpareTokenRank is the highest rank of a VM in a group for which it keeps a spare token.
+const maxSpareTokenRank = 7
+
+// IsNeeded implements replacer.TokenSource. A VM that is not in the table needs a token, since Next enters it. A VM that is
+// listed already, as after a restart, waits until the VMs that start with it have read their tables.
+func (m *members) IsNeeded(groups []string) bool {
+	m.mu.Lock()
+	isRead, isListed := len(m.vms) > 0, m.isListed
+	isStarting := time.Now().Before(m.settledAt)
+	m.mu.Unlock()
+	switch {
+	case isStarting && (!isRead || isListed):
+		return false
+	case !isListed:
+		return true
+	}
+	return slices.ContainsFunc(groups, func(g string) bool { return m.rank(g) <= maxSpareTokenRank })
 }
 
 // refreshLoop reads the table at the start, again after settlePeriod, and then at intervals. In a large deployment, it
@@ -105,13 +131,19 @@
 	if err != nil {
 		return err
 	}
-	list := []member{m.self()}
+	list, isListed := []member{m.self()}, false
 	for _, r := range p.Rows {
-		if vm, err := inspector.ParseVM(r.Key, r.Value); err == nil && r.Key != m.cfg.ID {
+		vm, err := inspector.ParseVM(r.Key, r.Value)
+		switch {
+		case err != nil:
+		case r.Key == m.cfg.ID:
+			isListed = vm == m.self()
+		default:
 			list = append(list, vm)
 		}
 	}
 	m.mu.Lock()
+	m.isListed = m.isListed || isListed
 	m.vms, m.gatewayLists, m.ranks = list, map[gatewayQuery][]member{}, map[string]int{}
 	m.mu.Unlock()
 	return nil
--- a/internal/group/replacer/replacer.go
+++ b/internal/group/replacer/replacer.go
@@ -63,6 +63,10 @@
 	// searchInterval is the least time between two probes of a possible primary: of each instance
 	// while no primary is known, and of the instance that the registry names instead of the known one.
 	searchInterval = 100 * time.Millisecond
+	// refillInterval is the time between two checks whether a spare token is missing.
+	refillInterval = 200 * time.Millisecond
+	// refillRetryInterval is the pause after a spare token could not be fetched.
+	refillRetryInterval = time.Second
 	// recheckInterval is the least time between two probes of a known primary that has failed.
 	recheckInterval = 250 * time.Millisecond
 )
@@ -70,6 +74,9 @@
 // TokenSource issues spare fencing tokens, each higher than all that were issued before.
 type TokenSource interface {
 	Next(ctx context.Context) (uint64, error)
+	// IsNeeded reports whether the VM should have a spare token for one of the groups. In a large deployment, the
+	// VMs that act first have one.
+	IsNeeded(groups []string) bool
 }
 
 // Claims gives one VM at a time the exclusive right to replace a group's primary, and issues its tokens.
@@ -490,22 +497,33 @@
 	return t, true, nil
 }
 
+func (r *Replacer) groupNames() []string {
+	groups := r.cfg.Groups.Groups()
+	names := make([]string, len(groups))
+	for i, g := range groups {
+		names[i] = g.Name()
+	}
+	return names
+}
+
 // refillSpareToken fetches a spare token whenever there is none, so that one is at hand when the store fails. The first one
-// also enters the VM in the list of VMs.
+// may also enter the VM in the list of VMs.
 func (r *Replacer) refillSpareToken(ctx context.Context) {
-	for interval := time.Second; ; {
+	for pause := time.Duration(0); sleeper.Sleep(ctx, pause); {
+		pause = refillInterval
 		r.mu.Lock()
 		isMissing := r.spareToken == 0
 		r.mu.Unlock()
-		if isMissing {
-			if t, err := r.cfg.Tokens.Next(ctx); err == nil {
-				r.mu.Lock()
-				r.spareToken = t
-				r.mu.Unlock()
-			}
+		if !isMissing || !r.cfg.Tokens.IsNeeded(r.groupNames()) {
+			continue
 		}
-		if !sleeper.Sleep(ctx, interval) {
-			return
+		t, err := r.cfg.Tokens.Next(ctx)
+		if err != nil {
+			pause = refillRetryInterval
+			continue
 		}
+		r.mu.Lock()
+		r.spareToken = t
+		r.mu.Unlock()
 	}
 }
--- a/internal/group/replacer/replacer_test.go
+++ b/internal/group/replacer/replacer_test.go
@@ -82,6 +82,7 @@
 }
 
 func (f *fakeTokens) Next(context.Context) (uint64, error) { f.last++; return f.last, nil }
+func (f *fakeTokens) IsNeeded([]string) bool               { return true }
 func (f *fakeTokens) Claim(context.Context, string, uint64) (claimer.ClaimResult, error) {
 	if f.err != nil {
 		return claimer.ClaimResult{}, f.err
--- a/internal/platform/replicator/replicator.go
+++ b/internal/platform/replicator/replicator.go
@@ -13,6 +13,7 @@
 	"context"
 	"net/http"
 	"net/url"
+	"slices"
 	"strconv"
 	"sync"
 	"time"
@@ -94,6 +95,19 @@
 	}
 }
 
+// ExtendHistory adds changes that precede the kept ones: all changes after a version. VMs that have read the table at that
+// version or later can then follow this copy, although it was read after them.
+func (c *TableCopy) ExtendHistory(after uint64, rows []follower.Row) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if after >= c.historyStart {
+		return
+	}
+	earlier := slices.DeleteFunc(slices.Clone(rows), func(r follower.Row) bool { return r.Version > c.historyStart })
+	c.changes = append(earlier, c.changes...)
+	c.historyStart = after
+}
+
 // ConfirmFresh records that the store answered, which makes the copy fresh for a while.
 func (c *TableCopy) ConfirmFresh() {
 	c.mu.Lock()
--- a/internal/platform/replicator/replicator_test.go
+++ b/internal/platform/replicator/replicator_test.go
@@ -376,3 +376,27 @@
 		t.Errorf("%d calls to the store %v after the start, want the first one within 3 s", store.calls, took)
 	}
 }
+
+// TestCopyReadLater guards against VMs that cannot follow a reader because they read the table before it: 585 VMs called the
+// store for that after a power failure. A removal in between must not be lost.
+func TestCopyReadLater(t *testing.T) {
+	c := NewTableCopy(DefaultFreshness)
+	c.Replace(rows(9, "b", "c"), 9)
+	c.Apply([]follower.Row{{Key: "d", Version: 10}}, 10)
+	c.ExtendHistory(5, []follower.Row{{Key: "a", Version: 7, IsRemoved: true}, {Key: "c", Version: 9}, {Key: "d", Version: 10}})
+	c.ConfirmFresh()
+	for _, want := range []struct {
+		after uint64
+		keys  string
+		err   bool
+	}{{4, "", true}, {5, "acd", false}, {7, "cd", false}, {9, "d", false}, {10, "", false}} {
+		p, _, err := c.freshChanges(want.after)
+		keys := ""
+		for _, r := range p.Rows {
+			keys += r.Key
+		}
+		if keys != want.keys || (err != nil) != want.err {
+			t.Errorf("changes after %d are %q, %v, want %q, an error: %t", want.after, keys, err, want.keys, want.err)
+		}
+	}
+}
