Ask only as many instances for their state as a proof needs

Cause: a round that missed one refusal asked all instances, the primary included, for their state, which takes a slot. An instance that had failed once was left out until something else noticed its return, so each round went that way. Begins of a round also waited behind statements.

Change: a round asks those that accepted a begin, then as many others as the proof needs, and the primary only if its term is in doubt. It tries a failed instance each 200 ms. Its begins, which take no slot, go ahead of statements.

TestFailedInstanceReturns.

--- a/internal/group/verifier/verifier.go
+++ b/internal/group/verifier/verifier.go
@@ -18,6 +18,7 @@
 package verifier
 
 import (
+	"cmp"
 	"context"
 	"slices"
 	"sync"
@@ -36,6 +37,8 @@
 	statusTimeout = 300 * time.Millisecond
 	// busyRetryDelay is the pause before an instance that refused a command as overloaded is asked again.
 	busyRetryDelay = 10 * time.Millisecond
+	// failedRetryInterval is the least time between two begins on an instance that has failed.
+	failedRetryInterval = 200 * time.Millisecond
 	// retryAfter is the retry hint for requests while the lead of the primary cannot be verified.
 	retryAfter = 500 * time.Millisecond
 )
@@ -43,7 +46,7 @@
 // Config holds the ways to ask instances.
 type Config struct {
 	// Begin begins a transaction on an instance and rolls it back, and records the answer in the group. It returns an
-	// error of kind notPrimary if the instance refuses.
+	// error of kind notPrimary if the instance refuses, and an error soon if the instance does not answer.
 	Begin func(ctx context.Context, g *registrar.Group, v registrar.View) error
 	// Status asks an instance for its state.
 	Status func(ctx context.Context, t carrier.Target) (carrier.InstanceStatus, error)
@@ -55,8 +58,9 @@
 type Verifier struct {
 	cfg Config
 
-	mu    sync.Mutex
-	leads map[lead]*rounds
+	mu      sync.Mutex
+	leads   map[lead]*rounds
+	triedAt map[string]time.Time // when a failed instance was last tried
 }
 
 // lead is what a round verifies: that an instance leads a group.
@@ -76,7 +80,9 @@
 }
 
 // New returns a Verifier.
-func New(cfg Config) *Verifier { return &Verifier{cfg: cfg, leads: map[lead]*rounds{}} }
+func New(cfg Config) *Verifier {
+	return &Verifier{cfg: cfg, leads: map[lead]*rounds{}, triedAt: map[string]time.Time{}}
+}
 
 // Start returns a round that starts after the call and verifies that an instance leads a group. Calls share a round that
 // has not started yet.
@@ -104,6 +110,7 @@
 func (v *Verifier) Forget(instance string) {
 	v.mu.Lock()
 	defer v.mu.Unlock()
+	delete(v.triedAt, instance)
 	for l := range v.leads {
 		if l.primary == instance {
 			delete(v.leads, l)
@@ -152,52 +159,83 @@
 }
 
 func (v *Verifier) verify(g *registrar.Group, primary string) error {
-	views := g.Views()
-	refused, accepted := v.beginOnOthers(g, views, primary)
-	if refused == len(views)-1 {
+	others := slices.DeleteFunc(g.Views(), func(view registrar.View) bool { return view.ID == primary })
+	answers := v.beginOn(g, others)
+	if countOf(answers, refused) == len(others) {
 		return nil
 	}
-	err := v.compareStates(g, views, primary, accepted)
-	if err != nil {
+	if err := v.compareStates(g, primary, others, answers); err != nil {
 		return classifier.WithRetryAfter(err, retryAfter)
 	}
 	return nil
 }
 
-// beginOnOthers tries to begin a transaction on each instance other than the primary. It returns how many have refused, and
-// those that have accepted. If one of them failed lately, it tries none.
-func (v *Verifier) beginOnOthers(g *registrar.Group, views []registrar.View, primary string) (refused int, accepted []string) {
-	if slices.ContainsFunc(views, func(view registrar.View) bool { return view.ID != primary && view.Failures > 0 }) {
-		return 0, nil
+// answer is how an instance answered a begin.
+type answer uint8
+
+// Answers to a begin, in the order in which the instances are asked for their states.
+const (
+	accepted answer = iota // the instance acts as a primary
+	refused
+	missing
+)
+
+func countOf(answers map[string]answer, want answer) int {
+	n := 0
+	for _, a := range answers {
+		if a == want {
+			n++
+		}
 	}
+	return n
+}
+
+// beginOn tries to begin a transaction on each instance, and returns the answers by instance. It does not wait for an
+// instance that has failed since its last answer, but tries it from time to time, so that its next answer is noticed.
+func (v *Verifier) beginOn(g *registrar.Group, views []registrar.View) map[string]answer {
 	ctx, cancel := context.WithTimeout(context.Background(), beginTimeout)
 	defer cancel()
-	type answer struct {
+	type result struct {
 		instance string
 		err      error
 	}
-	answers, others := make(chan answer, len(views)), 0
+	answers, results, outstanding := make(map[string]answer, len(views)), make(chan result, len(views)), 0
 	for _, view := range views {
-		if view.ID == primary {
+		answers[view.ID] = missing
+		if view.Failures > 0 {
+			if v.isRetryDue(view.ID) {
+				go func() { _ = v.cfg.Begin(context.Background(), g, view) }()
+			}
 			continue
 		}
-		others++
-		go func() { answers <- answer{view.ID, v.cfg.Begin(ctx, g, view)} }()
+		outstanding++
+		go func() { results <- result{view.ID, v.cfg.Begin(ctx, g, view)} }()
 	}
-	for range others {
+	for range outstanding {
 		select {
-		case a := <-answers:
+		case r := <-results:
 			switch {
-			case a.err == nil:
-				accepted = append(accepted, a.instance)
-			case classifier.Is(a.err, classifier.NotPrimary):
-				refused++
+			case r.err == nil:
+				answers[r.instance] = accepted
+			case classifier.Is(r.err, classifier.NotPrimary):
+				answers[r.instance] = refused
 			}
 		case <-ctx.Done():
-			return refused, accepted
+			return answers
 		}
 	}
-	return refused, accepted
+	return answers
+}
+
+// isRetryDue reports whether a failed instance was last tried at least failedRetryInterval ago. If so, it is tried now.
+func (v *Verifier) isRetryDue(instance string) bool {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	if time.Since(v.triedAt[instance]) < failedRetryInterval {
+		return false
+	}
+	v.triedAt[instance] = time.Now()
+	return true
 }
 
 // state is the state that an instance reported.
@@ -207,49 +245,102 @@
 	err      error
 }
 
-// compareStates returns nil if the reported states of enough instances show that the primary leads. Instances that have
-// accepted a begin, and are probably its successors, are waited for. The primary is asked only after enough others have
-// answered.
-func (v *Verifier) compareStates(g *registrar.Group, views []registrar.View, primary string, accepted []string) error {
+// compareStates returns nil if the reported states of enough instances show that the primary leads. It asks no more
+// instances than it needs: those that accepted a begin, and are probably successors, then those that refused it. The
+// primary is asked only if its term is in doubt.
+func (v *Verifier) compareStates(g *registrar.Group, primary string, others []registrar.View, answers map[string]answer) error {
 	ctx, cancel := context.WithTimeout(context.Background(), statusTimeout)
 	defer cancel()
-	needed := len(views) - 1 - v.cfg.SyncReplicas(g.Name())
-	states, outstanding := make(chan state, len(views)), 0
+	slices.SortFunc(others, func(a, b registrar.View) int {
+		return cmp.Or(cmp.Compare(answers[a.ID], answers[b.ID]), cmp.Compare(a.Failures, b.Failures), cmp.Compare(a.Latency, b.Latency), cmp.Compare(a.ID, b.ID))
+	})
+	c := comparison{primary: primary, needed: len(others) - v.cfg.SyncReplicas(g.Name()), acceptedLeft: countOf(answers, accepted)}
+	if known := g.Primary(); known.Instance == primary {
+		c.term = known.Term
+	}
+	states, outstanding := make(chan state, len(others)+1), 0
 	ask := func(view registrar.View) {
 		outstanding++
 		go func() { states <- v.stateOf(ctx, view) }()
 	}
-	for _, view := range views {
-		if view.ID != primary {
-			ask(view)
-		}
-	}
-	reported, answered, isPrimaryAsked := make([]state, 0, len(views)), 0, false
+	isPrimaryAsked := false
 	for {
-		if answered >= needed && !isPrimaryAsked {
+		for len(others) > 0 && outstanding < max(c.needed-c.clean, c.acceptedLeft) {
+			ask(others[0])
+			others = others[1:]
+		}
+		if view, ok := g.View(primary); ok && !isPrimaryAsked && (c.term == 0 || c.newest > c.term) && c.clean+outstanding >= c.needed {
 			isPrimaryAsked = true
-			if view, ok := g.View(primary); ok {
-				ask(view)
-			}
+			ask(view)
 		}
 		if outstanding == 0 {
-			return checkLead(reported, primary, needed)
+			return c.result()
 		}
 		s := <-states
 		outstanding--
-		reported = append(reported, s)
-		accepted = slices.DeleteFunc(accepted, func(id string) bool { return id == s.instance })
-		if s.err != nil {
-			continue
+		if s.err == nil {
+			g.RecordStatus(s.instance, s.status)
 		}
-		answered++
-		g.RecordStatus(s.instance, s.status)
-		if err := checkLead(reported, primary, needed); err == nil && len(accepted) == 0 || classifier.Is(err, classifier.NoPrimary) {
-			return err
+		c.add(s, answers[s.instance] == accepted && s.instance != primary)
+		if c.isDecided() {
+			return c.result()
 		}
 	}
 }
 
+// comparison compares the states that instances have reported with the term of the primary.
+type comparison struct {
+	primary      string
+	term         uint64 // of the primary; zero while it is unknown
+	isReported   bool   // the primary has reported its term
+	isDeposed    bool   // the primary has reported not to be one
+	needed       int    // other instances that must have reported a state
+	clean        int    // other instances that have reported one
+	acceptedLeft int    // instances that accepted a begin and have not been heard since
+	newest       uint64 // highest term that another instance has reported
+	failed       error  // of an instance that has not reported a state
+}
+
+// add adds a reported state, or the failure to obtain one.
+func (c *comparison) add(s state, hasAccepted bool) {
+	if hasAccepted {
+		c.acceptedLeft--
+	}
+	switch {
+	case s.err != nil:
+		c.failed = s.err
+	case s.instance != c.primary:
+		c.clean++
+		c.newest = max(c.newest, s.status.Term, s.status.Received.Term)
+	case !s.status.IsPrimary:
+		c.isDeposed = true
+	default:
+		c.term, c.isReported = s.status.Term, true
+	}
+}
+
+// isDecided reports whether further states cannot change the result.
+func (c *comparison) isDecided() bool {
+	isTermSure := c.isReported || c.term > 0 && c.newest <= c.term
+	return c.isDeposed || c.isReported && c.newest > c.term || isTermSure && c.clean >= c.needed && c.acceptedLeft == 0
+}
+
+// result returns nil if the primary leads, an error of kind noPrimary if it has been replaced, or one of kind noInstance if
+// too few instances have reported their state.
+func (c *comparison) result() error {
+	switch {
+	case c.isDeposed:
+		return classifier.New(classifier.NoPrimary, "instance %s is not the primary any more", c.primary)
+	case c.term > 0 && c.newest > c.term:
+		return classifier.New(classifier.NoPrimary, "primary %s of term %d has been replaced in term %d", c.primary, c.term, c.newest)
+	case c.term > 0 && c.clean >= c.needed:
+		return nil
+	case c.failed != nil:
+		return classifier.Wrap(classifier.NoInstance, c.failed, "the lead of primary %s cannot be verified: %d other instances have reported their state, want %d", c.primary, c.clean, c.needed)
+	}
+	return classifier.New(classifier.NoInstance, "the lead of primary %s cannot be verified: %d other instances have reported their state, want %d", c.primary, c.clean, c.needed)
+}
+
 // stateOf asks an instance for its state, and repeats that while the instance is overloaded.
 func (v *Verifier) stateOf(ctx context.Context, view registrar.View) state {
 	for {
@@ -260,46 +351,3 @@
 		}
 	}
 }
-
-// checkLead returns nil if the reported states, with those of at least needed other instances, show that a primary leads.
-// Otherwise it returns an error of kind noPrimary if an instance reports a later term, or of kind noInstance if too few
-// instances have reported.
-func checkLead(reported []state, primary string, needed int) error {
-	var term uint64
-	var failed error
-	for _, s := range reported {
-		switch {
-		case s.err != nil:
-			failed = s.err
-		case s.instance == primary && !s.status.IsPrimary:
-			return classifier.New(classifier.NoPrimary, "instance %s is not the primary any more", primary)
-		case s.instance == primary:
-			term = s.status.Term
-		}
-	}
-	if term == 0 {
-		return unverified(failed, "the lead of primary %s cannot be verified: too few instances have reported their state", primary)
-	}
-	clean := 0
-	for _, s := range reported {
-		switch {
-		case s.err != nil || s.instance == primary:
-		case s.status.Term > term || s.status.Received.Term > term:
-			return classifier.New(classifier.NoPrimary, "primary %s of term %d has been replaced: instance %s reports term %d", primary, term, s.instance, max(s.status.Term, s.status.Received.Term))
-		default:
-			clean++
-		}
-	}
-	if clean < needed {
-		return unverified(failed, "the lead of primary %s cannot be verified: %d other instances have reported their state, want %d", primary, clean, needed)
-	}
-	return nil
-}
-
-// unverified returns an error of kind noInstance with a cause that may be nil.
-func unverified(cause error, format string, args ...any) error {
-	if cause == nil {
-		return classifier.New(classifier.NoInstance, format, args...)
-	}
-	return classifier.Wrap(classifier.NoInstance, cause, format, args...)
-}
--- a/internal/group/verifier/verifier_test.go
+++ b/internal/group/verifier/verifier_test.go
@@ -62,7 +62,9 @@
 	return New(Config{Begin: f.begin, Status: f.status, SyncReplicas: func(string) int { return f.sync }})
 }
 
-func (f *fakeGroup) begin(ctx context.Context, _ *registrar.Group, v registrar.View) error {
+func (f *fakeGroup) begin(ctx context.Context, g *registrar.Group, v registrar.View) error {
+	ctx, cancel := context.WithTimeout(ctx, 250*time.Millisecond)
+	defer cancel()
 	f.mu.Lock()
 	f.begins++
 	i := f.instances[v.ID]
@@ -72,7 +74,9 @@
 	case i.Role == "down":
 		<-ctx.Done()
 		return ctx.Err()
-	case i.Role == "replica":
+	}
+	g.RecordAnswer(v.ID, tokenizer.Position{}, 0)
+	if i.Role == "replica" {
 		return classifier.New(classifier.NotPrimary, "%s", v.ID)
 	}
 	return nil
@@ -151,3 +155,22 @@
 		}
 	})
 }
+
+// Guards against an instance that is left out for good after a failure, so that each round occupies slots of the others.
+func TestFailedInstanceReturns(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		replica := instance{Role: "replica", Term: 1, Entry: 1}
+		f := newFakeGroup(leadCase{Sync: 1, A: instance{Role: "primary", Term: 1, Entry: 1}, B: replica, C: replica})
+		v := f.verifier()
+		f.group.RecordFailure("c")
+		for range 50 {
+			if _, err := v.Start(f.group, "a").Wait(t.Context()); err != nil {
+				t.Fatal(err)
+			}
+			time.Sleep(10 * time.Millisecond)
+		}
+		if f.states > 2 {
+			t.Errorf("%d questions for states in 50 rounds after one failure, want at most 2", f.states)
+		}
+	})
+}
--- a/internal/statement/performer/performer.go
+++ b/internal/statement/performer/performer.go
@@ -115,7 +115,7 @@
 	}
 	p := &Performer{cfg: cfg}
 	if u := cfg.Unfenced; u != nil {
-		p.verifier = verifier.New(verifier.Config{Begin: p.probe, Status: u.Status, SyncReplicas: u.SyncReplicas})
+		p.verifier = verifier.New(verifier.Config{Begin: p.probeAhead, Status: u.Status, SyncReplicas: u.SyncReplicas})
 	}
 	return p
 }
@@ -302,7 +302,7 @@
 	sentAt := g.Now()
 	ctx, cancel := context.WithTimeout(context.Background(), minReplyTimeout)
 	defer cancel()
-	reply, err := p.exchangeBegin(ctx, g, v)
+	reply, err := p.exchangeBegin(ctx, g, v, 0)
 	if err != nil {
 		return err
 	}
@@ -315,13 +315,18 @@
 // Probe asks an instance whether it acts as the primary and records the answer. It returns
 // an error if the instance does not or could not be asked.
 func (p *Performer) Probe(g *registrar.Group, v registrar.View) error {
-	return p.probe(context.Background(), g, v)
+	return p.probe(context.Background(), g, v, 0)
 }
 
-func (p *Performer) probe(ctx context.Context, g *registrar.Group, v registrar.View) error {
+// probeAhead is Probe ahead of all waiting statements. A begin that is rolled back takes no slot of the instance.
+func (p *Performer) probeAhead(ctx context.Context, g *registrar.Group, v registrar.View) error {
+	return p.probe(ctx, g, v, allotter.ControlPriority)
+}
+
+func (p *Performer) probe(ctx context.Context, g *registrar.Group, v registrar.View, priority int) error {
 	ctx, cancel := context.WithTimeout(ctx, minReplyTimeout)
 	defer cancel()
-	reply, err := p.exchangeBegin(ctx, g, v)
+	reply, err := p.exchangeBegin(ctx, g, v, priority)
 	if err == nil && !reply.OK() {
 		err = classifier.New(reply.Kind, "%s: %s", v.ID, reply.Detail)
 	}
@@ -329,8 +334,8 @@
 }
 
 // exchangeBegin begins a transaction on an instance and rolls it back. It records and returns the reply to the begin.
-func (p *Performer) exchangeBegin(ctx context.Context, g *registrar.Group, v registrar.View) (carrier.Reply, error) {
-	lease, err := p.cfg.Pool.Acquire(ctx, registrar.NewTarget(v.Instance), 0)
+func (p *Performer) exchangeBegin(ctx context.Context, g *registrar.Group, v registrar.View, priority int) (carrier.Reply, error) {
+	lease, err := p.cfg.Pool.Acquire(ctx, registrar.NewTarget(v.Instance), priority)
 	if err != nil {
 		return carrier.Reply{}, err
 	}
