Limit a panic to the session that caused it on the line protocol

The PostgreSQL listener recovers; the sessions of the line protocol and the connections from other VMs at a gateway did not, so a fault in handling one statement would have ended all sessions of the VM, and of each VM on which its client tries again.

Change: both recover, close the connection, and log the value and the stack as sessionPanicked; a session ends with the reason panicked, which the metric of sessions counts.

A connection to an instance that the session held outside a transaction is not returned to the pool after a panic.

--- a/internal/daemon/assembler/assembler.go
+++ b/internal/daemon/assembler/assembler.go
@@ -148,7 +148,7 @@
 		return nil, err
 	}
 	v.sessionServer = conductor.NewServer(conductor.Config{
-		Listener: clientListener, Accept: p.Accept, Configuration: v.configuration.Load, Performer: v.performer, Clock: p.Clock, MaxSessions: cfg.Callers, Names: &v.statementNames, OnEnd: v.logSession,
+		Listener: clientListener, Accept: p.Accept, Configuration: v.configuration.Load, Performer: v.performer, Clock: p.Clock, MaxSessions: cfg.Callers, Names: &v.statementNames, OnEnd: v.logSession, OnPanic: v.logPanic,
 	})
 	readyListener, err := net.Listen("tcp", cfg.ReadyAddress)
 	if err != nil {
--- a/internal/daemon/assembler/gateway.go
+++ b/internal/daemon/assembler/gateway.go
@@ -158,7 +158,7 @@
 	if err != nil {
 		return err
 	}
-	v.forwardServer = forwarder.NewServer(forwarder.Config{Listener: ln, Accept: v.platform.AcceptPort, Pool: v.pool, Names: &v.statementNames, Find: v.findInstance, IsUnreachable: v.hasFailedAttempts})
+	v.forwardServer = forwarder.NewServer(forwarder.Config{Listener: ln, Accept: v.platform.AcceptPort, Pool: v.pool, Names: &v.statementNames, Find: v.findInstance, IsUnreachable: v.hasFailedAttempts, OnPanic: v.logPanic})
 	go v.forwardServer.Serve()
 	return nil
 }
--- a/internal/daemon/assembler/log.go
+++ b/internal/daemon/assembler/log.go
@@ -56,6 +56,8 @@
 	v.log.Sample(logger.SessionEnded, reason, logger.String("reason", reason))
 }
 
+func (v *VM) logPanic(err error) { v.log.Warn(logger.SessionPanicked, logger.Err(err)) }
+
 func (v *VM) countCall(call string, err error) {
 	outcome := "ok"
 	if err != nil {
--- a/internal/statement/conductor/server.go
+++ b/internal/statement/conductor/server.go
@@ -3,8 +3,10 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"math/rand/v2"
 	"net"
+	"runtime/debug"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -22,6 +24,7 @@
 	Names         *namer.Namer         // names of prepared statements on all connections of the VM
 	Clock         func() time.Duration // keeps counting while the VM is suspended
 	OnEnd         func(reason string)  // called when a session has ended; may be nil
+	OnPanic       func(err error)      // called with the value and the stack of a panic that has ended a session; may be nil
 	MaxSessions   int                  // maximum number of concurrent sessions; zero for no limit
 }
 
@@ -80,7 +83,7 @@
 		sess.stopAt = s.stopEnd // a client that has just connected is disconnected last
 	}
 	s.mu.Unlock()
-	reason := sess.serve(s.ctx)
+	reason := s.serve(sess)
 	s.mu.Lock()
 	delete(s.sessions, sess)
 	s.mu.Unlock()
@@ -90,6 +93,24 @@
 	}
 }
 
+// serve runs a session and returns the reason for its end. A panic ends only the session that caused it: a statement that
+// triggers a fault would otherwise end the sessions of all clients of this VM, and of each VM that its client retries on.
+func (s *Server) serve(sess *session) (reason string) {
+	defer func() {
+		if p := recover(); p != nil {
+			reason = panicked
+			sess.client.Close()
+			if s.cfg.OnPanic != nil {
+				s.cfg.OnPanic(fmt.Errorf("%v: %s", p, debug.Stack()))
+			}
+		}
+	}()
+	return sess.serve(s.ctx)
+}
+
+// panicked is the reason for the end of a session that caused a panic.
+const panicked = "panicked"
+
 // SessionCount returns the number of open sessions.
 func (s *Server) SessionCount() int { return int(s.open.Load()) }
 
--- a/internal/statement/forwarder/server.go
+++ b/internal/statement/forwarder/server.go
@@ -3,7 +3,9 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"net"
+	"runtime/debug"
 	"sync"
 	"time"
 
@@ -49,6 +51,8 @@
 	// Find returns the address of an instance and its newest known log position. It
 	// returns false if the instance is unknown.
 	Find func(group, instance string) (carrier.Target, tokenizer.Position, bool)
+	// OnPanic is called with the value and the stack of a panic that has ended a connection; may be nil.
+	OnPanic func(err error)
 }
 
 // Server accepts connections from other VMs.
@@ -104,10 +108,14 @@
 	s.conns[conn] = true
 	s.mu.Unlock()
 	defer func() {
+		p := recover() // a fault ends only the connection that triggered it
 		conn.Close()
 		s.mu.Lock()
 		delete(s.conns, conn)
 		s.mu.Unlock()
+		if p != nil && s.cfg.OnPanic != nil {
+			s.cfg.OnPanic(fmt.Errorf("%v: %s", p, debug.Stack()))
+		}
 	}()
 	group, instance, err := conn.ReceiveStart()
 	if err != nil {
@@ -122,10 +130,12 @@
 		return
 	}
 	c := &proxyConn{server: s, conn: conn, target: target, values: map[string]string{}, prepared: map[string]carrier.Statement{}}
+	defer func() {
+		if c.lease != nil {
+			c.lease.Discard()
+		}
+	}()
 	c.run()
-	if c.lease != nil {
-		c.lease.Discard()
-	}
 }
 
 // proxyConn is a connection of another VM, which uses it like one to the instance itself.
--- /dev/null
+++ b/internal/statement/forwarder/server_test.go
@@ -0,0 +1,68 @@
+package forwarder
+
+import (
+	"errors"
+	"net"
+	"testing"
+	"testing/synctest"
+
+	"parsleyscale/internal/session/tokenizer"
+	"parsleyscale/internal/statement/carrier"
+)
+
+// fakeListener accepts as many connections as a test sends.
+type fakeListener struct{ conns chan net.Conn }
+
+func (l fakeListener) Accept() (net.Conn, error) {
+	c, ok := <-l.conns
+	if !ok {
+		return nil, net.ErrClosed
+	}
+	return c, nil
+}
+
+func (fakeListener) Close() error   { return nil }
+func (fakeListener) Addr() net.Addr { return &net.TCPAddr{} }
+
+// fakeConn is a connection of a VM whose first command causes a panic or an error.
+type fakeConn struct {
+	panics   bool
+	isClosed bool
+}
+
+func (*fakeConn) ReceiveStart() (group, instance string, err error)  { return "g", "i", nil }
+func (*fakeConn) ReplyToStart(_ tokenizer.Position, err error) error { return err }
+func (*fakeConn) Send(carrier.Reply) error                           { return nil }
+func (c *fakeConn) Close()                                           { c.isClosed = true }
+func (c *fakeConn) Receive() (carrier.Command, error) {
+	if c.panics {
+		panic("nil map")
+	}
+	return carrier.Command{}, errors.New("connection reset")
+}
+
+// Guards against a command of one VM that ends the gateway, and with it the connections of all VMs.
+func TestPanicEndsOnlyItsConnection(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		l := fakeListener{make(chan net.Conn)}
+		conns := []*fakeConn{{panics: true}, {}}
+		accepted, panics := 0, 0
+		s := NewServer(Config{
+			Listener: l, OnPanic: func(error) { panics++ },
+			Accept: func(net.Conn) Conn { accepted++; return conns[accepted-1] },
+			Find: func(string, string) (carrier.Target, tokenizer.Position, bool) {
+				return carrier.Target{}, tokenizer.Position{}, true
+			},
+		})
+		go s.Serve()
+		for range conns {
+			l.conns <- nil
+			synctest.Wait()
+		}
+		close(l.conns)
+		s.Close()
+		if panics != 1 || !conns[0].isClosed || !conns[1].isClosed {
+			t.Errorf("%d panics, connections closed: %t and %t; want 1 and both closed", panics, conns[0].isClosed, conns[1].isClosed)
+		}
+	})
+}
--- a/internal/telemetry/logger/event.go
+++ b/internal/telemetry/logger/event.go
@@ -42,6 +42,7 @@
 	ChangeFromPeer    Event = "changeFromPeer"
 	StatementServed   Event = "statementServed"
 	SessionEnded      Event = "sessionEnded"
+	SessionPanicked   Event = "sessionPanicked"
 	StatementRepeated Event = "statementRepeated"
 	StatementRefused  Event = "statementRefused"
 	OutcomeUnknown    Event = "outcomeUnknown"
@@ -91,6 +92,7 @@
 	{ChangeFromPeer, "a change of a table arrived from another VM before it arrived from the store"},
 	{StatementServed, "an instance executed a statement; sampled"},
 	{SessionEnded, "a session ended, with the reason; sampled"},
+	{SessionPanicked, "a fault in this program ended the session or the connection of another VM that triggered it; the error has the stack"},
 	{StatementRepeated, "an instance rejected or did not answer a statement, which may be executed on another instance"},
 	{StatementRefused, "a statement was rejected"},
 	{OutcomeUnknown, "a write or a commit was sent to an instance but not answered"},
