Take the number of VMs as known only after a late enough read

Cause: the list that a VM reads first, while the others are still being entered, counted as complete 1.5 s after the start.

Change: the number of VMs is known after a read that began at least 1.5 s after the start, or 3 s after the start. Later reads of the list go to the readers also while it is not known.

TestCountBeforeOtherVMsAreKnown has the new condition.

--- a/internal/daemon/assembler/assembler.go
+++ b/internal/daemon/assembler/assembler.go
@@ -85,7 +85,7 @@
 	auditor        *auditor.Auditor
 	sessionServer  *conductor.Server
 	tableCopies    map[string]*replicator.TableCopy // by table
-	tableSource    follower.Source
+	tableSource    *replicator.Source
 	readyServer    *http.Server
 	peerServer     *http.Server
 	metricsServer  *http.Server // nil if the settings have no admin address
--- a/internal/daemon/assembler/audit.go
+++ b/internal/daemon/assembler/audit.go
@@ -20,7 +20,7 @@
 // auditConfiguration adds to the audit log that a configuration came into force. To limit the writes to the store, only
 // the VM with rank 0 does so, on behalf of all VMs.
 func (v *VM) auditConfiguration(version uint64) {
-	if v.members.isSettled() && v.members.rank(auditor.Configuration) == 0 {
+	if v.members.isCountKnown() && v.members.rank(auditor.Configuration) == 0 {
 		v.auditor.Record(auditor.Entry{Subject: auditor.Configuration, Action: auditor.Configure, Version: version, Outcome: auditor.Done})
 	}
 }
--- a/internal/daemon/assembler/followers.go
+++ b/internal/daemon/assembler/followers.go
@@ -23,11 +23,11 @@
 const largeDeploymentVMs = 24
 
 // newSource returns the source from which this VM reads tables: the store, or the readers with the store as fallback.
-func (v *VM) newSource() follower.Source {
+func (v *VM) newSource() *replicator.Source {
 	prefersReaders := func() bool { return v.usesReaders() && !v.isReader() && len(v.cfg.Seeds) > 0 }
 	return &replicator.Source{
 		Store: v.platform.Store, Readers: v.readersByDistance, Client: newPeerClient(),
-		PreferReaders: prefersReaders, IsVMCountKnown: func() bool { return v.members.isSettled() }, IsLinkSlow: v.cfg.LinkMbps > 0 && v.cfg.LinkMbps < slowLinkMbps,
+		PreferReaders: prefersReaders, IsVMCountKnown: func() bool { return v.members.isCountKnown() }, IsLinkSlow: v.cfg.LinkMbps > 0 && v.cfg.LinkMbps < slowLinkMbps,
 	}
 }
 
@@ -58,7 +58,7 @@
 // usesReaders reports whether VMs that are not readers ask the readers before the store: in a large deployment, and as
 // long as the number of VMs is not known.
 func (v *VM) usesReaders() bool {
-	return !v.members.isSettled() || v.members.count() > largeDeploymentVMs
+	return !v.members.isCountKnown() || v.members.count() > largeDeploymentVMs
 }
 
 func newPeerClient() *http.Client {
--- a/internal/daemon/assembler/members.go
+++ b/internal/daemon/assembler/members.go
@@ -42,7 +42,8 @@
 	mu           sync.Mutex
 	vms          []member  // including this VM; empty until the table has been read
 	isListed     bool      // the table has the row of this VM
-	settledAt    time.Time // until then, VMs that started together may be missing in vms
+	settledAt    time.Time // until then, VMs that started together may be missing in the table
+	isSettled    bool      // the table has been read since settledAt
 	gatewayLists map[gatewayQuery][]member
 	ranks        map[string]int // by group
 }
@@ -53,9 +54,11 @@
 	maxGateways          int
 }
 
-// tableReader reads the list of VMs: from a reader in a large deployment, and otherwise from the store.
+// tableReader reads the list of VMs. Read calls the store right after a start; ReadAgain asks the readers first in a large
+// deployment.
 type tableReader interface {
 	Read(ctx context.Context, table string) (follower.Page, error)
+	ReadAgain(ctx context.Context, table string) (follower.Page, error)
 }
 
 func newMembers(cfg loader.LineSettings, s Store, source tableReader) *members {
@@ -89,7 +92,7 @@
 func (m *members) IsNeeded(groups []string) bool {
 	m.mu.Lock()
 	isRead, isListed := len(m.vms) > 0, m.isListed
-	isStarting := time.Now().Before(m.settledAt)
+	isStarting := !m.isSettled
 	m.mu.Unlock()
 	switch {
 	case isStarting && (!isRead || isListed):
@@ -127,7 +130,13 @@
 func (m *members) refresh(ctx context.Context) error {
 	ctx, cancel := context.WithTimeout(ctx, refreshTimeout)
 	defer cancel()
-	p, err := m.source.Read(ctx, inspector.VMTable)
+	m.mu.Lock()
+	read, isSettled := m.source.Read, m.isSettled || !time.Now().Before(m.settledAt)
+	if len(m.vms) > 0 {
+		read = m.source.ReadAgain
+	}
+	m.mu.Unlock()
+	p, err := read(ctx, inspector.VMTable)
 	if err != nil {
 		return err
 	}
@@ -143,24 +152,25 @@
 		}
 	}
 	m.mu.Lock()
-	m.isListed = m.isListed || isListed
+	m.isListed, m.isSettled = m.isListed || isListed, isSettled
 	m.vms, m.gatewayLists, m.ranks = list, map[gatewayQuery][]member{}, map[string]int{}
 	m.mu.Unlock()
 	return nil
 }
 
-// isSettled reports whether the number of VMs is known: the table has been read and settlePeriod is over.
-func (m *members) isSettled() bool {
+// isCountKnown reports whether the number of VMs is known, since the table has been read after settlePeriod, or is not to be
+// waited for any longer.
+func (m *members) isCountKnown() bool {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	return len(m.vms) > 0 && !time.Now().Before(m.settledAt)
+	return m.isSettled || time.Since(m.settledAt) > settlePeriod
 }
 
 // count returns the number of VMs, or an estimate of at least initialVMCount while it is not known.
 func (m *members) count() int {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	if len(m.vms) == 0 || time.Now().Before(m.settledAt) {
+	if !m.isSettled {
 		return max(initialVMCount, len(m.vms))
 	}
 	return len(m.vms)
--- a/internal/daemon/assembler/members_test.go
+++ b/internal/daemon/assembler/members_test.go
@@ -15,12 +15,20 @@
 // table. Another VM then had no connection left for the commands of a replacement of the primary, which took over 3 s.
 func TestCountBeforeOtherVMsAreKnown(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		m := &members{cfg: loader.LineSettings{ID: "vm-1"}, settledAt: time.Now().Add(settlePeriod)}
-		m.vms = []member{m.self()}
+		m := newMembers(loader.LineSettings{ID: "vm-1"}, fixedStore(nil), fixedStore(nil))
+		if err := m.refresh(t.Context()); err != nil {
+			t.Fatal(err)
+		}
 		if n := m.count(); n != initialVMCount {
 			t.Errorf("count right after the start is %d, want %d", n, initialVMCount)
 		}
 		time.Sleep(settlePeriod)
+		if n := m.count(); n != initialVMCount {
+			t.Errorf("count after the settle period, before the table was read again, is %d, want %d", n, initialVMCount)
+		}
+		if err := m.refresh(t.Context()); err != nil {
+			t.Fatal(err)
+		}
 		if n := m.count(); n != 1 {
 			t.Errorf("count after the settle period is %d, want 1", n)
 		}
@@ -60,6 +68,10 @@
 	return follower.Page{Rows: memberRows(n)}, nil
 }
 
+func (g *growingTable) ReadAgain(ctx context.Context, table string) (follower.Page, error) {
+	return g.Read(ctx, table)
+}
+
 // Guards against a list that lacks VMs for a minute after all VMs have started, since the store takes in 150 rows a
 // second, and against more reads of the table than that takes.
 func TestListAfterCommonStart(t *testing.T) {
@@ -85,6 +97,10 @@
 	return follower.Page{Rows: s}, nil
 }
 
+func (s fixedStore) ReadAgain(ctx context.Context, table string) (follower.Page, error) {
+	return s.Read(ctx, table)
+}
+
 func (s fixedStore) Follow(context.Context, string, uint64, time.Duration) (follower.Page, error) {
 	return follower.Page{}, nil
 }
--- a/internal/platform/replicator/source.go
+++ b/internal/platform/replicator/source.go
@@ -67,11 +67,20 @@
 func (s *Source) Read(ctx context.Context, table string) (follower.Page, error) {
 	switch prefersReaders := s.PreferReaders(); {
 	case prefersReaders && s.isVMCountKnown():
+		return s.ReadAgain(ctx, table)
+	case prefersReaders && s.IsLinkSlow:
+		return s.readFastest(ctx, table)
+	}
+	return s.readStore(ctx, table)
+}
+
+// ReadAgain reads a table that this VM has read before, so that it can wait for an answer of the readers. It calls the store
+// if readers are not preferred or do not answer.
+func (s *Source) ReadAgain(ctx context.Context, table string) (follower.Page, error) {
+	if s.PreferReaders() {
 		if p, err := s.queryReaders(ctx, url.Values{"table": {table}}, readerTimeout); err == nil {
 			return p, nil
 		}
-	case prefersReaders && s.IsLinkSlow:
-		return s.readFastest(ctx, table)
 	}
 	return s.readStore(ctx, table)
 }
