Read the list of VMs from summaries at the start

Cause: after a loss of power, 295 VMs read the 295 rows of the list, 30 MB in all and half of it over the link between the regions, together with their configuration, which was in force everywhere 1.0 s after the power was back. Gateways that did not have the registry yet refused other VMs, which then skipped them for 2 s.

Change: readers keep one compressed row for each data centre of a large deployment in the same table, ahead of the rows of the VMs. A VM reads the first 40 rows: all of a small deployment, or the summaries. A gateway lets other VMs wait for its registry for up to 300 ms.

--- a/internal/daemon/assembler/assembler.go
+++ b/internal/daemon/assembler/assembler.go
@@ -35,6 +35,8 @@
 type Store interface {
 	follower.Source
 	claimer.Store
+	// ReadFirst returns the first rows of a table by key, at most limit, and reports whether these are all.
+	ReadFirst(ctx context.Context, table string, limit int) (follower.Page, bool, error)
 	// Put writes a row and returns the version of that write, which is unique and higher than all before.
 	Put(ctx context.Context, table, key string, value []byte) (uint64, error)
 }
@@ -72,6 +74,7 @@
 	configuration  atomic.Pointer[cataloger.Configuration]
 	registry       cataloger.Registry // accessed only by the follower of the registry table
 	hasRegistry    atomic.Bool
+	registryLoaded chan struct{} // closed when hasRegistry becomes true
 	isStopping     atomic.Bool
 
 	groups         *registrar.Registrar
@@ -91,7 +94,8 @@
 	metricsServer  *http.Server // nil if the settings have no admin address
 	meter          *meter.LineMeter
 	followers      []*follower.Follower // of the configuration table and the registry table, in this order
-	vmFollower     *follower.Follower   // of the list of VMs; nil if this VM is no reader
+	summarizer     *summarizer
+	vmFollower     *follower.Follower // of the list of VMs; nil if this VM is no reader
 	puller         *replicator.Puller
 }
 
@@ -114,7 +118,7 @@
 }
 
 func start(cfg loader.LineSettings, p Platform, log *logger.Logger) (*VM, error) {
-	v := &VM{cfg: cfg, platform: p, log: log, registry: cataloger.Registry{}}
+	v := &VM{cfg: cfg, platform: p, log: log, registry: cataloger.Registry{}, registryLoaded: make(chan struct{})}
 	v.latestSettings.Store(&cfg)
 	var err error
 	if v.meter, err = meter.NewLineMeter(v.gauges()...); err != nil {
@@ -125,6 +129,7 @@
 	v.gateways = &gatewayDialer{vm: v, failed: map[string]time.Time{}}
 	v.tableSource = v.newSource()
 	v.members = newMembers(cfg, p.Store, v.tableSource)
+	v.summarizer = newSummarizer(p.Store, v.isLarge)
 	go v.members.refreshLoop(context.Background())
 	v.auditor = auditor.Start(p.Store, cfg.ID)
 	v.pool = allotter.New(allotter.Config{Dialer: v.gateways, Limits: v.gateways.connectionLimits, Observe: v.recordDial})
@@ -244,7 +249,9 @@
 func (v *VM) replaceRegistry(rows []follower.Row, version uint64) {
 	v.registry = cataloger.Registry{}
 	v.applyRegistryChanges(rows, version)
-	v.hasRegistry.Store(true)
+	if !v.hasRegistry.Swap(true) {
+		close(v.registryLoaded)
+	}
 }
 
 // applyRegistryChanges applies changed rows to the registry. An entry that cannot be parsed counts as removed.
--- a/internal/daemon/assembler/followers.go
+++ b/internal/daemon/assembler/followers.go
@@ -22,6 +22,9 @@
 // store less than one call with a long wait from each VM.
 const largeDeploymentVMs = 24
 
+// isLarge reports whether the deployment has more than largeDeploymentVMs, as far as is known.
+func (v *VM) isLarge() bool { return v.members.count() > largeDeploymentVMs }
+
 // newSource returns the source from which this VM reads tables: the store, or the readers with the store as fallback.
 func (v *VM) newSource() *replicator.Source {
 	prefersReaders := func() bool { return v.usesReaders() && !v.isReader() && len(v.cfg.Seeds) > 0 }
@@ -58,7 +61,7 @@
 // usesReaders reports whether VMs that are not readers ask the readers before the store: in a large deployment, and as
 // long as the number of VMs is not known.
 func (v *VM) usesReaders() bool {
-	return !v.members.isCountKnown() || v.members.count() > largeDeploymentVMs
+	return !v.members.isCountKnown() || v.isLarge()
 }
 
 func newPeerClient() *http.Client {
@@ -85,18 +88,21 @@
 // rarely, and no decision needs the latest one, so that a feed call may wait longer than for the other tables.
 const vmListFreshness = follower.DefaultWait + time.Second
 
-// followVMs follows the list of VMs, for this reader's copy only.
+// followVMs follows the list of VMs, for this reader's copy and for the summaries.
 func (v *VM) followVMs() {
 	c := replicator.NewTableCopy(vmListFreshness)
 	v.tableCopies[inspector.VMTable] = c
 	v.vmFollower = follower.Start(follower.Config{
-		Source: v.platform.Store, Table: inspector.VMTable, OnTable: c.Replace, OnChanges: c.Apply, OnAnswer: c.ConfirmFresh,
+		Source: v.platform.Store, Table: inspector.VMTable, OnAnswer: c.ConfirmFresh,
+		OnTable:   func(rows []follower.Row, version uint64) { c.Replace(rows, version); v.summarizer.replace(rows) },
+		OnChanges: func(rows []follower.Row, version uint64) { c.Apply(rows, version); v.summarizer.apply(rows) },
 		OnFault: func(err error) {
 			if err != nil {
 				c.MarkStale()
 			}
 		},
 	})
+	go v.summarizer.run(context.Background(), time.Duration(slices.Index(v.cfg.Seeds, v.cfg.PeerAddress))*summaryStagger)
 }
 
 // readerSilenceTimeout is how long a follower may get no answer before a VM that uses readers pulls changes from other
--- a/internal/daemon/assembler/gateway.go
+++ b/internal/daemon/assembler/gateway.go
@@ -163,9 +163,17 @@
 	return nil
 }
 
+// registryWait bounds how long a gateway that has just started lets other VMs wait for its registry. A refusal would make
+// them skip the gateway for failedGatewayBackoff.
+const registryWait = 300 * time.Millisecond
+
 // findInstance returns the address of an instance and its newest known log position, or false if the instance is not in
 // the registry.
 func (v *VM) findInstance(group, instance string) (carrier.Target, tokenizer.Position, bool) {
+	select {
+	case <-v.registryLoaded:
+	case <-time.After(registryWait):
+	}
 	i, ok := v.groups.Group(group).View(instance)
 	return registrar.NewTarget(i.Instance), i.Position, ok
 }
--- a/internal/daemon/assembler/members.go
+++ b/internal/daemon/assembler/members.go
@@ -4,6 +4,7 @@
 	"cmp"
 	"context"
 	"encoding/json"
+	"maps"
 	"slices"
 	"sync"
 	"time"
@@ -127,37 +128,74 @@
 	}
 }
 
+// firstRows is how many rows a VM reads at its start. They are all of a small deployment, and include the summaries of a
+// large one.
+const firstRows = 40
+
 func (m *members) refresh(ctx context.Context) error {
 	ctx, cancel := context.WithTimeout(ctx, refreshTimeout)
 	defer cancel()
 	m.mu.Lock()
-	read, isSettled := m.source.Read, m.isSettled || !time.Now().Before(m.settledAt)
-	if len(m.vms) > 0 {
-		read = m.source.ReadAgain
-	}
+	isFirst, isSettled := len(m.vms) == 0, m.isSettled || !time.Now().Before(m.settledAt)
 	m.mu.Unlock()
-	p, err := read(ctx, inspector.VMTable)
+	var vms map[string]member
+	var err error
+	if isFirst {
+		vms, err = m.readFirst(ctx)
+	} else {
+		vms, err = readVMs(m.source.ReadAgain(ctx, inspector.VMTable))
+	}
 	if err != nil {
 		return err
 	}
-	list, isListed := []member{m.self()}, false
-	for _, r := range p.Rows {
-		vm, err := inspector.ParseVM(r.Key, r.Value)
-		switch {
-		case err != nil:
-		case r.Key == m.cfg.ID:
-			isListed = vm == m.self()
-		default:
-			list = append(list, vm)
-		}
-	}
+	isListed := vms[m.cfg.ID] == m.self()
+	vms[m.cfg.ID] = m.self()
 	m.mu.Lock()
 	m.isListed, m.isSettled = m.isListed || isListed, isSettled
-	m.vms, m.gatewayLists, m.ranks = list, map[gatewayQuery][]member{}, map[string]int{}
+	m.vms, m.gatewayLists, m.ranks = slices.Collect(maps.Values(vms)), map[gatewayQuery][]member{}, map[string]int{}
 	m.mu.Unlock()
 	return nil
 }
 
+// readFirst reads the list at the start: from the summaries if there are any, or else from all rows.
+func (m *members) readFirst(ctx context.Context) (map[string]member, error) {
+	p, isComplete, err := m.store.ReadFirst(ctx, inspector.VMTable, firstRows)
+	if err != nil || isComplete {
+		return readVMs(p, err)
+	}
+	vms := map[string]member{}
+	for _, r := range p.Rows {
+		if !inspector.IsSummary(r.Key) {
+			continue
+		}
+		summary, err := inspector.ParseSummary(r.Value)
+		if err != nil {
+			continue
+		}
+		for _, vm := range summary {
+			vms[vm.ID] = vm
+		}
+	}
+	if len(vms) > 0 {
+		return vms, nil
+	}
+	return readVMs(m.source.Read(ctx, inspector.VMTable))
+}
+
+// readVMs returns the VMs in the rows of a page by ID. Rows that cannot be read are left out.
+func readVMs(p follower.Page, err error) (map[string]member, error) {
+	if err != nil {
+		return nil, err
+	}
+	vms := make(map[string]member, len(p.Rows))
+	for _, r := range p.Rows {
+		if vm, err := inspector.ParseVM(r.Key, r.Value); err == nil && !inspector.IsSummary(r.Key) {
+			vms[vm.ID] = vm
+		}
+	}
+	return vms, nil
+}
+
 // isCountKnown reports whether the number of VMs is known, since the table has been read after settlePeriod, or is not to be
 // waited for any longer.
 func (m *members) isCountKnown() bool {
--- a/internal/daemon/assembler/members_test.go
+++ b/internal/daemon/assembler/members_test.go
@@ -38,7 +38,7 @@
 // Guards against computing a rank from all VMs at each call, since the replacer asks for the rank of each group 20
 // times a second, and against a cached rank that is kept after the list of VMs has changed.
 func TestRank(t *testing.T) {
-	m := &members{cfg: loader.LineSettings{ID: "vm-0"}, source: fixedStore(memberRows(300))}
+	m := newMembers(loader.LineSettings{ID: "vm-0"}, fixedStore(memberRows(300)), fixedStore(memberRows(300)))
 	if err := m.refresh(t.Context()); err != nil {
 		t.Fatal(err)
 	}
@@ -58,7 +58,7 @@
 // growingTable is the table of VMs while VMs that started together are still being entered.
 type growingTable struct {
 	start time.Time
-	reads int
+	reads int // without the first one, which the store answers
 	vms   int // in the end
 }
 
@@ -75,7 +75,7 @@
 // Guards against a list that lacks VMs for a minute after all VMs have started, since the store takes in 150 rows a
 // second, and against more reads of the table than that takes.
 func TestListAfterCommonStart(t *testing.T) {
-	for _, c := range []struct{ vms, wantReads int }{{300, 3}, {12, 2}} {
+	for _, c := range []struct{ vms, wantReads int }{{300, 2}, {12, 1}} {
 		synctest.Test(t, func(t *testing.T) {
 			table := &growingTable{start: time.Now(), vms: c.vms}
 			m := newMembers(loader.LineSettings{ID: "vm-0"}, fixedStore(nil), table)
@@ -105,6 +105,10 @@
 	return follower.Page{}, nil
 }
 
+func (s fixedStore) ReadFirst(_ context.Context, _ string, limit int) (follower.Page, bool, error) {
+	return follower.Page{Rows: s[:min(limit, len(s))]}, len(s) <= limit, nil
+}
+
 func (s fixedStore) Put(context.Context, string, string, []byte) (uint64, error) { return 1, nil }
 
 func (s fixedStore) Swap(context.Context, string, string, []byte, uint64) (uint64, follower.Row, error) {
--- a/internal/operator/commander/line.go
+++ b/internal/operator/commander/line.go
@@ -115,6 +115,9 @@
 	}
 	o := &lineOverview{VMs: []lineVM{}, Groups: []lineGroup{}}
 	for _, r := range vmRows.Rows {
+		if inspector.IsSummary(r.Key) {
+			continue
+		}
 		row, err := inspector.ParseVM(r.Key, r.Value)
 		vm := lineVM{ID: row.ID, Address: row.PeerAddress, DataCentre: row.DataCentre}
 		if err != nil {
