Give up a connection to a reader that is not accepted soon

Cause: after a loss of power, the first packet of a VM to a reader without power was lost and sent again after a second. The request timed out, and the VM followed the store for 6 s: 250 calls a second of 270 VMs for 10 s.

Change: a dial to another VM is given up after 250 ms. While VMs start, it counts like a refusal, so that the reader is asked again.

TestStartBeforeReaderHasPower.

--- a/internal/daemon/assembler/followers.go
+++ b/internal/daemon/assembler/followers.go
@@ -29,7 +29,7 @@
 func (v *VM) newSource() *replicator.Source {
 	prefersReaders := func() bool { return v.usesReaders() && !v.isReader() && len(v.cfg.Seeds) > 0 }
 	return &replicator.Source{
-		Store: v.platform.Store, Readers: v.readersByDistance, Client: newPeerClient(),
+		Store: v.platform.Store, Readers: v.readersByDistance, Client: replicator.NewClient(),
 		PreferReaders: prefersReaders, IsVMCountKnown: func() bool { return v.members.isCountKnown() }, IsLinkSlow: v.cfg.LinkMbps > 0 && v.cfg.LinkMbps < slowLinkMbps,
 	}
 }
@@ -64,10 +64,6 @@
 	return !v.members.isCountKnown() || v.isLarge()
 }
 
-func newPeerClient() *http.Client {
-	return &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 4, IdleConnTimeout: time.Minute}}
-}
-
 // startFollowers follows the configuration and the registry, and pulls missing changes from other VMs.
 func (v *VM) startFollowers() {
 	v.tableCopies = map[string]*replicator.TableCopy{}
@@ -80,7 +76,7 @@
 	}
 	v.puller = replicator.StartPuller(replicator.PullerConfig{
 		Followers: map[string]*follower.Follower{v.platform.ConfigurationTable: v.followers[0], v.platform.RegistryTable: v.followers[1]},
-		Peers:     v.peersToPull, Client: newPeerClient(), OnMerge: v.logMergedChange,
+		Peers:     v.peersToPull, Client: replicator.NewClient(), OnMerge: v.logMergedChange,
 	})
 }
 
--- a/internal/platform/replicator/replicator_test.go
+++ b/internal/platform/replicator/replicator_test.go
@@ -5,8 +5,10 @@
 	"context"
 	"crypto/sha256"
 	"fmt"
+	"net"
 	"net/http"
 	"net/http/httptest"
+	"os"
 	"strings"
 	"sync/atomic"
 	"testing"
@@ -400,3 +402,36 @@
 		}
 	}
 }
+
+// TestStartBeforeReaderHasPower guards against a VM that follows the store for 6 s because its first packet to a reader was
+// lost: after a power failure, 270 VMs made 250 calls a second to the store for 10 s.
+func TestStartBeforeReaderHasPower(t *testing.T) {
+	store := &fakeStore{page: follower.Page{Rows: rows(1, "a"), Version: 1}}
+	c := NewTableCopy(DefaultFreshness)
+	c.Replace(rows(1, "a"), 1)
+	c.ConfirmFresh()
+	reader := serveCopy(t, c)
+	startedAt := time.Now()
+	client := NewClient()
+	dial := client.Transport.(*http.Transport).DialContext
+	client.Transport.(*http.Transport).DialContext = func(ctx context.Context, network, address string) (net.Conn, error) {
+		if time.Since(startedAt) > 100*time.Millisecond {
+			return dial(ctx, network, address)
+		}
+		sleeper.Sleep(ctx, dialTimeout)
+		return nil, &net.OpError{Op: "dial", Err: os.ErrDeadlineExceeded}
+	}
+	s := &Source{
+		Store: store, Readers: fixedReaders(reader), Client: client,
+		PreferReaders: func() bool { return true }, IsVMCountKnown: func() bool { return time.Since(startedAt) > 1500*time.Millisecond },
+	}
+	for time.Since(startedAt) < 2*time.Second {
+		if _, err := s.Follow(t.Context(), "t", 1, 50*time.Millisecond); err != nil {
+			t.Fatal(err)
+		}
+		c.ConfirmFresh()
+	}
+	if store.calls > 0 {
+		t.Errorf("%d calls to the store, want none", store.calls)
+	}
+}
--- a/internal/platform/replicator/source.go
+++ b/internal/platform/replicator/source.go
@@ -2,7 +2,9 @@
 
 import (
 	"context"
+	"errors"
 	"math/rand/v2"
+	"net"
 	"net/http"
 	"net/url"
 	"strconv"
@@ -176,7 +178,7 @@
 		}
 		callCtx, cancel := context.WithTimeout(ctx, timeout)
 		p, err := s.fetch(callCtx, address, q)
-		isTimeout := callCtx.Err() != nil
+		isTimeout := callCtx.Err() != nil || isDialTimeout(err) && s.isVMCountKnown()
 		cancel()
 		if err == nil || classifier.Is(err, classifier.Conflict) {
 			return p, err
@@ -186,6 +188,23 @@
 	return follower.Page{}, errNoReader
 }
 
+// isDialTimeout reports whether a connection to a reader was not accepted in time. While the VMs start, this only means that
+// the reader has no power yet.
+func isDialTimeout(err error) bool {
+	var opErr *net.OpError
+	return errors.As(err, &opErr) && opErr.Op == "dial" && opErr.Timeout()
+}
+
+// NewClient returns an HTTP client for requests to other VMs. It gives up a connection that is not accepted soon: the first
+// packet to a VM without power is lost, and is sent again only after a second.
+func NewClient() *http.Client {
+	d := &net.Dialer{Timeout: dialTimeout}
+	return &http.Client{Transport: &http.Transport{DialContext: d.DialContext, MaxIdleConnsPerHost: 4, IdleConnTimeout: time.Minute}}
+}
+
+// dialTimeout bounds the wait for a connection to another VM.
+const dialTimeout = 250 * time.Millisecond
+
 // Delays of the requests of readAnyReader.
 const (
 	// firstReaderDelay gives the store time to answer with a small table before any reader sends it in vain.
