Write only the values that an event of a replacement has

Cause: the lines of a replacement carried token=0, received="0/0" and tookMs=0 where the event has no such value, which reads like a measured one.

Change: a field without a value is left out. TestReplacementFields failed before.

--- a/internal/daemon/assembler/log.go
+++ b/internal/daemon/assembler/log.go
@@ -115,15 +115,32 @@
 	if !ok {
 		return
 	}
-	fields := []logger.Field{
-		logger.String("group", e.Group), logger.String("instance", e.Instance), logger.String("reason", string(e.Reason)),
-		logger.Int("token", int64(e.Token)), logger.String("received", e.Status.Received.String()), logger.Millis("took", e.Took),
+	write := v.log.Info
+	if e.Err != nil {
+		write = v.log.Warn
+	}
+	write(name, replacementFields(e)...)
+}
+
+// replacementFields returns the fields that an event of a replacement has.
+func replacementFields(e replacer.Event) []logger.Field {
+	fields := []logger.Field{logger.String("group", e.Group), logger.String("instance", e.Instance)}
+	if e.Reason != "" {
+		fields = append(fields, logger.String("reason", string(e.Reason)))
+	}
+	if e.Token != 0 {
+		fields = append(fields, logger.Int("token", int64(e.Token)))
+	}
+	if !e.Status.Received.IsZero() {
+		fields = append(fields, logger.String("received", e.Status.Received.String()))
+	}
+	if e.Took != 0 {
+		fields = append(fields, logger.Millis("took", e.Took))
 	}
 	if e.Err != nil {
-		v.log.Warn(name, append(fields, logger.Err(e.Err))...)
-		return
+		fields = append(fields, logger.Err(e.Err))
 	}
-	v.log.Info(name, fields...)
+	return fields
 }
 
 // replacementEvents maps the replacer's events to log events. Events that are not in it are not logged.
--- /dev/null
+++ b/internal/daemon/assembler/log_test.go
@@ -0,0 +1,45 @@
+package assembler
+
+import (
+	"bytes"
+	"errors"
+	"strings"
+	"testing"
+	"time"
+
+	"parsleyscale/internal/group/replacer"
+	"parsleyscale/internal/session/tokenizer"
+	"parsleyscale/internal/statement/carrier"
+	"parsleyscale/internal/telemetry/logger"
+)
+
+// Guards against values in the lines of a replacement that look measured and are not: token=0, received="0/0" and tookMs=0
+// stood on events that have no token, position or duration.
+func TestReplacementFields(t *testing.T) {
+	received := carrier.InstanceStatus{Received: tokenizer.Position{Term: 1, Index: 9}}
+	for _, c := range []struct {
+		event  replacer.Event
+		want   []string
+		absent []string
+	}{
+		{replacer.Event{Name: replacer.EventReplacementBegun, Group: "g", Instance: "i", Reason: replacer.WritesStalled}, []string{`reason="writesStalled"`}, []string{"token", "received", "took", "error"}},
+		{replacer.Event{Name: replacer.EventHeld, Group: "g", Instance: "i", Status: received}, []string{`received="1/9"`}, []string{"reason", "token", "took"}},
+		{replacer.Event{Name: replacer.EventPromoteRequested, Group: "g", Instance: "i", Token: 7}, []string{"token=7"}, []string{"received", "took"}},
+		{replacer.Event{Name: replacer.EventFailed, Group: "g", Instance: "i", Took: time.Second, Err: errors.New("no answer")}, []string{"tookMs=1000", `error="no answer"`}, []string{"token", "received"}},
+	} {
+		var b bytes.Buffer
+		v := &VM{log: logger.New(&b, "vm-1")}
+		v.recordReplacement(c.event)
+		line := b.String()
+		for _, want := range c.want {
+			if !strings.Contains(line, want) {
+				t.Errorf("%s: line %q lacks %s", c.event.Name, line, want)
+			}
+		}
+		for _, absent := range c.absent {
+			if strings.Contains(line, absent+"=") || strings.Contains(line, absent+"Ms=") {
+				t.Errorf("%s: line %q has %s, which the event has not", c.event.Name, line, absent)
+			}
+		}
+	}
+}
