Ask the readers for the list of VMs when the store refuses a VM

Cause: found on reading the change: the first read of the list goes to the store alone, and until it has succeeded, so do all later ones, so a VM that the store refuses would have taken itself for the only one. The check for a missing spare token also ran five times a second for good on VMs that need none.

Change: the first read goes on to the readers after an error; the check slows down to once a second after its first ten. TestListFromReadersAtTheStart failed before.

--- a/internal/daemon/assembler/members.go
+++ b/internal/daemon/assembler/members.go
@@ -157,11 +157,17 @@
 	return nil
 }
 
-// readFirst reads the list at the start: from the summaries if there are any, or else from all rows.
+// readFirst reads the list at the start: from the summaries if there are any, or else from all rows. If the store refuses or
+// does not answer this VM, it asks the readers.
 func (m *members) readFirst(ctx context.Context) (map[string]member, error) {
-	p, isComplete, err := m.store.ReadFirst(ctx, inspector.VMTable, firstRows)
-	if err != nil || isComplete {
-		return readVMs(p, err)
+	storeCtx, cancel := context.WithTimeout(ctx, refreshTimeout/2)
+	defer cancel()
+	p, isComplete, err := m.store.ReadFirst(storeCtx, inspector.VMTable, firstRows)
+	switch {
+	case err != nil:
+		return readVMs(m.source.ReadAgain(ctx, inspector.VMTable))
+	case isComplete:
+		return readVMs(p, nil)
 	}
 	vms := map[string]member{}
 	for _, r := range p.Rows {
--- a/internal/daemon/assembler/summarizer_test.go
+++ b/internal/daemon/assembler/summarizer_test.go
@@ -114,3 +114,18 @@
 		t.Errorf("%d VMs read, %v; want 300", len(m.vms), err)
 	}
 }
+
+// refusingStore refuses each read, as the store does with some VMs.
+type refusingStore struct{ fixedStore }
+
+func (refusingStore) ReadFirst(context.Context, string, int) (follower.Page, bool, error) {
+	return follower.Page{}, false, classifier.New(classifier.PlatformUnavailable, "the store refuses this VM")
+}
+
+// Guards against a VM that takes itself for the only one because the store refuses it while readers have the list.
+func TestListFromReadersAtTheStart(t *testing.T) {
+	m := newMembers(loader.LineSettings{ID: "vm-1"}, refusingStore{}, fixedStore(memberRows(300)))
+	if err := m.refresh(t.Context()); err != nil || len(m.vms) != 300 {
+		t.Errorf("%d VMs read, %v; want 300", len(m.vms), err)
+	}
+}
--- a/internal/group/replacer/replacer.go
+++ b/internal/group/replacer/replacer.go
@@ -64,9 +64,10 @@
 	// while no primary is known, and of the instance that the registry names instead of the known one.
 	searchInterval = 100 * time.Millisecond
 	// refillInterval is the time between two checks whether a spare token is missing.
-	refillInterval = 200 * time.Millisecond
-	// refillRetryInterval is the pause after a spare token could not be fetched.
-	refillRetryInterval = time.Second
+	refillInterval = time.Second
+	// firstRefillInterval is the same for the first firstRefillChecks checks, so that a VM that starts is listed soon.
+	firstRefillInterval = 200 * time.Millisecond
+	firstRefillChecks   = 10
 	// recheckInterval is the least time between two probes of a known primary that has failed.
 	recheckInterval = 250 * time.Millisecond
 )
@@ -509,8 +510,11 @@
 // refillSpareToken fetches a spare token whenever there is none, so that one is at hand when the store fails. The first one
 // may also enter the VM in the list of VMs.
 func (r *Replacer) refillSpareToken(ctx context.Context) {
-	for pause := time.Duration(0); sleeper.Sleep(ctx, pause); {
-		pause = refillInterval
+	pause := time.Duration(0)
+	for n := 0; sleeper.Sleep(ctx, pause); n++ {
+		if pause = refillInterval; n < firstRefillChecks {
+			pause = firstRefillInterval
+		}
 		r.mu.Lock()
 		isMissing := r.spareToken == 0
 		r.mu.Unlock()
@@ -519,7 +523,7 @@
 		}
 		t, err := r.cfg.Tokens.Next(ctx)
 		if err != nil {
-			pause = refillRetryInterval
+			pause = refillInterval
 			continue
 		}
 		r.mu.Lock()
