Log what an instance answers to a hold or a demotion

The lines replicaHeld and primaryDemoted gave the received position only. They now give the command, the term that it ends, and the role, term and held term of the answer.

No decision changes.

--- a/internal/daemon/assembler/log.go
+++ b/internal/daemon/assembler/log.go
@@ -128,12 +128,13 @@
 	if e.Reason != "" {
 		fields = append(fields, logger.String("reason", string(e.Reason)))
 	}
+	if e.Term != 0 {
+		fields = append(fields, logger.Int("oldTerm", int64(e.Term)))
+	}
 	if e.Token != 0 {
 		fields = append(fields, logger.Int("token", int64(e.Token)))
 	}
-	if !e.Status.Received.IsZero() {
-		fields = append(fields, logger.String("received", e.Status.Received.String()))
-	}
+	fields = append(fields, statusFields(e)...)
 	if e.Took != 0 {
 		fields = append(fields, logger.Millis("took", e.Took))
 	}
@@ -143,6 +144,31 @@
 	return fields
 }
 
+// statusFields returns the fields of the command of an event and of its answer.
+func statusFields(e replacer.Event) []logger.Field {
+	var fields []logger.Field
+	if e.Command != "" {
+		fields = append(fields, logger.String("command", string(e.Command)))
+	}
+	if e.Via != "" {
+		fields = append(fields, logger.String("via", e.Via))
+	}
+	switch {
+	case e.Command != "" && e.Err == nil:
+		fields = append(fields, logger.String("role", roleOf(e.Status)), logger.Int("term", int64(e.Status.Term)), logger.Int("heldTerm", int64(e.Status.HoldTerm)), logger.String("received", e.Status.Received.String()))
+	case !e.Status.Received.IsZero():
+		fields = append(fields, logger.String("received", e.Status.Received.String()))
+	}
+	return fields
+}
+
+func roleOf(s carrier.InstanceStatus) string {
+	if s.IsPrimary {
+		return "primary"
+	}
+	return "replica"
+}
+
 // replacementEvents maps the replacer's events to log events. Events that are not in it are not logged.
 var replacementEvents = map[string]logger.Event{
 	replacer.EventReplacementBegun: logger.ReplacementBegun,
--- a/internal/daemon/assembler/log_test.go
+++ b/internal/daemon/assembler/log_test.go
@@ -16,6 +16,7 @@
 // Guards against values in the lines of a replacement that look measured and are not: token=0, received="0/0" and tookMs=0
 // stood on events that have no token, position or duration.
 func TestReplacementFields(t *testing.T) {
+	held := carrier.InstanceStatus{Term: 3, HoldTerm: 4, Received: tokenizer.Position{Term: 3, Index: 9}}
 	received := carrier.InstanceStatus{Received: tokenizer.Position{Term: 1, Index: 9}}
 	for _, c := range []struct {
 		event  replacer.Event
@@ -23,7 +24,10 @@
 		absent []string
 	}{
 		{replacer.Event{Name: replacer.EventReplacementBegun, Group: "g", Instance: "i", Reason: replacer.WritesStalled}, []string{`reason="writesStalled"`}, []string{"token", "received", "took", "error"}},
-		{replacer.Event{Name: replacer.EventHeld, Group: "g", Instance: "i", Status: received}, []string{`received="1/9"`}, []string{"reason", "token", "took"}},
+		{replacer.Event{Name: replacer.EventHeld, Group: "g", Instance: "i", Status: received}, []string{`received="1/9"`}, []string{"reason", "token", "took", "role", "term", "heldTerm", "oldTerm", "via"}},
+		{replacer.Event{Name: replacer.EventHeld, Group: "g", Instance: "i", Term: 3, Command: replacer.CommandHold, Status: held}, []string{`command="hold"`, "oldTerm=3", `role="replica"`, " term=3", "heldTerm=4", `received="3/9"`}, []string{"token", "took", "via"}},
+		{replacer.Event{Name: replacer.EventDemoted, Group: "g", Instance: "i", Term: 3, Command: replacer.CommandDemote, Via: "10.0.0.1:9", Status: carrier.InstanceStatus{IsPrimary: true}}, []string{`command="demote"`, `via="10.0.0.1:9"`, `role="primary"`, " term=0", "heldTerm=0", `received="0/0"`}, []string{"token", "took"}},
+		{replacer.Event{Name: replacer.EventHeld, Group: "g", Instance: "i", Term: 3, Command: replacer.CommandHold, Err: errors.New("no answer")}, []string{`command="hold"`, `error="no answer"`}, []string{"role", "term", "heldTerm", "received"}},
 		{replacer.Event{Name: replacer.EventPromoteRequested, Group: "g", Instance: "i", Token: 7}, []string{"token=7"}, []string{"received", "took"}},
 		{replacer.Event{Name: replacer.EventFailed, Group: "g", Instance: "i", Took: time.Second, Err: errors.New("no answer")}, []string{"tookMs=1000", `error="no answer"`}, []string{"token", "received"}},
 	} {
--- a/internal/group/replacer/endterm.go
+++ b/internal/group/replacer/endterm.go
@@ -156,7 +156,7 @@
 		return nil, classifier.New(classifier.NoInstance, "cannot demote the primary of group %s: no replica that stays has received the entries that the primary held a moment ago", g.Name())
 	}
 	demoted, err := r.callWithRetry(ctx, v, demote)
-	r.cfg.Observe(Event{Name: EventDemoted, Group: g.Name(), Instance: v.ID, Status: demoted, Err: err})
+	r.cfg.Observe(Event{Name: EventDemoted, Group: g.Name(), Instance: v.ID, Term: old.Term, Command: CommandDemote, Status: demoted, Err: err})
 	if err != nil {
 		// The primary may still acknowledge commits, perhaps with the help of a replica that is not in
 		// the registry yet and would therefore not be held.
@@ -298,7 +298,11 @@
 		}
 		return r.hold(ctx, t, nextTerm)
 	})
-	r.cfg.Observe(Event{Name: EventHeld, Group: g.Name(), Instance: v.ID, Status: s, Err: err})
+	command := CommandHold
+	if isOldPrimary {
+		command = CommandDemote
+	}
+	r.cfg.Observe(Event{Name: EventHeld, Group: g.Name(), Instance: v.ID, Term: nextTerm - 1, Command: command, Status: s, Err: err})
 	a := haltAnswer{candidate: candidate{id: v.ID, isLeaving: v.IsLeaving, isOldPrimary: isOldPrimary, received: s.Received}, err: err, receivedTerm: s.Received.Term}
 	if s.IsPrimary && !isOldPrimary {
 		a.primaryTerm = s.Term
--- a/internal/group/replacer/replacer.go
+++ b/internal/group/replacer/replacer.go
@@ -146,12 +146,24 @@
 	Group    string
 	Instance string
 	Reason   Reason
+	Term     uint64 // that the replacement ends; zero: not known
 	Token    uint64
+	Command  Command // that Status answers, or Err if it failed
+	Via      string  // address of the VM that passed the command on; "": none
 	Status   carrier.InstanceStatus
 	Took     time.Duration // time since the replacement began, with all its attempts (EventReplaced, EventFailed)
 	Err      error
 }
 
+// Command is a control command that ends a term on an instance.
+type Command string
+
+// The commands.
+const (
+	CommandHold   Command = "hold"
+	CommandDemote Command = "demote"
+)
+
 // Names of events.
 const (
 	EventReplacementBegun = "replacementBegun"
@@ -297,11 +309,11 @@
 	if a.Reason == PrimaryUnreachable && r.answersDirectly(ctx, g, old.Instance) {
 		return
 	}
-	r.cfg.Observe(Event{Name: EventReplacementBegun, Group: g.Name(), Instance: old.Instance, Reason: a.Reason})
+	r.cfg.Observe(Event{Name: EventReplacementBegun, Group: g.Name(), Instance: old.Instance, Reason: a.Reason, Term: old.Term})
 	for isRetry := false; ctx.Err() == nil; isRetry = true {
 		current := g.Primary()
 		if current.IsKnown() && (current.Instance != old.Instance || current.Term > old.Term) {
-			r.cfg.Observe(Event{Name: EventReplaced, Group: g.Name(), Instance: current.Instance, Reason: a.Reason, Took: time.Since(start)})
+			r.cfg.Observe(Event{Name: EventReplaced, Group: g.Name(), Instance: current.Instance, Reason: a.Reason, Term: old.Term, Took: time.Since(start)})
 			return
 		}
 		if current.Term > old.Term || a.Kind == Replace && Decide(Evidence{Health: g.Health(), Now: time.Now()}).Kind == None {
@@ -313,7 +325,7 @@
 			}
 		}
 		if err := r.attempt(ctx, g, a, old); err != nil {
-			r.cfg.Observe(Event{Name: EventFailed, Group: g.Name(), Instance: old.Instance, Reason: a.Reason, Err: err, Took: time.Since(start)})
+			r.cfg.Observe(Event{Name: EventFailed, Group: g.Name(), Instance: old.Instance, Reason: a.Reason, Term: old.Term, Err: err, Took: time.Since(start)})
 			r.backOff(ctx, g)
 		}
 	}
@@ -481,7 +493,7 @@
 			}
 		}
 		err := r.promote(ctx, g.Name(), p.target, p.token())
-		r.cfg.Observe(Event{Name: EventPromoteRequested, Group: g.Name(), Instance: p.target, Reason: p.action.Reason, Token: p.token(), Err: err})
+		r.cfg.Observe(Event{Name: EventPromoteRequested, Group: g.Name(), Instance: p.target, Reason: p.action.Reason, Term: p.term, Token: p.token(), Err: err})
 		if classifier.Is(err, classifier.Conflict) {
 			if p.isClaimed && p.isFirstChoice && !isUnanswered && !r.cfg.IsUnfenced {
 				_ = r.cfg.Claims.Withdraw(ctx, g.Name(), p.term, p.number) // otherwise the choice stands, which only delays
@@ -511,7 +523,7 @@
 		s, err := r.cfg.Controller.Demote(callCtx, registrar.NewTarget(v.Instance), nextTerm)
 		cancel()
 		if err == nil {
-			r.cfg.Observe(Event{Name: EventDemoted, Group: g.Name(), Instance: v.ID, Status: s})
+			r.cfg.Observe(Event{Name: EventDemoted, Group: g.Name(), Instance: v.ID, Term: nextTerm - 1, Command: CommandDemote, Status: s})
 			return
 		}
 		sleeper.Sleep(ctx, demoteInterval)
