--- a/internal/daemon/assembler/assembler.go
+++ b/internal/daemon/assembler/assembler.go
@@ -77,27 +77,28 @@
 	registryLoaded chan struct{} // closed when hasRegistry becomes true
 	isStopping     atomic.Bool
 
-	groups         *registrar.Registrar
-	pool           *allotter.Allotter
-	gateways       *gatewayDialer
-	statementNames namer.Namer
-	forwardServer  *forwarder.Server // nil if the settings have no link address
-	performer      *performer.Performer
-	replacer       *replacer.Replacer
-	members        *members
-	departures     *departures
-	auditor        *auditor.Auditor
-	sessionServer  *conductor.Server
-	tableCopies    map[string]*replicator.TableCopy // by table
-	tableSource    *replicator.Source
-	readyServer    *http.Server
-	peerServer     *http.Server
-	metricsServer  *http.Server // nil if the settings have no admin address
-	meter          *meter.LineMeter
-	followers      []*follower.Follower // of the configuration table and the registry table, in this order
-	summarizer     *summarizer
-	vmFollower     *follower.Follower // of the list of VMs; nil if this VM is no reader
-	puller         *replicator.Puller
+	groups           *registrar.Registrar
+	pool             *allotter.Allotter
+	gateways         *gatewayDialer
+	statementNames   namer.Namer
+	forwardServer    *forwarder.Server // nil if the settings have no link address
+	performer        *performer.Performer
+	replacer         *replacer.Replacer
+	members          *members
+	departures       *departures
+	auditor          *auditor.Auditor
+	sessionServer    *conductor.Server
+	tableCopies      map[string]*replicator.TableCopy // by table
+	tableSource      *replicator.Source
+	readyServer      *http.Server
+	peerServer       *http.Server
+	metricsServer    *http.Server // nil if the settings have no admin address
+	meter            *meter.LineMeter
+	followers        []*follower.Follower // of the configuration table and the registry table, in this order
+	summarizer       *summarizer
+	registryFollower atomic.Pointer[follower.Follower]
+	vmFollower       *follower.Follower // of the list of VMs; nil if this VM is no reader
+	puller           *replicator.Puller
 }
 
 // Run runs a VM until ctx ends, then stops it gracefully.
@@ -149,6 +150,7 @@
 		AnswersDirectly:   v.gateways.answersDirectly,
 		OnInstanceRemoved: v.performer.Forget,
 		Observe:           v.recordReplacement,
+		RegistryState:     v.registryState,
 	})
 	v.startFollowers()
 	clientListener, err := net.Listen("tcp", cfg.CallerAddress)
--- a/internal/daemon/assembler/followers.go
+++ b/internal/daemon/assembler/followers.go
@@ -71,6 +71,7 @@
 		v.startFollower(v.platform.ConfigurationTable, v.applyConfiguration, v.applyConfiguration),
 		v.startFollower(v.platform.RegistryTable, v.replaceRegistry, v.applyRegistryChanges),
 	}
+	v.registryFollower.Store(v.followers[1])
 	if v.isReader() {
 		v.followVMs()
 	}
@@ -80,6 +81,20 @@
 	})
 }
 
+// registryState returns the version of the store up to which the registry is known, and the time since the store or a
+// reader last answered, or since the start if none has. An unchanged table is confirmed once in a feed call's wait.
+func (v *VM) registryState() (version uint64, age time.Duration) {
+	f := v.registryFollower.Load()
+	if f == nil {
+		return 0, 0
+	}
+	answeredAt := f.AnsweredAt()
+	if answeredAt.IsZero() {
+		answeredAt = v.departures.startedAt
+	}
+	return f.Version(), time.Since(answeredAt)
+}
+
 // vmListFreshness is how long a reader serves its copy of the list of VMs after the store last answered. The list changes
 // rarely, and no decision needs the latest one, so that a feed call may wait longer than for the other tables.
 const vmListFreshness = follower.DefaultWait + time.Second
--- a/internal/daemon/assembler/log.go
+++ b/internal/daemon/assembler/log.go
@@ -135,6 +135,9 @@
 		fields = append(fields, logger.Int("token", int64(e.Token)))
 	}
 	fields = append(fields, statusFields(e)...)
+	if e.Basis != nil {
+		fields = append(fields, basisFields(*e.Basis)...)
+	}
 	if e.Took != 0 {
 		fields = append(fields, logger.Millis("took", e.Took))
 	}
@@ -162,6 +165,33 @@
 	return fields
 }
 
+// basisFields returns the fields that describe what the choice of an instance is based on.
+func basisFields(b replacer.Basis) []logger.Field {
+	tokenKind := "claim"
+	if b.IsSpare {
+		tokenKind = "spare"
+	}
+	fields := []logger.Field{logger.String("tokenKind", tokenKind), logger.String("endedBy", string(b.EndedBy))}
+	if b.Via != "" {
+		fields = append(fields, logger.String("via", b.Via))
+	}
+	fields = append(fields, logger.String("received", b.Received.String()), logger.Int("known", int64(b.Known)), logger.Int("unanswered", int64(b.Unanswered)), logger.Int("candidates", int64(b.Candidates)))
+	if b.EarlierChoice != "" {
+		fields = append(fields, logger.String("earlierChoice", b.EarlierChoice))
+	}
+	if b.RegistryVersion != 0 {
+		fields = append(fields, logger.Int("registryVersion", int64(b.RegistryVersion)), logger.Millis("registryAge", b.RegistryAge))
+	}
+	if b.HasDeparture {
+		floor := "unknown"
+		if !b.DepartureFloor.IsZero() {
+			floor = b.DepartureFloor.String()
+		}
+		fields = append(fields, logger.String("departureFloor", floor), logger.Int("silentReplicas", int64(b.SilentReplicas)))
+	}
+	return fields
+}
+
 func roleOf(s carrier.InstanceStatus) string {
 	if s.IsPrimary {
 		return "primary"
--- a/internal/daemon/assembler/log_test.go
+++ b/internal/daemon/assembler/log_test.go
@@ -29,6 +29,10 @@
 		{replacer.Event{Name: replacer.EventDemoted, Group: "g", Instance: "i", Term: 3, Command: replacer.CommandDemote, Via: "10.0.0.1:9", Status: carrier.InstanceStatus{IsPrimary: true}}, []string{`command="demote"`, `via="10.0.0.1:9"`, `role="primary"`, " term=0", "heldTerm=0", `received="0/0"`}, []string{"token", "took"}},
 		{replacer.Event{Name: replacer.EventHeld, Group: "g", Instance: "i", Term: 3, Command: replacer.CommandHold, Err: errors.New("no answer")}, []string{`command="hold"`, `error="no answer"`}, []string{"role", "term", "heldTerm", "received"}},
 		{replacer.Event{Name: replacer.EventPromoteRequested, Group: "g", Instance: "i", Token: 7}, []string{"token=7"}, []string{"received", "took"}},
+		{replacer.Event{Name: replacer.EventPromoteRequested, Group: "g", Instance: "i", Token: 7, Basis: &replacer.Basis{EndedBy: replacer.EndedByHold, Received: held.Received, Known: 3, Unanswered: 1, Candidates: 2}},
+			[]string{`tokenKind="claim"`, `endedBy="hold"`, `received="3/9"`, "known=3", "unanswered=1", "candidates=2"}, []string{"role", "via", "earlierChoice", "registryVersion", "registryAge", "departureFloor", "silentReplicas"}},
+		{replacer.Event{Name: replacer.EventPromoteRequested, Group: "g", Instance: "i", Token: 7, Basis: &replacer.Basis{EndedBy: replacer.EndedByPeer, Via: "10.0.0.1:9", IsSpare: true, EarlierChoice: "j", RegistryVersion: 40, RegistryAge: 9 * time.Second, HasDeparture: true, SilentReplicas: 1}},
+			[]string{`tokenKind="spare"`, `endedBy="demotionByPeer"`, `via="10.0.0.1:9"`, `earlierChoice="j"`, "registryVersion=40", "registryAgeMs=9000", `departureFloor="unknown"`, "silentReplicas=1"}, nil},
 		{replacer.Event{Name: replacer.EventFailed, Group: "g", Instance: "i", Took: time.Second, Err: errors.New("no answer")}, []string{"tookMs=1000", `error="no answer"`}, []string{"token", "received"}},
 	} {
 		var b bytes.Buffer
--- a/internal/group/registrar/departure.go
+++ b/internal/group/registrar/departure.go
@@ -72,6 +72,14 @@
 	return !g.departure.isSet || !g.departure.floor.IsZero() && p.Covers(g.departure.floor)
 }
 
+// Departure reports whether a replica has left, and returns the floor of the latest departure, zero while it is not known,
+// and the number of replicas that have gone missing without a notice.
+func (g *Group) Departure() (floor tokenizer.Position, silent int, ok bool) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.departure.floor, len(g.departure.silent), g.departure.isSet
+}
+
 // NeedsDepartureSample reports whether a replica has left since the primary last proved its position.
 func (g *Group) NeedsDepartureSample() bool {
 	g.mu.Lock()
--- a/internal/group/replacer/endterm.go
+++ b/internal/group/replacer/endterm.go
@@ -27,20 +27,23 @@
 // endTerm ends the old term and returns the candidates for the new one. A planned switchover
 // demotes the primary first and then lets a replica catch up with it. So does the replacement of a
 // primary that only other VMs reach.
-func (r *Replacer) endTerm(ctx context.Context, g *registrar.Group, a Action, old registrar.Primary, path <-chan carrier.Target, earlierChoice string) ([]candidate, error) {
+func (r *Replacer) endTerm(ctx context.Context, g *registrar.Group, a Action, old registrar.Primary, path <-chan carrier.Target, earlierChoice string, b *Basis) ([]candidate, error) {
 	views := g.Views()
+	b.Known, b.EndedBy = len(views), EndedByDemotion
 	if a.Kind == Switch {
-		return r.demoteAndCatchUp(ctx, g, views, old, earlierChoice, func(ctx context.Context, t carrier.Target) (carrier.InstanceStatus, error) {
+		return r.demoteAndCatchUp(ctx, g, views, old, earlierChoice, b, func(ctx context.Context, t carrier.Target) (carrier.InstanceStatus, error) {
 			return r.cfg.Controller.Demote(ctx, t, old.Term+1)
 		})
 	}
 	if t, ok := awaitPath(path); ok {
-		return r.demoteAndCatchUp(ctx, g, views, old, earlierChoice, func(ctx context.Context, _ carrier.Target) (carrier.InstanceStatus, error) {
+		b.EndedBy, b.Via = EndedByPeer, t.Address
+		return r.demoteAndCatchUp(ctx, g, views, old, earlierChoice, b, func(ctx context.Context, _ carrier.Target) (carrier.InstanceStatus, error) {
 			return r.cfg.Peers.Demote(ctx, t, old.Term+1)
 		})
 	}
 	// A stalled primary is reachable, so holdAll awaits the answer to its demotion.
-	return r.holdAll(ctx, g, views, old, a.Reason == WritesStalled)
+	b.EndedBy = EndedByHold
+	return r.holdAll(ctx, g, views, old, a.Reason == WritesStalled, b)
 }
 
 // discoverTerm returns the highest term that any instance has reported, after it has asked all of them again.
@@ -140,7 +143,7 @@
 // demoteAndCatchUp demotes a working primary and waits until a replica that is not leaving has received
 // all entries of the primary. If none has within catchUpTimeout, only the demoted primary itself may be promoted: any
 // other instance may lack a commit that was acknowledged with the help of one that is not known here.
-func (r *Replacer) demoteAndCatchUp(ctx context.Context, g *registrar.Group, views []registrar.View, old registrar.Primary, earlierChoice string, demote func(context.Context, carrier.Target) (carrier.InstanceStatus, error)) ([]candidate, error) {
+func (r *Replacer) demoteAndCatchUp(ctx context.Context, g *registrar.Group, views []registrar.View, old registrar.Primary, earlierChoice string, b *Basis, demote func(context.Context, carrier.Target) (carrier.InstanceStatus, error)) ([]candidate, error) {
 	v, ok := g.View(old.Instance)
 	if !ok {
 		return nil, classifier.New(classifier.NoPrimary, "cannot demote the primary of group %s: its instance is no longer known", g.Name())
@@ -156,7 +159,7 @@
 		return nil, classifier.New(classifier.NoInstance, "cannot demote the primary of group %s: no replica that stays has received the entries that the primary held a moment ago", g.Name())
 	}
 	demoted, err := r.callWithRetry(ctx, v, demote)
-	r.cfg.Observe(Event{Name: EventDemoted, Group: g.Name(), Instance: v.ID, Term: old.Term, Command: CommandDemote, Status: demoted, Err: err})
+	r.cfg.Observe(Event{Name: EventDemoted, Group: g.Name(), Instance: v.ID, Term: old.Term, Command: CommandDemote, Via: b.Via, Status: demoted, Err: err})
 	if err != nil {
 		// The primary may still acknowledge commits, perhaps with the help of a replica that is not in
 		// the registry yet and would therefore not be held.
@@ -223,7 +226,7 @@
 // for the old primary's answer if that of a replica is missing or if awaitsOldPrimary is true. With a
 // replica missing, or after one has left with entries that the others may lack, only the instances that
 // hold all entries of the old primary are candidates.
-func (r *Replacer) holdAll(ctx context.Context, g *registrar.Group, views []registrar.View, old registrar.Primary, awaitsOldPrimary bool) ([]candidate, error) {
+func (r *Replacer) holdAll(ctx context.Context, g *registrar.Group, views []registrar.View, old registrar.Primary, awaitsOldPrimary bool, b *Basis) ([]candidate, error) {
 	nextTerm := old.Term + 1
 	replicaAnswers, primaryAnswer := make(chan haltAnswer, len(views)), make(chan haltAnswer, 1)
 	replicas := 0
@@ -245,6 +248,7 @@
 		switch {
 		case a.err != nil:
 			replicaErr = a.err
+			b.Unanswered++
 		case a.primaryTerm > 0:
 			g.RecordTerm(a.primaryTerm)
 			return nil, classifier.New(classifier.Conflict, "instance %s is the primary of term %d", a.id, a.primaryTerm)
@@ -260,6 +264,7 @@
 		}
 	}
 	if !formerPosition.IsZero() {
+		b.EndedBy = EndedByFormerPrimary
 		return covering(candidates, formerPosition), nil
 	}
 	if replicaErr == nil && !g.IsCoveredDespiteDepartures(furthestReceived(candidates)) {
@@ -278,6 +283,7 @@
 	case a.err != nil:
 		return nil, replicaErr
 	}
+	b.EndedBy = EndedByHoldAndDemotion
 	return covering(append(candidates, a.candidate), a.received), nil
 }
 
--- a/internal/group/replacer/replacer.go
+++ b/internal/group/replacer/replacer.go
@@ -135,7 +135,10 @@
 	MayHaveMissedDeparture func(ctx context.Context) bool
 	// IsConfigured reports whether the configuration has a group. Instances of other groups are not probed, since nobody
 	// asks for them; nil stands for all groups.
-	IsConfigured      func(group string) bool
+	IsConfigured func(group string) bool
+	// RegistryState returns the version of the store up to which the registry is known, and the time since the store or
+	// a reader last answered; nil if it is not known.
+	RegistryState     func() (version uint64, age time.Duration)
 	OnInstanceRemoved func(instance string) // called for each instance that was removed from its group
 	Observe           func(Event)           // may be nil
 }
@@ -151,6 +154,7 @@
 	Command  Command // that Status answers, or Err if it failed
 	Via      string  // address of the VM that passed the command on; "": none
 	Status   carrier.InstanceStatus
+	Basis    *Basis        // of the choice (EventPromoteRequested)
 	Took     time.Duration // time since the replacement began, with all its attempts (EventReplaced, EventFailed)
 	Err      error
 }
@@ -396,7 +400,8 @@
 	if err != nil {
 		return err
 	}
-	candidates, err := r.endTerm(ctx, g, a, old, path, result.ChosenInstance)
+	b := r.newBasis(isSpare, result.ChosenInstance)
+	candidates, err := r.endTerm(ctx, g, a, old, path, result.ChosenInstance, &b)
 	if err != nil {
 		return err
 	}
@@ -411,7 +416,8 @@
 	if r.cfg.IsUnfenced && isEarlierPresent && target != result.ChosenInstance {
 		return classifier.New(classifier.Conflict, "instance %s may still be promoted by an earlier attempt, which instance %s is ahead of", result.ChosenInstance, target)
 	}
-	p := promotion{group: g, action: a, term: old.Term, target: target, number: result.FencingToken, isClaimed: !isSpare, isFirstChoice: result.ChosenInstance == ""}
+	b.recordChoice(g, candidates, target)
+	p := promotion{group: g, action: a, basis: b, term: old.Term, target: target, number: result.FencingToken, isClaimed: !isSpare, isFirstChoice: result.ChosenInstance == ""}
 	if p.oldPrimary = old.Instance; p.oldPrimary == "" {
 		p.oldPrimary, _ = g.FormerPrimary(old.Term)
 	}
@@ -427,6 +433,7 @@
 type promotion struct {
 	group     *registrar.Group
 	action    Action
+	basis     Basis
 	term      uint64
 	target    string
 	number    uint64 // of the claim or of the spare token
@@ -493,7 +500,7 @@
 			}
 		}
 		err := r.promote(ctx, g.Name(), p.target, p.token())
-		r.cfg.Observe(Event{Name: EventPromoteRequested, Group: g.Name(), Instance: p.target, Reason: p.action.Reason, Term: p.term, Token: p.token(), Err: err})
+		r.cfg.Observe(Event{Name: EventPromoteRequested, Group: g.Name(), Instance: p.target, Reason: p.action.Reason, Term: p.term, Token: p.token(), Basis: &p.basis, Err: err})
 		if classifier.Is(err, classifier.Conflict) {
 			if p.isClaimed && p.isFirstChoice && !isUnanswered && !r.cfg.IsUnfenced {
 				_ = r.cfg.Claims.Withdraw(ctx, g.Name(), p.term, p.number) // otherwise the choice stands, which only delays
--- a/internal/group/replacer/replacer_test.go
+++ b/internal/group/replacer/replacer_test.go
@@ -33,6 +33,7 @@
 	hasPeers         bool     // Config.Peers is set
 	heldTerm         uint64   // term below which the replicas receive nothing; zero: they receive
 	tokenBeforeSpare uint64   // last token that was issued before the first spare one
+	events           []Event
 }
 
 func (f *fakeGroup) command(name, id string) (carrier.InstanceStatus, error) {
@@ -142,6 +143,12 @@
 	}
 	replacer := Start(Config{
 		Groups: r, Controller: f, Peers: peers, IsUnfenced: f.isUnfenced, Tokens: &fakeTokens{last: f.tokenBeforeSpare}, Claims: claims, AnswersDirectly: answers, Rank: func(string) int { return 0 }, OnInstanceRemoved: func(string) {},
+		Observe: func(e Event) {
+			f.mu.Lock()
+			defer f.mu.Unlock()
+			f.events = append(f.events, e)
+		},
+		RegistryState:          func() (uint64, time.Duration) { return 40, time.Second },
 		Sample:                 func(context.Context, *registrar.Group) error { return nil },
 		MayHaveMissedDeparture: func(context.Context) bool { return f.missesDeparture },
 		Probe: func(g *registrar.Group, v registrar.View) error {
