Log which instance a VM knows as the primary of a term

No line showed when a VM recognized or gave up a primary. primaryKnown gives the term and the position of the answer, primaryUnknown the reason: denied, laterTerm or removed.

No decision changes.

--- a/internal/daemon/assembler/assembler.go
+++ b/internal/daemon/assembler/assembler.go
@@ -128,6 +128,7 @@
 	}
 	p.OnCall(v.countCall)
 	v.groups = registrar.New(p.Clock)
+	v.groups.Observe(v.logPrimaryChange)
 	v.gateways = &gatewayDialer{vm: v, failed: map[string]time.Time{}}
 	v.tableSource = v.newSource()
 	v.members = newMembers(cfg, p.Store, v.tableSource)
--- a/internal/daemon/assembler/log.go
+++ b/internal/daemon/assembler/log.go
@@ -3,6 +3,7 @@
 import (
 	"parsleyscale/internal/backend/allotter"
 	"parsleyscale/internal/failure/classifier"
+	"parsleyscale/internal/group/registrar"
 	"parsleyscale/internal/group/replacer"
 	"parsleyscale/internal/statement/carrier"
 	"parsleyscale/internal/statement/performer"
@@ -199,6 +200,19 @@
 	return "replica"
 }
 
+// logPrimaryChange logs that an instance has become known as a primary, or that it is no longer.
+func (v *VM) logPrimaryChange(c registrar.PrimaryChange) {
+	fields := []logger.Field{logger.String("group", c.Group), logger.String("instance", c.Instance), logger.Int("term", int64(c.Term))}
+	if c.LastTerm != 0 {
+		fields = append(fields, logger.Int("lastTerm", int64(c.LastTerm)))
+	}
+	if c.Reason != "" {
+		v.log.Info(logger.PrimaryUnknown, append(fields, logger.String("reason", string(c.Reason)))...)
+		return
+	}
+	v.log.Info(logger.PrimaryKnown, append(fields, logger.String("reached", c.Position.String()))...)
+}
+
 // replacementEvents maps the replacer's events to log events. Events that are not in it are not logged.
 var replacementEvents = map[string]logger.Event{
 	replacer.EventReplacementBegun: logger.ReplacementBegun,
--- a/internal/daemon/assembler/log_test.go
+++ b/internal/daemon/assembler/log_test.go
@@ -7,6 +7,7 @@
 	"testing"
 	"time"
 
+	"parsleyscale/internal/group/registrar"
 	"parsleyscale/internal/group/replacer"
 	"parsleyscale/internal/session/tokenizer"
 	"parsleyscale/internal/statement/carrier"
@@ -51,3 +52,21 @@
 		}
 	}
 }
+
+// Guards against a log from which nobody can tell whether a VM knew the primary of a term by an answer of the instance.
+func TestLogPrimaryChange(t *testing.T) {
+	for _, c := range []struct {
+		change registrar.PrimaryChange
+		want   string
+	}{
+		{registrar.PrimaryChange{Group: "g", Instance: "i", Term: 3, Position: tokenizer.Position{Term: 3, Index: 9}}, `event="primaryKnown" vm="vm-1" group="g" instance="i" term=3 reached="3/9"`},
+		{registrar.PrimaryChange{Group: "g", Instance: "i", LastTerm: 3, Term: 4, Reason: registrar.LossLaterTerm}, `event="primaryUnknown" vm="vm-1" group="g" instance="i" term=4 lastTerm=3 reason="laterTerm"`},
+	} {
+		var b bytes.Buffer
+		v := &VM{log: logger.New(&b, "vm-1")}
+		v.logPrimaryChange(c.change)
+		if !strings.HasSuffix(b.String(), c.want+"\n") {
+			t.Errorf("line %q, want it to end with %s", b.String(), c.want)
+		}
+	}
+}
--- a/internal/group/registrar/group.go
+++ b/internal/group/registrar/group.go
@@ -18,6 +18,7 @@
 type Group struct {
 	name    string
 	clock   Clock
+	observe func(PrimaryChange)
 	Samples *witness.Witness // positions of proven primaries and their times
 
 	mu               sync.Mutex
@@ -202,6 +203,12 @@
 	g.notifyChange()
 }
 
+// losePrimary makes the known primary unknown.
+func (g *Group) losePrimary(reason LossReason) {
+	g.observe(PrimaryChange{Group: g.name, Instance: g.primary.Instance, LastTerm: g.latestTerm, Term: g.primary.Term, Reason: reason})
+	g.setPrimary("")
+}
+
 func (g *Group) notifyChange() {
 	close(g.changed)
 	g.changed = make(chan struct{})
@@ -220,7 +227,7 @@
 		g.recordDeparture(s)
 		removed = append(removed, id)
 		if g.primary.Instance == id {
-			g.setPrimary("")
+			g.losePrimary(LossRemoved)
 		}
 	}
 	return removed
@@ -265,9 +272,13 @@
 	}
 	g.primary.Term = term
 	s.Position = s.Position.Max(p.Position)
+	isNew := g.primary.Instance != p.Instance || g.latestTerm != term
 	if g.primary.Instance != p.Instance {
 		g.setPrimary(p.Instance)
 	}
+	if isNew {
+		g.observe(PrimaryChange{Group: g.name, Instance: p.Instance, LastTerm: g.latestTerm, Term: term, Position: p.Position})
+	}
 	g.latestTerm = term
 	return true
 }
@@ -280,7 +291,7 @@
 		g.registryPrimary = ""
 	}
 	if g.primary.Instance == id {
-		g.setPrimary("")
+		g.losePrimary(LossDenied)
 	}
 }
 
@@ -309,7 +320,7 @@
 	isReplaced := g.primary.Term > 0 && g.primary.IsKnown()
 	g.primary.Term = term
 	if isReplaced {
-		g.setPrimary("")
+		g.losePrimary(LossLaterTerm)
 	}
 }
 
--- a/internal/group/registrar/registrar.go
+++ b/internal/group/registrar/registrar.go
@@ -33,7 +33,8 @@
 
 // Registrar holds all groups that a VM knows of.
 type Registrar struct {
-	clock Clock
+	clock   Clock
+	observe func(PrimaryChange)
 
 	mu     sync.Mutex
 	groups map[string]*Group
@@ -41,9 +42,13 @@
 
 // New returns an empty registrar.
 func New(clock Clock) *Registrar {
-	return &Registrar{clock: clock, groups: map[string]*Group{}}
+	return &Registrar{clock: clock, observe: func(PrimaryChange) {}, groups: map[string]*Group{}}
 }
 
+// Observe sets the function that is called with the changes of the primaries. It has to be called before there are
+// groups. f must not call methods of the group.
+func (r *Registrar) Observe(f func(PrimaryChange)) { r.observe = f }
+
 // Group returns the group with the given name. It adds a group without instances if there is none yet.
 func (r *Registrar) Group(name string) *Group {
 	r.mu.Lock()
@@ -54,7 +59,7 @@
 func (r *Registrar) groupLocked(name string) *Group {
 	g, ok := r.groups[name]
 	if !ok {
-		g = &Group{name: name, clock: r.clock, instances: map[string]*instanceState{}, changed: make(chan struct{}), Samples: witness.New(sampleRetention)}
+		g = &Group{name: name, clock: r.clock, observe: r.observe, instances: map[string]*instanceState{}, changed: make(chan struct{}), Samples: witness.New(sampleRetention)}
 		r.groups[name] = g
 	}
 	return g
@@ -106,6 +111,27 @@
 // IsKnown reports whether a primary is known.
 func (p Primary) IsKnown() bool { return p.Instance != "" }
 
+// PrimaryChange describes that an instance has become known as the primary of a term by its own answer, or that the primary
+// has become unknown.
+type PrimaryChange struct {
+	Group    string
+	Instance string
+	LastTerm uint64             // the latest term in which Instance was known as the primary; zero: none since it started
+	Term     uint64             // highest term that was seen in the group
+	Position tokenizer.Position // in the answer
+	Reason   LossReason         // "": the primary has become known
+}
+
+// LossReason tells why a primary has become unknown.
+type LossReason string
+
+// The reasons.
+const (
+	LossDenied    LossReason = "denied"    // it denied being the primary
+	LossLaterTerm LossReason = "laterTerm" // an instance reported a later term
+	LossRemoved   LossReason = "removed"   // it is no longer in the registry
+)
+
 // Proof describes an answer that only a primary gives.
 type Proof struct {
 	Instance string
--- a/internal/group/registrar/registrar_test.go
+++ b/internal/group/registrar/registrar_test.go
@@ -5,6 +5,8 @@
 	"testing/synctest"
 	"time"
 
+	"github.com/google/go-cmp/cmp"
+
 	"parsleyscale/internal/session/tokenizer"
 	"parsleyscale/internal/sheet/cataloger"
 )
@@ -86,3 +88,40 @@
 		}
 	})
 }
+
+// Guards against a log that does not show which instance a VM took for the primary when it sent a command or a commit.
+func TestPrimaryChanges(t *testing.T) {
+	start := time.Now()
+	r := New(func() time.Duration { return time.Since(start) })
+	var got []PrimaryChange
+	r.Observe(func(c PrimaryChange) { got = append(got, c) })
+	a := cataloger.Instance{ID: "a", Group: "g", IsPrimary: true}
+	reg := cataloger.Registry{"a": a, "b": {ID: "b", Group: "g"}}
+	r.Update(reg)
+	g := r.Group("g")
+	prove(g, "a", 1, 5)
+	prove(g, "a", 1, 6)
+	g.RecordDenial("b")
+	g.RecordDenial("a")
+	prove(g, "a", 1, 6)
+	a.StartedAtMs = 1
+	r.Update(reg.With(map[string]*cataloger.Instance{"a": &a}))
+	prove(g, "a", 1, 6)
+	g.RecordTerm(2)
+	prove(g, "b", 2, 7)
+	prove(g, "a", 1, 8)
+	prove(g, "b", 3, 9)
+	at := func(term, index uint64) tokenizer.Position { return tokenizer.Position{Term: term, Index: index} }
+	want := []PrimaryChange{
+		{Group: "g", Instance: "a", Term: 1, Position: at(1, 5)},
+		{Group: "g", Instance: "a", LastTerm: 1, Term: 1, Reason: LossDenied},
+		{Group: "g", Instance: "a", LastTerm: 1, Term: 1, Position: at(1, 6)},
+		{Group: "g", Instance: "a", Term: 1, Position: at(1, 6)}, // after its restart
+		{Group: "g", Instance: "a", LastTerm: 1, Term: 2, Reason: LossLaterTerm},
+		{Group: "g", Instance: "b", Term: 2, Position: at(2, 7)},
+		{Group: "g", Instance: "b", LastTerm: 2, Term: 3, Position: at(3, 9)},
+	}
+	if diff := cmp.Diff(want, got); diff != "" {
+		t.Errorf("changes (-want +got):\n%s", diff)
+	}
+}
--- a/internal/group/replacer/basis_test.go
+++ b/internal/group/replacer/basis_test.go
@@ -5,12 +5,12 @@
 	"testing"
 	"testing/synctest"
 
+	"github.com/google/go-cmp/cmp"
+
 	"parsleyscale/internal/failure/classifier"
 	"parsleyscale/internal/group/registrar"
 	"parsleyscale/internal/session/tokenizer"
 	"parsleyscale/internal/sheet/cataloger"
-
-	"github.com/google/go-cmp/cmp"
 )
 
 // Guards against a promote request of which nobody can tell afterwards why its instance was chosen: commits were lost, and
--- a/internal/telemetry/logger/event.go
+++ b/internal/telemetry/logger/event.go
@@ -50,6 +50,8 @@
 	ReplicaHeld       Event = "replicaHeld"
 	PrimaryDemoted    Event = "primaryDemoted"
 	PromoteOrdered    Event = "promoteOrdered"
+	PrimaryKnown      Event = "primaryKnown"
+	PrimaryUnknown    Event = "primaryUnknown"
 )
 
 // EventDescription describes one event.
@@ -100,6 +102,8 @@
 	{ReplicaHeld, "a replica was instructed to accept no more entries of the old term"},
 	{PrimaryDemoted, "a working primary was instructed to become a replica"},
 	{PromoteOrdered, "the platform was instructed to make an instance the primary of the next term"},
+	{PrimaryKnown, "an instance has become known to this VM as the primary of a term by its own answer"},
+	{PrimaryUnknown, "this VM no longer takes an instance for the primary, with the reason"},
 }
 
 // Table returns the descriptions of all events as a new slice.
