Count replacements, promote requests and commands not in effect

Nothing counted them, so that an alarm could not be set. The event commandNotInEffect is for the checks of the answers to hold and demote; nothing raises it yet.

--- a/internal/daemon/assembler/log.go
+++ b/internal/daemon/assembler/log.go
@@ -107,8 +107,9 @@
 	}
 }
 
-// recordReplacement logs an event of the replacer, and adds the outcome of a promotion to the audit log.
+// recordReplacement logs and counts an event of the replacer, and adds the outcome of a promotion to the audit log.
 func (v *VM) recordReplacement(e replacer.Event) {
+	v.countReplacement(e)
 	if e.Name == replacer.EventPromoteSettled {
 		v.auditPromote(e)
 	}
@@ -117,12 +118,31 @@
 		return
 	}
 	write := v.log.Info
-	if e.Err != nil {
+	if e.Err != nil || e.Name == replacer.EventNotInEffect {
 		write = v.log.Warn
 	}
 	write(name, replacementFields(e)...)
 }
 
+// countReplacement counts the outcome of a replacement or of one of its attempts, a promote request, or a command that is not
+// in effect.
+func (v *VM) countReplacement(e replacer.Event) {
+	outcome := "done"
+	if e.Err != nil {
+		outcome = string(classifier.KindOf(e.Err))
+	}
+	switch e.Name {
+	case replacer.EventReplaced, replacer.EventFailed:
+		v.meter.Replacement(string(e.Reason), outcome)
+	case replacer.EventPromoteRequested:
+		if e.Basis != nil {
+			v.meter.PromoteRequest(tokenKind(*e.Basis), outcome)
+		}
+	case replacer.EventNotInEffect:
+		v.meter.CommandNotInEffect(string(e.Command))
+	}
+}
+
 // replacementFields returns the fields that an event of a replacement has.
 func replacementFields(e replacer.Event) []logger.Field {
 	fields := []logger.Field{logger.String("group", e.Group), logger.String("instance", e.Instance)}
@@ -168,11 +188,7 @@
 
 // basisFields returns the fields that describe what the choice of an instance is based on.
 func basisFields(b replacer.Basis) []logger.Field {
-	tokenKind := "claim"
-	if b.IsSpare {
-		tokenKind = "spare"
-	}
-	fields := []logger.Field{logger.String("tokenKind", tokenKind), logger.String("endedBy", string(b.EndedBy))}
+	fields := []logger.Field{logger.String("tokenKind", tokenKind(b)), logger.String("endedBy", string(b.EndedBy))}
 	if b.Via != "" {
 		fields = append(fields, logger.String("via", b.Via))
 	}
@@ -193,6 +209,13 @@
 	return fields
 }
 
+func tokenKind(b replacer.Basis) string {
+	if b.IsSpare {
+		return "spare"
+	}
+	return "claim"
+}
+
 func roleOf(s carrier.InstanceStatus) string {
 	if s.IsPrimary {
 		return "primary"
@@ -218,6 +241,7 @@
 	replacer.EventReplacementBegun: logger.ReplacementBegun,
 	replacer.EventHeld:             logger.ReplicaHeld,
 	replacer.EventDemoted:          logger.PrimaryDemoted,
+	replacer.EventNotInEffect:      logger.NotInEffect,
 	replacer.EventPromoteRequested: logger.PromoteOrdered,
 	replacer.EventReplaced:         logger.PrimaryReplaced,
 	replacer.EventFailed:           logger.PromotionFailed,
--- a/internal/daemon/assembler/log_test.go
+++ b/internal/daemon/assembler/log_test.go
@@ -3,15 +3,19 @@
 import (
 	"bytes"
 	"errors"
+	"net/http/httptest"
+	"slices"
 	"strings"
 	"testing"
 	"time"
 
+	"parsleyscale/internal/failure/classifier"
 	"parsleyscale/internal/group/registrar"
 	"parsleyscale/internal/group/replacer"
 	"parsleyscale/internal/session/tokenizer"
 	"parsleyscale/internal/statement/carrier"
 	"parsleyscale/internal/telemetry/logger"
+	"parsleyscale/internal/telemetry/meter"
 )
 
 // Guards against values in the lines of a replacement that look measured and are not: token=0, received="0/0" and tookMs=0
@@ -37,7 +41,7 @@
 		{replacer.Event{Name: replacer.EventFailed, Group: "g", Instance: "i", Took: time.Second, Err: errors.New("no answer")}, []string{"tookMs=1000", `error="no answer"`}, []string{"token", "received"}},
 	} {
 		var b bytes.Buffer
-		v := &VM{log: logger.New(&b, "vm-1")}
+		v := &VM{log: logger.New(&b, "vm-1"), meter: newMeter(t)}
 		v.recordReplacement(c.event)
 		line := b.String()
 		for _, want := range c.want {
@@ -53,6 +57,61 @@
 	}
 }
 
+func newMeter(t *testing.T) *meter.LineMeter {
+	t.Helper()
+	m, err := meter.NewLineMeter()
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = m.Close() })
+	return m
+}
+
+// Guards against replacements of which only the log tells: choices with a spare token and commands without effect were not
+// counted anywhere.
+func TestCountReplacements(t *testing.T) {
+	var b bytes.Buffer
+	v := &VM{log: logger.New(&b, "vm-1"), meter: newMeter(t)}
+	for _, e := range []replacer.Event{
+		{Name: replacer.EventReplaced, Group: "g", Reason: replacer.WritesStalled},
+		{Name: replacer.EventFailed, Group: "g", Reason: replacer.WritesStalled, Err: classifier.New(classifier.Conflict, "claimed")},
+		{Name: replacer.EventPromoteRequested, Group: "g", Token: 7, Basis: &replacer.Basis{IsSpare: true}},
+		{Name: replacer.EventPromoteRequested, Group: "g", Token: 8, Basis: &replacer.Basis{}, Err: classifier.New(classifier.Timeout, "no answer")},
+		{Name: replacer.EventNotInEffect, Group: "g", Instance: "i", Command: replacer.CommandHold},
+	} {
+		v.recordReplacement(e)
+	}
+	if !strings.Contains(b.String(), `level=warn event="commandNotInEffect"`) {
+		t.Errorf("no warning of a command that is not in effect in:\n%s", b.String())
+	}
+	w := httptest.NewRecorder()
+	v.meter.Handler().ServeHTTP(w, httptest.NewRequest("GET", "/metrics", nil))
+	for _, want := range []struct{ name, attributes string }{
+		{"parsleyscale_replacements_total", `outcome="done" reason="writesStalled"`},
+		{"parsleyscale_replacements_total", `outcome="conflict" reason="writesStalled"`},
+		{"parsleyscale_promote_requests_total", `outcome="done" token="spare"`},
+		{"parsleyscale_promote_requests_total", `outcome="timeout" token="claim"`},
+		{"parsleyscale_commands_ineffective_total", `command="hold"`},
+	} {
+		if !hasCount(w.Body.String(), want.name, strings.Fields(want.attributes)) {
+			t.Errorf("no %s with %s and value 1 in:\n%s", want.name, want.attributes, w.Body)
+		}
+	}
+}
+
+// hasCount reports whether a line of the metrics has the name, all attributes and the value 1.
+func hasCount(text, name string, attributes []string) bool {
+	for line := range strings.Lines(text) {
+		if !strings.HasPrefix(line, name+"{") || !strings.HasSuffix(line, " 1\n") {
+			continue
+		}
+		if !slices.ContainsFunc(attributes, func(a string) bool { return !strings.Contains(line, a) }) {
+			return true
+		}
+	}
+	return false
+}
+
 // Guards against a log from which nobody can tell whether a VM knew the primary of a term by an answer of the instance.
 func TestLogPrimaryChange(t *testing.T) {
 	for _, c := range []struct {
--- a/internal/group/replacer/replacer.go
+++ b/internal/group/replacer/replacer.go
@@ -173,8 +173,9 @@
 	EventReplacementBegun = "replacementBegun"
 	EventHeld             = "replicaHeld"
 	EventDemoted          = "primaryDemoted"
-	EventPromoteRequested = "promoteOrdered" // named promoteOrdered outside the process
-	EventPromoteSettled   = "promoteSettled" // the attempt sends no more promote requests
+	EventNotInEffect      = "commandNotInEffect" // the answer to a command shows that it has not ended the term
+	EventPromoteRequested = "promoteOrdered"     // named promoteOrdered outside the process
+	EventPromoteSettled   = "promoteSettled"     // the attempt sends no more promote requests
 	EventReplaced         = "primaryReplaced"
 	EventFailed           = "replacementFailed"
 )
--- a/internal/telemetry/logger/event.go
+++ b/internal/telemetry/logger/event.go
@@ -50,6 +50,7 @@
 	ReplicaHeld       Event = "replicaHeld"
 	PrimaryDemoted    Event = "primaryDemoted"
 	PromoteOrdered    Event = "promoteOrdered"
+	NotInEffect       Event = "commandNotInEffect"
 	PrimaryKnown      Event = "primaryKnown"
 	PrimaryUnknown    Event = "primaryUnknown"
 )
@@ -99,9 +100,10 @@
 	{StatementRefused, "a statement was rejected"},
 	{OutcomeUnknown, "a write or a commit was sent to an instance but not answered"},
 	{ReplacementBegun, "this VM has begun to replace a primary"},
-	{ReplicaHeld, "a replica was instructed to accept no more entries of the old term"},
+	{ReplicaHeld, "a replica was instructed to accept no more entries of the old term, or its unreachable primary to become a replica"},
 	{PrimaryDemoted, "a working primary was instructed to become a replica"},
 	{PromoteOrdered, "the platform was instructed to make an instance the primary of the next term"},
+	{NotInEffect, "an instance answered a hold or a demotion, but its state shows that the term goes on there"},
 	{PrimaryKnown, "an instance has become known to this VM as the primary of a term by its own answer"},
 	{PrimaryUnknown, "this VM no longer takes an instance for the primary, with the reason"},
 }
--- a/internal/telemetry/meter/lines.go
+++ b/internal/telemetry/meter/lines.go
@@ -16,6 +16,9 @@
 	statementDuration metric.Float64Histogram
 	platformCalls     metric.Int64Counter
 	endedSessions     metric.Int64Counter
+	replacements      metric.Int64Counter
+	promoteRequests   metric.Int64Counter
+	ineffective       metric.Int64Counter
 
 	mu      sync.Mutex
 	options map[statementKey]metric.MeasurementOption
@@ -55,6 +58,18 @@
 	if l.endedSessions, err = otelMeter.Int64Counter("parsleyscale.sessions.ended", metric.WithDescription("ended sessions, by reason")); err != nil {
 		return nil, err
 	}
+	for _, c := range []struct {
+		counter     *metric.Int64Counter
+		name, title string
+	}{
+		{&l.replacements, "parsleyscale.replacements", "replacements begun by this VM that ended with a new primary, and failed attempts, by reason and outcome"},
+		{&l.promoteRequests, "parsleyscale.promote.requests", "promote requests that this VM sent, by kind of the token and outcome"},
+		{&l.ineffective, "parsleyscale.commands.ineffective", "holds and demotions whose answer shows that they are not in effect, by command"},
+	} {
+		if *c.counter, err = otelMeter.Int64Counter(c.name, metric.WithDescription(c.title)); err != nil {
+			return nil, err
+		}
+	}
 	for _, g := range gauges {
 		if _, err := otelMeter.Int64ObservableGauge(g.Name, metric.WithDescription(g.Help), metric.WithInt64Callback(func(_ context.Context, observer metric.Int64Observer) error {
 			g.Read(func(n int64, instance string) {
@@ -95,3 +110,18 @@
 func (l *LineMeter) Session(reason string) {
 	l.endedSessions.Add(context.Background(), 1, metric.WithAttributes(attribute.String("reason", reason)))
 }
+
+// Replacement counts a completed replacement of a primary, or a failed attempt, by reason and outcome.
+func (l *LineMeter) Replacement(reason, outcome string) {
+	l.replacements.Add(context.Background(), 1, metric.WithAttributes(attribute.String("reason", reason), attribute.String("outcome", outcome)))
+}
+
+// PromoteRequest counts a promote request by the kind of its token and its outcome.
+func (l *LineMeter) PromoteRequest(tokenKind, outcome string) {
+	l.promoteRequests.Add(context.Background(), 1, metric.WithAttributes(attribute.String("token", tokenKind), attribute.String("outcome", outcome)))
+}
+
+// CommandNotInEffect counts a command to an instance whose answer shows that it is not in effect.
+func (l *LineMeter) CommandNotInEffect(command string) {
+	l.ineffective.Add(context.Background(), 1, metric.WithAttributes(attribute.String("command", command)))
+}
