--- a/internal/telemetry/logger/event.go
+++ b/internal/telemetry/logger/event.go
@@ -100,7 +100,7 @@
 	{StatementRefused, "a statement was rejected"},
 	{OutcomeUnknown, "a write or a commit was sent to an instance but not answered"},
 	{ReplacementBegun, "this VM has begun to replace a primary"},
-	{ReplicaHeld, "a replica was instructed to accept no more entries of the old term, or its unreachable primary to become a replica"},
+	{ReplicaHeld, "a replica was instructed to accept no more entries of the old term, or the old primary to become a replica"},
 	{PrimaryDemoted, "a working primary was instructed to become a replica"},
 	{PromoteOrdered, "the platform was instructed to make an instance the primary of the next term"},
 	{NotInEffect, "an instance answered a hold or a demotion, but its state shows that the term goes on there"},
