Read the registry after the claim, before a replacement compares the replicas

Callers lost commits that they had been told were kept: the only replica that held them was not asked. It had registered a moment before the primary failed, and its entry had not reached the VM, which compares the replicas of its own copy of the registry. The feed brings the entry, but nothing made the VM wait for it.

The VM now reads the registry from the store once it has the token, and holds what it did not know. The read runs beside the holds of the known replicas, so that a replacement takes no longer where the store answers in that time. A primary that is reachable is demoted only after the read. Only the changes of the table reach the copy, so that the VMs that follow a reader keep their place. Without an answer, the attempt goes on as before; that is the next fault.

--- a/internal/daemon/assembler/assembler.go
+++ b/internal/daemon/assembler/assembler.go
@@ -98,6 +98,7 @@
 	summarizer     *summarizer
 	vmFollower     *follower.Follower // of the list of VMs; nil if this VM is no reader
 	puller         *replicator.Puller
+	refresher      atomic.Pointer[replicator.Refresher] // of the registry; nil until the followers have started
 }
 
 // Run runs a VM until ctx ends, then stops it gracefully.
@@ -145,6 +146,7 @@
 		Promote: func(ctx context.Context, group, instance string, token uint64) error {
 			return p.Promote(ctx, group, instance, cfg.ID, token)
 		},
+		RefreshInstances:  v.refreshRegistry,
 		Peers:             commander.Peers{Dialer: p.Dialer, Addresses: v.gateways.linkAddresses, Parse: p.ParseCondition},
 		AnswersDirectly:   v.gateways.answersDirectly,
 		OnInstanceRemoved: v.performer.Forget,
--- a/internal/daemon/assembler/followers.go
+++ b/internal/daemon/assembler/followers.go
@@ -8,6 +8,7 @@
 	"slices"
 	"time"
 
+	"parsleyscale/internal/failure/classifier"
 	"parsleyscale/internal/operator/inspector"
 	"parsleyscale/internal/platform/follower"
 	"parsleyscale/internal/platform/replicator"
@@ -71,6 +72,9 @@
 		v.startFollower(v.platform.ConfigurationTable, v.applyConfiguration, v.applyConfiguration),
 		v.startFollower(v.platform.RegistryTable, v.replaceRegistry, v.applyRegistryChanges),
 	}
+	v.refresher.Store(&replicator.Refresher{
+		Store: v.platform.Store, Table: v.platform.RegistryTable, Copy: v.tableCopies[v.platform.RegistryTable], Follower: v.followers[1],
+	})
 	if v.isReader() {
 		v.followVMs()
 	}
@@ -155,6 +159,15 @@
 	}
 }
 
+// refreshRegistry brings the registry up to date before a replacement.
+func (v *VM) refreshRegistry(ctx context.Context) error {
+	r := v.refresher.Load()
+	if r == nil {
+		return classifier.New(classifier.NotReady, "the registry is not followed yet")
+	}
+	return r.Refresh(ctx)
+}
+
 // followWait returns the longest wait of a call for changes. It is shorter for readers that other VMs use.
 func (v *VM) followWait() time.Duration {
 	if v.isReader() && v.usesReaders() {
--- a/internal/group/replacer/endterm.go
+++ b/internal/group/replacer/endterm.go
@@ -34,13 +34,14 @@
 			return r.cfg.Controller.Demote(ctx, t, old.Term+1)
 		})
 	}
+	refreshed := r.startRefresh(ctx)
 	if t, ok := awaitPath(path); ok {
 		return r.demoteAndCatchUp(ctx, g, views, old, earlierChoice, func(ctx context.Context, _ carrier.Target) (carrier.InstanceStatus, error) {
 			return r.cfg.Peers.Demote(ctx, t, old.Term+1)
 		})
 	}
 	// A stalled primary is reachable, so holdAll awaits the answer to its demotion.
-	return r.holdAll(ctx, g, views, old, a.Reason == WritesStalled)
+	return r.holdAllRegistered(ctx, g, old, a.Reason == WritesStalled, refreshed)
 }
 
 // discoverTerm returns the highest term that any instance has reported, after it has asked all of them again.
--- /dev/null
+++ b/internal/group/replacer/refresh.go
@@ -0,0 +1,48 @@
+package replacer
+
+import (
+	"context"
+	"slices"
+
+	"parsleyscale/internal/group/registrar"
+)
+
+// startRefresh brings the instances of all groups up to date, beside the first steps of the end of a term. The channel gets
+// the result.
+func (r *Replacer) startRefresh(ctx context.Context) <-chan error {
+	result := make(chan error, 1)
+	if r.cfg.RefreshInstances == nil {
+		result <- nil
+		return result
+	}
+	r.wg.Go(func() { result <- r.cfg.RefreshInstances(ctx) })
+	return result
+}
+
+// holdAllRegistered is holdAll for the instances that were registered when the refresh began. Those that this VM has known
+// before are held meanwhile, unless the primary is to be demoted, which interrupts the service.
+func (r *Replacer) holdAllRegistered(ctx context.Context, g *registrar.Group, old registrar.Primary, awaitsOldPrimary bool, refreshed <-chan error) ([]candidate, error) {
+	if awaitsOldPrimary {
+		<-refreshed
+		return r.holdAll(ctx, g, g.Views(), old, true)
+	}
+	known := g.Views()
+	candidates, err := r.holdAll(ctx, g, known, old, false)
+	if err != nil {
+		return nil, err
+	}
+	<-refreshed
+	if isSameInstances(known, g.Views()) {
+		return candidates, nil
+	}
+	return r.holdAll(ctx, g, g.Views(), old, false)
+}
+
+// isSameInstances reports whether two lists hold the same instances, none of which has restarted or moved in between.
+func isSameInstances(a, b []registrar.View) bool {
+	return len(a) == len(b) && !slices.ContainsFunc(a, func(v registrar.View) bool {
+		return !slices.ContainsFunc(b, func(w registrar.View) bool {
+			return v.ID == w.ID && v.Address == w.Address && v.StartedAtMs == w.StartedAtMs
+		})
+	})
+}
--- /dev/null
+++ b/internal/group/replacer/refresh_test.go
@@ -0,0 +1,46 @@
+package replacer
+
+import (
+	"testing"
+	"testing/synctest"
+
+	"parsleyscale/internal/group/registrar"
+	"parsleyscale/internal/sheet/cataloger"
+)
+
+// Guards against the loss of commits that only a replica holds which registered last: the VM that replaced the primary
+// compared the replicas of its copy of the registry, which lacked that one.
+func TestReplicaRegisteredLast(t *testing.T) {
+	for _, c := range []struct {
+		name    string
+		f       *fakeGroup
+		entry   cataloger.Instance
+		want    string // promoted instance; "": none
+		isStall bool   // writes stall, and the primary answers
+	}{
+		{"it holds the most", &fakeGroup{received: map[string]uint64{"a": 9, "b": 7, "c": 7, "d": 9}, errs: map[string]error{"demote a": errNoAnswer}}, cataloger.Instance{ID: "d", Address: "d"}, "d", false},
+		{"it does not answer", &fakeGroup{received: map[string]uint64{"a": 9, "b": 7, "c": 7, "d": 9}, errs: map[string]error{"demote a": errNoAnswer, "hold d": errNoAnswer}}, cataloger.Instance{ID: "d", Address: "d"}, "", false},
+		{"a known replica has restarted", &fakeGroup{received: map[string]uint64{"a": 9, "b": 7, "c": 1}, errs: map[string]error{"demote a": errNoAnswer}}, cataloger.Instance{ID: "c", Address: "c", StartedAtMs: 5}, "", false},
+		{"writes stall", &fakeGroup{received: map[string]uint64{"a": 9, "b": 7, "c": 7, "d": 9}, errs: map[string]error{"probe a": nil}}, cataloger.Instance{ID: "d", Address: "d"}, "d", true},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				c.f.primary, c.f.term = "a", 3
+				got := promotedInstances(t, c.f, func(g *registrar.Group, r *registrar.Registrar, reg cataloger.Registry) {
+					c.entry.Group = "g"
+					c.f.refresh = func() { r.Update(reg.With(map[string]*cataloger.Instance{c.entry.ID: &c.entry})) }
+					if !c.isStall {
+						failPrimary(g)
+						return
+					}
+					for range 4 {
+						g.RecordUnansweredWrite()
+					}
+				})
+				if c.want == "" && len(got) > 0 || c.want != "" && (len(got) != 1 || got[0] != c.want) {
+					t.Errorf("%v promoted, want %q; commands %v", got, c.want, c.f.commands)
+				}
+			})
+		})
+	}
+}
--- a/internal/group/replacer/replacer.go
+++ b/internal/group/replacer/replacer.go
@@ -2,7 +2,7 @@
 // a number of replicas has received it, and whose new primary is appointed by a
 // single fenced promote request to the platform.
 //
-// Five rules make the promotion safe.
+// Six rules make the promotion safe.
 //   - An attempt takes its fencing token before it holds, demotes or compares any
 //     instance. An attempt that begins later has a higher token, and once the
 //     platform has seen that token, it refuses the lower one. A spare token is fetched
@@ -16,6 +16,8 @@
 //     primary acknowledges commits only with the help of an instance that joins or
 //     restarts, and no VM passes these acknowledgements on. If the primary is back before
 //     the promotion takes effect, it is demoted.
+//   - The replicas are those that the store lists once the token has been taken. A VM's copy of the registry may lack the
+//     one that registered last, and that may be the only one with an acknowledged commit.
 //   - All replicas must have answered, since the one that did not may be the only
 //     one with an acknowledged commit. The demoted old primary can stand in for a
 //     missing replica, because its log holds every commit that it acknowledged. A
@@ -125,6 +127,9 @@
 	Probe func(g *registrar.Group, v registrar.View) error
 	// Sample asks the primary for its position and records it in the group.
 	Sample func(ctx context.Context, g *registrar.Group) error
+	// RefreshInstances brings the instances of Groups up to date. After it has returned without an error, they include each one
+	// that registered before the call. It is nil if nothing else than the registrar knows the instances.
+	RefreshInstances func(ctx context.Context) error
 	// Peers reaches instances through other VMs; nil if there are none.
 	Peers PeerCommander
 	// AnswersDirectly reports whether an instance that this VM usually reaches through gateways answers
--- a/internal/group/replacer/replacer_test.go
+++ b/internal/group/replacer/replacer_test.go
@@ -31,6 +31,7 @@
 	isUnfenced       bool     // Config.IsUnfenced
 	missesDeparture  bool     // the result of Config.MayHaveMissedDeparture
 	hasPeers         bool     // Config.Peers is set
+	refresh          func()   // called by Config.RefreshInstances; may be nil
 	heldTerm         uint64   // term below which the replicas receive nothing; zero: they receive
 	tokenBeforeSpare uint64   // last token that was issued before the first spare one
 }
@@ -144,6 +145,12 @@
 		Groups: r, Controller: f, Peers: peers, IsUnfenced: f.isUnfenced, Tokens: &fakeTokens{last: f.tokenBeforeSpare}, Claims: claims, AnswersDirectly: answers, Rank: func(string) int { return 0 }, OnInstanceRemoved: func(string) {},
 		Sample:                 func(context.Context, *registrar.Group) error { return nil },
 		MayHaveMissedDeparture: func(context.Context) bool { return f.missesDeparture },
+		RefreshInstances: func(context.Context) error {
+			if f.refresh != nil {
+				f.refresh()
+			}
+			return nil
+		},
 		Probe: func(g *registrar.Group, v registrar.View) error {
 			f.mu.Lock()
 			defer f.mu.Unlock()
--- a/internal/platform/follower/follower.go
+++ b/internal/platform/follower/follower.go
@@ -129,6 +129,21 @@
 	return f.applyChanges(p)
 }
 
+// MergeTable applies a whole table that was read besides the feed. Once the table has been passed on, only the changes that
+// lead to it are, which changesTo returns. It reports whether any of it was new.
+func (f *Follower) MergeTable(p Page, changesTo func(table Page) []Row) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	switch {
+	case p.Version <= f.version:
+		return false
+	case !f.isLoaded:
+		f.replaceTable(p)
+		return true
+	}
+	return f.applyChanges(Page{Rows: changesTo(p), Version: p.Version})
+}
+
 // replaceTable passes on the whole table. The caller holds f.mu.
 func (f *Follower) replaceTable(p Page) {
 	f.cfg.OnTable(p.Rows, p.Version)
