--- a/internal/group/replacer/endterm.go
+++ b/internal/group/replacer/endterm.go
@@ -35,6 +35,7 @@
 			return r.cfg.Controller.Demote(ctx, t, old.Term+1)
 		})
 	}
+	refreshed := r.startRefresh(ctx)
 	if t, ok := awaitPath(path); ok {
 		b.EndedBy, b.Via = EndedByPeer, t.Address
 		return r.demoteAndCatchUp(ctx, g, views, old, earlierChoice, b, func(ctx context.Context, _ carrier.Target) (carrier.InstanceStatus, error) {
@@ -43,7 +44,7 @@
 	}
 	// A stalled primary is reachable, so holdAll awaits the answer to its demotion.
 	b.EndedBy = EndedByHold
-	return r.holdAll(ctx, g, views, old, a.Reason == WritesStalled, b)
+	return r.holdAllRegistered(ctx, g, old, a.Reason == WritesStalled, refreshed, b)
 }
 
 // discoverTerm returns the highest term that any instance has reported, after it has asked all of them again.
@@ -228,6 +229,7 @@
 // hold all entries of the old primary are candidates.
 func (r *Replacer) holdAll(ctx context.Context, g *registrar.Group, views []registrar.View, old registrar.Primary, awaitsOldPrimary bool, b *Basis) ([]candidate, error) {
 	nextTerm := old.Term + 1
+	b.Known, b.Unanswered = len(views), 0
 	replicaAnswers, primaryAnswer := make(chan haltAnswer, len(views)), make(chan haltAnswer, 1)
 	replicas := 0
 	for _, v := range views {
