--- /dev/null
+++ b/internal/group/replacer/effect_test.go
@@ -0,0 +1,83 @@
+package replacer
+
+import (
+	"testing"
+	"testing/synctest"
+
+	"parsleyscale/internal/group/registrar"
+	"parsleyscale/internal/session/tokenizer"
+	"parsleyscale/internal/sheet/cataloger"
+)
+
+// Guards against the loss of commits by a hold or a demotion that is answered but has no effect: a replica went on receiving, or
+// the primary acknowledging, while an instance was promoted that had been compared before.
+func TestCommandWithoutEffect(t *testing.T) {
+	received := map[string]uint64{"a": 9, "b": 9, "c": 9}
+	fail := func(g *registrar.Group, _ *registrar.Registrar, _ cataloger.Registry) { failPrimary(g) }
+	stall := func(g *registrar.Group, _ *registrar.Registrar, _ cataloger.Registry) {
+		g.RecordUnansweredWrite()
+		g.RecordUnansweredWrite()
+	}
+	for _, c := range []struct {
+		name  string
+		f     *fakeGroup
+		setUp func(*registrar.Group, *registrar.Registrar, cataloger.Registry)
+	}{
+		{"a replica is in the next term", &fakeGroup{primary: "x", term: 4, entryTerm: 3, received: received, errs: map[string]error{"demote a": errNoAnswer}}, fail},
+		{"a replica is not held", &fakeGroup{primary: "a", term: 3, received: received, errs: map[string]error{"demote a": errNoAnswer}, ignoresHold: map[string]bool{"c": true}}, fail},
+		{"the stalled primary leads the next term", &fakeGroup{primary: "a", term: 4, entryTerm: 3, received: received, errs: map[string]error{"hold c": errNoAnswer, "probe a": errNoAnswer}}, stall},
+		{"the leaving primary leads the next term", &fakeGroup{primary: "a", term: 4, entryTerm: 3, received: received, errs: map[string]error{"probe a": errNoAnswer}}, markPrimaryLeaving},
+		{"another VM reaches the primary, which leads the next term", &fakeGroup{primary: "a", term: 4, entryTerm: 3, received: received, errs: map[string]error{"probe a": errNoAnswer}, hasPeers: true}, fail},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				promotedInstances(t, c.f, c.setUp)
+				for _, token := range c.f.tokens {
+					if ended := token >> termShift; ended < c.f.term-uint64(len(c.f.promoted)) || len(c.f.ignoresHold) > 0 {
+						t.Fatalf("promote request that ends term %d, the group is in term %d; commands %v", ended, c.f.term, c.f.commands)
+					}
+				}
+			})
+		})
+	}
+}
+
+// Guards against the loss of commits when a demoted primary that stands in for a replica has lost its log, or reports less than it
+// proved before: each other instance then seemed to hold all of its entries.
+func TestDemotedPrimaryLacksEntries(t *testing.T) {
+	for _, c := range []struct {
+		name     string
+		f        *fakeGroup
+		setUp    func(*registrar.Group, *registrar.Registrar, cataloger.Registry)
+		wantHold bool
+	}{
+		{"it stands in for a silent replica, with an empty log", &fakeGroup{received: map[string]uint64{"b": 6, "c": 9}, errs: map[string]error{"hold c": errNoAnswer}}, func(g *registrar.Group, _ *registrar.Registrar, _ cataloger.Registry) { failPrimary(g) }, true},
+		{"it stands in for a silent replica, which lacks what it proved", &fakeGroup{received: map[string]uint64{"a": 5, "b": 6, "c": 9}, errs: map[string]error{"hold c": errNoAnswer}}, func(g *registrar.Group, _ *registrar.Registrar, _ cataloger.Registry) { failPrimary(g) }, true},
+		{"another VM reaches it", &fakeGroup{received: map[string]uint64{"a": 5, "b": 7, "c": 9}, hasPeers: true, errs: map[string]error{"hold c": errNoAnswer, "status c": errNoAnswer}}, func(g *registrar.Group, _ *registrar.Registrar, _ cataloger.Registry) { failPrimary(g) }, false},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				c.f.primary, c.f.term = "a", 3
+				got := promotedInstances(t, c.f, func(g *registrar.Group, r *registrar.Registrar, reg cataloger.Registry) {
+					g.RecordProof(registrar.Proof{Instance: "a", SentAt: 2, Position: tokenizer.Position{Term: 3, Index: 7}})
+					c.setUp(g, r, reg)
+				})
+				if len(got) > 0 {
+					t.Errorf("%v promoted, want none; commands %v", got, c.f.commands)
+				}
+			})
+		})
+	}
+}
+
+// Guards against a promote request that is repeated after another VM has claimed the group: its instance, which had been demoted
+// since, led again.
+func TestRequestIsNotRepeatedAfterOtherClaim(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := &fakeGroup{primary: "a", term: 3, received: map[string]uint64{"a": 9, "b": 9, "c": 9}, errs: map[string]error{"demote a": errNoAnswer}, dropsPromote: true}
+		promotedInstancesWith(t, f, &fakeTokens{last: 100, lostAt: 2}, nil, func(g *registrar.Group, _ *registrar.Registrar, _ cataloger.Registry) { failPrimary(g) })
+		if len(f.tokens) != 1 {
+			t.Errorf("%d promote requests, want 1", len(f.tokens))
+		}
+	})
+}
--- a/internal/group/replacer/replacer_test.go
+++ b/internal/group/replacer/replacer_test.go
@@ -1,6 +1,7 @@
 package replacer
 
 import (
+	"cmp"
 	"context"
 	"slices"
 	"sync"
@@ -26,16 +27,21 @@
 	errs             map[string]error  // returned by commands and probes, by "<command> <instance>"
 	commands         []string          // "<command> <instance>"
 	promoted         []string
-	tokens           []uint64 // of the promote requests
-	dropsPromote     bool     // promote requests have no effect and get no answer
-	isUnfenced       bool     // Config.IsUnfenced
-	missesDeparture  bool     // the result of Config.MayHaveMissedDeparture
-	hasPeers         bool     // Config.Peers is set
-	heldTerm         uint64   // term below which the replicas receive nothing; zero: they receive
-	tokenBeforeSpare uint64   // last token that was issued before the first spare one
-}
-
-func (f *fakeGroup) command(name, id string) (carrier.InstanceStatus, error) {
+	tokens           []uint64          // of the promote requests
+	dropsPromote     bool              // promote requests have no effect and get no answer
+	isUnfenced       bool              // Config.IsUnfenced
+	missesDeparture  bool              // the result of Config.MayHaveMissedDeparture
+	hasPeers         bool              // Config.Peers is set
+	heldTerm         uint64            // term below which the replicas receive nothing; zero: they receive
+	holds            map[string]uint64 // the same for single replicas, by instance
+	entryTerm        uint64            // term of the newest entries, if not the present one
+	ignoresHold      map[string]bool   // instances on which holds have no effect
+	tokenBeforeSpare uint64            // last token that was issued before the first spare one
+}
+
+// command carries out a command with a term, zero if it has none. A hold has an effect on a replica only if its term is above
+// the newest one, a demotion on a primary only if the primary is of a lower term.
+func (f *fakeGroup) command(name, id string, commandTerm uint64) (carrier.InstanceStatus, error) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	f.commands = append(f.commands, name+" "+id)
@@ -43,23 +49,32 @@
 		return carrier.InstanceStatus{}, err
 	}
 	term, isDemotion := f.term, name == "demote" || name == "peerDemote"
-	f.isDemoted = f.isDemoted || isDemotion && f.primary == id
+	f.isDemoted = f.isDemoted || isDemotion && f.primary == id && commandTerm > f.term
+	if name == "hold" && commandTerm > f.term && f.primary != id && !f.ignoresHold[id] {
+		if f.holds == nil {
+			f.holds = map[string]uint64{}
+		}
+		f.holds[id] = commandTerm
+	}
+	if f.entryTerm > 0 {
+		term = f.entryTerm
+	}
 	if f.received[id] == 0 {
 		term = 0
 	}
-	return carrier.InstanceStatus{Term: f.term, HoldTerm: f.heldTerm, IsPrimary: f.primary == id && !f.isDemoted, Received: tokenizer.Position{Term: term, Index: f.received[id]}}, nil
+	return carrier.InstanceStatus{Term: f.term, HoldTerm: max(f.heldTerm, f.holds[id]), IsPrimary: f.primary == id && !f.isDemoted, Received: tokenizer.Position{Term: term, Index: f.received[id]}}, nil
 }
 
 func (f *fakeGroup) Status(_ context.Context, t carrier.Target) (carrier.InstanceStatus, error) {
-	return f.command("status", t.Instance)
+	return f.command("status", t.Instance, 0)
 }
 
-func (f *fakeGroup) Hold(_ context.Context, t carrier.Target, _ uint64) (carrier.InstanceStatus, error) {
-	return f.command("hold", t.Instance)
+func (f *fakeGroup) Hold(_ context.Context, t carrier.Target, term uint64) (carrier.InstanceStatus, error) {
+	return f.command("hold", t.Instance, term)
 }
 
-func (f *fakeGroup) Demote(_ context.Context, t carrier.Target, _ uint64) (carrier.InstanceStatus, error) {
-	return f.command("demote", t.Instance)
+func (f *fakeGroup) Demote(_ context.Context, t carrier.Target, term uint64) (carrier.InstanceStatus, error) {
+	return f.command("demote", t.Instance, term)
 }
 
 func (f *fakeGroup) hasCommand(command string) bool {
@@ -152,7 +167,7 @@
 			} else if f.primary != v.ID || f.isDemoted || !ok && v.Failures > 0 && len(f.promoted) == 0 {
 				return classifier.New(classifier.NotPrimary, "%s", v.ID)
 			}
-			g.RecordProof(registrar.Proof{Instance: v.ID, SentAt: g.Now(), Position: tokenizer.Position{Term: f.term, Index: f.received[v.ID]}})
+			g.RecordProof(registrar.Proof{Instance: v.ID, SentAt: g.Now(), Position: tokenizer.Position{Term: cmp.Or(f.entryTerm, f.term), Index: f.received[v.ID]}})
 			g.RecordAnswer(v.ID, tokenizer.Position{}, 0)
 			return nil
 		},
@@ -184,12 +199,12 @@
 type fakePeers struct{ *fakeGroup }
 
 func (f fakePeers) FindPath(_ context.Context, t carrier.Target) (carrier.Target, error) {
-	_, err := f.command("path", t.Instance)
+	_, err := f.command("path", t.Instance, 0)
 	return t, err
 }
 
-func (f fakePeers) Demote(_ context.Context, path carrier.Target, _ uint64) (carrier.InstanceStatus, error) {
-	return f.command("peerDemote", path.Instance)
+func (f fakePeers) Demote(_ context.Context, path carrier.Target, term uint64) (carrier.InstanceStatus, error) {
+	return f.command("peerDemote", path.Instance, term)
 }
 
 // failPrimary records more failures of the primary a than a replacement requires.
