Check that a hold or a demotion has had an effect

Callers lost acknowledged commits at a promotion although a living replica had them.

An instance answers HOLD and DEMOTE with its state, whether or not they have an effect, and neither the role nor the term nor the term held of that answer was checked. A new primary has a position of the term before until its first entry, so VMs took it for the primary of that term. Its demotion for the term that it led had no effect, and it went on acknowledging until the promotion of another instance, which was compared before and not held, took effect.

The old term is now ended only by replicas that report the hold and by a primary that reports to be a replica of the old term. An instance of a later term is a conflict, after which the VM asks all instances for their states. So it learns the new primary of that term, even if that has no entry yet, and begins anew with its term.

--- a/internal/group/replacer/endterm.go
+++ b/internal/group/replacer/endterm.go
@@ -148,11 +148,14 @@
 	if !hasSuccessor(views, old.Instance) {
 		return nil, classifier.New(classifier.NoInstance, "cannot demote the primary of group %s: no reachable replica remains that is not leaving", g.Name())
 	}
+	nextTerm := old.Term + 1
 	// A demotion while no replica receives entries would only interrupt the service, unless one is held: a promotion ends holds.
 	receives := func(s carrier.InstanceStatus) bool {
 		return s.HoldTerm > 0 || s.Received.Covers(g.Samples.Newest().Position)
 	}
-	if _, ok := r.awaitReplica(ctx, views, old.Instance, earlierChoice, receives); !ok {
+	if _, ok, err := r.awaitReplica(ctx, g, views, old, earlierChoice, receives); err != nil {
+		return nil, err
+	} else if !ok {
 		return nil, classifier.New(classifier.NoInstance, "cannot demote the primary of group %s: no replica that stays has received the entries that the primary held a moment ago", g.Name())
 	}
 	demoted, err := r.callWithRetry(ctx, v, demote)
@@ -162,32 +165,39 @@
 		// the registry yet and would therefore not be held.
 		return nil, err
 	}
-	if demoted.Received.Term > old.Term {
-		g.RecordTerm(demoted.Received.Term)
-		return nil, classifier.New(classifier.Conflict, "primary %s is already in the later term %d", v.ID, demoted.Received.Term)
+	if isInLaterTerm(demoted, nextTerm) {
+		return nil, r.recordLaterTerm(ctx, g, v.ID, demoted)
+	}
+	if err := checkDemoted(v.ID, demoted, nextTerm); err != nil {
+		return nil, err
 	}
 	hasCaughtUp := func(s carrier.InstanceStatus) bool { return s.Received.Covers(demoted.Received) }
-	if c, ok := r.awaitReplica(ctx, views, old.Instance, earlierChoice, hasCaughtUp); ok {
+	if c, ok, err := r.awaitReplica(ctx, g, views, old, earlierChoice, hasCaughtUp); err != nil {
+		return nil, err
+	} else if ok {
 		return []candidate{c}, nil
 	}
 	return []candidate{{id: v.ID, isLeaving: v.IsLeaving, isOldPrimary: true, received: demoted.Received}}, nil
 }
 
 // awaitReplica waits for up to catchUpTimeout until the state of a replica that is not leaving fulfils a condition. It prefers
-// the choice of an earlier attempt, then the first one by identity.
-func (r *Replacer) awaitReplica(ctx context.Context, views []registrar.View, primary, earlierChoice string, condition func(carrier.InstanceStatus) bool) (candidate, bool) {
+// the choice of an earlier attempt, then the first one by identity. It fails if a replica is in a later term than old.
+func (r *Replacer) awaitReplica(ctx context.Context, g *registrar.Group, views []registrar.View, old registrar.Primary, earlierChoice string, condition func(carrier.InstanceStatus) bool) (candidate, bool, error) {
 	slices.SortFunc(views, func(a, b registrar.View) int {
 		return cmp.Or(compareBool(b.ID == earlierChoice, a.ID == earlierChoice), cmp.Compare(a.ID, b.ID))
 	})
 	start := time.Now()
 	for time.Since(start) < catchUpTimeout && ctx.Err() == nil {
 		for _, replica := range views {
-			if replica.ID == primary || replica.IsLeaving {
+			if replica.ID == old.Instance || replica.IsLeaving {
 				continue
 			}
 			status, err := r.callWithRetry(ctx, replica, r.cfg.Controller.Status)
-			if err == nil && condition(status) {
-				return candidate{id: replica.ID, received: status.Received}, true
+			switch {
+			case err == nil && isInLaterTerm(status, old.Term+1):
+				return candidate{}, false, r.recordLaterTerm(ctx, g, replica.ID, status)
+			case err == nil && condition(status):
+				return candidate{id: replica.ID, received: status.Received}, true, nil
 			}
 			if time.Since(start) < firstReplicaOnly {
 				break // consider only the first replica, so that different VMs make the same choice
@@ -195,7 +205,7 @@
 		}
 		sleeper.Sleep(ctx, 10*time.Millisecond)
 	}
-	return candidate{}, false
+	return candidate{}, false, nil
 }
 
 const (
@@ -213,9 +223,8 @@
 // haltAnswer is an instance's answer to a hold or a demotion, and the instance as a candidate.
 type haltAnswer struct {
 	candidate
-	receivedTerm uint64 // term of the newest entry that it holds
-	primaryTerm  uint64 // term in which it is the primary, though it was held as a replica; zero: it is not
-	err          error
+	status carrier.InstanceStatus
+	err    error
 }
 
 // holdAll holds all replicas, so that they stop receiving entries, and demotes the old primary. If another VM has demoted
@@ -245,12 +254,11 @@
 		switch {
 		case a.err != nil:
 			replicaErr = a.err
-		case a.primaryTerm > 0:
-			g.RecordTerm(a.primaryTerm)
-			return nil, classifier.New(classifier.Conflict, "instance %s is the primary of term %d", a.id, a.primaryTerm)
-		case a.receivedTerm >= nextTerm:
-			g.RecordTerm(a.receivedTerm)
-			return nil, classifier.New(classifier.Conflict, "replica %s already holds entries of the later term %d", a.id, a.receivedTerm)
+		case isInLaterTerm(a.status, nextTerm):
+			return nil, r.recordLaterTerm(ctx, g, a.id, a.status)
+		case a.status.IsPrimary:
+			g.RecordStatus(a.id, a.status)
+			return nil, classifier.New(classifier.Conflict, "instance %s is the primary of term %d", a.id, a.status.Term)
 		default:
 			a.isOldPrimary = a.id == former
 			candidates = append(candidates, a.candidate)
@@ -277,6 +285,8 @@
 		return candidates, nil
 	case a.err != nil:
 		return nil, replicaErr
+	case isInLaterTerm(a.status, nextTerm):
+		return nil, r.recordLaterTerm(ctx, g, a.id, a.status)
 	}
 	return covering(append(candidates, a.candidate), a.received), nil
 }
@@ -299,9 +309,13 @@
 		return r.hold(ctx, t, nextTerm)
 	})
 	r.cfg.Observe(Event{Name: EventHeld, Group: g.Name(), Instance: v.ID, Status: s, Err: err})
-	a := haltAnswer{candidate: candidate{id: v.ID, isLeaving: v.IsLeaving, isOldPrimary: isOldPrimary, received: s.Received}, err: err, receivedTerm: s.Received.Term}
-	if s.IsPrimary && !isOldPrimary {
-		a.primaryTerm = s.Term
+	a := haltAnswer{candidate: candidate{id: v.ID, isLeaving: v.IsLeaving, isOldPrimary: isOldPrimary, received: s.Received}, status: s, err: err}
+	switch {
+	case err != nil || isInLaterTerm(s, nextTerm):
+	case isOldPrimary:
+		a.err = checkDemoted(v.ID, s, nextTerm)
+	case !s.IsPrimary:
+		a.err = checkHeld(v.ID, s, nextTerm)
 	}
 	return a
 }
--- a/internal/group/replacer/replacer_test.go
+++ b/internal/group/replacer/replacer_test.go
@@ -50,7 +50,7 @@
 	}
 	term, isDemotion := f.term, name == "demote" || name == "peerDemote"
 	f.isDemoted = f.isDemoted || isDemotion && f.primary == id && commandTerm > f.term
-	if name == "hold" && commandTerm > f.term && f.primary != id && !f.ignoresHold[id] {
+	if name == "hold" && commandTerm > f.term && (f.primary != id || f.isDemoted) && !f.ignoresHold[id] {
 		if f.holds == nil {
 			f.holds = map[string]uint64{}
 		}
