Pass on no acknowledgement of a term that a promotion is to end

Callers lost commits that they had been told were kept. A promotion takes effect some hundred milliseconds after the replicas were compared. Until then, the old primary acknowledged commits with the help of a replica that had restarted or joined, and so was not held, to a VM that reached the primary but could not be used to demote it; or it was back from a crash and not demoted yet.

Cause: what was compared is taken to stand until the promotion takes effect, but only demoting the primary makes that true, and that needs a path to it.

A VM that is about to hold and compare the replicas now seals the term on itself and on the VMs that answer, renews the seal until the promotion is settled, and asks the registry only then. A VM that has sealed a term tells its client that the outcome of a commit of that term is unknown. Gateways check the seal as well, so in a large deployment only these are asked. A primary that is demoted through another VM, or in a switchover, needs no seal.

A VM that neither the replacing VM nor the list of VMs reaches is not sealed.

--- a/internal/daemon/assembler/assembler.go
+++ b/internal/daemon/assembler/assembler.go
@@ -16,6 +16,7 @@
 	"parsleyscale/internal/group/commander"
 	"parsleyscale/internal/group/registrar"
 	"parsleyscale/internal/group/replacer"
+	"parsleyscale/internal/group/sealer"
 	"parsleyscale/internal/operator/auditor"
 	"parsleyscale/internal/platform/follower"
 	"parsleyscale/internal/platform/replicator"
@@ -149,6 +150,7 @@
 			return p.Promote(ctx, group, instance, cfg.ID, token)
 		},
 		RefreshInstances:  v.refreshRegistry,
+		Sealer:            &sealer.Sealer{Client: replicator.NewClient(), Addresses: v.writerAddresses, RefreshAddresses: v.members.refreshIfOld},
 		Peers:             commander.Peers{Dialer: p.Dialer, Addresses: v.gateways.linkAddresses, Parse: p.ParseCondition},
 		AnswersDirectly:   v.gateways.answersDirectly,
 		OnInstanceRemoved: v.performer.Forget,
--- a/internal/daemon/assembler/followers.go
+++ b/internal/daemon/assembler/followers.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"parsleyscale/internal/failure/classifier"
+	"parsleyscale/internal/group/sealer"
 	"parsleyscale/internal/operator/inspector"
 	"parsleyscale/internal/platform/follower"
 	"parsleyscale/internal/platform/replicator"
@@ -204,6 +205,7 @@
 		mux.Handle(replicator.CopyPath, h)
 	}
 	mux.HandleFunc(replicator.ChangesPath, h.ServeChanges)
+	mux.Handle(sealer.Path, sealer.Handler{Seal: v.sealTerm})
 	mux.Handle(inspector.Path, inspector.Handler(v.status))
 	v.peerServer = &http.Server{Handler: mux, ReadHeaderTimeout: time.Second}
 	go func() { _ = v.peerServer.Serve(l) }()
--- a/internal/daemon/assembler/gateway.go
+++ b/internal/daemon/assembler/gateway.go
@@ -175,7 +175,7 @@
 	if err != nil {
 		return err
 	}
-	v.forwardServer = forwarder.NewServer(forwarder.Config{Listener: ln, Accept: v.platform.AcceptPort, Pool: v.pool, Names: &v.statementNames, Find: v.findInstance, IsUnreachable: v.hasFailedAttempts, OnPanic: v.logPanic})
+	v.forwardServer = forwarder.NewServer(forwarder.Config{Listener: ln, Accept: v.platform.AcceptPort, Pool: v.pool, Names: &v.statementNames, Find: v.findInstance, IsUnreachable: v.hasFailedAttempts, IsSealed: v.isSealed, OnPanic: v.logPanic})
 	go v.forwardServer.Serve()
 	return nil
 }
@@ -215,6 +215,34 @@
 	return c.Groups[group]
 }
 
+// sealTerm seals a term of a group for another VM. It returns false if the configuration lacks the group.
+func (v *VM) sealTerm(group string, term uint64) bool {
+	if !v.isConfigured(group) {
+		return false
+	}
+	v.groups.Group(group).Seal(term)
+	return true
+}
+
+func (v *VM) isSealed(group string, term uint64) bool { return v.groups.Group(group).IsSealed(term) }
+
+// writerAddresses returns the peer addresses of the other VMs through which the writes to a group pass: its gateways, or else
+// all VMs.
+func (v *VM) writerAddresses(group string) []string {
+	var addresses []string
+	for _, i := range v.groups.Group(group).Views() {
+		for _, m := range v.gateways.gatewaysOf(registrar.NewTarget(i.Instance)) {
+			if m.ID != v.cfg.ID && !slices.Contains(addresses, m.PeerAddress) {
+				addresses = append(addresses, m.PeerAddress)
+			}
+		}
+	}
+	if len(addresses) == 0 || !v.isLarge() {
+		return v.members.peerAddresses()
+	}
+	return addresses
+}
+
 // isConfigured reports whether the configuration has a group.
 func (v *VM) isConfigured(group string) bool {
 	c := v.configuration.Load()
--- a/internal/daemon/assembler/log.go
+++ b/internal/daemon/assembler/log.go
@@ -242,6 +242,7 @@
 	replacer.EventHeld:             logger.ReplicaHeld,
 	replacer.EventDemoted:          logger.PrimaryDemoted,
 	replacer.EventNotInEffect:      logger.NotInEffect,
+	replacer.EventTermSealed:       logger.TermSealed,
 	replacer.EventPromoteRequested: logger.PromoteOrdered,
 	replacer.EventReplaced:         logger.PrimaryReplaced,
 	replacer.EventFailed:           logger.PromotionFailed,
--- a/internal/daemon/assembler/members.go
+++ b/internal/daemon/assembler/members.go
@@ -45,6 +45,7 @@
 	isListed     bool      // the table has the row of this VM
 	settledAt    time.Time // until then, VMs that started together may be missing in the table
 	isSettled    bool      // the table has been read since settledAt
+	refreshedAt  time.Time // when the latest successful read began
 	gatewayLists map[gatewayQuery][]member
 	ranks        map[string]int // by group
 }
@@ -132,9 +133,24 @@
 // large one.
 const firstRows = 40
 
+// minRefreshInterval is the age below which refreshIfOld takes the list for up to date.
+const minRefreshInterval = time.Second
+
+// refreshIfOld reads the table unless it has just been read. In a large deployment it does nothing, since the list is long.
+func (m *members) refreshIfOld(ctx context.Context) error {
+	m.mu.Lock()
+	isRecent := time.Since(m.refreshedAt) < minRefreshInterval
+	m.mu.Unlock()
+	if isRecent || m.count() > largeDeploymentVMs {
+		return nil
+	}
+	return m.refresh(ctx)
+}
+
 func (m *members) refresh(ctx context.Context) error {
 	ctx, cancel := context.WithTimeout(ctx, refreshTimeout)
 	defer cancel()
+	startedAt := time.Now()
 	m.mu.Lock()
 	isFirst, isSettled := len(m.vms) == 0, m.isSettled || !time.Now().Before(m.settledAt)
 	m.mu.Unlock()
@@ -151,7 +167,7 @@
 	isListed := vms[m.cfg.ID] == m.self()
 	vms[m.cfg.ID] = m.self()
 	m.mu.Lock()
-	m.isListed, m.isSettled = m.isListed || isListed, isSettled
+	m.isListed, m.isSettled, m.refreshedAt = m.isListed || isListed, isSettled, startedAt
 	m.vms, m.gatewayLists, m.ranks = slices.Collect(maps.Values(vms)), map[gatewayQuery][]member{}, map[string]int{}
 	m.mu.Unlock()
 	return nil
--- a/internal/group/registrar/departure.go
+++ b/internal/group/registrar/departure.go
@@ -45,10 +45,9 @@
 	}
 }
 
-// RecordAcknowledged records the position of the primary at the acknowledgement of a commit.
-func (g *Group) RecordAcknowledged(p tokenizer.Position) {
-	g.mu.Lock()
-	defer g.mu.Unlock()
+// recordAcknowledged records the position of the primary at the acknowledgement of a commit that is passed on. The caller holds
+// g.mu.
+func (g *Group) recordAcknowledged(p tokenizer.Position) {
 	if d := &g.departure; len(d.silent) > 0 && !d.floor.IsZero() {
 		d.floor = d.floor.Max(p)
 	}
--- a/internal/group/replacer/endterm.go
+++ b/internal/group/replacer/endterm.go
@@ -35,7 +35,6 @@
 			return r.cfg.Controller.Demote(ctx, t, old.Term+1)
 		})
 	}
-	refreshed := r.startRefresh(ctx)
 	if t, ok := awaitPath(path); ok {
 		b.EndedBy, b.Via = EndedByPeer, t.Address
 		return r.demoteAndCatchUp(ctx, g, views, old, earlierChoice, b, func(ctx context.Context, _ carrier.Target) (carrier.InstanceStatus, error) {
@@ -44,7 +43,7 @@
 	}
 	// A stalled primary is reachable, so holdAll awaits the answer to its demotion.
 	b.EndedBy = EndedByHold
-	return r.holdAllRegistered(ctx, g, old, a.Reason == WritesStalled, refreshed, b)
+	return r.holdAllRegistered(ctx, g, old, a.Reason == WritesStalled, r.startSealAndRefresh(ctx, g, old.Term), b)
 }
 
 // discoverTerm returns the highest term that any instance has reported, after it has asked all of them again.
--- a/internal/group/replacer/refresh.go
+++ b/internal/group/replacer/refresh.go
@@ -7,15 +7,19 @@
 	"parsleyscale/internal/group/registrar"
 )
 
-// startRefresh brings the instances of all groups up to date, beside the first steps of the end of a term. The channel gets
-// the result.
-func (r *Replacer) startRefresh(ctx context.Context) <-chan error {
+// startSealAndRefresh seals a term and then brings the instances of all groups up to date, beside the first steps of the end of
+// the term. So each instance with whose help a commit was acknowledged and passed on is known afterwards, if it registered in
+// time. The channel gets the result.
+func (r *Replacer) startSealAndRefresh(ctx context.Context, g *registrar.Group, term uint64) <-chan error {
 	result := make(chan error, 1)
-	if r.cfg.RefreshInstances == nil {
-		result <- nil
-		return result
-	}
-	r.wg.Go(func() { result <- r.cfg.RefreshInstances(ctx) })
+	r.wg.Go(func() {
+		r.sealTerm(ctx, g, term)
+		if r.cfg.RefreshInstances == nil {
+			result <- nil
+			return
+		}
+		result <- r.cfg.RefreshInstances(ctx)
+	})
 	return result
 }
 
--- a/internal/group/replacer/replacer.go
+++ b/internal/group/replacer/replacer.go
@@ -130,6 +130,8 @@
 	// RefreshInstances brings the instances of Groups up to date. After it has returned without an error, they include each one
 	// that registered before the call. It is nil if nothing else than the registrar knows the instances.
 	RefreshInstances func(ctx context.Context) error
+	// Sealer reaches the VMs that may pass on acknowledgements of a primary which is being replaced; nil if there are none.
+	Sealer Sealer
 	// Peers reaches instances through other VMs; nil if there are none.
 	Peers PeerCommander
 	// AnswersDirectly reports whether an instance that this VM usually reaches through gateways answers
@@ -178,6 +180,7 @@
 	EventReplacementBegun = "replacementBegun"
 	EventHeld             = "replicaHeld"
 	EventDemoted          = "primaryDemoted"
+	EventTermSealed       = "termSealed"         // other VMs were asked to pass on no acknowledgements of the term
 	EventNotInEffect      = "commandNotInEffect" // the answer to a command shows that it has not ended the term
 	EventPromoteRequested = "promoteOrdered"     // named promoteOrdered outside the process
 	EventPromoteSettled   = "promoteSettled"     // the attempt sends no more promote requests
@@ -498,6 +501,9 @@
 	if old, nextTerm := p.oldPrimary, p.term+1; old != p.target && p.action.Kind != Switch { // a switchover has demoted it before
 		r.wg.Go(func() { r.demoteOnReturn(demoteCtx, g, old, nextTerm) })
 	}
+	if g.IsSealed(p.term) {
+		r.wg.Go(func() { r.keepSealed(demoteCtx, g, p.term) })
+	}
 	isUnanswered := false
 	for isRetry := false; ctx.Err() == nil; isRetry = true {
 		if isRetry && r.cfg.IsUnfenced {
--- a/internal/group/replacer/replacer_test.go
+++ b/internal/group/replacer/replacer_test.go
@@ -572,12 +572,12 @@
 		{"the primary has failed, and the other replica holds all that was acknowledged with the departed one", &fakeGroup{received: map[string]uint64{"a": 9, "b": 9}, errs: map[string]error{"demote a": errNoAnswer}}, func(g *registrar.Group) { proveAt(g, 8); failPrimary(g) }, "b"},
 		{"the departed replica may have gone on receiving, and the other one lacks a commit that was acknowledged since", &fakeGroup{received: map[string]uint64{"a": 9, "b": 8}, errs: map[string]error{"demote a": errNoAnswer}}, func(g *registrar.Group) {
 			proveAt(g, 8)
-			g.RecordAcknowledged(tokenizer.Position{Term: 3, Index: 9})
+			g.Acknowledge(tokenizer.Position{Term: 3, Index: 9})
 			failPrimary(g)
 		}, ""},
 		{"the departed replica may have gone on receiving, and the other one holds all that was acknowledged", &fakeGroup{received: map[string]uint64{"a": 9, "b": 9}, errs: map[string]error{"demote a": errNoAnswer}}, func(g *registrar.Group) {
 			proveAt(g, 8)
-			g.RecordAcknowledged(tokenizer.Position{Term: 3, Index: 9})
+			g.Acknowledge(tokenizer.Position{Term: 3, Index: 9})
 			failPrimary(g)
 		}, "b"},
 		{"the primary has failed, and the other replica lacks some of it", &fakeGroup{received: map[string]uint64{"a": 9, "b": 7}, errs: map[string]error{"demote a": errNoAnswer}}, func(g *registrar.Group) { proveAt(g, 8); failPrimary(g) }, ""},
--- a/internal/statement/performer/performer.go
+++ b/internal/statement/performer/performer.go
@@ -367,16 +367,18 @@
 }
 
 // recordCommitReply records what the reply to a write or to the commit of one shows about whether the instance is the
-// primary. A commit that waited for a replica proves the lead also where a replaced primary still answers.
-func (p *Performer) recordCommitReply(g *registrar.Group, id string, sentAt time.Duration, r carrier.Reply, syncReplicas int) {
-	if r.OK() {
-		g.RecordAcknowledged(r.Position)
-	}
+// primary. A commit that waited for a replica proves the lead also where a replaced primary still answers. The result is the
+// reply for the client, to whom the acknowledgement of a sealed term is not passed on.
+func (p *Performer) recordCommitReply(g *registrar.Group, id string, sentAt time.Duration, r carrier.Reply, syncReplicas int) carrier.Reply {
 	if r.OK() && syncReplicas > 0 {
 		g.RecordProof(registrar.Proof{Instance: id, SentAt: sentAt, Position: r.Position})
-		return
+	} else {
+		p.recordBeginReply(g, id, sentAt, r)
 	}
-	p.recordBeginReply(g, id, sentAt, r)
+	if r.OK() && !g.Acknowledge(r.Position) {
+		return carrier.ErrorReply(classifier.OutcomeUnknown, "the primary "+id+" is being replaced, and its successor may lack the commit")
+	}
+	return r
 }
 
 // recordReply records a reply for the instance that sent it. A latency of zero is not counted.
--- a/internal/statement/performer/transaction.go
+++ b/internal/statement/performer/transaction.go
@@ -278,10 +278,14 @@
 	}
 	releaseOrDiscard(lease, replies[0])
 	recordReply(t.group, id, replies[0], 0)
-	if !t.isReadOnly && (t.hasWritten || !replies[0].OK()) {
-		t.performer.recordCommitReply(t.group, id, sentAt, replies[0], t.route.SyncReplicas)
+	reply := replies[0]
+	if !t.isReadOnly && (t.hasWritten || !reply.OK()) {
+		reply = t.performer.recordCommitReply(t.group, id, sentAt, reply, t.route.SyncReplicas)
 	}
-	return t.handleCommitReply(replies[0])
+	if reply.Kind == classifier.OutcomeUnknown {
+		t.reportUnknown(r, id)
+	}
+	return t.handleCommitReply(reply)
 }
 
 // handleCommitReply records the reply to a commit. A failed commit of a transaction that wrote
@@ -306,10 +310,15 @@
 		return carrier.ErrorReply(classifier.NotRun, "no reply to the commit from "+id+"; the transaction wrote nothing")
 	}
 	t.group.RecordUnansweredWrite()
-	t.performer.cfg.Observe(Event{Name: EventUnknown, ID: r.Statement.ID, Group: t.group.Name(), Instance: id, Kind: classifier.OutcomeUnknown, Took: time.Since(r.ArrivedAt)})
+	t.reportUnknown(r, id)
 	return carrier.ErrorReply(classifier.OutcomeUnknown, "no reply to the commit from "+id)
 }
 
+// reportUnknown reports that the outcome of the commit on an instance is unknown.
+func (t *Transaction) reportUnknown(r Request, id string) {
+	t.performer.cfg.Observe(Event{Name: EventUnknown, ID: r.Statement.ID, Group: t.group.Name(), Instance: id, Kind: classifier.OutcomeUnknown, Took: time.Since(r.ArrivedAt)})
+}
+
 // commitEmpty commits a transaction without statements. It begins it on an instance and sends the
 // commit as its first statement, since the reply to a commit must come from an instance.
 func (t *Transaction) commitEmpty(ctx context.Context, r Request, deadline time.Time) carrier.Reply {
--- a/internal/statement/performer/write.go
+++ b/internal/statement/performer/write.go
@@ -53,7 +53,7 @@
 	reply := replies[len(replies)-1]
 	releaseOrDiscard(lease, reply)
 	recordReply(e.group, v.ID, reply, time.Since(start))
-	e.performer.recordCommitReply(e.group, v.ID, sentAt, reply, e.request.Route.SyncReplicas)
+	reply = e.performer.recordCommitReply(e.group, v.ID, sentAt, reply, e.request.Route.SyncReplicas)
 	return reply.WithState(carrier.Idle), e.handleWriteReply(v, reply)
 }
 
@@ -67,6 +67,9 @@
 	case classifier.Overloaded, classifier.NotPrimary, classifier.UnknownStatement, classifier.NoInstance:
 		e.recordRefusal(v, r.Kind)
 		return false
+	case classifier.OutcomeUnknown:
+		e.report(EventUnknown, v.ID, r.Kind)
+		return true
 	case classifier.StatementTimeout:
 		e.group.RecordUnansweredWrite()
 	}
--- a/internal/telemetry/logger/event.go
+++ b/internal/telemetry/logger/event.go
@@ -51,6 +51,7 @@
 	PrimaryDemoted    Event = "primaryDemoted"
 	PromoteOrdered    Event = "promoteOrdered"
 	NotInEffect       Event = "commandNotInEffect"
+	TermSealed        Event = "termSealed"
 	PrimaryKnown      Event = "primaryKnown"
 	PrimaryUnknown    Event = "primaryUnknown"
 )
@@ -103,6 +104,7 @@
 	{ReplicaHeld, "a replica was instructed to accept no more entries of the old term, or the old primary to become a replica"},
 	{PrimaryDemoted, "a working primary was instructed to become a replica"},
 	{PromoteOrdered, "the platform was instructed to make an instance the primary of the next term"},
+	{TermSealed, "the other VMs were asked to pass on no more acknowledgements of a term that a promotion is to end; those that did not answer are named"},
 	{NotInEffect, "an instance answered a hold or a demotion, but its state shows that the term goes on there"},
 	{PrimaryKnown, "an instance has become known to this VM as the primary of a term by its own answer"},
 	{PrimaryUnknown, "this VM no longer takes an instance for the primary, with the reason"},
