Confirm the registry through other VMs where the store does not answer

Callers lost commits that they had been told were kept: a VM that the store refused replaced the primary with a spare token, and compared the replicas of a copy of the registry from before its cut. The store answered other VMs and the instances meanwhile, so a replica could register, and receive commits that no other one had, without this VM's knowledge.

A VM whose read of the registry gets no answer within 150 ms, or an error, now asks all other VMs at once. Each reads the registry for it and answers with what the VM lacks. One read that succeeds suffices. If none does, and most of all VMs say so, the store is taken to be down for all, and what the VMs know together is complete: the replacement goes on, as before. Otherwise it fails. Without a claim, the replicas are held only after that: a VM that is cut off from the store and most other VMs would stop the writes of the others for nothing.

Not covered: an instance that registers while the store rejects each VM that was asked.

--- a/internal/daemon/assembler/followers.go
+++ b/internal/daemon/assembler/followers.go
@@ -74,6 +74,7 @@
 	}
 	v.refresher.Store(&replicator.Refresher{
 		Store: v.platform.Store, Table: v.platform.RegistryTable, Copy: v.tableCopies[v.platform.RegistryTable], Follower: v.followers[1],
+		Peers: v.members.peerAddresses, Client: replicator.NewClient(),
 	})
 	if v.isReader() {
 		v.followVMs()
@@ -189,6 +190,7 @@
 		mux.Handle(replicator.CopyPath, h)
 	}
 	mux.HandleFunc(replicator.ChangesPath, h.ServeChanges)
+	mux.Handle(replicator.ConfirmPath, v.refresher.Load())
 	mux.Handle(inspector.Path, inspector.Handler(v.status))
 	v.peerServer = &http.Server{Handler: mux, ReadHeaderTimeout: time.Second}
 	go func() { _ = v.peerServer.Serve(l) }()
--- a/internal/group/replacer/endterm.go
+++ b/internal/group/replacer/endterm.go
@@ -27,7 +27,7 @@
 // endTerm ends the old term and returns the candidates for the new one. A planned switchover
 // demotes the primary first and then lets a replica catch up with it. So does the replacement of a
 // primary that only other VMs reach.
-func (r *Replacer) endTerm(ctx context.Context, g *registrar.Group, a Action, old registrar.Primary, path <-chan carrier.Target, earlierChoice string) ([]candidate, error) {
+func (r *Replacer) endTerm(ctx context.Context, g *registrar.Group, a Action, old registrar.Primary, path <-chan carrier.Target, earlierChoice string, isSpare bool) ([]candidate, error) {
 	views := g.Views()
 	if a.Kind == Switch {
 		return r.demoteAndCatchUp(ctx, g, views, old, earlierChoice, func(ctx context.Context, t carrier.Target) (carrier.InstanceStatus, error) {
@@ -41,7 +41,7 @@
 		})
 	}
 	// A stalled primary is reachable, so holdAll awaits the answer to its demotion.
-	return r.holdAllRegistered(ctx, g, old, a.Reason == WritesStalled, refreshed)
+	return r.holdAllRegistered(ctx, g, old, a.Reason == WritesStalled, isSpare, refreshed)
 }
 
 // discoverTerm returns the highest term that any instance has reported, after it has asked all of them again.
--- a/internal/group/replacer/refresh.go
+++ b/internal/group/replacer/refresh.go
@@ -19,19 +19,24 @@
 	return result
 }
 
-// holdAllRegistered is holdAll for the instances that were registered when the refresh began. Those that this VM has known
-// before are held meanwhile, unless the primary is to be demoted, which interrupts the service.
-func (r *Replacer) holdAllRegistered(ctx context.Context, g *registrar.Group, old registrar.Primary, awaitsOldPrimary bool, refreshed <-chan error) ([]candidate, error) {
-	if awaitsOldPrimary {
-		<-refreshed
-		return r.holdAll(ctx, g, g.Views(), old, true)
+// holdAllRegistered is holdAll for the instances that were registered when the refresh began. It holds those that it knows
+// during the refresh, except in two cases: a primary that is reachable is not demoted in vain, and without a claim, the VM may be
+// cut off, and would only stop the writes of the others.
+func (r *Replacer) holdAllRegistered(ctx context.Context, g *registrar.Group, old registrar.Primary, awaitsOldPrimary, isSpare bool, refreshed <-chan error) ([]candidate, error) {
+	if awaitsOldPrimary || isSpare {
+		if err := <-refreshed; err != nil {
+			return nil, err
+		}
+		return r.holdAll(ctx, g, g.Views(), old, awaitsOldPrimary)
 	}
 	known := g.Views()
 	candidates, err := r.holdAll(ctx, g, known, old, false)
 	if err != nil {
 		return nil, err
 	}
-	<-refreshed
+	if err := <-refreshed; err != nil {
+		return nil, err
+	}
 	if isSameInstances(known, g.Views()) {
 		return candidates, nil
 	}
--- a/internal/group/replacer/refresh_test.go
+++ b/internal/group/replacer/refresh_test.go
@@ -4,6 +4,7 @@
 	"testing"
 	"testing/synctest"
 
+	"parsleyscale/internal/failure/classifier"
 	"parsleyscale/internal/group/registrar"
 	"parsleyscale/internal/sheet/cataloger"
 )
@@ -44,3 +45,25 @@
 		})
 	}
 }
+
+// Guards against the loss of commits that only a replica holds which this VM cannot know, and against a VM that is cut off from
+// the store and from most other VMs: with a spare token, it held the replicas, which stopped the writes of all others.
+func TestInstancesNotConfirmed(t *testing.T) {
+	for _, c := range []struct {
+		name     string
+		claimErr error
+	}{
+		{"with a claim", nil},
+		{"with a spare token", classifier.New(classifier.PlatformUnavailable, "503")},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				f := &fakeGroup{primary: "a", term: 3, received: map[string]uint64{"a": 9, "b": 7, "c": 7}, errs: map[string]error{"demote a": errNoAnswer}, refreshErr: errNoAnswer}
+				got := promotedInstancesWith(t, f, &fakeTokens{last: 100, err: c.claimErr}, nil, func(g *registrar.Group, _ *registrar.Registrar, _ cataloger.Registry) { failPrimary(g) })
+				if len(got) > 0 || c.claimErr != nil && f.hasCommand("hold b") {
+					t.Errorf("%v promoted, want none; commands %v", got, f.commands)
+				}
+			})
+		})
+	}
+}
--- a/internal/group/replacer/replacer.go
+++ b/internal/group/replacer/replacer.go
@@ -17,7 +17,9 @@
 //     restarts, and no VM passes these acknowledgements on. If the primary is back before
 //     the promotion takes effect, it is demoted.
 //   - The replicas are those that the store lists once the token has been taken. A VM's copy of the registry may lack the
-//     one that registered last, and that may be the only one with an acknowledged commit.
+//     one that registered last, and that may be the only one with an acknowledged commit. Without an answer of the store, other
+//     VMs read the list. If the store answers none of them, it is taken to be down for the instances as well, and what the VMs
+//     know together to be complete. A VM to which most others do not say so replaces nobody.
 //   - All replicas must have answered, since the one that did not may be the only
 //     one with an acknowledged commit. The demoted old primary can stand in for a
 //     missing replica, because its log holds every commit that it acknowledged. A
@@ -389,7 +391,7 @@
 	if err != nil {
 		return err
 	}
-	candidates, err := r.endTerm(ctx, g, a, old, path, result.ChosenInstance)
+	candidates, err := r.endTerm(ctx, g, a, old, path, result.ChosenInstance, isSpare)
 	if err != nil {
 		return err
 	}
--- a/internal/group/replacer/replacer_test.go
+++ b/internal/group/replacer/replacer_test.go
@@ -32,6 +32,7 @@
 	missesDeparture  bool     // the result of Config.MayHaveMissedDeparture
 	hasPeers         bool     // Config.Peers is set
 	refresh          func()   // called by Config.RefreshInstances; may be nil
+	refreshErr       error    // returned by Config.RefreshInstances
 	heldTerm         uint64   // term below which the replicas receive nothing; zero: they receive
 	tokenBeforeSpare uint64   // last token that was issued before the first spare one
 }
@@ -149,7 +150,7 @@
 			if f.refresh != nil {
 				f.refresh()
 			}
-			return nil
+			return f.refreshErr
 		},
 		Probe: func(g *registrar.Group, v registrar.View) error {
 			f.mu.Lock()
--- a/internal/platform/replicator/codec.go
+++ b/internal/platform/replicator/codec.go
@@ -20,7 +20,9 @@
 type page struct {
 	Rows    []follower.Row
 	Version uint64
-	IsWhole bool // Rows is the whole table, because the missing changes are no longer kept; set for ChangesPath only
+	// IsConfirmed is set for ConfirmPath only: the store has answered since the request.
+	IsConfirmed bool
+	IsWhole     bool // Rows is the whole table, because the missing changes are no longer kept; set for ChangesPath only
 }
 
 func newPage(p follower.Page) page { return page{Rows: p.Rows, Version: p.Version} }
--- a/internal/platform/replicator/refresher.go
+++ b/internal/platform/replicator/refresher.go
@@ -3,14 +3,30 @@
 import (
 	"cmp"
 	"context"
+	"fmt"
+	"net/http"
+	"net/url"
 	"slices"
+	"strconv"
+	"sync"
 	"time"
 
+	"parsleyscale/internal/failure/classifier"
 	"parsleyscale/internal/platform/follower"
 )
 
-// refreshTimeout bounds a read of a table by a Refresher.
-const refreshTimeout = 400 * time.Millisecond
+// ConfirmPath is the URL path at which a VM refreshes its copy of a table on behalf of a VM that the store does not answer,
+// and serves what that one lacks. The query has the parameters table and after.
+const ConfirmPath = "/confirm"
+
+const (
+	// refreshTimeout bounds a refresh.
+	refreshTimeout = 800 * time.Millisecond
+	// confirmTimeout bounds the read from the store on behalf of another VM.
+	confirmTimeout = 500 * time.Millisecond
+	// peersDelay gives the store time to answer before other VMs are asked.
+	peersDelay = 150 * time.Millisecond
+)
 
 // Refresher brings a VM's copy of a table up to date without waiting for the feed, which may bring changes late.
 type Refresher struct {
@@ -18,12 +34,57 @@
 	Table    string
 	Copy     *TableCopy
 	Follower *follower.Follower // of the table; it applies its changes to Copy
+	Peers    func() []string    // addresses of all other VMs
+	Client   *http.Client
 }
 
-// Refresh reads the table from the store and passes on what is new. Afterwards, the copy has each change that preceded the call.
+// Refresh reads the table from the store and passes on what is new. Afterwards, the copy has each change that preceded the
+// call. If the store does not answer, the other VMs are asked to read it, and to send what they know. If the store
+// answers none of them either, it is assumed to be down for all, so that nothing has entered the table which none of the VMs
+// knows. It takes more than half of all VMs, including this one, to conclude that.
 func (r *Refresher) Refresh(ctx context.Context) error {
 	ctx, cancel := context.WithTimeout(ctx, refreshTimeout)
 	defer cancel()
+	byStore, byPeers := make(chan error, 1), make(chan peerAnswers, 1)
+	go func() { byStore <- r.readStore(ctx) }()
+	delay := time.NewTimer(peersDelay)
+	defer delay.Stop()
+	select {
+	case err := <-byStore:
+		if err == nil {
+			return nil
+		}
+		byStore <- err
+	case <-delay.C:
+	}
+	go func() { byPeers <- r.askPeers(ctx) }()
+	peers := peerAnswers{}
+	for range 2 {
+		select {
+		case err := <-byStore:
+			if err == nil {
+				return nil
+			}
+		case peers = <-byPeers:
+			if peers.isConfirmed {
+				return nil
+			}
+		}
+	}
+	if 2*(peers.silent+1) > peers.asked+1 {
+		return nil
+	}
+	return classifier.New(classifier.PlatformUnavailable, "table %s may be out of date: the store answers neither this VM nor one of %d others, and only %d of %d have said so", r.Table, peers.asked, peers.silent, peers.asked)
+}
+
+// peerAnswers sums up what other VMs have answered.
+type peerAnswers struct {
+	asked       int
+	isConfirmed bool // the store has answered one of them
+	silent      int  // the store has not answered so many of them
+}
+
+func (r *Refresher) readStore(ctx context.Context) error {
 	p, err := r.Store.Read(ctx, r.Table)
 	if err == nil {
 		r.Follower.MergeTable(p, r.Copy.changesTo)
@@ -31,6 +92,73 @@
 	return err
 }
 
+// askPeers asks all other VMs until the store has answered one of them, and merges what they know.
+func (r *Refresher) askPeers(ctx context.Context) peerAnswers {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	peers := r.Peers()
+	sum := peerAnswers{asked: len(peers)}
+	var mu sync.Mutex
+	var wg sync.WaitGroup
+	for _, address := range peers {
+		wg.Go(func() {
+			p, err := r.askPeer(ctx, address)
+			if err != nil {
+				return
+			}
+			r.Follower.Merge(p.followerPage(), p.IsWhole)
+			mu.Lock()
+			defer mu.Unlock()
+			if !p.IsConfirmed {
+				sum.silent++
+				return
+			}
+			sum.isConfirmed = true
+			cancel()
+		})
+	}
+	wg.Wait()
+	return sum
+}
+
+func (r *Refresher) askPeer(ctx context.Context, address string) (page, error) {
+	q := url.Values{"table": {r.Table}, "after": {strconv.FormatUint(r.Follower.Version(), 10)}}
+	req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+address+ConfirmPath+"?"+q.Encode(), nil)
+	if err != nil {
+		return page{}, err
+	}
+	res, err := r.Client.Do(req)
+	if err != nil {
+		return page{}, err
+	}
+	defer func() { _ = res.Body.Close() }()
+	if res.StatusCode != http.StatusOK {
+		return page{}, fmt.Errorf("confirm table %s at %s: HTTP status %d", r.Table, address, res.StatusCode)
+	}
+	var p page
+	return p, decode(res.Body, &p)
+}
+
+// ServeHTTP implements http.Handler for ConfirmPath.
+func (r *Refresher) ServeHTTP(w http.ResponseWriter, req *http.Request) {
+	after, err := strconv.ParseUint(req.URL.Query().Get("after"), 10, 64)
+	if err != nil || req.URL.Query().Get("table") != r.Table {
+		w.WriteHeader(http.StatusBadRequest)
+		return
+	}
+	ctx, cancel := context.WithTimeout(req.Context(), confirmTimeout)
+	defer cancel()
+	err = r.readStore(ctx)
+	p, _ := r.Copy.delta(after)
+	p.IsConfirmed = err == nil
+	b, err := encode(p)
+	if err != nil {
+		w.WriteHeader(http.StatusInternalServerError)
+		return
+	}
+	_, _ = w.Write(b)
+}
+
 // changesTo returns the changes that turn the copy into a table, by version. Unlike Replace, changes leave the history of the
 // copy to the VMs that follow it.
 func (c *TableCopy) changesTo(table follower.Page) []follower.Row {
--- a/internal/platform/replicator/refresher_test.go
+++ b/internal/platform/replicator/refresher_test.go
@@ -2,9 +2,12 @@
 
 import (
 	"context"
+	"net/http"
+	"net/http/httptest"
 	"testing"
 	"time"
 
+	"parsleyscale/internal/failure/classifier"
 	"parsleyscale/internal/platform/follower"
 )
 
@@ -51,3 +54,66 @@
 		t.Errorf("an older table of the store was applied: rows %+v, %v", r.Copy.rows, err)
 	}
 }
+
+// failingStore answers no call.
+type failingStore struct{ follower.Source }
+
+func (failingStore) Read(context.Context, string) (follower.Page, error) {
+	return follower.Page{}, classifier.New(classifier.PlatformUnavailable, "503")
+}
+
+// Guards against a VM without the store that takes its copy for complete although another VM, or the store, knows of a row
+// that it lacks.
+func TestRefreshThroughPeers(t *testing.T) {
+	const dead = "127.0.0.1:1"
+	reaching, knowing, silent := "reaching", "knowing", "silent"
+	for _, c := range []struct {
+		name     string
+		peers    []string
+		wantErr  bool
+		wantRows int
+	}{
+		{"the store answers another VM", []string{dead, dead, dead, reaching}, false, 2},
+		{"the store answers nobody, and another VM knows more", []string{silent, knowing, silent}, false, 2},
+		{"the store answers nobody", []string{silent, silent, dead}, false, 1},
+		{"half of the VMs do not answer", []string{silent, dead, dead}, true, 1},
+		{"a VM alone", nil, false, 1},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			start := func(keys ...string) *Refresher {
+				store := &silentFeed{pages: make(chan follower.Page, 2)}
+				store.pages <- follower.Page{Rows: rows(5, keys[:1]...), Version: 5}
+				r := startRefreshedCopy(t, store)
+				r.Client = http.DefaultClient
+				if len(keys) > 1 {
+					r.Follower.Merge(follower.Page{Rows: rows(6, keys[1:]...), Version: 6}, false)
+				}
+				r.Store = failingStore{}
+				return r
+			}
+			peers := map[string]*Refresher{silent: start("a"), knowing: start("a", "b"), reaching: start("a")}
+			store := &silentFeed{pages: make(chan follower.Page, 1)}
+			store.pages <- follower.Page{Rows: append(rows(5, "a"), rows(7, "b")...), Version: 7}
+			peers[reaching].Store = store
+			r := start("a")
+			r.Peers = func() []string {
+				var addresses []string
+				for _, name := range c.peers {
+					if p, ok := peers[name]; ok {
+						s := httptest.NewServer(p)
+						t.Cleanup(s.Close)
+						name = s.Listener.Addr().String()
+					}
+					addresses = append(addresses, name)
+				}
+				return addresses
+			}
+			if err := r.Refresh(t.Context()); (err != nil) != c.wantErr {
+				t.Errorf("Refresh = %v, want an error: %t", err, c.wantErr)
+			}
+			if p, _ := r.Copy.delta(0); len(p.Rows) != c.wantRows {
+				t.Errorf("%d rows after Refresh, want %d", len(p.Rows), c.wantRows)
+			}
+		})
+	}
+}
