Raise the departure floor while a leaving replica may go on receiving

Callers lost commits that they had been told were kept. A replica had announced its stop and was then cut off from the store, so that its registry entry expired while it went on receiving. Commits that were acknowledged with its help alone were on no other replica. The position that the others must hold before one of them is promoted stayed where it was at the departure, because only replicas that leave without a notice made it rise.

It now rises for a leaving replica too, until 30 s after its notice. It does not rise for good, since each release would then ask for the position of the primary at its last answer, which may include commits that were never acknowledged.

Not covered: commits that another VM passed on after it had noticed the departure.

--- a/internal/group/registrar/departure.go
+++ b/internal/group/registrar/departure.go
@@ -13,11 +13,15 @@
 	at    time.Duration      // when the latest one was noticed, on the registrar's clock
 	floor tokenizer.Position // covers every commit acknowledged before at; zero while it is not known
 
-	// silent holds the identities of the replicas that have gone missing without a notice. They may go on receiving
-	// entries, so the floor rises with each commit that this VM knows to be acknowledged.
-	silent map[string]bool
+	// silent holds the replicas that have gone missing and may go on receiving entries, each with the time until which it
+	// may, or the zero time without a limit. Until then, the floor rises with each commit that this VM knows to be acknowledged.
+	silent map[string]time.Time
 }
 
+// maxStopTime is how long after the notice of its stop an instance may go on receiving entries. Its registry entry may have
+// expired long before, if it is cut off from the store.
+const maxStopTime = 30 * time.Second
+
 // recordDeparture records that an instance has left or restarted. A primary is not a replica: each of its commits was
 // acknowledged by one.
 func (g *Group) recordDeparture(s *instanceState) {
@@ -26,11 +30,14 @@
 		return
 	}
 	silent := g.departure.silent
-	if !s.IsLeaving && !s.missingAt.IsZero() {
+	if !s.missingAt.IsZero() {
 		if silent == nil {
-			silent = map[string]bool{}
+			silent = map[string]time.Time{}
+		}
+		silent[s.ID] = time.Time{}
+		if s.IsLeaving {
+			silent[s.ID] = s.LeavingAt.Add(maxStopTime)
 		}
-		silent[s.ID] = true
 	}
 	g.departure = departure{isSet: true, at: g.clock(), silent: silent}
 }
@@ -49,11 +56,21 @@
 func (g *Group) RecordAcknowledged(p tokenizer.Position) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	if d := &g.departure; len(d.silent) > 0 && !d.floor.IsZero() {
+	if d := &g.departure; d.mayReceive() && !d.floor.IsZero() {
 		d.floor = d.floor.Max(p)
 	}
 }
 
+// mayReceive reports whether a missing replica may go on receiving entries.
+func (d *departure) mayReceive() bool {
+	for _, until := range d.silent {
+		if until.IsZero() || time.Now().Before(until) {
+			return true
+		}
+	}
+	return false
+}
+
 // RecordMissedDeparture records that a replica may have left before this VM knew the group. The floor is the first
 // position that a primary has proved to this VM.
 func (g *Group) RecordMissedDeparture() {
