--- a/internal/group/replacer/refresh.go
+++ b/internal/group/replacer/refresh.go
@@ -23,19 +23,24 @@
 	return result
 }
 
-// holdAllRegistered is holdAll for the instances that were registered when the refresh began. Those that this VM has known
-// before are held meanwhile, unless the primary is to be demoted, which interrupts the service.
+// holdAllRegistered is holdAll for the instances that were registered when the refresh began. It holds those that it knows
+// during the refresh, except in two cases: a primary that is reachable is not demoted in vain, and without a claim, the VM may be
+// cut off, and would only stop the writes of the others.
 func (r *Replacer) holdAllRegistered(ctx context.Context, g *registrar.Group, old registrar.Primary, awaitsOldPrimary bool, refreshed <-chan error, b *Basis) ([]candidate, error) {
-	if awaitsOldPrimary {
-		<-refreshed
-		return r.holdAll(ctx, g, g.Views(), old, true, b)
+	if awaitsOldPrimary || b.IsSpare {
+		if err := <-refreshed; err != nil {
+			return nil, err
+		}
+		return r.holdAll(ctx, g, g.Views(), old, awaitsOldPrimary, b)
 	}
 	known := g.Views()
 	candidates, err := r.holdAll(ctx, g, known, old, false, b)
 	if err != nil {
 		return nil, err
 	}
-	<-refreshed
+	if err := <-refreshed; err != nil {
+		return nil, err
+	}
 	if isSameInstances(known, g.Views()) {
 		return candidates, nil
 	}
--- a/internal/group/replacer/replacer_test.go
+++ b/internal/group/replacer/replacer_test.go
@@ -39,6 +39,7 @@
 	tokenBeforeSpare uint64            // last token that was issued before the first spare one
 	refresh          func()            // called by Config.RefreshInstances; may be nil
 	events           []Event
+	refreshErr       error // returned by Config.RefreshInstances
 }
 
 // command carries out a command with a term, zero if it has none. A hold has an effect on a replica only if its term is above
@@ -171,7 +172,7 @@
 			if f.refresh != nil {
 				f.refresh()
 			}
-			return nil
+			return f.refreshErr
 		},
 		Probe: func(g *registrar.Group, v registrar.View) error {
 			f.mu.Lock()
