Demote as the primary only an instance that led the term

A VM that had started anew took the instance that the registry still named as the primary for the primary of the present term. It had been replaced, and its demotion had no effect. Its answer nevertheless stood in for the new primary, which this VM did not reach, while it went on receiving from it.

An instance that this VM has not seen to lead the term now has to say that it does before it is demoted. If it denies that, it is not the primary, and the next attempt holds it like any other replica. If it does not answer, nothing changes.

--- a/internal/group/commander/peers.go
+++ b/internal/group/commander/peers.go
@@ -28,7 +28,7 @@
 	for _, address := range addresses {
 		path := carrier.Target{Instance: t.Instance, Group: t.Group, Address: address}
 		go func() {
-			_, err := p.execute(ctx, path, carrier.Internal(carrier.Status))
+			_, err := p.Status(ctx, path)
 			results <- result{path, err}
 		}()
 	}
@@ -43,6 +43,11 @@
 	return carrier.Target{}, err
 }
 
+// Status returns the state of an instance, on a path that FindPath returned.
+func (p Peers) Status(ctx context.Context, path carrier.Target) (carrier.InstanceStatus, error) {
+	return p.execute(ctx, path, carrier.Internal(carrier.Status))
+}
+
 // Demote makes a primary of a term below term a replica, on a path that FindPath returned.
 func (p Peers) Demote(ctx context.Context, path carrier.Target, term uint64) (carrier.InstanceStatus, error) {
 	return p.execute(ctx, path, termCommand(carrier.Demote, term))
--- a/internal/group/replacer/effect.go
+++ b/internal/group/replacer/effect.go
@@ -42,3 +42,23 @@
 	}
 	return classifier.New(classifier.Conflict, "instance %s is already in the later term %d", id, max(s.Term, s.Received.Term))
 }
+
+// checkLeads returns an error if an instance is not known to have led the term of old, and does not say so either. A demotion has
+// no effect on an instance that only the registry names as the primary, and its log proves nothing.
+func (r *Replacer) checkLeads(ctx context.Context, g *registrar.Group, v registrar.View, old registrar.Primary, status func(context.Context, carrier.Target) (carrier.InstanceStatus, error)) error {
+	if id, _ := g.FormerPrimary(old.Term); id == v.ID {
+		return nil
+	}
+	s, err := r.callWithRetry(ctx, v, status)
+	switch {
+	case err != nil:
+		return err
+	case isInLaterTerm(s, old.Term+1):
+		return r.recordLaterTerm(ctx, g, v.ID, s)
+	case s.IsPrimary && s.Term == old.Term:
+		g.RecordStatus(v.ID, s)
+		return nil
+	}
+	g.RecordDenial(v.ID)
+	return classifier.New(classifier.Conflict, "instance %s does not lead term %d", v.ID, old.Term)
+}
--- a/internal/group/replacer/effect_test.go
+++ b/internal/group/replacer/effect_test.go
@@ -42,6 +42,42 @@
 	}
 }
 
+// Guards against the loss of commits when an instance that only the registry names as the primary stands in for the primary that
+// this VM does not reach: its demotion had no effect, and it went on receiving.
+func TestRegistryPrimaryDoesNotLead(t *testing.T) {
+	received := map[string]uint64{"a": 9, "b": 9, "c": 9}
+	unreachable := func() map[string]error {
+		return map[string]error{"probe b": errNoAnswer, "status b": errNoAnswer, "hold b": errNoAnswer, "probe a": errNoAnswer}
+	}
+	fail := func(g *registrar.Group, _ *registrar.Registrar, _ cataloger.Registry) { failPrimary(g) }
+	for _, c := range []struct {
+		name  string
+		f     *fakeGroup
+		setUp func(*registrar.Group, *registrar.Registrar, cataloger.Registry)
+	}{
+		{"it stands in for the primary", &fakeGroup{errs: unreachable()}, fail},
+		{"it is leaving", &fakeGroup{errs: unreachable()}, markPrimaryLeaving},
+		{"another VM reaches it", &fakeGroup{errs: unreachable(), hasPeers: true}, fail},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				c.f.primary, c.f.term, c.f.received = "b", 4, received
+				got := promotedInstances(t, c.f, func(g *registrar.Group, r *registrar.Registrar, reg cataloger.Registry) {
+					g.RecordTerm(4)
+					a := reg["a"]
+					a.IsPrimary = false
+					r.Update(reg.With(map[string]*cataloger.Instance{"a": &a}))
+					r.Update(reg)
+					c.setUp(g, r, reg)
+				})
+				if len(got) > 0 {
+					t.Errorf("%v promoted, want none; commands %v", got, c.f.commands)
+				}
+			})
+		})
+	}
+}
+
 // Guards against the loss of commits when a demoted primary that stands in for a replica has lost its log, or reports less than it
 // proved before: each other instance then seemed to hold all of its entries.
 func TestDemotedPrimaryLacksEntries(t *testing.T) {
--- a/internal/group/replacer/endterm.go
+++ b/internal/group/replacer/endterm.go
@@ -30,12 +30,15 @@
 func (r *Replacer) endTerm(ctx context.Context, g *registrar.Group, a Action, old registrar.Primary, path <-chan carrier.Target, earlierChoice string) ([]candidate, error) {
 	views := g.Views()
 	if a.Kind == Switch {
-		return r.demoteAndCatchUp(ctx, g, views, old, earlierChoice, func(ctx context.Context, t carrier.Target) (carrier.InstanceStatus, error) {
+		return r.demoteAndCatchUp(ctx, g, views, old, earlierChoice, r.cfg.Controller.Status, func(ctx context.Context, t carrier.Target) (carrier.InstanceStatus, error) {
 			return r.cfg.Controller.Demote(ctx, t, old.Term+1)
 		})
 	}
 	if t, ok := awaitPath(path); ok {
-		return r.demoteAndCatchUp(ctx, g, views, old, earlierChoice, func(ctx context.Context, _ carrier.Target) (carrier.InstanceStatus, error) {
+		status := func(ctx context.Context, _ carrier.Target) (carrier.InstanceStatus, error) {
+			return r.cfg.Peers.Status(ctx, t)
+		}
+		return r.demoteAndCatchUp(ctx, g, views, old, earlierChoice, status, func(ctx context.Context, _ carrier.Target) (carrier.InstanceStatus, error) {
 			return r.cfg.Peers.Demote(ctx, t, old.Term+1)
 		})
 	}
@@ -140,7 +143,7 @@
 // demoteAndCatchUp demotes a working primary and waits until a replica that is not leaving has received
 // all entries of the primary. If none has within catchUpTimeout, only the demoted primary itself may be promoted: any
 // other instance may lack a commit that was acknowledged with the help of one that is not known here.
-func (r *Replacer) demoteAndCatchUp(ctx context.Context, g *registrar.Group, views []registrar.View, old registrar.Primary, earlierChoice string, demote func(context.Context, carrier.Target) (carrier.InstanceStatus, error)) ([]candidate, error) {
+func (r *Replacer) demoteAndCatchUp(ctx context.Context, g *registrar.Group, views []registrar.View, old registrar.Primary, earlierChoice string, status, demote func(context.Context, carrier.Target) (carrier.InstanceStatus, error)) ([]candidate, error) {
 	v, ok := g.View(old.Instance)
 	if !ok {
 		return nil, classifier.New(classifier.NoPrimary, "cannot demote the primary of group %s: its instance is no longer known", g.Name())
@@ -148,6 +151,9 @@
 	if !hasSuccessor(views, old.Instance) {
 		return nil, classifier.New(classifier.NoInstance, "cannot demote the primary of group %s: no reachable replica remains that is not leaving", g.Name())
 	}
+	if err := r.checkLeads(ctx, g, v, old, status); err != nil {
+		return nil, err
+	}
 	nextTerm := old.Term + 1
 	// A demotion while no replica receives entries would only interrupt the service, unless one is held: a promotion ends holds.
 	receives := func(s carrier.InstanceStatus) bool {
@@ -238,7 +244,13 @@
 	replicas := 0
 	for _, v := range views {
 		if v.ID == old.Instance {
-			r.wg.Go(func() { primaryAnswer <- r.holdOrDemote(ctx, g, v, true, nextTerm) })
+			r.wg.Go(func() {
+				if err := r.checkLeads(ctx, g, v, old, r.cfg.Controller.Status); err != nil {
+					primaryAnswer <- haltAnswer{err: err}
+					return
+				}
+				primaryAnswer <- r.holdOrDemote(ctx, g, v, true, nextTerm)
+			})
 			continue
 		}
 		replicas++
@@ -273,6 +285,7 @@
 	if replicaErr == nil && !g.IsCoveredDespiteDepartures(furthestReceived(candidates)) {
 		replicaErr = classifier.New(classifier.NoInstance, "a replica of group %s has left, and the others may lack entries that it had received", g.Name())
 	}
+	awaitsOldPrimary = awaitsOldPrimary || former != old.Instance // it may turn out to be a replica
 	if replicaErr == nil && (!awaitsOldPrimary || replicas == len(views)) {
 		return candidates, nil
 	}
@@ -281,6 +294,8 @@
 	}
 	a := <-primaryAnswer
 	switch {
+	case classifier.Is(a.err, classifier.Conflict):
+		return nil, a.err
 	case replicaErr == nil:
 		return candidates, nil
 	case a.err != nil:
--- a/internal/group/replacer/replacer.go
+++ b/internal/group/replacer/replacer.go
@@ -107,7 +107,8 @@
 type PeerCommander interface {
 	// FindPath returns the target through which another VM reaches an instance, once the instance has answered on it.
 	FindPath(ctx context.Context, t carrier.Target) (carrier.Target, error)
-	// Demote is Demote of carrier.Controller for a target that FindPath returned.
+	// Status and Demote are those of carrier.Controller for a target that FindPath returned.
+	Status(ctx context.Context, path carrier.Target) (carrier.InstanceStatus, error)
 	Demote(ctx context.Context, path carrier.Target, term uint64) (carrier.InstanceStatus, error)
 }
 
--- a/internal/group/replacer/replacer_test.go
+++ b/internal/group/replacer/replacer_test.go
@@ -203,6 +203,10 @@
 	return t, err
 }
 
+func (f fakePeers) Status(_ context.Context, path carrier.Target) (carrier.InstanceStatus, error) {
+	return f.command("peerStatus", path.Instance, 0)
+}
+
 func (f fakePeers) Demote(_ context.Context, path carrier.Target, term uint64) (carrier.InstanceStatus, error) {
 	return f.command("peerDemote", path.Instance, term)
 }
