Keep a demoted primary from leading again before its successor

Callers lost acknowledged commits at a promotion although a living replica had them.

A primary that had been demoted crashed and was back before its successor led. It led again, and no replica was held, so it acknowledged commits that the chosen replica did not get. After a hold, only the identity that the primary had before was demoted on its return, through pooled connections that are not opened for up to 300 ms after a failed dial.

Once a replica has caught up with the demoted primary, all replicas are held, while the choice is recorded.

TestPrimaryReachedByOtherVMs required that no replica is held when another VM demotes the primary. It now requires the demotion to come first, and none to be held if it fails.

--- a/internal/group/replacer/endterm.go
+++ b/internal/group/replacer/endterm.go
@@ -26,24 +26,27 @@
 
 // endTerm ends the old term and returns the candidates for the new one. A planned switchover
 // demotes the primary first and then lets a replica catch up with it. So does the replacement of a
-// primary that only other VMs reach.
-func (r *Replacer) endTerm(ctx context.Context, g *registrar.Group, a Action, old registrar.Primary, path <-chan carrier.Target, earlierChoice string) ([]candidate, error) {
+// primary that only other VMs reach. Otherwise, the replicas are held.
+func (r *Replacer) endTerm(ctx context.Context, g *registrar.Group, a Action, old registrar.Primary, path <-chan carrier.Target, earlierChoice string) (candidates []candidate, areHeld bool, err error) {
 	views := g.Views()
 	if a.Kind == Switch {
-		return r.demoteAndCatchUp(ctx, g, views, old, earlierChoice, r.cfg.Controller.Status, func(ctx context.Context, t carrier.Target) (carrier.InstanceStatus, error) {
+		candidates, err = r.demoteAndCatchUp(ctx, g, views, old, earlierChoice, r.cfg.Controller.Status, func(ctx context.Context, t carrier.Target) (carrier.InstanceStatus, error) {
 			return r.cfg.Controller.Demote(ctx, t, old.Term+1)
 		})
+		return candidates, false, err
 	}
 	if t, ok := awaitPath(path); ok {
 		status := func(ctx context.Context, _ carrier.Target) (carrier.InstanceStatus, error) {
 			return r.cfg.Peers.Status(ctx, t)
 		}
-		return r.demoteAndCatchUp(ctx, g, views, old, earlierChoice, status, func(ctx context.Context, _ carrier.Target) (carrier.InstanceStatus, error) {
+		candidates, err = r.demoteAndCatchUp(ctx, g, views, old, earlierChoice, status, func(ctx context.Context, _ carrier.Target) (carrier.InstanceStatus, error) {
 			return r.cfg.Peers.Demote(ctx, t, old.Term+1)
 		})
+		return candidates, false, err
 	}
 	// A stalled primary is reachable, so holdAll awaits the answer to its demotion.
-	return r.holdAll(ctx, g, views, old, a.Reason == WritesStalled)
+	candidates, err = r.holdAll(ctx, g, views, old, a.Reason == WritesStalled)
+	return candidates, true, err
 }
 
 // discoverTerm returns the highest term that any instance has reported, after it has asked all of them again.
--- a/internal/group/replacer/replacer.go
+++ b/internal/group/replacer/replacer.go
@@ -73,8 +73,6 @@
 	// firstRefillInterval is the same for the first firstRefillChecks checks, so that a VM that starts is listed soon.
 	firstRefillInterval = 200 * time.Millisecond
 	firstRefillChecks   = 10
-	// demoteInterval is the pause between two attempts to demote a primary that is being replaced and does not answer.
-	demoteInterval = 100 * time.Millisecond
 	// recheckInterval is the least time between two probes of a known primary that has failed.
 	recheckInterval = 250 * time.Millisecond
 )
@@ -107,7 +105,7 @@
 type PeerCommander interface {
 	// FindPath returns the target through which another VM reaches an instance, once the instance has answered on it.
 	FindPath(ctx context.Context, t carrier.Target) (carrier.Target, error)
-	// Status and Demote are those of carrier.Controller for a target that FindPath returned.
+	// Status and Demote are those of carrier.Controller for a target that FindPath returned, or for the address of an instance.
 	Status(ctx context.Context, path carrier.Target) (carrier.InstanceStatus, error)
 	Demote(ctx context.Context, path carrier.Target, term uint64) (carrier.InstanceStatus, error)
 }
@@ -385,7 +383,7 @@
 	if err != nil {
 		return err
 	}
-	candidates, err := r.endTerm(ctx, g, a, old, path, result.ChosenInstance)
+	candidates, areHeld, err := r.endTerm(ctx, g, a, old, path, result.ChosenInstance)
 	if err != nil {
 		return err
 	}
@@ -404,11 +402,18 @@
 	if p.oldPrimary = old.Instance; p.oldPrimary == "" {
 		p.oldPrimary, _ = g.FormerPrimary(old.Term)
 	}
+	awaitHolds := func() error { return nil }
+	if !areHeld && p.target != p.oldPrimary {
+		awaitHolds = r.holdOthers(ctx, p)
+	}
 	if !isSpare {
 		if err := r.record(ctx, &p); err != nil {
 			return err
 		}
 	}
+	if err := awaitHolds(); err != nil {
+		return err
+	}
 	return r.requestPromotion(ctx, p)
 }
 
@@ -471,8 +476,8 @@
 	}
 	demoteCtx, stopDemoting := context.WithCancel(ctx)
 	defer stopDemoting()
-	if old, nextTerm := p.oldPrimary, p.term+1; old != p.target && p.action.Kind != Switch { // a switchover has demoted it before
-		r.wg.Go(func() { r.demoteOnReturn(demoteCtx, g, old, nextTerm) })
+	if p.oldPrimary != p.target {
+		r.wg.Go(func() { r.demoteOnReturn(demoteCtx, p) })
 	}
 	isUnanswered := false
 	for isRetry := false; ctx.Err() == nil; isRetry = true {
@@ -500,25 +505,6 @@
 	return settled(ctx.Err())
 }
 
-// demoteOnReturn demotes the old primary as soon as it answers, until ctx ends. A primary that is back before the promotion
-// is carried out could acknowledge commits with the help of a replica that has restarted and is no longer held.
-func (r *Replacer) demoteOnReturn(ctx context.Context, g *registrar.Group, id string, nextTerm uint64) {
-	v, ok := g.View(id)
-	if !ok {
-		return
-	}
-	for ctx.Err() == nil {
-		callCtx, cancel := context.WithTimeout(ctx, commandTimeout)
-		s, err := r.cfg.Controller.Demote(callCtx, registrar.NewTarget(v.Instance), nextTerm)
-		cancel()
-		if err == nil {
-			r.cfg.Observe(Event{Name: EventDemoted, Group: g.Name(), Instance: v.ID, Status: s})
-			return
-		}
-		sleeper.Sleep(ctx, demoteInterval)
-	}
-}
-
 // token returns the fencing token of the promote request.
 func (p promotion) token() uint64 { return fencingToken(p.term, p.number, p.isClaimed) }
 
--- a/internal/group/replacer/replacer_test.go
+++ b/internal/group/replacer/replacer_test.go
@@ -40,15 +40,20 @@
 }
 
 // command carries out a command with a term, zero if it has none. A hold has an effect on a replica only if its term is above
-// the newest one, a demotion on a primary only if the primary is of a lower term.
+// the newest one, a demotion on a primary only if the primary is of a lower term. demoteAt is a demotion by address, whichever
+// identity the instance has; unless errs says otherwise, it fails like demote.
 func (f *fakeGroup) command(name, id string, commandTerm uint64) (carrier.InstanceStatus, error) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	f.commands = append(f.commands, name+" "+id)
-	if err := f.errs[name+" "+id]; err != nil {
+	err, ok := f.errs[name+" "+id]
+	if name == "demoteAt" && !ok {
+		err = f.errs["demote "+id]
+	}
+	if err != nil {
 		return carrier.InstanceStatus{}, err
 	}
-	term, isDemotion := f.term, name == "demote" || name == "peerDemote"
+	term, isDemotion := f.term, name == "demote" || name == "peerDemote" || name == "demoteAt"
 	f.isDemoted = f.isDemoted || isDemotion && f.primary == id && commandTerm > f.term
 	if name == "hold" && commandTerm > f.term && (f.primary != id || f.isDemoted) && !f.ignoresHold[id] {
 		if f.holds == nil {
@@ -74,6 +79,9 @@
 }
 
 func (f *fakeGroup) Demote(_ context.Context, t carrier.Target, term uint64) (carrier.InstanceStatus, error) {
+	if t.Instance == "" {
+		return f.command("demoteAt", t.Address, term)
+	}
 	return f.command("demote", t.Instance, term)
 }
 
@@ -208,6 +216,9 @@
 }
 
 func (f fakePeers) Demote(_ context.Context, path carrier.Target, term uint64) (carrier.InstanceStatus, error) {
+	if path.Instance == "" {
+		return f.command("demoteAt", path.Address, term)
+	}
 	return f.command("peerDemote", path.Instance, term)
 }
 
@@ -638,6 +649,23 @@
 	})
 }
 
+// Guards against the loss of commits of a primary that is back under another identity before its successor leads: its demotion
+// named the identity that it had before.
+func TestPrimaryIsBackUnderOtherIdentity(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := &fakeGroup{primary: "a", term: 3, received: map[string]uint64{"a": 9, "b": 9, "c": 9}, errs: map[string]error{"demote a": errNoAnswer}, dropsPromote: true}
+		time.AfterFunc(2*time.Second, func() {
+			f.mu.Lock()
+			defer f.mu.Unlock()
+			f.errs["demoteAt a"] = nil
+		})
+		promotedInstances(t, f, func(g *registrar.Group, _ *registrar.Registrar, _ cataloger.Registry) { failPrimary(g) })
+		if !f.isDemoted {
+			t.Errorf("primary a leads although another instance is being promoted; commands %v", f.commands)
+		}
+	})
+}
+
 // Guards against two promotions that undo each other where the platform does not check the tokens.
 func TestUnfenced(t *testing.T) {
 	received := map[string]uint64{"a": 9, "b": 9, "c": 9}
@@ -701,14 +729,14 @@
 func TestPrimaryReachedByOtherVMs(t *testing.T) {
 	received := map[string]uint64{"a": 9, "b": 9, "c": 9}
 	for _, c := range []struct {
-		name     string
-		f        *fakeGroup
-		want     string // promoted instance; "": none
-		wantHold bool
+		name      string
+		f         *fakeGroup
+		want      string // promoted instance; "": none
+		wantFirst string // the first of the commands that end the term; the replicas are held after a demotion only
 	}{
-		{"another VM demotes it", &fakeGroup{received: received, errs: map[string]error{"demote a": errNoAnswer}}, "b", false},
-		{"another VM reaches it, but the demotion gets no answer", &fakeGroup{received: received, errs: map[string]error{"demote a": errNoAnswer, "peerDemote a": errNoAnswer}}, "", false},
-		{"no VM reaches it", &fakeGroup{received: received, errs: map[string]error{"demote a": errNoAnswer, "path a": errNoAnswer}}, "b", true},
+		{"another VM demotes it", &fakeGroup{received: received, errs: map[string]error{"demote a": errNoAnswer}}, "b", "peerDemote a"},
+		{"another VM reaches it, but the demotion gets no answer", &fakeGroup{received: received, errs: map[string]error{"demote a": errNoAnswer, "peerDemote a": errNoAnswer}}, "", "peerDemote a"},
+		{"no VM reaches it", &fakeGroup{received: received, errs: map[string]error{"demote a": errNoAnswer, "path a": errNoAnswer}}, "b", "hold b"},
 	} {
 		t.Run(c.name, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
@@ -717,8 +745,12 @@
 				if c.want == "" && len(got) > 0 || c.want != "" && (len(got) != 1 || got[0] != c.want) {
 					t.Errorf("%v promoted, want %q; commands %v", got, c.want, c.f.commands)
 				}
-				if c.f.hasCommand("hold b") != c.wantHold {
-					t.Errorf("replica b held: %v, want %v; commands %v", !c.wantHold, c.wantHold, c.f.commands)
+				first := slices.IndexFunc(c.f.commands, func(command string) bool { return command == "hold b" || command == "peerDemote a" })
+				if first < 0 || c.f.commands[first] != c.wantFirst {
+					t.Errorf("want %s first; commands %v", c.wantFirst, c.f.commands)
+				}
+				if c.want == "" && c.f.hasCommand("hold b") {
+					t.Errorf("replica b was held although the primary may go on; commands %v", c.f.commands)
 				}
 			})
 		})
