--- a/internal/group/replacer/endterm.go
+++ b/internal/group/replacer/endterm.go
@@ -26,24 +26,30 @@
 
 // endTerm ends the old term and returns the candidates for the new one. A planned switchover
 // demotes the primary first and then lets a replica catch up with it. So does the replacement of a
-// primary that only other VMs reach.
-func (r *Replacer) endTerm(ctx context.Context, g *registrar.Group, a Action, old registrar.Primary, path <-chan carrier.Target, earlierChoice string, b *Basis) ([]candidate, error) {
+// primary that only other VMs reach. Otherwise, the replicas are held.
+func (r *Replacer) endTerm(ctx context.Context, g *registrar.Group, a Action, old registrar.Primary, path <-chan carrier.Target, earlierChoice string, b *Basis) (candidates []candidate, areHeld bool, err error) {
 	views := g.Views()
 	b.Known, b.EndedBy = len(views), EndedByDemotion
 	if a.Kind == Switch {
-		return r.demoteAndCatchUp(ctx, g, views, old, earlierChoice, b, func(ctx context.Context, t carrier.Target) (carrier.InstanceStatus, error) {
+		candidates, err = r.demoteAndCatchUp(ctx, g, views, old, earlierChoice, b, r.cfg.Controller.Status, func(ctx context.Context, t carrier.Target) (carrier.InstanceStatus, error) {
 			return r.cfg.Controller.Demote(ctx, t, old.Term+1)
 		})
+		return candidates, false, err
 	}
 	if t, ok := awaitPath(path); ok {
 		b.EndedBy, b.Via = EndedByPeer, t.Address
-		return r.demoteAndCatchUp(ctx, g, views, old, earlierChoice, b, func(ctx context.Context, _ carrier.Target) (carrier.InstanceStatus, error) {
+		status := func(ctx context.Context, _ carrier.Target) (carrier.InstanceStatus, error) {
+			return r.cfg.Peers.Status(ctx, t)
+		}
+		candidates, err = r.demoteAndCatchUp(ctx, g, views, old, earlierChoice, b, status, func(ctx context.Context, _ carrier.Target) (carrier.InstanceStatus, error) {
 			return r.cfg.Peers.Demote(ctx, t, old.Term+1)
 		})
+		return candidates, false, err
 	}
 	// A stalled primary is reachable, so holdAll awaits the answer to its demotion.
 	b.EndedBy = EndedByHold
-	return r.holdAllRegistered(ctx, g, old, a.Reason == WritesStalled, r.startSealAndRefresh(ctx, g, old.Term), b)
+	candidates, err = r.holdAllRegistered(ctx, g, old, a.Reason == WritesStalled, r.startSealAndRefresh(ctx, g, old.Term), b)
+	return candidates, true, err
 }
 
 // discoverTerm returns the highest term that any instance has reported, after it has asked all of them again.
@@ -143,7 +149,7 @@
 // demoteAndCatchUp demotes a working primary and waits until a replica that is not leaving has received
 // all entries of the primary. If none has within catchUpTimeout, only the demoted primary itself may be promoted: any
 // other instance may lack a commit that was acknowledged with the help of one that is not known here.
-func (r *Replacer) demoteAndCatchUp(ctx context.Context, g *registrar.Group, views []registrar.View, old registrar.Primary, earlierChoice string, b *Basis, demote func(context.Context, carrier.Target) (carrier.InstanceStatus, error)) ([]candidate, error) {
+func (r *Replacer) demoteAndCatchUp(ctx context.Context, g *registrar.Group, views []registrar.View, old registrar.Primary, earlierChoice string, b *Basis, status, demote func(context.Context, carrier.Target) (carrier.InstanceStatus, error)) ([]candidate, error) {
 	v, ok := g.View(old.Instance)
 	if !ok {
 		return nil, classifier.New(classifier.NoPrimary, "cannot demote the primary of group %s: its instance is no longer known", g.Name())
@@ -151,6 +157,9 @@
 	if !hasSuccessor(views, old.Instance) {
 		return nil, classifier.New(classifier.NoInstance, "cannot demote the primary of group %s: no reachable replica remains that is not leaving", g.Name())
 	}
+	if err := r.checkLeads(ctx, g, v, old, status); err != nil {
+		return nil, err
+	}
 	nextTerm := old.Term + 1
 	// A demotion while no replica receives entries would only interrupt the service, unless one is held: a promotion ends holds.
 	receives := func(s carrier.InstanceStatus) bool {
@@ -243,7 +252,13 @@
 	replicas := 0
 	for _, v := range views {
 		if v.ID == old.Instance {
-			r.wg.Go(func() { primaryAnswer <- r.holdOrDemote(ctx, g, v, true, nextTerm) })
+			r.wg.Go(func() {
+				if err := r.checkLeads(ctx, g, v, old, r.cfg.Controller.Status); err != nil {
+					primaryAnswer <- haltAnswer{err: err}
+					return
+				}
+				primaryAnswer <- r.holdOrDemote(ctx, g, v, true, nextTerm)
+			})
 			continue
 		}
 		replicas++
@@ -280,6 +295,7 @@
 	if replicaErr == nil && !g.IsCoveredDespiteDepartures(furthestReceived(candidates)) {
 		replicaErr = classifier.New(classifier.NoInstance, "a replica of group %s has left, and the others may lack entries that it had received", g.Name())
 	}
+	awaitsOldPrimary = awaitsOldPrimary || former != old.Instance // it may turn out to be a replica
 	if replicaErr == nil && (!awaitsOldPrimary || replicas == len(views)) {
 		return candidates, nil
 	}
@@ -288,6 +304,8 @@
 	}
 	a := <-primaryAnswer
 	switch {
+	case classifier.Is(a.err, classifier.Conflict):
+		return nil, a.err
 	case replicaErr == nil:
 		return candidates, nil
 	case a.err != nil:
