Renew the claim before each repeated promote request

Callers could lose commits by a request that is carried out after its instance had led and been demoted again: the instance leads once more, acknowledges commits, and loses the lead to the successor that was compared before.

A VM that did not reach the new primary repeated its request with the same token for up to 6 s, whatever other VMs had claimed since. The platform refuses it only once the request of the next replacement has arrived. Where tokens are not checked, the claim was renewed already.

While the store does not answer, the request is still repeated. A request that the platform itself carries out late is not covered: TestLateRequestAfterDemotion stays on the list of known failures.

--- a/internal/group/replacer/replacer.go
+++ b/internal/group/replacer/replacer.go
@@ -2,7 +2,7 @@
 // a number of replicas has received it, and whose new primary is appointed by a
 // single fenced promote request to the platform.
 //
-// Five rules make the promotion safe.
+// Six rules make the promotion safe.
 //   - An attempt takes its fencing token before it holds, demotes or compares any
 //     instance. An attempt that begins later has a higher token, and once the
 //     platform has seen that token, it refuses the lower one. A spare token is fetched
@@ -27,11 +27,11 @@
 //     one, and does not proceed without the chosen instance's answer. A hold is
 //     never undone: a promote request that got no answer may still be carried out
 //     later, and until then nothing may be acknowledged that the chosen replica lacks.
+//   - The claim is renewed before each repeated promote request, so that none is sent after another VM has claimed the
+//     group: by then, the instance may have led and been demoted again.
 //
-// On a platform that does not check the tokens, three more rules take the place of the refusal.
+// On a platform that does not check the tokens, two more rules take the place of the refusal.
 //   - Spare tokens are not used: a VM that cannot claim the group leaves it alone.
-//   - The claim is renewed before each repeated promote request, so that none is sent
-//     after that of a later claim.
 //   - An attempt that finds the choice of an earlier one does not choose otherwise, and
 //     the next term cannot be claimed while a request of this one may be outstanding.
 package replacer
@@ -481,7 +481,7 @@
 	}
 	isUnanswered := false
 	for isRetry := false; ctx.Err() == nil; isRetry = true {
-		if isRetry && r.cfg.IsUnfenced {
+		if isRetry && p.isClaimed {
 			if err := r.record(ctx, &p); err != nil {
 				return settled(err)
 			}
