--- a/internal/group/replacer/replacer.go
+++ b/internal/group/replacer/replacer.go
@@ -31,11 +31,11 @@
 //     one, and does not proceed without the chosen instance's answer. A hold is
 //     never undone: a promote request that got no answer may still be carried out
 //     later, and until then nothing may be acknowledged that the chosen replica lacks.
+//   - The claim is renewed before each repeated promote request, so that none is sent after another VM has claimed the
+//     group: by then, the instance may have led and been demoted again.
 //
-// On a platform that does not check the tokens, three more rules take the place of the refusal.
+// On a platform that does not check the tokens, two more rules take the place of the refusal.
 //   - Spare tokens are not used: a VM that cannot claim the group leaves it alone.
-//   - The claim is renewed before each repeated promote request, so that none is sent
-//     after that of a later claim.
 //   - An attempt that finds the choice of an earlier one does not choose otherwise, and
 //     the next term cannot be claimed while a request of this one may be outstanding.
 package replacer
@@ -514,7 +514,7 @@
 	}
 	isUnanswered := false
 	for isRetry := false; ctx.Err() == nil; isRetry = true {
-		if isRetry && r.cfg.IsUnfenced {
+		if isRetry && p.isClaimed {
 			if err := r.record(ctx, &p); err != nil {
 				return settled(err)
 			}
