Exclude other VMs from the end of a term while a spare token is used

Callers lost commits: two VMs replaced one primary at the same time, one with a spare token, because its claim had got no answer, one with another spare token or a claim, and chose different instances. The platform carries out both promote requests if the second arrives before the first has taken effect, also if only the second has the higher token. The first new primary acknowledged commits that the second one lacked.

Cause: the choice made with a spare token is recorded nowhere, and a token is checked only when a request arrives, not when it takes effect.

The seal of a term names its holder now. A VM with a spare token asks all VMs to seal the term before it ends it, and gives up if one of them knows of another VM that is ending it; a VM with a claim gives up while a seal of a spare token is in force. Two claims still exclude each other in the store. A seal is withdrawn when no promote request was sent.

--- a/internal/daemon/assembler/assembler.go
+++ b/internal/daemon/assembler/assembler.go
@@ -150,6 +150,7 @@
 			return p.Promote(ctx, group, instance, cfg.ID, token)
 		},
 		RefreshInstances:  v.refreshRegistry,
+		Self:              cfg.ID,
 		Sealer:            &sealer.Sealer{Client: replicator.NewClient(), Addresses: v.writerAddresses, RefreshAddresses: v.members.refreshIfOld},
 		Peers:             commander.Peers{Dialer: p.Dialer, Addresses: v.gateways.linkAddresses, Parse: p.ParseCondition},
 		AnswersDirectly:   v.gateways.answersDirectly,
--- a/internal/daemon/assembler/followers.go
+++ b/internal/daemon/assembler/followers.go
@@ -206,7 +206,7 @@
 		mux.Handle(replicator.CopyPath, h)
 	}
 	mux.HandleFunc(replicator.ChangesPath, h.ServeChanges)
-	mux.Handle(sealer.Path, sealer.Handler{Seal: v.sealTerm})
+	mux.Handle(sealer.Path, sealer.Handler{Group: v.configuredGroup})
 	mux.Handle(replicator.ConfirmPath, v.refresher.Load())
 	mux.Handle(inspector.Path, inspector.Handler(v.status))
 	v.peerServer = &http.Server{Handler: mux, ReadHeaderTimeout: time.Second}
--- a/internal/daemon/assembler/gateway.go
+++ b/internal/daemon/assembler/gateway.go
@@ -175,7 +175,7 @@
 	if err != nil {
 		return err
 	}
-	v.forwardServer = forwarder.NewServer(forwarder.Config{Listener: ln, Accept: v.platform.AcceptPort, Pool: v.pool, Names: &v.statementNames, Find: v.findInstance, IsUnreachable: v.hasFailedAttempts, IsSealed: v.isSealed, OnPanic: v.logPanic})
+	v.forwardServer = forwarder.NewServer(forwarder.Config{Listener: ln, Accept: v.platform.AcceptPort, Pool: v.pool, Names: &v.statementNames, Find: v.findInstance, IsUnreachable: v.hasFailedAttempts, StopsAcks: v.stopsAcks, OnPanic: v.logPanic})
 	go v.forwardServer.Serve()
 	return nil
 }
@@ -215,16 +215,15 @@
 	return c.Groups[group]
 }
 
-// sealTerm seals a term of a group for another VM. It returns false if the configuration lacks the group.
-func (v *VM) sealTerm(group string, term uint64) bool {
+// configuredGroup returns a group, or nil if the configuration lacks it.
+func (v *VM) configuredGroup(group string) *registrar.Group {
 	if !v.isConfigured(group) {
-		return false
+		return nil
 	}
-	v.groups.Group(group).Seal(term)
-	return true
+	return v.groups.Group(group)
 }
 
-func (v *VM) isSealed(group string, term uint64) bool { return v.groups.Group(group).IsSealed(term) }
+func (v *VM) stopsAcks(group string, term uint64) bool { return v.groups.Group(group).StopsAcks(term) }
 
 // writerAddresses returns the peer addresses of the other VMs through which the writes to a group pass: its gateways, or else
 // all VMs.
--- a/internal/group/registrar/group.go
+++ b/internal/group/registrar/group.go
@@ -27,7 +27,8 @@
 	latestPrimary    string             // the known primary, or else the one that was known last
 	latestTerm       uint64             // highest term in which latestPrimary proved to be the primary; zero: it did not, or restarted since
 	departure        departure          // the latest departure of a replica
-	seal             seal               // set while a VM replaces the primary
+	seal             activeSeal         // the latest one
+	ackStop          activeSeal         // the one of the highest term that stops acknowledgements
 	firstProof       tokenizer.Position // the first position that a primary has proved; zero: none yet
 	registryPrimary  string             // instance that the registry names instead of the known primary; "": none
 	noPrimarySince   time.Time          // when the last primary became unknown; zero: a primary is known or there was none yet
--- a/internal/group/registrar/seal_test.go
+++ b/internal/group/registrar/seal_test.go
@@ -8,28 +8,76 @@
 	"parsleyscale/internal/session/tokenizer"
 )
 
+func newTestGroup() *Group {
+	start := time.Now()
+	return New(func() time.Duration { return time.Since(start) }).Group("g")
+}
+
 // Guards against the acknowledgement of a commit that the successor of a primary may lack.
-func TestSeal(t *testing.T) {
+func TestSealStopsAcks(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		start := time.Now()
-		g := New(func() time.Duration { return time.Since(start) }).Group("g")
+		g := newTestGroup()
 		check := func(when string, term uint64, want bool) {
 			t.Helper()
 			if got := g.Acknowledge(tokenizer.Position{Term: term, Index: 7}); got != want {
 				t.Errorf("%s: commit of term %d is acknowledged: %t, want %t", when, term, got, want)
 			}
 		}
+		seal := func(term uint64) {
+			t.Helper()
+			if err := g.Seal(Seal{Term: term, Holder: "vm-1", StopsAcks: true}); err != nil {
+				t.Error(err)
+			}
+		}
 		check("before the seal", 3, true)
-		g.Seal(3)
-		g.Seal(2)
+		seal(3)
 		check("sealed", 2, false)
 		check("sealed", 3, false)
 		check("sealed", 4, true)
 		time.Sleep(sealTTL - time.Millisecond)
-		g.Seal(3)
+		seal(3)
 		time.Sleep(sealTTL - time.Millisecond)
 		check("renewed", 3, false)
 		time.Sleep(time.Millisecond)
 		check("expired", 3, true)
+		seal(3)
+		g.Unseal(Seal{Term: 3, Holder: "vm-2"})
+		check("unsealed by another VM", 3, false)
+		g.Unseal(Seal{Term: 3, Holder: "vm-1"})
+		check("unsealed", 3, true)
 	})
 }
+
+// Guards against two VMs that end a term at the same time although one of them has no claim.
+func TestSealExcludesSpareTokens(t *testing.T) {
+	claimed, spare := Seal{Term: 3, Holder: "vm-1"}, Seal{Term: 3, Holder: "vm-2", IsSpare: true}
+	for _, c := range []struct {
+		name          string
+		first, second Seal
+		isRefused     bool
+	}{
+		{"two claims", claimed, Seal{Term: 3, Holder: "vm-2"}, false},
+		{"a spare token after a claim", claimed, spare, true},
+		{"a claim after a spare token", spare, claimed, true},
+		{"two spare tokens", spare, Seal{Term: 3, Holder: "vm-3", IsSpare: true}, true},
+		{"the same VM", spare, spare, false},
+		{"a lower term", Seal{Term: 4, Holder: "vm-1"}, spare, true},
+		{"a later term", spare, Seal{Term: 4, Holder: "vm-1", IsSpare: true}, false},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				g := newTestGroup()
+				if err := g.Seal(c.first); err != nil {
+					t.Fatal(err)
+				}
+				if err := g.Seal(c.second); (err != nil) != c.isRefused {
+					t.Errorf("second seal: error %v, want one: %t", err, c.isRefused)
+				}
+				time.Sleep(sealTTL)
+				if err := g.Seal(c.second); err != nil {
+					t.Errorf("after the first seal has expired: %v", err)
+				}
+			})
+		})
+	}
+}
--- a/internal/group/replacer/endterm.go
+++ b/internal/group/replacer/endterm.go
@@ -27,10 +27,13 @@
 // endTerm ends the old term and returns the candidates for the new one. A planned switchover
 // demotes the primary first and then lets a replica catch up with it. So does the replacement of a
 // primary that only other VMs reach. Otherwise, the replicas are held.
-func (r *Replacer) endTerm(ctx context.Context, g *registrar.Group, a Action, old registrar.Primary, path <-chan carrier.Target, earlierChoice string, b *Basis) (candidates []candidate, areHeld bool, err error) {
+func (r *Replacer) endTerm(ctx context.Context, g *registrar.Group, a Action, old registrar.Primary, path <-chan carrier.Target, earlierChoice string, seal *registrar.Seal, b *Basis) (candidates []candidate, areHeld bool, err error) {
 	views := g.Views()
 	b.Known, b.EndedBy = len(views), EndedByDemotion
 	if a.Kind == Switch {
+		if err := r.sealTerm(ctx, g, *seal); err != nil {
+			return nil, false, err
+		}
 		candidates, err = r.demoteAndCatchUp(ctx, g, views, old, earlierChoice, b, r.cfg.Controller.Status, func(ctx context.Context, t carrier.Target) (carrier.InstanceStatus, error) {
 			return r.cfg.Controller.Demote(ctx, t, old.Term+1)
 		})
@@ -38,6 +41,9 @@
 	}
 	if t, ok := awaitPath(path); ok {
 		b.EndedBy, b.Via = EndedByPeer, t.Address
+		if err := r.sealTerm(ctx, g, *seal); err != nil {
+			return nil, false, err
+		}
 		status := func(ctx context.Context, _ carrier.Target) (carrier.InstanceStatus, error) {
 			return r.cfg.Peers.Status(ctx, t)
 		}
@@ -47,8 +53,8 @@
 		return candidates, false, err
 	}
 	// A stalled primary is reachable, so holdAll awaits the answer to its demotion.
-	b.EndedBy = EndedByHold
-	candidates, err = r.holdAllRegistered(ctx, g, old, a.Reason == WritesStalled, r.startSealAndRefresh(ctx, g, old.Term), b)
+	b.EndedBy, seal.StopsAcks = EndedByHold, true
+	candidates, err = r.holdAllRegistered(ctx, g, old, a.Reason == WritesStalled, r.startSealAndRefresh(ctx, g, *seal), b)
 	return candidates, true, err
 }
 
--- a/internal/group/replacer/refresh.go
+++ b/internal/group/replacer/refresh.go
@@ -10,15 +10,14 @@
 // startSealAndRefresh seals a term and then brings the instances of all groups up to date, beside the first steps of the end of
 // the term. So each instance with whose help a commit was acknowledged and passed on is known afterwards, if it registered in
 // time. The channel gets the result.
-func (r *Replacer) startSealAndRefresh(ctx context.Context, g *registrar.Group, term uint64) <-chan error {
+func (r *Replacer) startSealAndRefresh(ctx context.Context, g *registrar.Group, seal registrar.Seal) <-chan error {
 	result := make(chan error, 1)
 	r.wg.Go(func() {
-		r.sealTerm(ctx, g, term)
-		if r.cfg.RefreshInstances == nil {
-			result <- nil
-			return
+		err := r.sealTerm(ctx, g, seal)
+		if err == nil && r.cfg.RefreshInstances != nil {
+			err = r.cfg.RefreshInstances(ctx)
 		}
-		result <- r.cfg.RefreshInstances(ctx)
+		result <- err
 	})
 	return result
 }
--- a/internal/group/replacer/replacer.go
+++ b/internal/group/replacer/replacer.go
@@ -131,7 +131,10 @@
 	// RefreshInstances brings the instances of Groups up to date. After it has returned without an error, they include each one
 	// that registered before the call. It is nil if nothing else than the registrar knows the instances.
 	RefreshInstances func(ctx context.Context) error
-	// Sealer reaches the VMs that may pass on acknowledgements of a primary which is being replaced; nil if there are none.
+	// Self identifies this VM to others.
+	Self string
+	// Sealer reaches the VMs that may pass on acknowledgements of a primary which is being replaced, or replace it as well; nil if
+	// there are none.
 	Sealer Sealer
 	// Peers reaches instances through other VMs; nil if there are none.
 	Peers PeerCommander
@@ -411,7 +414,14 @@
 		return err
 	}
 	b := r.newBasis(isSpare, result.ChosenInstance)
-	candidates, areHeld, err := r.endTerm(ctx, g, a, old, path, result.ChosenInstance, &b)
+	seal := registrar.Seal{Term: old.Term, Holder: r.cfg.Self, IsSpare: isSpare}
+	isRequested := false
+	defer func() {
+		if !isRequested {
+			r.unseal(ctx, g, seal)
+		}
+	}()
+	candidates, areHeld, err := r.endTerm(ctx, g, a, old, path, result.ChosenInstance, &seal, &b)
 	if err != nil {
 		return err
 	}
@@ -443,7 +453,8 @@
 	if err := awaitHolds(); err != nil {
 		return err
 	}
-	return r.requestPromotion(ctx, p)
+	isRequested = true
+	return r.requestPromotion(ctx, p, seal)
 }
 
 // promotion is the promotion of an instance in place of the primary of a term.
@@ -498,20 +509,18 @@
 
 // requestPromotion sends the promote request that ends a term, and repeats it until the group has a new
 // primary, the platform refuses the request or ctx ends.
-func (r *Replacer) requestPromotion(ctx context.Context, p promotion) error {
+func (r *Replacer) requestPromotion(ctx context.Context, p promotion, seal registrar.Seal) error {
 	g := p.group
 	settled := func(err error) error {
 		r.cfg.Observe(Event{Name: EventPromoteSettled, Group: g.Name(), Instance: p.target, Reason: p.action.Reason, Token: p.token(), Err: err})
 		return err
 	}
-	demoteCtx, stopDemoting := context.WithCancel(ctx)
-	defer stopDemoting()
+	sentCtx, stop := context.WithCancel(ctx)
+	defer stop()
 	if p.oldPrimary != p.target {
-		r.wg.Go(func() { r.demoteOnReturn(demoteCtx, p) })
-	}
-	if g.IsSealed(p.term) {
-		r.wg.Go(func() { r.keepSealed(demoteCtx, g, p.term) })
+		r.wg.Go(func() { r.demoteOnReturn(sentCtx, p) })
 	}
+	r.wg.Go(func() { r.keepSealed(sentCtx, g, seal) })
 	isUnanswered := false
 	for isRetry := false; ctx.Err() == nil; isRetry = true {
 		if isRetry && p.isClaimed {
--- a/internal/group/replacer/seal.go
+++ b/internal/group/replacer/seal.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"parsleyscale/internal/clock/sleeper"
+	"parsleyscale/internal/failure/classifier"
 	"parsleyscale/internal/group/registrar"
 )
 
@@ -12,28 +13,45 @@
 // seal lasts, and bounds how long a VM that has just started may be without it.
 const sealInterval = 200 * time.Millisecond
 
-// Sealer asks other VMs to pass on no more acknowledgements of a term of a group.
+// Sealer tells other VMs that this VM is about to end a term of a group.
 type Sealer interface {
-	Seal(ctx context.Context, group string, term uint64) error
+	// Seal fails with kind conflict while another VM ends the term, and with another kind if a VM does not answer.
+	Seal(ctx context.Context, group string, s registrar.Seal) error
+	Unseal(ctx context.Context, group string, s registrar.Seal)
 }
 
-// sealTerm keeps all VMs that answer from passing on acknowledgements of a term.
-func (r *Replacer) sealTerm(ctx context.Context, g *registrar.Group, term uint64) {
-	err := r.trySealTerm(ctx, g, term)
-	r.cfg.Observe(Event{Name: EventTermSealed, Group: g.Name(), Term: term, Err: err})
+// sealTerm seals a term on this VM and on all VMs that answer. It fails only if another VM ends the term. A claim excludes other
+// VMs already, so that only a VM with a spare token, or one that stops acknowledgements, has to tell others.
+func (r *Replacer) sealTerm(ctx context.Context, g *registrar.Group, s registrar.Seal) error {
+	err := r.trySealTerm(ctx, g, s)
+	r.cfg.Observe(Event{Name: EventTermSealed, Group: g.Name(), Term: s.Term, Err: err})
+	if classifier.Is(err, classifier.Conflict) {
+		return err
+	}
+	return nil
 }
 
-func (r *Replacer) trySealTerm(ctx context.Context, g *registrar.Group, term uint64) error {
-	g.Seal(term)
-	if r.cfg.Sealer == nil {
+func (r *Replacer) trySealTerm(ctx context.Context, g *registrar.Group, s registrar.Seal) error {
+	if err := g.Seal(s); err != nil {
+		return err
+	}
+	if r.cfg.Sealer == nil || !s.IsSpare && !s.StopsAcks {
 		return nil
 	}
-	return r.cfg.Sealer.Seal(ctx, g.Name(), term)
+	return r.cfg.Sealer.Seal(ctx, g.Name(), s)
 }
 
-// keepSealed renews the seal of a term until ctx ends.
-func (r *Replacer) keepSealed(ctx context.Context, g *registrar.Group, term uint64) {
+// keepSealed renews a seal until ctx ends.
+func (r *Replacer) keepSealed(ctx context.Context, g *registrar.Group, s registrar.Seal) {
 	for sleeper.Sleep(ctx, sealInterval) {
-		_ = r.trySealTerm(ctx, g, term) // a VM that does not answer may be down
+		_ = r.trySealTerm(ctx, g, s) // the promote request has been sent, so that an error changes nothing
+	}
+}
+
+// unseal ends a seal before a promote request was sent.
+func (r *Replacer) unseal(ctx context.Context, g *registrar.Group, s registrar.Seal) {
+	g.Unseal(s)
+	if r.cfg.Sealer != nil && (s.IsSpare || s.StopsAcks) {
+		r.cfg.Sealer.Unseal(ctx, g.Name(), s)
 	}
 }
--- a/internal/group/sealer/sealer.go
+++ b/internal/group/sealer/sealer.go
@@ -1,14 +1,17 @@
-// Package sealer asks other VMs to pass on no more acknowledgements of a term of a group, because its primary is being
-// replaced.
+// Package sealer tells other VMs that a VM is about to end a term of a group, to replace its primary.
 //
 // A promotion takes effect some time after the replicas were compared. Until then, the primary may acknowledge a commit with
 // the help of an instance that joined or restarted after the comparison, to any VM that reaches it. Demoting the primary
 // prevents that only if it can be reached. A VM that has sealed the term tells its clients that the outcome is unknown.
+//
+// Claims exclude each other in the store. A VM that the store does not answer is excluded by the seals of others, and excludes them,
+// as far as they reach each other or a third VM.
 package sealer
 
 import (
+	"cmp"
 	"context"
-	"errors"
+	"io"
 	"net/http"
 	"net/url"
 	"slices"
@@ -17,9 +20,10 @@
 	"time"
 
 	"parsleyscale/internal/failure/classifier"
+	"parsleyscale/internal/group/registrar"
 )
 
-// Path is the URL path at which a VM seals a term. The query has the group and the term.
+// Path is the URL path at which a VM seals a term. The query has the fields of the seal, or its term and holder for its end.
 const Path = "/seal"
 
 // timeout bounds a request to one VM. A VM that does not answer is likely to be down, and a replacement must not wait for
@@ -34,34 +38,51 @@
 	RefreshAddresses func(ctx context.Context) error
 }
 
-// Seal asks the other VMs to seal a term of a group and waits for their answers. The error joins those of the VMs that did not
-// answer, which may be down.
-func (s *Sealer) Seal(ctx context.Context, group string, term uint64) error {
+// Seal asks the other VMs to seal a term of a group and waits for their answers. It fails with kind conflict if one of them knows
+// of another VM that is ending the term, and with another kind if some did not answer, which may be down.
+func (s *Sealer) Seal(ctx context.Context, group string, seal registrar.Seal) error {
 	ctx, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
-	q := url.Values{"group": {group}, "term": {strconv.FormatUint(term, 10)}}
-	target := func(address string) string { return "http://" + address + Path + "?" + q.Encode() }
+	q := url.Values{"group": {group}, "term": {strconv.FormatUint(seal.Term, 10)}, "holder": {seal.Holder}}
+	q.Set("spare", strconv.FormatBool(seal.IsSpare))
+	q.Set("stopsAcks", strconv.FormatBool(seal.StopsAcks))
 	refreshed := make(chan error, 1)
 	go func() { refreshed <- s.RefreshAddresses(ctx) }()
 	known := s.Addresses(group)
-	err := s.sendAll(ctx, known, target)
+	err := s.sendAll(ctx, http.MethodPost, known, q)
 	refreshErr := <-refreshed
 	added := slices.DeleteFunc(s.Addresses(group), func(a string) bool { return slices.Contains(known, a) })
-	return errors.Join(err, refreshErr, s.sendAll(ctx, added, target))
+	addedErr := s.sendAll(ctx, http.MethodPost, added, q)
+	if classifier.Is(addedErr, classifier.Conflict) {
+		return addedErr
+	}
+	return cmp.Or(err, addedErr, refreshErr)
+}
+
+// Unseal ends the seal on the other VMs that can be reached.
+func (s *Sealer) Unseal(ctx context.Context, group string, seal registrar.Seal) {
+	ctx, cancel := context.WithTimeout(ctx, timeout)
+	defer cancel()
+	q := url.Values{"group": {group}, "term": {strconv.FormatUint(seal.Term, 10)}, "holder": {seal.Holder}}
+	_ = s.sendAll(ctx, http.MethodDelete, s.Addresses(group), q)
 }
 
-func (s *Sealer) sendAll(ctx context.Context, addresses []string, target func(address string) string) error {
+// sendAll sends a request to other VMs and returns the error of one, preferably one of kind conflict.
+func (s *Sealer) sendAll(ctx context.Context, method string, addresses []string, q url.Values) error {
 	errs := make([]error, len(addresses))
 	var wg sync.WaitGroup
 	for k, a := range addresses {
-		wg.Go(func() { errs[k] = s.send(ctx, target(a)) })
+		wg.Go(func() { errs[k] = s.send(ctx, method, "http://"+a+Path+"?"+q.Encode()) })
 	}
 	wg.Wait()
-	return errors.Join(errs...)
+	if k := slices.IndexFunc(errs, func(err error) bool { return classifier.Is(err, classifier.Conflict) }); k >= 0 {
+		return errs[k]
+	}
+	return cmp.Or(errs...)
 }
 
-func (s *Sealer) send(ctx context.Context, target string) error {
-	r, err := http.NewRequestWithContext(ctx, http.MethodPost, target, nil)
+func (s *Sealer) send(ctx context.Context, method, target string) error {
+	r, err := http.NewRequestWithContext(ctx, method, target, nil)
 	if err != nil {
 		return err
 	}
@@ -70,29 +91,49 @@
 		return err
 	}
 	defer func() { _ = response.Body.Close() }()
-	if response.StatusCode != http.StatusNoContent {
-		return classifier.New(classifier.BadMessage, "request to seal a term: status %d, want %d", response.StatusCode, http.StatusNoContent)
+	switch response.StatusCode {
+	case http.StatusNoContent:
+		return nil
+	case http.StatusConflict:
+		text, _ := io.ReadAll(io.LimitReader(response.Body, maxTextBytes))
+		return classifier.New(classifier.Conflict, "%s", text)
 	}
-	return nil
+	return classifier.New(classifier.BadMessage, "request to seal a term: status %d, want %d", response.StatusCode, http.StatusNoContent)
 }
 
-// Handler serves the requests of other VMs. Seal seals a term of a group of this VM, and returns false if it does not know
-// the group.
+// maxTextBytes bounds the text of an error that another VM sends.
+const maxTextBytes = 500
+
+// Handler serves the requests of other VMs. Group returns a group of this VM, or nil if it does not know the group.
 type Handler struct {
-	Seal func(group string, term uint64) bool
+	Group func(name string) *registrar.Group
 }
 
 func (h Handler) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	q := r.URL.Query()
-	term, err := strconv.ParseUint(q.Get("term"), 10, 64)
-	switch {
-	case r.Method != http.MethodPost:
-		w.WriteHeader(http.StatusMethodNotAllowed)
-	case err != nil:
+	seal := registrar.Seal{Holder: q.Get("holder"), IsSpare: q.Get("spare") == "true", StopsAcks: q.Get("stopsAcks") == "true"}
+	var err error
+	seal.Term, err = strconv.ParseUint(q.Get("term"), 10, 64)
+	if err != nil || seal.Holder == "" {
 		w.WriteHeader(http.StatusBadRequest)
-	case !h.Seal(q.Get("group"), term):
+		return
+	}
+	g := h.Group(q.Get("group"))
+	if g == nil {
 		w.WriteHeader(http.StatusNotFound)
+		return
+	}
+	switch r.Method {
+	case http.MethodDelete:
+		g.Unseal(seal)
+	case http.MethodPost:
+		if err := g.Seal(seal); err != nil {
+			http.Error(w, classifier.Message(err), http.StatusConflict)
+			return
+		}
 	default:
-		w.WriteHeader(http.StatusNoContent)
+		w.WriteHeader(http.StatusMethodNotAllowed)
+		return
 	}
+	w.WriteHeader(http.StatusNoContent)
 }
--- a/internal/group/sealer/sealer_test.go
+++ b/internal/group/sealer/sealer_test.go
@@ -7,6 +7,9 @@
 	"slices"
 	"sync"
 	"testing"
+
+	"parsleyscale/internal/failure/classifier"
+	"parsleyscale/internal/group/registrar"
 )
 
 // Guards against a VM that goes on passing on acknowledgements because it was added after the list of VMs was read, and
@@ -15,11 +18,11 @@
 	var mu sync.Mutex
 	var sealed []string
 	start := func(name string) string {
-		s := httptest.NewServer(Handler{Seal: func(group string, term uint64) bool {
+		s := httptest.NewServer(Handler{Group: func(group string) *registrar.Group {
 			mu.Lock()
 			defer mu.Unlock()
 			sealed = append(sealed, name)
-			return group == "g" && term == 3
+			return registrar.New(nil).Group(group)
 		}})
 		t.Cleanup(s.Close)
 		return s.Listener.Addr().String()
@@ -33,7 +36,7 @@
 		addresses = append(addresses, added)
 		return nil
 	}
-	if err := s.Seal(t.Context(), "g", 3); err == nil {
+	if err := s.Seal(t.Context(), "g", registrar.Seal{Term: 3, Holder: "vm-1"}); err == nil {
 		t.Error("no error although a VM did not answer")
 	}
 	slices.Sort(sealed)
@@ -42,16 +45,29 @@
 	}
 }
 
-func TestHandlerRefusesOddRequests(t *testing.T) {
-	h := Handler{Seal: func(group string, _ uint64) bool { return group == "g" }}
+// Guards against a request that seals nothing, or another group, and against a conflict that the caller does not hear of.
+func TestHandler(t *testing.T) {
+	g := registrar.New(nil).Group("g")
+	h := Handler{Group: func(name string) *registrar.Group {
+		if name != "g" {
+			return nil
+		}
+		return g
+	}}
 	for _, c := range []struct {
 		method, query string
 		want          int
 	}{
-		{http.MethodGet, "group=g&term=3", http.StatusMethodNotAllowed},
-		{http.MethodPost, "group=g&term=x", http.StatusBadRequest},
-		{http.MethodPost, "group=h&term=3", http.StatusNotFound},
-		{http.MethodPost, "group=g&term=3", http.StatusNoContent},
+		{http.MethodGet, "group=g&term=3&holder=vm-1", http.StatusMethodNotAllowed},
+		{http.MethodPost, "group=g&term=x&holder=vm-1", http.StatusBadRequest},
+		{http.MethodPost, "group=g&term=3", http.StatusBadRequest},
+		{http.MethodPost, "group=h&term=3&holder=vm-1", http.StatusNotFound},
+		{http.MethodPost, "group=g&term=3&holder=vm-1&spare=true&stopsAcks=true", http.StatusNoContent},
+		{http.MethodPost, "group=g&term=3&holder=vm-2", http.StatusConflict},
+		{http.MethodDelete, "group=g&term=3&holder=vm-2", http.StatusNoContent},
+		{http.MethodPost, "group=g&term=3&holder=vm-2", http.StatusConflict},
+		{http.MethodDelete, "group=g&term=3&holder=vm-1", http.StatusNoContent},
+		{http.MethodPost, "group=g&term=3&holder=vm-2", http.StatusNoContent},
 	} {
 		w := httptest.NewRecorder()
 		h.ServeHTTP(w, httptest.NewRequest(c.method, Path+"?"+c.query, nil))
@@ -60,3 +76,21 @@
 		}
 	}
 }
+
+// Guards against a conflict that is hidden by other VMs' answers.
+func TestSealReturnsConflict(t *testing.T) {
+	g := registrar.New(nil).Group("g")
+	if err := g.Seal(registrar.Seal{Term: 3, Holder: "vm-1", IsSpare: true}); err != nil {
+		t.Fatal(err)
+	}
+	server := httptest.NewServer(Handler{Group: func(string) *registrar.Group { return g }})
+	defer server.Close()
+	s := Sealer{
+		Client:           http.DefaultClient,
+		Addresses:        func(string) []string { return []string{"127.0.0.1:1", server.Listener.Addr().String()} },
+		RefreshAddresses: func(context.Context) error { return nil },
+	}
+	if err := s.Seal(t.Context(), "g", registrar.Seal{Term: 3, Holder: "vm-2"}); !classifier.Is(err, classifier.Conflict) {
+		t.Errorf("error %v, want one of kind conflict", err)
+	}
+}
