Replace a new primary that crashed before any VM saw it lead

Since instances of a later term are a conflict, a group could stay without a primary for callers: its new primary crashed before any VM saw it lead, and only the replicas knew its term. The VMs then held all instances alike and waited for the answer of the crashed one.

When an attempt ends with the term after the one that it claimed, the choice that the claim records is taken for the primary, without a proof, as the registry's would be. If it answers and denies that, it counts as a replica again.

--- a/internal/group/registrar/group.go
+++ b/internal/group/registrar/group.go
@@ -272,6 +272,16 @@
 	return true
 }
 
+// SuggestPrimary makes an instance the known primary while none is known. Like that of the registry, the suggestion proves
+// nothing.
+func (g *Group) SuggestPrimary(id string) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if _, ok := g.instances[id]; ok && g.primary.Instance == "" {
+		g.setPrimary(id)
+	}
+}
+
 // RecordDenial records that an instance has denied being the primary.
 func (g *Group) RecordDenial(id string) {
 	g.mu.Lock()
--- a/internal/group/replacer/effect_test.go
+++ b/internal/group/replacer/effect_test.go
@@ -3,6 +3,7 @@
 import (
 	"testing"
 	"testing/synctest"
+	"time"
 
 	"parsleyscale/internal/group/registrar"
 	"parsleyscale/internal/session/tokenizer"
@@ -42,6 +43,26 @@
 	}
 }
 
+// Guards against a group without a primary: its new primary crashed before any VM saw it lead, and only its replicas knew the
+// term that it led.
+func TestNewPrimaryCrashesUnseen(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := &fakeGroup{primary: "b", term: 4, entryTerm: 3, received: map[string]uint64{"a": 9, "b": 9, "c": 9}, errs: map[string]error{"probe b": errNoAnswer, "status b": errNoAnswer, "hold b": errNoAnswer, "demote b": errNoAnswer, "probe a": errNoAnswer}}
+		claims := &fakeTokens{last: 100, choice: "b", choiceTerm: 3}
+		got := promotedInstancesWith(t, f, claims, nil, func(g *registrar.Group, _ *registrar.Registrar, _ cataloger.Registry) {
+			failPrimary(g)
+			time.AfterFunc(time.Second, func() {
+				for range 4 {
+					g.RecordFailure("b")
+				}
+			})
+		})
+		if len(got) != 1 || got[0] == "b" || f.tokens[0]>>termShift != 4 {
+			t.Errorf("%v promoted, tokens %v; want a or c, in place of the primary of term 4; commands %v", got, f.tokens, f.commands)
+		}
+	})
+}
+
 // Guards against the loss of commits when an instance that only the registry names as the primary stands in for the primary that
 // this VM does not reach: its demotion had no effect, and it went on receiving.
 func TestRegistryPrimaryDoesNotLead(t *testing.T) {
--- a/internal/group/replacer/replacer.go
+++ b/internal/group/replacer/replacer.go
@@ -385,6 +385,9 @@
 	}
 	candidates, areHeld, err := r.endTerm(ctx, g, a, old, path, result.ChosenInstance)
 	if err != nil {
+		if g.Primary().Term == old.Term+1 {
+			g.SuggestPrimary(result.ChosenInstance) // it may have crashed before any VM saw it lead
+		}
 		return err
 	}
 	_, isEarlierPresent := g.View(result.ChosenInstance)
--- a/internal/group/replacer/replacer_test.go
+++ b/internal/group/replacer/replacer_test.go
@@ -98,22 +98,27 @@
 
 // fakeTokens implements TokenSource and Claims.
 type fakeTokens struct {
-	last     uint64   // last token that was issued
-	err      error    // returned by Claim
-	settled  int      // claims whose promote requests were all answered
-	lostAt   int      // number of the record from which on another VM has the claim; zero: none
-	choice   string   // of an earlier attempt, returned by Claim
-	recorded []string // choices that were recorded
+	last       uint64   // last token that was issued
+	err        error    // returned by Claim
+	settled    int      // claims whose promote requests were all answered
+	lostAt     int      // number of the record from which on another VM has the claim; zero: none
+	choice     string   // of an earlier attempt, returned by Claim
+	recorded   []string // choices that were recorded
+	choiceTerm uint64   // the only term for which Claim returns the choice; zero: any
 }
 
 func (f *fakeTokens) Next(context.Context) (uint64, error) { f.last++; return f.last, nil }
 func (f *fakeTokens) IsNeeded([]string) bool               { return true }
-func (f *fakeTokens) Claim(context.Context, string, uint64) (claimer.ClaimResult, error) {
+func (f *fakeTokens) Claim(_ context.Context, _ string, term uint64) (claimer.ClaimResult, error) {
 	if f.err != nil {
 		return claimer.ClaimResult{}, f.err
 	}
 	f.last++
-	return claimer.ClaimResult{FencingToken: f.last, ChosenInstance: f.choice}, nil
+	r := claimer.ClaimResult{FencingToken: f.last, ChosenInstance: f.choice}
+	if f.choiceTerm > 0 && f.choiceTerm != term {
+		r.ChosenInstance = ""
+	}
+	return r, nil
 }
 
 func (f *fakeTokens) Record(_ context.Context, _ string, _, _ uint64, choice string) (uint64, error) {
