Let no primary that lacks entries stand in for a replica

Callers could lose commits at a promotion while a replica that had them was silent.

The demoted old primary stands in for a replica that does not answer, since its log holds every commit that it acknowledged. Its position was taken as it came. If it had lost its log, each other replica seemed to hold all of its entries.

It stands in only if it holds what it has proved to this VM before, and as much as the furthest replica. After a demotion in which it does not, all replicas have to answer.

--- a/internal/group/replacer/endterm.go
+++ b/internal/group/replacer/endterm.go
@@ -180,6 +180,9 @@
 	if err := checkDemoted(v.ID, demoted, nextTerm); err != nil {
 		return nil, err
 	}
+	if _, known := g.FormerPrimary(old.Term); !demoted.Received.Covers(known) {
+		return r.holdAll(ctx, g, views, old, false) // it has lost its log
+	}
 	hasCaughtUp := func(s carrier.InstanceStatus) bool { return s.Received.Covers(demoted.Received) }
 	if c, ok, err := r.awaitReplica(ctx, g, views, old, earlierChoice, hasCaughtUp); err != nil {
 		return nil, err
@@ -306,6 +309,9 @@
 	case isInLaterTerm(a.status, nextTerm):
 		return nil, r.recordLaterTerm(ctx, g, a.id, a.status)
 	}
+	if lostEntries := !a.received.Covers(furthestReceived(candidates)) || former == a.id && !a.received.Covers(knownPosition); lostEntries {
+		return nil, replicaErr
+	}
 	return covering(append(candidates, a.candidate), a.received), nil
 }
 
