--- a/internal/daemon/assembler/assembler.go
+++ b/internal/daemon/assembler/assembler.go
@@ -136,6 +136,7 @@
 	v.auditor = auditor.Start(p.Store, cfg.ID)
 	v.pool = allotter.New(allotter.Config{Dialer: v.gateways, Limits: v.gateways.connectionLimits, Observe: v.recordDial})
 	controller := commander.Controller{Pool: v.pool, Parse: p.ParseCondition}
+	peers := commander.Peers{Dialer: p.Dialer, Addresses: v.gateways.linkAddresses, Parse: p.ParseCondition}
 	v.performer = performer.New(performer.Config{
 		DataCentre: cfg.DataCentre, Region: cfg.Region, RegionOf: func(dc string) string { return cfg.DataCentres[dc] },
 		Groups: v.groups, Pool: v.pool, RetryBudget: admitter.NewRetryBudget(), Observe: v.logStatement, Unfenced: v.unfenced(controller),
@@ -145,7 +146,8 @@
 		Promote: func(ctx context.Context, group, instance string, token uint64) error {
 			return p.Promote(ctx, group, instance, cfg.ID, token)
 		},
-		Peers:             commander.Peers{Dialer: p.Dialer, Addresses: v.gateways.linkAddresses, Parse: p.ParseCondition},
+		Peers:             peers,
+		DemoteAt:          peers.Demote,
 		AnswersDirectly:   v.gateways.answersDirectly,
 		OnInstanceRemoved: v.performer.Forget,
 		Observe:           v.recordReplacement,
--- a/internal/group/commander/peers.go
+++ b/internal/group/commander/peers.go
@@ -48,7 +48,7 @@
 	return p.execute(ctx, path, carrier.Internal(carrier.Status))
 }
 
-// Demote makes a primary of a term below term a replica, on a path that FindPath returned.
+// Demote makes a primary of a term below term a replica, on a path that FindPath returned or at the address of an instance.
 func (p Peers) Demote(ctx context.Context, path carrier.Target, term uint64) (carrier.InstanceStatus, error) {
 	return p.execute(ctx, path, termCommand(carrier.Demote, term))
 }
--- a/internal/group/replacer/endedterm.go
+++ b/internal/group/replacer/endedterm.go
@@ -26,10 +26,10 @@
 	for ctx.Err() == nil {
 		targets := make([]carrier.Target, 0, 2)
 		if isKnown {
-			targets = append(targets, carrier.Target{Group: p.group.Name(), Address: v.Address})
+			targets = append(targets, registrar.NewTarget(v.Instance))
 		}
 		if l, ok := r.returnedPrimary(p); ok && l.Address != v.Address {
-			targets = append(targets, carrier.Target{Group: p.group.Name(), Address: l.Address})
+			targets = append(targets, registrar.NewTarget(l.Instance))
 		}
 		answers := make(chan error, len(targets))
 		for _, t := range targets {
@@ -59,14 +59,13 @@
 	return p.group.View(l.Instance)
 }
 
-// demoteAt demotes the instance at an address, over a connection of its own if possible: pooled ones are not opened for a while
-// after a failed dial.
+// demoteAt demotes the instance at the address of a target. Pooled connections would not be opened for a while after a failed dial.
 func (r *Replacer) demoteAt(ctx context.Context, p promotion, t carrier.Target) error {
 	ctx, cancel := context.WithTimeout(ctx, commandTimeout)
 	defer cancel()
 	demote := r.cfg.Controller.Demote
-	if r.cfg.Peers != nil {
-		demote = r.cfg.Peers.Demote
+	if r.cfg.DemoteAt != nil {
+		demote, t.Instance = r.cfg.DemoteAt, ""
 	}
 	s, err := demote(ctx, t, p.term+1)
 	if err == nil {
--- a/internal/group/replacer/replacer.go
+++ b/internal/group/replacer/replacer.go
@@ -105,7 +105,7 @@
 type PeerCommander interface {
 	// FindPath returns the target through which another VM reaches an instance, once the instance has answered on it.
 	FindPath(ctx context.Context, t carrier.Target) (carrier.Target, error)
-	// Status and Demote are those of carrier.Controller for a target that FindPath returned, or for the address of an instance.
+	// Status and Demote are those of carrier.Controller for a target that FindPath returned.
 	Status(ctx context.Context, path carrier.Target) (carrier.InstanceStatus, error)
 	Demote(ctx context.Context, path carrier.Target, term uint64) (carrier.InstanceStatus, error)
 }
@@ -126,6 +126,9 @@
 	Sample func(ctx context.Context, g *registrar.Group) error
 	// Peers reaches instances through other VMs; nil if there are none.
 	Peers PeerCommander
+	// DemoteAt is Demote of carrier.Controller over a connection of its own, to the address of an instance whose identity may have
+	// changed; nil stands for Controller.
+	DemoteAt func(ctx context.Context, t carrier.Target, term uint64) (carrier.InstanceStatus, error)
 	// AnswersDirectly reports whether an instance that this VM usually reaches through gateways answers
 	// a direct connection. It is nil if there are no gateways.
 	AnswersDirectly func(ctx context.Context, v registrar.View) bool
--- a/internal/group/replacer/replacer_test.go
+++ b/internal/group/replacer/replacer_test.go
@@ -79,9 +79,6 @@
 }
 
 func (f *fakeGroup) Demote(_ context.Context, t carrier.Target, term uint64) (carrier.InstanceStatus, error) {
-	if t.Instance == "" {
-		return f.command("demoteAt", t.Address, term)
-	}
 	return f.command("demote", t.Instance, term)
 }
 
@@ -170,6 +167,9 @@
 	}
 	replacer := Start(Config{
 		Groups: r, Controller: f, Peers: peers, IsUnfenced: f.isUnfenced, Tokens: &fakeTokens{last: f.tokenBeforeSpare}, Claims: claims, AnswersDirectly: answers, Rank: func(string) int { return 0 }, OnInstanceRemoved: func(string) {},
+		DemoteAt: func(_ context.Context, t carrier.Target, term uint64) (carrier.InstanceStatus, error) {
+			return f.command("demoteAt", t.Address, term)
+		},
 		Sample:                 func(context.Context, *registrar.Group) error { return nil },
 		MayHaveMissedDeparture: func(context.Context) bool { return f.missesDeparture },
 		Probe: func(g *registrar.Group, v registrar.View) error {
@@ -221,9 +221,6 @@
 }
 
 func (f fakePeers) Demote(_ context.Context, path carrier.Target, term uint64) (carrier.InstanceStatus, error) {
-	if path.Instance == "" {
-		return f.command("demoteAt", path.Address, term)
-	}
 	return f.command("peerDemote", path.Instance, term)
 }
 
