--- a/internal/group/replacer/endterm.go
+++ b/internal/group/replacer/endterm.go
@@ -190,6 +190,9 @@
 		r.cfg.Observe(Event{Name: EventNotInEffect, Group: g.Name(), Instance: v.ID, Term: old.Term, Command: CommandDemote, Status: demoted, Err: err})
 		return nil, err
 	}
+	if _, known := g.FormerPrimary(old.Term); !demoted.Received.Covers(known) {
+		return r.holdAll(ctx, g, views, old, false, b) // it has lost its log
+	}
 	hasCaughtUp := func(s carrier.InstanceStatus) bool { return s.Received.Covers(demoted.Received) }
 	if c, ok, err := r.awaitReplica(ctx, g, views, old, earlierChoice, hasCaughtUp); err != nil {
 		return nil, err
@@ -319,6 +322,9 @@
 	case isInLaterTerm(a.status, nextTerm):
 		return nil, r.recordLaterTerm(ctx, g, a.id, a.status)
 	}
+	if lostEntries := !a.received.Covers(furthestReceived(candidates)) || former == a.id && !a.received.Covers(knownPosition); lostEntries {
+		return nil, replicaErr
+	}
 	b.EndedBy = EndedByHoldAndDemotion
 	return covering(append(candidates, a.candidate), a.received), nil
 }
--- a/internal/group/replacer/replacer.go
+++ b/internal/group/replacer/replacer.go
@@ -109,7 +109,7 @@
 type PeerCommander interface {
 	// FindPath returns the target through which another VM reaches an instance, once the instance has answered on it.
 	FindPath(ctx context.Context, t carrier.Target) (carrier.Target, error)
-	// Status and Demote are those of carrier.Controller for a target that FindPath returned, or for the address of an instance.
+	// Status and Demote are those of carrier.Controller for a target that FindPath returned.
 	Status(ctx context.Context, path carrier.Target) (carrier.InstanceStatus, error)
 	Demote(ctx context.Context, path carrier.Target, term uint64) (carrier.InstanceStatus, error)
 }
@@ -138,6 +138,9 @@
 	Sealer Sealer
 	// Peers reaches instances through other VMs; nil if there are none.
 	Peers PeerCommander
+	// DemoteAt is Demote of carrier.Controller over a connection of its own, to the address of an instance whose identity may have
+	// changed; nil stands for Controller.
+	DemoteAt func(ctx context.Context, t carrier.Target, term uint64) (carrier.InstanceStatus, error)
 	// AnswersDirectly reports whether an instance that this VM usually reaches through gateways answers
 	// a direct connection. It is nil if there are no gateways.
 	AnswersDirectly func(ctx context.Context, v registrar.View) bool
@@ -423,6 +426,9 @@
 	}()
 	candidates, areHeld, err := r.endTerm(ctx, g, a, old, path, result.ChosenInstance, &seal, &b)
 	if err != nil {
+		if g.Primary().Term == old.Term+1 {
+			g.SuggestPrimary(result.ChosenInstance) // it may have crashed before any VM saw it lead
+		}
 		return err
 	}
 	_, isEarlierPresent := g.View(result.ChosenInstance)
