Do not count a replica that has lost its log as an answer

Callers lost commits that they had been told were kept: a replica lost power together with the primary and was back without its log. It answered the hold, so that all replicas had answered, and another one was promoted which had fallen behind. The restart shows in the registry entry (born), but the entry had not been written yet, and born may be missing.

Within a term, no replica gives up an entry that it holds. So one that answers with less than this VM knows of it has restarted, and counts like one that has left: another instance is promoted only if it holds what a primary has proved since, or what the old primary holds after its demotion. Positions of earlier terms are no evidence, because a promotion rolls replicas back.

The cases of TestRestartedReplicaIsHeld fail without the call in holdAll.

--- a/internal/group/registrar/departure.go
+++ b/internal/group/registrar/departure.go
@@ -45,6 +45,23 @@
 // recordArrival records that an instance is in the registry. A silent replica that is back is asked like all others.
 func (g *Group) recordArrival(id string) { delete(g.departure.silent, id) }
 
+// RecordReceived records the newest entry that a replica holds by its own report, before the end of a term. Within a term,
+// no replica gives up an entry, unless it restarts without its log. Its registry entry shows that only once it is written.
+func (g *Group) RecordReceived(id string, p tokenizer.Position, term uint64) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	s, ok := g.instances[id]
+	if !ok {
+		return
+	}
+	known := s.received.Max(s.Position)
+	if known.Term == term && !p.Covers(known) {
+		g.recordDeparture(s)
+		s.Position = p
+	}
+	s.received = p
+}
+
 // recordDepartureSample completes the floor of the latest departure from the position of a proven primary.
 func (g *Group) recordDepartureSample(p Proof) {
 	if d := &g.departure; d.isSet && d.floor.IsZero() && p.SentAt >= d.at {
--- a/internal/group/registrar/group.go
+++ b/internal/group/registrar/group.go
@@ -38,6 +38,8 @@
 	View
 	missingAt   time.Time // when the registry entry was first found missing; zero: it is present
 	primaryTerm uint64    // highest term of which it has reported to be the primary
+
+	received tokenizer.Position // newest entry that it has reported to hold, applied or not
 }
 
 // View is what a VM knows about an instance.
--- a/internal/group/replacer/endterm.go
+++ b/internal/group/replacer/endterm.go
@@ -253,6 +253,7 @@
 			g.RecordTerm(a.receivedTerm)
 			return nil, classifier.New(classifier.Conflict, "replica %s already holds entries of the later term %d", a.id, a.receivedTerm)
 		default:
+			g.RecordReceived(a.id, a.received, old.Term)
 			a.isOldPrimary = a.id == former
 			candidates = append(candidates, a.candidate)
 			if a.id == former && a.received.Covers(knownPosition) {
--- a/internal/group/replacer/refresh_test.go
+++ b/internal/group/replacer/refresh_test.go
@@ -6,6 +6,7 @@
 
 	"parsleyscale/internal/failure/classifier"
 	"parsleyscale/internal/group/registrar"
+	"parsleyscale/internal/session/tokenizer"
 	"parsleyscale/internal/sheet/cataloger"
 )
 
@@ -67,3 +68,29 @@
 		})
 	}
 }
+
+// Guards against the loss of commits that only a replica held which has restarted without its log: its answer to the hold
+// counted, although it had reported more before.
+func TestRestartedReplicaIsHeld(t *testing.T) {
+	for _, c := range []struct {
+		name string
+		errs map[string]error
+		want string // promoted instance; "": none
+	}{
+		{"the primary does not answer", map[string]error{"demote a": errNoAnswer}, ""},
+		{"the primary answers", nil, "a"},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				f := &fakeGroup{primary: "a", term: 3, received: map[string]uint64{"a": 9, "b": 7, "c": 0}, errs: c.errs}
+				got := promotedInstances(t, f, func(g *registrar.Group, _ *registrar.Registrar, _ cataloger.Registry) {
+					g.RecordAnswer("c", tokenizer.Position{Term: 3, Index: 8}, 0)
+					failPrimary(g)
+				})
+				if c.want == "" && len(got) > 0 || c.want != "" && (len(got) != 1 || got[0] != c.want) {
+					t.Errorf("%v promoted, want %q; commands %v", got, c.want, f.commands)
+				}
+			})
+		})
+	}
+}
--- a/internal/group/replacer/replacer.go
+++ b/internal/group/replacer/replacer.go
@@ -23,8 +23,8 @@
 //   - All replicas must have answered, since the one that did not may be the only
 //     one with an acknowledged commit. The demoted old primary can stand in for a
 //     missing replica, because its log holds every commit that it acknowledged. A
-//     replica that has left the group counts as missing until another one holds
-//     everything that was acknowledged before its departure was noticed.
+//     replica that has left the group, or lost its log, counts as missing until another one
+//     holds everything that was acknowledged before this was noticed.
 //   - The chosen instance is recorded with the claim before the promote request is
 //     sent. A later attempt at the same term, which may have reached other
 //     instances, keeps that choice as long as no instance holds more than the chosen
