--- a/internal/group/replacer/endterm.go
+++ b/internal/group/replacer/endterm.go
@@ -290,6 +290,7 @@
 			g.RecordStatus(a.id, a.status)
 			return nil, classifier.New(classifier.Conflict, "instance %s is the primary of term %d", a.id, a.status.Term)
 		default:
+			g.RecordReceived(a.id, a.received, old.Term)
 			a.isOldPrimary = a.id == former
 			candidates = append(candidates, a.candidate)
 			if a.id == former && a.received.Covers(knownPosition) {
