Count a replica that has long been known and holds nothing as one that has lost its log

A replica that answers the hold with an empty log, although the VM first saw it more than 10 s ago and a primary has proved entries, has lost its log. One that has just joined may have nothing yet, and does not hinder a replacement.

--- a/internal/group/registrar/departure.go
+++ b/internal/group/registrar/departure.go
@@ -22,6 +22,9 @@
 // expired long before, if it is cut off from the store.
 const maxStopTime = 30 * time.Second
 
+// firstEntryTime is the longest time until a new replica holds its first entry.
+const firstEntryTime = 10 * time.Second
+
 // recordDeparture records that an instance has left or restarted. A primary is not a replica: each of its commits was
 // acknowledged by one.
 func (g *Group) recordDeparture(s *instanceState) {
@@ -46,7 +49,8 @@
 func (g *Group) recordArrival(id string) { delete(g.departure.silent, id) }
 
 // RecordReceived records the newest entry that a replica holds by its own report, before the end of a term. Within a term,
-// no replica gives up an entry, unless it restarts without its log. Its registry entry shows that only once it is written.
+// no replica gives up an entry, unless it restarts without its log. Its registry entry shows that only once it is written. If
+// the VM does not know its earlier position, it has lost its log if it holds nothing firstEntryTime after it was first seen.
 func (g *Group) RecordReceived(id string, p tokenizer.Position, term uint64) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
@@ -55,9 +59,11 @@
 		return
 	}
 	known := s.received.Max(s.Position)
-	if known.Term == term && !p.Covers(known) {
+	hasLess := known.Term == term && !p.Covers(known)
+	isEmpty := p.Index == 0 && g.Samples.Newest().Position.Index > 0 && time.Since(s.seenAt) > firstEntryTime
+	if hasLess || isEmpty {
 		g.recordDeparture(s)
-		s.Position = p
+		s.Position, s.seenAt = p, time.Now()
 	}
 	s.received = p
 }
--- a/internal/group/registrar/departure_test.go
+++ b/internal/group/registrar/departure_test.go
@@ -54,27 +54,33 @@
 	for _, c := range []struct {
 		name         string
 		know         func(g *Group) // what b has reported before
+		seenFor      time.Duration
 		received     tokenizer.Position
 		wantDeparted bool
 	}{
-		{"less than it had received", func(g *Group) { g.RecordReceived("b", at(3, 7), 3) }, at(3, 6), true},
-		{"less than it had applied", func(g *Group) { g.RecordAnswer("b", at(3, 7), 0) }, at(1, 0), true},
-		{"as much", func(g *Group) { g.RecordReceived("b", at(3, 7), 3); g.RecordAnswer("b", at(3, 6), 0) }, at(3, 7), false},
-		{"less than before a promotion, which rolled it back", func(g *Group) { g.RecordReceived("b", at(2, 7), 2) }, at(2, 6), false},
+		{"less than it had received", func(g *Group) { g.RecordReceived("b", at(3, 7), 3) }, 0, at(3, 6), true},
+		{"less than it had applied", func(g *Group) { g.RecordAnswer("b", at(3, 7), 0) }, 0, at(1, 0), true},
+		{"as much", func(g *Group) { g.RecordReceived("b", at(3, 7), 3); g.RecordAnswer("b", at(3, 6), 0) }, 0, at(3, 7), false},
+		{"less than before a promotion, which rolled it back", func(g *Group) { g.RecordReceived("b", at(2, 7), 2) }, 0, at(2, 6), false},
+		{"nothing, and it has long been known", func(*Group) {}, time.Minute, at(1, 0), true},
+		{"nothing, and it has just joined", func(*Group) {}, time.Second, at(1, 0), false},
 	} {
 		t.Run(c.name, func(t *testing.T) {
-			_, g, _ := newGroup()
-			prove(g, "a", 3, 7)
-			c.know(g)
-			g.RecordReceived("b", c.received, 3)
-			if got := g.NeedsDepartureSample(); got != c.wantDeparted {
-				t.Fatalf("counts as departed: %t, want %t", got, c.wantDeparted)
-			}
-			g.RecordReceived("b", c.received, 3)
-			prove(g, "a", 3, 8)
-			if g.NeedsDepartureSample() || !g.IsCoveredDespiteDepartures(at(3, 8)) {
-				t.Error("counts as departed after the primary has proved its position, and another replica holds that")
-			}
+			synctest.Test(t, func(t *testing.T) {
+				_, g, _ := newGroup()
+				time.Sleep(c.seenFor)
+				prove(g, "a", 3, 7)
+				c.know(g)
+				g.RecordReceived("b", c.received, 3)
+				if got := g.NeedsDepartureSample(); got != c.wantDeparted {
+					t.Fatalf("counts as departed: %t, want %t", got, c.wantDeparted)
+				}
+				g.RecordReceived("b", c.received, 3)
+				prove(g, "a", 3, 8)
+				if g.NeedsDepartureSample() || !g.IsCoveredDespiteDepartures(at(3, 8)) {
+					t.Error("counts as departed after the primary has proved its position, and another replica holds that")
+				}
+			})
 		})
 	}
 }
--- a/internal/group/registrar/group.go
+++ b/internal/group/registrar/group.go
@@ -39,6 +39,7 @@
 	missingAt   time.Time // when the registry entry was first found missing; zero: it is present
 	primaryTerm uint64    // highest term of which it has reported to be the primary
 
+	seenAt   time.Time          // when its start was first seen
 	received tokenizer.Position // newest entry that it has reported to hold, applied or not
 }
 
@@ -148,7 +149,7 @@
 		if ok {
 			g.recordDeparture(s)
 		}
-		s = &instanceState{View: View{Instance: i}}
+		s = &instanceState{View: View{Instance: i}, seenAt: time.Now()}
 		g.instances[i.ID] = s
 		if i.IsPrimary {
 			g.recordRegistryPrimary(i.ID)
