Explore replacements of primaries in random histories of faults

No test ran the decisions of several VMs against restarts, newcomers, cuts and late orders in all their combinations.

The tests of the new package run the replacer, registrar and claimer of two or three VMs in simulated time against a model of the instances and the platform that follows the protocol, draw faults from a seed, and check at each promotion that no acknowledged commit is lost which a living replica of the registry has.

--- /dev/null
+++ b/internal/group/explorer/history_test.go
@@ -0,0 +1,228 @@
+package explorer
+
+import (
+	"cmp"
+	"context"
+	"errors"
+	"fmt"
+	"math/rand/v2"
+	"slices"
+	"strings"
+	"testing"
+	"testing/synctest"
+	"time"
+)
+
+// kind is a kind of fault or operation.
+type kind string
+
+const (
+	cutPaths     kind = "cut"          // no messages pass between a and b
+	latePaths    kind = "late"         // messages between a and b are late
+	lossyAnswers kind = "lossy"        // answers from b to a get lost
+	crash        kind = "crash"        // instance a is down for a time
+	deaf         kind = "deaf"         // instance a receives no entries
+	slow         kind = "slow"         // instance a receives entries late
+	join         kind = "join"         // a newcomer starts
+	leave        kind = "leave"        // instance a drains
+	restartVM    kind = "restartVM"    // VM a starts anew
+	isolate      kind = "isolate"      // instance a is cut from all VMs but b
+	outage       kind = "outage"       // service a is cut from all VMs but b
+	silence      kind = "silence"      // instance a is cut off from the store
+	splitPrimary kind = "splitPrimary" // instance a is cut from the other instances but b
+)
+
+// event is a fault or an operation. Instances are named by their role at the time of the event: P for the primary,
+// R1 and so on for the others by identity, and N for the latest newcomer.
+type event struct {
+	at    time.Duration
+	kind  kind
+	a, b  string
+	lasts time.Duration
+	extra time.Duration // join: until it registers
+}
+
+func (e event) String() string {
+	return fmt.Sprintf("event %s %s %s %s %s %s", e.at, e.kind, cmp.Or(e.a, "-"), cmp.Or(e.b, "-"), e.lasts, e.extra)
+}
+
+// history is a sequence of events and the options of its world.
+type history struct {
+	seed   uint64
+	vms    int
+	opts   options
+	events []event
+	length time.Duration
+}
+
+// String returns the history in the form that parseHistory reads.
+func (h history) String() string {
+	var b strings.Builder
+	o := h.opts
+	fmt.Fprintf(&b, "seed %d\nvms %d\nlength %s\ndemotedSends %t\ndemotionEndsWithRestart %t\npromoteTime %s\nlearnDelay %s\nregistryDelay %s\n",
+		h.seed, h.vms, h.length, o.demotedSends, o.demotionEndsWithRestart, o.promoteTime, o.learnDelay, o.registryDelay)
+	for _, e := range h.events {
+		fmt.Fprintln(&b, e)
+	}
+	return b.String()
+}
+
+// parseHistory reads a history. Lines that begin with # are comments.
+func parseHistory(text string) (history, error) {
+	var h history
+	for line := range strings.Lines(text) {
+		fields := strings.Fields(line)
+		if len(fields) == 0 || strings.HasPrefix(line, "#") {
+			continue
+		}
+		var err error
+		switch fields[0] {
+		case "seed":
+			_, err = fmt.Sscan(fields[1], &h.seed)
+		case "vms":
+			_, err = fmt.Sscan(fields[1], &h.vms)
+		case "length":
+			h.length, err = time.ParseDuration(fields[1])
+		case "demotedSends":
+			_, err = fmt.Sscan(fields[1], &h.opts.demotedSends)
+		case "demotionEndsWithRestart":
+			_, err = fmt.Sscan(fields[1], &h.opts.demotionEndsWithRestart)
+		case "promoteTime":
+			h.opts.promoteTime, err = time.ParseDuration(fields[1])
+		case "learnDelay":
+			h.opts.learnDelay, err = time.ParseDuration(fields[1])
+		case "registryDelay":
+			h.opts.registryDelay, err = time.ParseDuration(fields[1])
+		case "event":
+			var e event
+			e, err = parseEvent(fields[1:])
+			h.events = append(h.events, e)
+		default:
+			err = errors.New("unknown word")
+		}
+		if err != nil {
+			return h, fmt.Errorf("line %q: %w", strings.TrimSpace(line), err)
+		}
+	}
+	return h, nil
+}
+
+func parseEvent(fields []string) (event, error) {
+	if len(fields) != 6 {
+		return event{}, fmt.Errorf("%d fields, want 6", len(fields))
+	}
+	e := event{kind: kind(fields[1]), a: strings.Trim(fields[2], "-"), b: strings.Trim(fields[3], "-")}
+	var errs [3]error
+	e.at, errs[0] = time.ParseDuration(fields[0])
+	e.lasts, errs[1] = time.ParseDuration(fields[4])
+	e.extra, errs[2] = time.ParseDuration(fields[5])
+	return e, errors.Join(errs[:]...)
+}
+
+func between(r *rand.Rand, least, most time.Duration) time.Duration {
+	return least + time.Duration(r.Int64N(int64(most-least)))
+}
+
+func pick[T any](r *rand.Rand, list ...T) T { return list[r.IntN(len(list))] }
+
+// newHistory draws a history from a seed.
+func newHistory(seed uint64, excluded []kind) history {
+	r := rand.New(rand.NewPCG(seed, 7))
+	h := history{seed: seed, vms: 2 + r.IntN(2), length: 9 * time.Second}
+	h.opts = options{demotedSends: r.IntN(2) == 0, demotionEndsWithRestart: r.IntN(2) == 0, promoteTime: between(r, 100*time.Millisecond, 900*time.Millisecond), learnDelay: pick(r, 10*time.Millisecond, 50*time.Millisecond, 200*time.Millisecond), registryDelay: pick(r, 20*time.Millisecond, 100*time.Millisecond, 600*time.Millisecond)}
+	vm := func() string { return fmt.Sprintf("vm%d", r.IntN(h.vms)) }
+	someInstance := func() string { return pick(r, "P", "P", "R1", "R2", "N") }
+	replica := func() string { return pick(r, "R1", "R2", "N") }
+	// The first event puts the primary in doubt; the others follow or precede it closely.
+	first := between(r, 1500*time.Millisecond, 2*time.Second)
+	for n := 3 + r.IntN(6); len(h.events) < n; {
+		e := event{at: first, lasts: between(r, 600*time.Millisecond, 5*time.Second)}
+		if len(h.events) == 0 {
+			e.kind = pick(r, isolate, isolate, crash, leave, splitPrimary, cutPaths)
+			e.a = "P"
+			switch e.kind {
+			case isolate:
+				e.b = pick(r, "", vm())
+			case cutPaths:
+				e.b = vm()
+			}
+			h.events = append(h.events, e)
+			continue
+		}
+		e.at += between(r, -time.Second, pick(r, 700*time.Millisecond, 1500*time.Millisecond, 4*time.Second))
+		if r.IntN(2) > 0 {
+			e.lasts = between(r, 50*time.Millisecond, 800*time.Millisecond)
+		}
+		switch e.kind = pick(r, cutPaths, cutPaths, cutPaths, latePaths, lossyAnswers, crash, crash, crash, deaf, slow, join, join, leave, restartVM, isolate, isolate, outage, outage, silence, splitPrimary); e.kind {
+		case cutPaths, latePaths:
+			e.a, e.b = vm(), pick(r, someInstance(), someInstance(), storeService, platformService, vm())
+		case lossyAnswers:
+			e.a, e.b = vm(), pick(r, storeService, platformService)
+		case crash, leave:
+			e.a = someInstance()
+		case silence, deaf:
+			e.a = replica()
+		case slow:
+			e.a, e.extra = replica(), between(r, 20*time.Millisecond, time.Second)
+		case join:
+			e.lasts, e.extra = between(r, 20*time.Millisecond, 400*time.Millisecond), between(r, 10*time.Millisecond, 1500*time.Millisecond)
+		case restartVM:
+			e.a, e.lasts = vm(), between(r, 10*time.Millisecond, 500*time.Millisecond)
+		case isolate:
+			e.a, e.b = someInstance(), pick(r, "", "", vm())
+		case outage:
+			e.a, e.b = pick(r, storeService, storeService, platformService), pick(r, "", vm())
+		case splitPrimary:
+			e.a, e.b = "P", pick(r, "", replica())
+		}
+		if e.a == e.b && e.a != "" || slices.Contains(excluded, e.kind) {
+			continue
+		}
+		h.events = append(h.events, e)
+	}
+	slices.SortFunc(h.events, func(a, b event) int { return cmp.Compare(a.at, b.at) })
+	return h
+}
+
+// outcome is the result of a history.
+type outcome struct {
+	timeline   string
+	losses     []loss
+	doubles    []string
+	promotions int
+	commits    int // acknowledged
+}
+
+// isFailure reports whether an acknowledged commit was lost that a living replica of the registry had, or two VMs
+// sent one token.
+func (o outcome) isFailure() bool {
+	return len(o.doubles) > 0 || slices.ContainsFunc(o.losses, func(l loss) bool { return l.isKnown })
+}
+
+// play runs a history in a bubble.
+func play(t *testing.T, h history) (o outcome) {
+	t.Helper()
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithCancel(t.Context())
+		w := newWorld(ctx, h.seed, h.opts)
+		p := &player{w: w, nodes: map[string]*node{}, h: h}
+		w.wg.Go(w.run)
+		for k := range h.vms {
+			p.startNode(k)
+		}
+		for _, e := range h.events {
+			w.wg.Go(func() { p.playEvent(e) })
+		}
+		time.Sleep(h.length)
+		cancel()
+		p.close()
+		w.wg.Wait()
+		o = outcome{timeline: w.report(), losses: w.sortLosses(), doubles: w.doubles, promotions: w.promotions}
+		for _, e := range w.commits {
+			if e.acknowledgedAt > 0 {
+				o.commits++
+			}
+		}
+	})
+	return o
+}
--- /dev/null
+++ b/internal/group/explorer/node_test.go
@@ -0,0 +1,421 @@
+package explorer
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"parsleyscale/internal/failure/classifier"
+	"parsleyscale/internal/group/claimer"
+	"parsleyscale/internal/group/registrar"
+	"parsleyscale/internal/group/replacer"
+	"parsleyscale/internal/platform/follower"
+	"parsleyscale/internal/session/tokenizer"
+	"parsleyscale/internal/sheet/cataloger"
+	"parsleyscale/internal/statement/carrier"
+)
+
+const (
+	storeService    = "store"
+	platformService = "platform"
+	// probeTimeout bounds a probe, as in the performer.
+	probeTimeout = 250 * time.Millisecond
+	// writeInterval is the time between two writes of a VM, and maxWrites the number of those that wait for an answer.
+	writeInterval = 25 * time.Millisecond
+	maxWrites     = 6
+	writeTimeout  = 1200 * time.Millisecond
+)
+
+// node is a VM: the product's replacer, registrar and claimer, and writers that stand for its callers.
+type node struct {
+	id        string
+	rank      int
+	w         *world
+	ctx       context.Context
+	cancel    context.CancelFunc
+	groups    *registrar.Registrar
+	replacer  *replacer.Replacer
+	startedAt time.Time
+
+	mu           sync.Mutex
+	feed         []feedItem
+	feedWake     chan struct{}
+	firstVersion uint64
+	writes       int
+}
+
+type feedItem struct {
+	registry cataloger.Registry
+	at       time.Time
+	version  uint64
+}
+
+// startNode starts a VM that has read the registry.
+func startNode(w *world, id string, rank int) *node {
+	ctx, cancel := context.WithCancel(w.ctx)
+	n := &node{id: id, rank: rank, w: w, ctx: ctx, cancel: cancel, startedAt: time.Now(), feedWake: make(chan struct{}, 1)}
+	n.groups = registrar.New(func() time.Duration { return time.Since(w.start) + time.Hour })
+	w.mu.Lock()
+	n.firstVersion = w.version
+	n.groups.Update(w.registry())
+	w.subs[id] = n
+	w.mu.Unlock()
+	n.replacer = replacer.Start(replacer.Config{
+		Groups: n.groups, Controller: controller{n}, Tokens: tokens{n}, Claims: claimer.New(table{n}, id, 0), Promote: n.promote, Probe: n.probe,
+		Sample:                 func(ctx context.Context, g *registrar.Group) error { return n.sample(ctx, g) },
+		Peers:                  peers{n},
+		Rank:                   func(string) int { return rank },
+		MayHaveMissedDeparture: n.mayHaveMissedDeparture,
+		OnInstanceRemoved:      func(string) {},
+		Observe:                n.observe,
+	})
+	w.wg.Go(n.follow)
+	w.wg.Go(n.write)
+	return n
+}
+
+func (n *node) stop() {
+	n.w.mu.Lock()
+	delete(n.w.subs, n.id)
+	n.w.mu.Unlock()
+	n.cancel()
+	n.replacer.Close()
+}
+
+// deliver queues a state of the registry. The caller holds the world's mutex.
+func (n *node) deliver(version uint64, reg cataloger.Registry, delay time.Duration) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.feed = append(n.feed, feedItem{registry: reg, version: version, at: time.Now().Add(delay)})
+	select {
+	case n.feedWake <- struct{}{}:
+	default:
+	}
+}
+
+// follow applies the states of the registry in order, unless the store is cut off.
+func (n *node) follow() {
+	for {
+		n.mu.Lock()
+		var next *feedItem
+		if len(n.feed) > 0 {
+			next = &n.feed[0]
+		}
+		n.mu.Unlock()
+		if next == nil {
+			select {
+			case <-n.feedWake:
+				continue
+			case <-n.ctx.Done():
+				return
+			}
+		}
+		if !sleep(n.ctx, time.Until(next.at)) {
+			return
+		}
+		for n.w.cut(n.id, storeService) {
+			if !sleep(n.ctx, 20*time.Millisecond) {
+				return
+			}
+		}
+		n.mu.Lock()
+		n.feed = n.feed[1:]
+		n.mu.Unlock()
+		n.groups.Update(next.registry)
+	}
+}
+
+func sleep(ctx context.Context, d time.Duration) bool {
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-t.C:
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
+
+func (n *node) observe(e replacer.Event) {
+	switch e.Name {
+	case replacer.EventHeld, replacer.EventDemoted:
+		if e.Err != nil {
+			n.w.logf("%s: %s %s: %v", n.id, e.Name, e.Instance, e.Err)
+			return
+		}
+		n.w.logf("%s: %s %s: %+v", n.id, e.Name, e.Instance, e.Status)
+	case replacer.EventPromoteRequested:
+		n.w.logf("%s: %s %s (%s): %v", n.id, e.Name, e.Instance, e.Reason, e.Err)
+	default:
+		n.w.logf("%s: %s %s %s %v", n.id, e.Name, e.Instance, e.Reason, e.Err)
+	}
+}
+
+// mayHaveMissedDeparture is departures.mayBeMissed of the assembler with a store that keeps all of its history.
+func (n *node) mayHaveMissedDeparture(context.Context) bool {
+	if time.Since(n.startedAt) > time.Minute {
+		return false
+	}
+	n.w.mu.Lock()
+	defer n.w.mu.Unlock()
+	if n.w.isCut(n.id, storeService) {
+		return true
+	}
+	for _, v := range n.w.removals {
+		if v <= n.firstVersion {
+			return true
+		}
+	}
+	return false
+}
+
+// probe is Probe of the performer.
+func (n *node) probe(g *registrar.Group, v registrar.View) error {
+	ctx, cancel := context.WithTimeout(n.ctx, probeTimeout)
+	defer cancel()
+	sentAt := g.Now()
+	p, err := n.w.begin(ctx, n.id, v.ID)
+	switch {
+	case err == nil:
+		g.RecordProof(registrar.Proof{Instance: v.ID, SentAt: sentAt, Position: p})
+		g.RecordAnswer(v.ID, p, 0)
+	case classifier.Is(err, classifier.NotPrimary):
+		g.RecordDenial(v.ID)
+		g.RecordAnswer(v.ID, p, 0)
+	default:
+		g.RecordFailure(v.ID)
+	}
+	return err
+}
+
+// sample is SamplePrimaryPosition of the performer.
+func (n *node) sample(_ context.Context, g *registrar.Group) error {
+	v, ok := g.View(g.Primary().Instance)
+	if !ok {
+		return classifier.New(classifier.NoPrimary, "no primary is known")
+	}
+	return n.probe(g, v)
+}
+
+// write sends writes to the known primary and records their outcomes as the performer does.
+func (n *node) write() {
+	g := n.groups.Group(groupName)
+	for sleep(n.ctx, n.w.draw("write "+n.id, writeInterval/2, writeInterval*3/2)) {
+		v, ok := g.View(g.Primary().Instance)
+		n.mu.Lock()
+		isFull := n.writes >= maxWrites
+		if ok && !isFull {
+			n.writes++
+		}
+		n.mu.Unlock()
+		if !ok || isFull {
+			continue
+		}
+		n.w.wg.Go(func() {
+			n.writeTo(g, v.ID)
+			n.mu.Lock()
+			defer n.mu.Unlock()
+			n.writes--
+		})
+	}
+}
+
+func (n *node) writeTo(g *registrar.Group, id string) {
+	ctx, cancel := context.WithTimeout(n.ctx, writeTimeout)
+	defer cancel()
+	sentAt := g.Now()
+	p, e, err := n.w.commit(ctx, n.id, id)
+	switch {
+	case err == nil:
+		g.RecordAnswer(id, p, 0)
+		g.RecordAcknowledged(p)
+		g.RecordProof(registrar.Proof{Instance: id, SentAt: sentAt, Position: p})
+		g.RecordAnsweredWrite()
+	case classifier.Is(err, classifier.NotPrimary):
+		g.RecordAnswer(id, tokenizer.Position{}, 0)
+		g.RecordDenial(id)
+	case classifier.Is(err, classifier.StatementTimeout):
+		g.RecordAnswer(id, tokenizer.Position{}, 0)
+		g.RecordUnansweredWrite()
+	default:
+		g.RecordFailure(id)
+		if e != nil {
+			g.RecordUnansweredWrite()
+		}
+	}
+}
+
+// promote sends a promote request to the platform.
+func (n *node) promote(ctx context.Context, _, id string, token uint64) error {
+	w := n.w
+	if w.cut(n.id, platformService) {
+		<-ctx.Done()
+		return classifier.Wrap(classifier.PlatformUnavailable, ctx.Err(), "platform is cut off")
+	}
+	w.logf("%s: sends promote request for %s", n.id, id)
+	most := 5 * time.Millisecond
+	if w.isLate(n.id, platformService) {
+		most = 2500 * time.Millisecond
+	}
+	delay := w.draw("order "+n.id, time.Millisecond, most)
+	done := make(chan error, 1)
+	w.wg.Go(func() { // the request is carried out even if the VM stops waiting for the answer, or ends
+		if w.sleep(delay) {
+			done <- w.order(n.id, id, token)
+		}
+	})
+	select {
+	case err := <-done:
+		if w.isLossy(n.id, platformService) {
+			<-ctx.Done()
+			return classifier.Wrap(classifier.PlatformUnavailable, ctx.Err(), "answer lost")
+		}
+		return err
+	case <-ctx.Done():
+		return classifier.Wrap(classifier.PlatformUnavailable, ctx.Err(), "no answer")
+	}
+}
+
+// controller implements carrier.Controller.
+type controller struct{ n *node }
+
+func (c controller) Status(ctx context.Context, t carrier.Target) (carrier.InstanceStatus, error) {
+	return c.n.w.statusOf(ctx, c.n.id, t.Instance)
+}
+
+func (c controller) Hold(ctx context.Context, t carrier.Target, term uint64) (carrier.InstanceStatus, error) {
+	return c.n.w.hold(ctx, c.n.id, t.Instance, term)
+}
+
+func (c controller) Demote(ctx context.Context, t carrier.Target, term uint64) (carrier.InstanceStatus, error) {
+	return c.n.w.demote(ctx, c.n.id, t.Instance, term)
+}
+
+// peers implements replacer.PeerCommander.
+type peers struct{ n *node }
+
+func (p peers) others() []string {
+	p.n.w.mu.Lock()
+	defer p.n.w.mu.Unlock()
+	var ids []string
+	for id := range p.n.w.subs {
+		if id != p.n.id {
+			ids = append(ids, id)
+		}
+	}
+	return ids
+}
+
+func (p peers) FindPath(ctx context.Context, t carrier.Target) (carrier.Target, error) {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	others := p.others()
+	paths := make(chan string, len(others))
+	for _, vm := range others {
+		p.n.w.wg.Go(func() {
+			if p.n.w.travel(ctx, p.n.id, vm, "path") != nil {
+				paths <- ""
+				return
+			}
+			if _, err := p.n.w.statusOf(ctx, vm, t.Instance); err != nil {
+				paths <- ""
+				return
+			}
+			paths <- vm
+		})
+	}
+	for range others {
+		if vm := <-paths; vm != "" {
+			t.Address = vm
+			return t, nil
+		}
+	}
+	return carrier.Target{}, classifier.New(classifier.NoInstance, "no path to %s", t.Instance)
+}
+
+func (p peers) Demote(ctx context.Context, path carrier.Target, term uint64) (carrier.InstanceStatus, error) {
+	if err := p.n.w.travel(ctx, p.n.id, path.Address, "path"); err != nil {
+		return carrier.InstanceStatus{}, err
+	}
+	return p.n.w.demote(ctx, path.Address, path.Instance, term)
+}
+
+// tokens implements replacer.TokenSource.
+type tokens struct{ n *node }
+
+func (t tokens) IsNeeded([]string) bool { return true }
+
+func (t tokens) Next(ctx context.Context) (uint64, error) {
+	var v uint64
+	if err := t.n.store(ctx, func() error {
+		t.n.w.version++
+		v = t.n.w.version
+		return nil
+	}); err != nil {
+		return 0, err
+	}
+	return v, nil
+}
+
+// store carries out a call of the store.
+func (n *node) store(ctx context.Context, execute func() error) error {
+	w := n.w
+	if w.cut(n.id, storeService) {
+		if w.draw("refuse "+n.id, 0, 2) == 0 {
+			return classifier.New(classifier.PlatformUnavailable, "store refuses")
+		}
+		<-ctx.Done()
+		return classifier.Wrap(classifier.PlatformUnavailable, ctx.Err(), "store is cut off")
+	}
+	most := 20 * time.Millisecond
+	if w.isLate(n.id, storeService) {
+		most = 1500 * time.Millisecond
+	}
+	delay := w.draw("store "+n.id, 2*time.Millisecond, most)
+	done := make(chan error, 1)
+	w.wg.Go(func() {
+		if w.sleep(delay) {
+			w.mu.Lock()
+			err := execute()
+			w.mu.Unlock()
+			done <- err
+		}
+	})
+	select {
+	case err := <-done:
+		if w.isLossy(n.id, storeService) {
+			return classifier.New(classifier.PlatformUnavailable, "answer lost")
+		}
+		return err
+	case <-ctx.Done():
+		return classifier.Wrap(classifier.PlatformUnavailable, ctx.Err(), "no answer")
+	}
+}
+
+// table implements claimer.Store.
+type table struct{ n *node }
+
+func (t table) Swap(ctx context.Context, name, key string, value []byte, version uint64) (uint64, follower.Row, error) {
+	w := t.n.w
+	var newVersion uint64
+	var row follower.Row
+	err := t.n.store(ctx, func() error {
+		row = w.rows[name+"/"+key]
+		if row.Version != version {
+			return classifier.New(classifier.Conflict, "version is %d, want %d", row.Version, version)
+		}
+		w.version++
+		newVersion = w.version
+		w.rows[name+"/"+key] = follower.Row{Key: key, Value: value, Version: newVersion}
+		w.logLocked("%s: writes claim %s", t.n.id, value)
+		row = follower.Row{}
+		return nil
+	})
+	if err != nil && !classifier.Is(err, classifier.Conflict) {
+		return 0, follower.Row{}, err
+	}
+	if err != nil {
+		return 0, row, err
+	}
+	return newVersion, row, nil
+}
