--- a/internal/group/explorer/history_test.go
+++ b/internal/group/explorer/history_test.go
@@ -125,61 +125,108 @@
 
 func pick[T any](r *rand.Rand, list ...T) T { return list[r.IntN(len(list))] }
 
-// newHistory draws a history from a seed.
+// drawer draws the events of a history.
+type drawer struct {
+	*rand.Rand
+	vms int
+}
+
+func (d drawer) vm() string           { return fmt.Sprintf("vm%d", d.IntN(d.vms)) }
+func (d drawer) someInstance() string { return pick(d.Rand, "P", "P", "R1", "R2", "N") }
+func (d drawer) replica() string      { return pick(d.Rand, "R1", "R2", "N") }
+
+// doubt draws an event that puts the primary in doubt.
+func (d drawer) doubt(at time.Duration) event {
+	e := event{at: at, a: "P", lasts: between(d.Rand, 600*time.Millisecond, 5*time.Second)}
+	switch e.kind = pick(d.Rand, isolate, isolate, crash, leave, splitPrimary, cutPaths); e.kind {
+	case isolate:
+		e.b = pick(d.Rand, "", d.vm())
+	case cutPaths:
+		e.b = d.vm()
+	}
+	return e
+}
+
+// any draws an event of any kind.
+func (d drawer) any(at time.Duration) event {
+	r := d.Rand
+	e := event{at: at, lasts: between(r, 600*time.Millisecond, 5*time.Second)}
+	if r.IntN(2) > 0 {
+		e.lasts = between(r, 50*time.Millisecond, 800*time.Millisecond)
+	}
+	switch e.kind = pick(r, cutPaths, cutPaths, cutPaths, latePaths, lossyAnswers, crash, crash, crash, deaf, slow, join, join, leave, restartVM, isolate, isolate, outage, outage, silence, splitPrimary); e.kind {
+	case cutPaths, latePaths:
+		e.a, e.b = d.vm(), pick(r, d.someInstance(), d.someInstance(), storeService, platformService, d.vm())
+	case lossyAnswers:
+		e.a, e.b = d.vm(), pick(r, storeService, platformService)
+	case crash, leave:
+		e.a = d.someInstance()
+	case silence, deaf:
+		e.a = d.replica()
+	case slow:
+		e.a, e.extra = d.replica(), between(r, 20*time.Millisecond, time.Second)
+	case join:
+		e.lasts, e.extra = between(r, 20*time.Millisecond, 400*time.Millisecond), between(r, 10*time.Millisecond, 1500*time.Millisecond)
+	case restartVM:
+		e.a, e.lasts = d.vm(), between(r, 10*time.Millisecond, 500*time.Millisecond)
+	case isolate:
+		e.a, e.b = d.someInstance(), pick(r, "", "", d.vm())
+	case outage:
+		e.a, e.b = pick(r, storeService, storeService, platformService), pick(r, "", d.vm())
+	case splitPrimary:
+		e.a, e.b = "P", pick(r, "", d.replica())
+	}
+	return e
+}
+
+// view draws an event after which the VMs differ in what they know.
+func (d drawer) view(at time.Duration) event {
+	r := d.Rand
+	e := event{at: at, lasts: between(r, time.Second, 9*time.Second)}
+	switch e.kind = pick(r, cutPaths, cutPaths, cutPaths, latePaths, join, leave, crash, silence, restartVM); e.kind {
+	case cutPaths, latePaths:
+		e.a, e.b = d.vm(), pick(r, storeService, storeService, platformService, d.vm(), "R1", "R2")
+	case join:
+		e.lasts, e.extra = between(r, 20*time.Millisecond, 400*time.Millisecond), between(r, 10*time.Millisecond, 500*time.Millisecond)
+	case leave, crash, silence:
+		e.a = pick(r, "R1", "R2")
+	case restartVM:
+		e.a, e.lasts = d.vm(), between(r, 10*time.Millisecond, 500*time.Millisecond)
+	}
+	return e
+}
+
+// newHistory draws a history from a seed. Those of even seeds have one replacement or a few close ones. In those of odd
+// seeds, the views of the VMs differ before two replacements.
 func newHistory(seed uint64, excluded []kind) history {
 	r := rand.New(rand.NewPCG(seed, 7))
-	h := history{seed: seed, vms: 2 + r.IntN(2), length: 9 * time.Second}
+	d := drawer{Rand: r, vms: 2 + r.IntN(2)}
+	h := history{seed: seed, vms: d.vms, length: 9 * time.Second}
 	h.opts = options{demotedSends: r.IntN(2) == 0, demotionEndsWithRestart: r.IntN(2) == 0, promoteTime: between(r, 100*time.Millisecond, 900*time.Millisecond), learnDelay: pick(r, 10*time.Millisecond, 50*time.Millisecond, 200*time.Millisecond), registryDelay: pick(r, 20*time.Millisecond, 100*time.Millisecond, 600*time.Millisecond)}
-	vm := func() string { return fmt.Sprintf("vm%d", r.IntN(h.vms)) }
-	someInstance := func() string { return pick(r, "P", "P", "R1", "R2", "N") }
-	replica := func() string { return pick(r, "R1", "R2", "N") }
-	// The first event puts the primary in doubt; the others follow or precede it closely.
-	first := between(r, 1500*time.Millisecond, 2*time.Second)
-	for n := 3 + r.IntN(6); len(h.events) < n; {
-		e := event{at: first, lasts: between(r, 600*time.Millisecond, 5*time.Second)}
-		if len(h.events) == 0 {
-			e.kind = pick(r, isolate, isolate, crash, leave, splitPrimary, cutPaths)
-			e.a = "P"
-			switch e.kind {
-			case isolate:
-				e.b = pick(r, "", vm())
-			case cutPaths:
-				e.b = vm()
-			}
+	add := func(e event) bool {
+		isValid := (e.a != e.b || e.a == "") && !slices.Contains(excluded, e.kind)
+		if isValid {
 			h.events = append(h.events, e)
-			continue
-		}
-		e.at += between(r, -time.Second, pick(r, 700*time.Millisecond, 1500*time.Millisecond, 4*time.Second))
-		if r.IntN(2) > 0 {
-			e.lasts = between(r, 50*time.Millisecond, 800*time.Millisecond)
-		}
-		switch e.kind = pick(r, cutPaths, cutPaths, cutPaths, latePaths, lossyAnswers, crash, crash, crash, deaf, slow, join, join, leave, restartVM, isolate, isolate, outage, outage, silence, splitPrimary); e.kind {
-		case cutPaths, latePaths:
-			e.a, e.b = vm(), pick(r, someInstance(), someInstance(), storeService, platformService, vm())
-		case lossyAnswers:
-			e.a, e.b = vm(), pick(r, storeService, platformService)
-		case crash, leave:
-			e.a = someInstance()
-		case silence, deaf:
-			e.a = replica()
-		case slow:
-			e.a, e.extra = replica(), between(r, 20*time.Millisecond, time.Second)
-		case join:
-			e.lasts, e.extra = between(r, 20*time.Millisecond, 400*time.Millisecond), between(r, 10*time.Millisecond, 1500*time.Millisecond)
-		case restartVM:
-			e.a, e.lasts = vm(), between(r, 10*time.Millisecond, 500*time.Millisecond)
-		case isolate:
-			e.a, e.b = someInstance(), pick(r, "", "", vm())
-		case outage:
-			e.a, e.b = pick(r, storeService, storeService, platformService), pick(r, "", vm())
-		case splitPrimary:
-			e.a, e.b = "P", pick(r, "", replica())
 		}
-		if e.a == e.b && e.a != "" || slices.Contains(excluded, e.kind) {
-			continue
+		return isValid
+	}
+	addSome := func(n int, draw func(at time.Duration) event, least, most time.Duration) {
+		for n > 0 {
+			if add(draw(between(r, least, most))) {
+				n--
+			}
 		}
-		h.events = append(h.events, e)
 	}
+	// The first event puts the primary in doubt; the others follow or precede it closely.
+	first := between(r, 1500*time.Millisecond, 2*time.Second)
+	if seed%2 == 1 {
+		addSome(1+r.IntN(4), d.view, 300*time.Millisecond, 3*time.Second)
+		first += between(r, time.Second, 3*time.Second)
+		addSome(1, d.doubt, first+300*time.Millisecond, first+4*time.Second)
+		h.length = 13 * time.Second
+	}
+	add(d.doubt(first))
+	addSome(2+r.IntN(5), d.any, first-time.Second, first+pick(r, 700*time.Millisecond, 1500*time.Millisecond, 4*time.Second))
 	slices.SortFunc(h.events, func(a, b event) int { return cmp.Compare(a.at, b.at) })
 	return h
 }
