Conclude that the store is down for all only from a full list of VMs

The VM that acted had just started, knew no other VM yet, and so took its own failed call for that of most VMs. It promoted a replica without what a newcomer held. The conclusion now needs the list of VMs as read after all have had time to enter themselves.

--- a/internal/daemon/assembler/members.go
+++ b/internal/daemon/assembler/members.go
@@ -226,6 +226,13 @@
 	return m.isSettled || time.Since(m.settledAt) > settlePeriod
 }
 
+// areAllRead reports whether the table has been read since settledAt.
+func (m *members) areAllRead() bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.isSettled
+}
+
 // count returns the number of VMs, or an estimate of at least initialVMCount while it is not known.
 func (m *members) count() int {
 	m.mu.Lock()
--- a/internal/platform/replicator/refresher.go
+++ b/internal/platform/replicator/refresher.go
@@ -35,7 +35,9 @@
 	Copy     *TableCopy
 	Follower *follower.Follower // of the table; it applies its changes to Copy
 	Peers    func() []string    // addresses of all other VMs
-	Client   *http.Client
+	// ArePeersKnown reports whether Peers returns all of them. Shortly after the start, some may be missing.
+	ArePeersKnown func() bool
+	Client        *http.Client
 }
 
 // Refresh reads the table from the store and passes on what is new. Afterwards, the copy has each change that preceded the
@@ -71,7 +73,7 @@
 			}
 		}
 	}
-	if 2*(peers.silent+1) > peers.asked+1 {
+	if r.ArePeersKnown() && 2*(peers.silent+1) > peers.asked+1 {
 		return nil
 	}
 	return classifier.New(classifier.PlatformUnavailable, "table %s may be out of date: the store answers neither this VM nor one of %d others, and only %d of %d have said so", r.Table, peers.asked, peers.silent, peers.asked)
