Wait for newcomers before commits of a stalled primary are given up

Callers lost commits: statements were refused as overloaded while commits waited for a replica, then a replica was promoted that lacked commits acknowledged a moment before. A release had started an instance that received the primary's log at once, so the waiting commits were acknowledged, but registered only later or had not reached the VM's copy of the registry. The answer of the demoted primary said that it held more than the replicas that were compared, and was dropped.

What a stalled primary holds beyond the replicas is usually unacknowledged, so a replica that lacks it is still promoted; but only after a wait for an instance that holds it, for as long as one may take to register. The seal of the term keeps commits from being acknowledged meanwhile.

--- a/internal/daemon/assembler/log.go
+++ b/internal/daemon/assembler/log.go
@@ -193,6 +193,9 @@
 		fields = append(fields, logger.String("via", b.Via))
 	}
 	fields = append(fields, logger.String("received", b.Received.String()), logger.Int("known", int64(b.Known)), logger.Int("unanswered", int64(b.Unanswered)), logger.Int("candidates", int64(b.Candidates)))
+	if !b.Demoted.IsZero() {
+		fields = append(fields, logger.String("demoted", b.Demoted.String()))
+	}
 	if b.EarlierChoice != "" {
 		fields = append(fields, logger.String("earlierChoice", b.EarlierChoice))
 	}
--- a/internal/group/replacer/endterm.go
+++ b/internal/group/replacer/endterm.go
@@ -54,7 +54,7 @@
 	}
 	// A stalled primary is reachable, so holdAll awaits the answer to its demotion.
 	b.EndedBy, seal.StopsAcks = EndedByHold, true
-	candidates, err = r.holdAllRegistered(ctx, g, old, a.Reason == WritesStalled, r.startSealAndRefresh(ctx, g, *seal), b)
+	candidates, err = r.holdAllRegistered(ctx, g, old, a.Reason == WritesStalled, *seal, b)
 	return candidates, true, err
 }
 
@@ -256,7 +256,7 @@
 // hold all entries of the old primary are candidates.
 func (r *Replacer) holdAll(ctx context.Context, g *registrar.Group, views []registrar.View, old registrar.Primary, awaitsOldPrimary bool, b *Basis) ([]candidate, error) {
 	nextTerm := old.Term + 1
-	b.Known, b.Unanswered = len(views), 0
+	b.Known, b.Unanswered, b.Demoted = len(views), 0, tokenizer.Position{}
 	replicaAnswers, primaryAnswer := make(chan haltAnswer, len(views)), make(chan haltAnswer, 1)
 	replicas := 0
 	for _, v := range views {
@@ -316,12 +316,13 @@
 	switch {
 	case classifier.Is(a.err, classifier.Conflict):
 		return nil, a.err
+	case a.err == nil && isInLaterTerm(a.status, nextTerm):
+		return nil, r.recordLaterTerm(ctx, g, a.id, a.status)
 	case replicaErr == nil:
+		b.Demoted = a.received
 		return candidates, nil
 	case a.err != nil:
 		return nil, replicaErr
-	case isInLaterTerm(a.status, nextTerm):
-		return nil, r.recordLaterTerm(ctx, g, a.id, a.status)
 	}
 	if lostEntries := !a.received.Covers(furthestReceived(candidates)) || former == a.id && !a.received.Covers(knownPosition); lostEntries {
 		return nil, replicaErr
--- a/internal/group/replacer/refresh.go
+++ b/internal/group/replacer/refresh.go
@@ -14,23 +14,34 @@
 	result := make(chan error, 1)
 	r.wg.Go(func() {
 		err := r.sealTerm(ctx, g, seal)
-		if err == nil && r.cfg.RefreshInstances != nil {
-			err = r.cfg.RefreshInstances(ctx)
+		if err == nil {
+			err = r.refreshInstances(ctx)
 		}
 		result <- err
 	})
 	return result
 }
 
+func (r *Replacer) refreshInstances(ctx context.Context) error {
+	if r.cfg.RefreshInstances == nil {
+		return nil
+	}
+	return r.cfg.RefreshInstances(ctx)
+}
+
 // holdAllRegistered is holdAll for the instances that were registered when the refresh began. It holds those that it knows
 // during the refresh, except in two cases: a primary that is reachable is not demoted in vain, and without a claim, the VM may be
 // cut off, and would only stop the writes of the others.
-func (r *Replacer) holdAllRegistered(ctx context.Context, g *registrar.Group, old registrar.Primary, awaitsOldPrimary bool, refreshed <-chan error, b *Basis) ([]candidate, error) {
-	if awaitsOldPrimary || b.IsSpare {
+func (r *Replacer) holdAllRegistered(ctx context.Context, g *registrar.Group, old registrar.Primary, isStalled bool, seal registrar.Seal, b *Basis) ([]candidate, error) {
+	refreshed := r.startSealAndRefresh(ctx, g, seal)
+	if isStalled || b.IsSpare {
 		if err := <-refreshed; err != nil {
 			return nil, err
 		}
-		return r.holdAll(ctx, g, g.Views(), old, awaitsOldPrimary, b)
+		if isStalled {
+			return r.holdAllStalled(ctx, g, old, seal, b)
+		}
+		return r.holdAll(ctx, g, g.Views(), old, false, b)
 	}
 	known := g.Views()
 	candidates, err := r.holdAll(ctx, g, known, old, false, b)
