--- a/internal/group/replacer/replacer.go
+++ b/internal/group/replacer/replacer.go
@@ -2,7 +2,7 @@
 // a number of replicas has received it, and whose new primary is appointed by a
 // single fenced promote request to the platform.
 //
-// Six rules make the promotion safe.
+// Seven rules make the promotion safe.
 //   - An attempt takes its fencing token before it holds, demotes or compares any
 //     instance. An attempt that begins later has a higher token, and once the
 //     platform has seen that token, it refuses the lower one. A spare token is fetched
@@ -10,12 +10,15 @@
 //     a claim, so it ranks below the tokens of all claims for the same term.
 //   - A primary that any VM reaches is demoted, through that VM if necessary. From
 //     then on, it acknowledges nothing, whichever instances join or restart, and only
-//     an instance that holds all of its entries is promoted.
+//     an instance that holds all of its entries is promoted. The replicas are held then, in
+//     case the primary restarts and leads again.
 //   - If no VM reaches the primary, every replica is held, that is, told to stop receiving
 //     entries, before the positions of the replicas are compared. From then on, the old
 //     primary acknowledges commits only with the help of an instance that joins or
 //     restarts, and no VM passes these acknowledgements on. If the primary is back before
 //     the promotion takes effect, it is demoted.
+//   - A hold or a demotion counts only if the answer shows its effect: the term held, or the role of a replica,
+//     and in both cases the old term. Only an instance that led the old term is demoted in place of a hold.
 //   - All replicas must have answered, since the one that did not may be the only
 //     one with an acknowledged commit. The demoted old primary can stand in for a
 //     missing replica, because its log holds every commit that it acknowledged. A
