Demote the old primary once more after its replicas are held

TestDemotedPrimaryLedBeforeHolds promoted the replica before. Now the old primary is demoted again once the holds have been answered, and if it holds more than the chosen instance, the attempt fails, and its choice is withdrawn.

--- a/internal/group/replacer/effect_test.go
+++ b/internal/group/replacer/effect_test.go
@@ -127,6 +127,18 @@
 	}
 }
 
+// Guards against the loss of commits of a demoted primary that led again before the replicas were held: the chosen replica lacked
+// what it had acknowledged meanwhile.
+func TestDemotedPrimaryLedBeforeHolds(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := &fakeGroup{primary: "a", term: 3, received: map[string]uint64{"a": 9, "b": 9, "c": 8}, leadsAgainAt: "hold b"}
+		got := promotedInstances(t, f, markPrimaryLeaving)
+		if len(got) == 0 || got[0] != "a" {
+			t.Errorf("%v promoted, want a, which alone holds all of its entries; commands %v", got, f.commands)
+		}
+	})
+}
+
 // Guards against a promote request that is repeated after another VM has claimed the group: its instance, which had been demoted
 // since, led again.
 func TestRequestIsNotRepeatedAfterOtherClaim(t *testing.T) {
--- a/internal/group/replacer/endedterm.go
+++ b/internal/group/replacer/endedterm.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"parsleyscale/internal/clock/sleeper"
+	"parsleyscale/internal/failure/classifier"
 	"parsleyscale/internal/group/registrar"
 	"parsleyscale/internal/statement/carrier"
 )
@@ -75,31 +76,48 @@
 }
 
 // holdOthers holds the replicas of a demoted primary, so that it cannot acknowledge commits if it leads again before the
-// promotion is carried out. The returned function waits for the answers, for up to holdGrace, and fails if a replica is
-// in a later term.
+// promotion is carried out, and then demotes it once more. The returned function waits for the answers, for up to holdGrace, and
+// fails if an instance is in a later term, or if the primary has led again already and holds more than the target.
 func (r *Replacer) holdOthers(ctx context.Context, p promotion) func() error {
+	done := make(chan error, 1)
+	r.wg.Go(func() { done <- r.holdAndDemote(ctx, p) })
+	deadline := time.Now().Add(holdGrace)
+	return func() error {
+		select {
+		case err := <-done:
+			return err
+		case <-time.After(time.Until(deadline)):
+			return nil
+		}
+	}
+}
+
+func (r *Replacer) holdAndDemote(ctx context.Context, p promotion) error {
 	views := p.group.Views()
 	answers := make(chan haltAnswer, len(views))
-	n := 0
 	for _, v := range views {
 		if v.ID == p.oldPrimary {
+			answers <- haltAnswer{}
 			continue
 		}
-		n++
 		r.wg.Go(func() { answers <- r.holdOrDemote(ctx, p.group, v, false, p.term+1) })
 	}
-	deadline := time.Now().Add(holdGrace)
-	return func() error {
-		for range n {
-			select {
-			case a := <-answers:
-				if a.err == nil && isInLaterTerm(a.status, p.term+1) {
-					return r.recordLaterTerm(ctx, p.group, a.id, a.status)
-				}
-			case <-time.After(time.Until(deadline)):
-				return nil
-			}
+	for range views {
+		if a := <-answers; a.err == nil && isInLaterTerm(a.status, p.term+1) {
+			return r.recordLaterTerm(ctx, p.group, a.id, a.status)
 		}
+	}
+	v, ok := p.group.View(p.oldPrimary)
+	if !ok {
 		return nil
 	}
+	a := r.holdOrDemote(ctx, p.group, v, true, p.term+1)
+	switch {
+	case a.err != nil:
+	case isInLaterTerm(a.status, p.term+1):
+		return r.recordLaterTerm(ctx, p.group, a.id, a.status)
+	case !p.received.Covers(a.received):
+		return classifier.New(classifier.Conflict, "primary %s has led again since its demotion", a.id)
+	}
+	return nil
 }
--- a/internal/group/replacer/replacer.go
+++ b/internal/group/replacer/replacer.go
@@ -407,7 +407,7 @@
 	if r.cfg.IsUnfenced && isEarlierPresent && target != result.ChosenInstance {
 		return classifier.New(classifier.Conflict, "instance %s may still be promoted by an earlier attempt, which instance %s is ahead of", result.ChosenInstance, target)
 	}
-	p := promotion{group: g, action: a, term: old.Term, target: target, number: result.FencingToken, isClaimed: !isSpare, isFirstChoice: result.ChosenInstance == ""}
+	p := promotion{group: g, action: a, term: old.Term, target: target, received: furthestReceived(candidates), number: result.FencingToken, isClaimed: !isSpare, isFirstChoice: result.ChosenInstance == ""}
 	if p.oldPrimary = old.Instance; p.oldPrimary == "" {
 		p.oldPrimary, _ = g.FormerPrimary(old.Term)
 	}
@@ -421,6 +421,9 @@
 		}
 	}
 	if err := awaitHolds(); err != nil {
+		if p.isClaimed && p.isFirstChoice {
+			_ = r.cfg.Claims.Withdraw(ctx, g.Name(), p.term, p.number) // no request was sent; otherwise the choice stands, which only delays
+		}
 		return err
 	}
 	return r.requestPromotion(ctx, p)
@@ -432,7 +435,8 @@
 	action    Action
 	term      uint64
 	target    string
-	number    uint64 // of the claim or of the spare token
+	received  tokenizer.Position // the newest entry that the target holds
+	number    uint64             // of the claim or of the spare token
 	isClaimed bool
 
 	oldPrimary    string // "" if it is not known
--- a/internal/group/replacer/replacer_test.go
+++ b/internal/group/replacer/replacer_test.go
@@ -35,6 +35,7 @@
 	heldTerm         uint64            // term below which the replicas receive nothing; zero: they receive
 	holds            map[string]uint64 // the same for single replicas, by instance
 	entryTerm        uint64            // term of the newest entries, if not the present one
+	leadsAgainAt     string            // command at which the demoted primary leads again, with two more entries; "": none
 	ignoresHold      map[string]bool   // instances on which holds have no effect
 	tokenBeforeSpare uint64            // last token that was issued before the first spare one
 }
@@ -46,6 +47,10 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	f.commands = append(f.commands, name+" "+id)
+	if f.leadsAgainAt == name+" "+id && f.isDemoted {
+		f.leadsAgainAt, f.isDemoted = "", false
+		f.received[f.primary] += 2
+	}
 	err, ok := f.errs[name+" "+id]
 	if name == "demoteAt" && !ok {
 		err = f.errs["demote "+id]
