--- a/internal/group/replacer/replacer.go
+++ b/internal/group/replacer/replacer.go
@@ -2,7 +2,7 @@
 // a number of replicas has received it, and whose new primary is appointed by a
 // single fenced promote request to the platform.
 //
-// Six rules make the promotion safe.
+// Seven rules make the promotion safe.
 //   - An attempt takes its fencing token before it holds, demotes or compares any
 //     instance. An attempt that begins later has a higher token, and once the
 //     platform has seen that token, it refuses the lower one. A spare token is fetched
@@ -10,7 +10,8 @@
 //     a claim, so it ranks below the tokens of all claims for the same term.
 //   - A primary that any VM reaches is demoted, through that VM if necessary. From
 //     then on, it acknowledges nothing, whichever instances join or restart, and only
-//     an instance that holds all of its entries is promoted.
+//     an instance that holds all of its entries is promoted. The replicas are held then, in
+//     case the primary restarts and leads again.
 //   - If no VM reaches the primary, every replica is held, that is, told to stop receiving
 //     entries, before the positions of the replicas are compared. From then on, the old
 //     primary acknowledges commits only with the help of an instance that joins or
@@ -20,6 +21,8 @@
 //     one that registered last, and that may be the only one with an acknowledged commit. Without an answer of the store, other
 //     VMs read the list. If the store answers none of them, it is taken to be down for the instances as well, and what the VMs
 //     know together to be complete. A VM to which most others do not say so replaces nobody.
+//   - A hold or a demotion counts only if the answer shows its effect: the term held, or the role of a replica,
+//     and in both cases the old term. Only an instance that led the old term is demoted in place of a hold.
 //   - All replicas must have answered, since the one that did not may be the only
 //     one with an acknowledged commit. The demoted old primary can stand in for a
 //     missing replica, because its log holds every commit that it acknowledged. A
@@ -443,7 +446,7 @@
 		return classifier.New(classifier.Conflict, "instance %s may still be promoted by an earlier attempt, which instance %s is ahead of", result.ChosenInstance, target)
 	}
 	b.recordChoice(g, candidates, target)
-	p := promotion{group: g, action: a, basis: b, term: old.Term, target: target, number: result.FencingToken, isClaimed: !isSpare, isFirstChoice: result.ChosenInstance == ""}
+	p := promotion{group: g, action: a, basis: b, term: old.Term, target: target, received: furthestReceived(candidates), number: result.FencingToken, isClaimed: !isSpare, isFirstChoice: result.ChosenInstance == ""}
 	if p.oldPrimary = old.Instance; p.oldPrimary == "" {
 		p.oldPrimary, _ = g.FormerPrimary(old.Term)
 	}
@@ -457,6 +460,9 @@
 		}
 	}
 	if err := awaitHolds(); err != nil {
+		if p.isClaimed && p.isFirstChoice {
+			_ = r.cfg.Claims.Withdraw(ctx, g.Name(), p.term, p.number) // no request was sent; otherwise the choice stands, which only delays
+		}
 		return err
 	}
 	isRequested = true
@@ -470,7 +476,8 @@
 	basis     Basis
 	term      uint64
 	target    string
-	number    uint64 // of the claim or of the spare token
+	received  tokenizer.Position // the newest entry that the target holds
+	number    uint64             // of the claim or of the spare token
 	isClaimed bool
 
 	oldPrimary    string // "" if it is not known
