--- a/internal/group/replacer/endedterm.go
+++ b/internal/group/replacer/endedterm.go
@@ -102,9 +102,15 @@
 		}
 		r.wg.Go(func() { answers <- r.holdOrDemote(ctx, p.group, v, false, p.term+1) })
 	}
-	for range views {
-		if a := <-answers; a.err == nil && isInLaterTerm(a.status, p.term+1) {
-			return r.recordLaterTerm(ctx, p.group, a.id, a.status)
+	holdsEnd := time.After(holdGrace / 2) // a silent replica must not delay the demotion
+	for isWaiting, n := true, 0; isWaiting && n < len(views); n++ {
+		select {
+		case a := <-answers:
+			if a.err == nil && isInLaterTerm(a.status, p.term+1) {
+				return r.recordLaterTerm(ctx, p.group, a.id, a.status)
+			}
+		case <-holdsEnd:
+			isWaiting = false
 		}
 	}
 	v, ok := p.group.View(p.oldPrimary)
