--- a/internal/group/replacer/endedterm.go
+++ b/internal/group/replacer/endedterm.go
@@ -24,33 +24,61 @@
 // The primary is called at its address, since it may come back under another identity.
 func (r *Replacer) demoteOnReturn(ctx context.Context, p promotion) {
 	v, isKnown := p.group.View(p.oldPrimary)
+	latest := map[string]demotion{} // successful ones, by address
 	for ctx.Err() == nil {
-		targets := make([]carrier.Target, 0, 2)
+		var targets []carrier.Target
 		if isKnown {
 			targets = append(targets, registrar.NewTarget(v.Instance))
 		}
 		if l, ok := r.returnedPrimary(p); ok && l.Address != v.Address {
 			targets = append(targets, registrar.NewTarget(l.Instance))
 		}
-		answers := make(chan error, len(targets))
-		for _, t := range targets {
-			r.wg.Go(func() { answers <- r.demoteAt(ctx, p, t) })
-		}
 		nextAt := time.Now().Add(demoteInterval)
-		for range targets {
-			select {
-			case err := <-answers:
-				if err != nil {
-					nextAt = time.Now().Add(demoteRetryDelay)
-				}
-			case <-time.After(time.Until(nextAt)):
-			case <-ctx.Done():
+		for _, d := range r.demoteAll(ctx, p, targets, latest) {
+			if d.err != nil {
+				delete(latest, d.address)
+				nextAt = time.Now().Add(demoteRetryDelay)
+				continue
+			}
+			if last, ok := latest[d.address]; !ok || last.status.Received != d.status.Received {
+				r.cfg.Observe(Event{Name: EventDemoted, Group: p.group.Name(), Instance: p.oldPrimary, Term: p.term, Command: CommandDemote, Status: d.status})
 			}
+			latest[d.address] = d
 		}
 		sleeper.Sleep(ctx, time.Until(nextAt))
 	}
 }
 
+// demotion is the result of a demotion at an address.
+type demotion struct {
+	address string
+	status  carrier.InstanceStatus
+	err     error
+}
+
+// demoteAll demotes instances at the same time. It returns the results that arrive within demoteInterval.
+func (r *Replacer) demoteAll(ctx context.Context, p promotion, targets []carrier.Target, latest map[string]demotion) []demotion {
+	results := make(chan demotion, len(targets))
+	for _, t := range targets {
+		_, hasAnswered := latest[t.Address]
+		r.wg.Go(func() { results <- r.demoteAt(ctx, p, t, hasAnswered) })
+	}
+	timeout := time.NewTimer(demoteInterval)
+	defer timeout.Stop()
+	var list []demotion
+	for range targets {
+		select {
+		case d := <-results:
+			list = append(list, d)
+		case <-timeout.C:
+			return list
+		case <-ctx.Done():
+			return list
+		}
+	}
+	return list
+}
+
 // returnedPrimary returns the instance that is known as the primary, unless it leads the next term.
 func (r *Replacer) returnedPrimary(p promotion) (registrar.View, bool) {
 	l := p.group.Primary()
@@ -60,19 +88,17 @@
 	return p.group.View(l.Instance)
 }
 
-// demoteAt demotes the instance at the address of a target. Pooled connections would not be opened for a while after a failed dial.
-func (r *Replacer) demoteAt(ctx context.Context, p promotion, t carrier.Target) error {
+// demoteAt demotes the instance at the address of a target, over a pooled connection if it has answered before. Pooled
+// connections are not opened for a while after a failed dial.
+func (r *Replacer) demoteAt(ctx context.Context, p promotion, t carrier.Target, hasAnswered bool) demotion {
 	ctx, cancel := context.WithTimeout(ctx, commandTimeout)
 	defer cancel()
 	demote := r.cfg.Controller.Demote
-	if r.cfg.DemoteAt != nil {
+	if r.cfg.DemoteAt != nil && !hasAnswered {
 		demote, t.Instance = r.cfg.DemoteAt, ""
 	}
 	s, err := demote(ctx, t, p.term+1)
-	if err == nil {
-		r.cfg.Observe(Event{Name: EventDemoted, Group: p.group.Name(), Instance: p.oldPrimary, Term: p.term, Command: CommandDemote, Status: s})
-	}
-	return err
+	return demotion{t.Address, s, err}
 }
 
 // holdOthers holds the replicas of a demoted primary, so that it cannot acknowledge commits if it leads again before the
