Ask at most 24 VMs to read the registry

Each of them calls the store. In a deployment of hundreds, all of them would have used up the store's calls whenever one VM got no answer within 150 ms.

--- a/internal/daemon/assembler/followers.go
+++ b/internal/daemon/assembler/followers.go
@@ -76,7 +76,7 @@
 	v.registryFollower.Store(v.followers[1])
 	v.refresher.Store(&replicator.Refresher{
 		Store: v.platform.Store, Table: v.platform.RegistryTable, Copy: v.tableCopies[v.platform.RegistryTable], Follower: v.followers[1],
-		Peers: v.members.peerAddresses, ArePeersKnown: v.members.areAllRead, Client: replicator.NewClient(),
+		Peers: v.peersToConfirm, ArePeersKnown: v.members.areAllRead, Client: replicator.NewClient(),
 	})
 	if v.isReader() {
 		v.followVMs()
@@ -176,6 +176,15 @@
 	}
 }
 
+// maxConfirmingVMs bounds the number of VMs that are asked to read the registry, as each of them calls the store.
+const maxConfirmingVMs = 24
+
+// peersToConfirm returns the addresses of the VMs that are asked to read the registry for this one.
+func (v *VM) peersToConfirm() []string {
+	list := v.members.peerAddresses()
+	return list[:min(len(list), maxConfirmingVMs)]
+}
+
 // refreshRegistry brings the registry up to date before a replacement.
 func (v *VM) refreshRegistry(ctx context.Context) error {
 	r := v.refresher.Load()
