Let replicas differ in lag in explored histories

Where all replicas hold the same entries, it does not matter which one is promoted. In half of the histories one instance now receives entries later than the others.

--- a/internal/group/explorer/history_test.go
+++ b/internal/group/explorer/history_test.go
@@ -61,6 +61,9 @@
 	o := h.opts
 	fmt.Fprintf(&b, "seed %d\nvms %d\nlength %s\ndemotedSends %t\ndemotionEndsWithRestart %t\npromoteTime %s\nlearnDelay %s\nregistryDelay %s\n",
 		h.seed, h.vms, h.length, o.demotedSends, o.demotionEndsWithRestart, o.promoteTime, o.learnDelay, o.registryDelay)
+	if o.slowReplica != "" {
+		fmt.Fprintf(&b, "slowReplica %s %s\n", o.slowReplica, o.slowBy)
+	}
 	for _, e := range h.events {
 		fmt.Fprintln(&b, e)
 	}
@@ -93,6 +96,9 @@
 			h.opts.learnDelay, err = time.ParseDuration(fields[1])
 		case "registryDelay":
 			h.opts.registryDelay, err = time.ParseDuration(fields[1])
+		case "slowReplica":
+			h.opts.slowReplica = fields[1]
+			h.opts.slowBy, err = time.ParseDuration(fields[2])
 		case "event":
 			var e event
 			e, err = parseEvent(fields[1:])
@@ -227,6 +233,9 @@
 	}
 	add(d.doubt(first))
 	addSome(2+r.IntN(5), d.any, first-time.Second, first+pick(r, 700*time.Millisecond, 1500*time.Millisecond, 4*time.Second))
+	if r.IntN(2) == 0 {
+		h.opts.slowReplica, h.opts.slowBy = pick(r, "a", "b", "c"), between(r, 50*time.Millisecond, 800*time.Millisecond)
+	}
 	slices.SortFunc(h.events, func(a, b event) int { return cmp.Compare(a.at, b.at) })
 	return h
 }
--- a/internal/group/explorer/model_test.go
+++ b/internal/group/explorer/model_test.go
@@ -101,6 +101,8 @@
 	demotedSends            bool // a demoted primary goes on sending the entries that it holds
 	demotionEndsWithRestart bool // a demoted primary that restarts leads again, unless another instance was promoted
 	promoteTime             time.Duration
+	slowReplica             string // instance that receives entries later than the others; "": none
+	slowBy                  time.Duration
 	learnDelay              time.Duration // at most, until a replica knows its new primary
 	registryDelay           time.Duration // at most, until a VM knows a new entry
 }
@@ -166,6 +168,9 @@
 	for _, id := range []string{"a", "b", "c"} {
 		w.instances[id] = &instance{id: id, isUp: true, term: 1, delay: w.drawLocked("delay "+id, 0, 8*time.Millisecond)}
 	}
+	if i, ok := w.instances[o.slowReplica]; ok {
+		i.delay += o.slowBy
+	}
 	w.primary = "a"
 	w.instances["a"].isPrimary = true
 	w.expire()
