Close what the review of the seals found

- A demoted primary may lead again if it restarts, so that the term is sealed on the demotion paths, too, but only for commits after the position that the demoted primary named: those in flight are still acknowledged.
- The end of one VM's seal ended that of another, and one that was needed for an earlier promote request of the same VM.
- One VM without an answer kept VMs that had just been added from being asked.
- A replacement went on when a stalled primary did not answer its demotion.
- An instance of a later term counted as a newcomer that covers everything.
- Replicas that a later term had not reached yet answered each hold without an effect, so that the term was never learned.
A hold for the next term tells.

--- a/internal/daemon/assembler/gateway.go
+++ b/internal/daemon/assembler/gateway.go
@@ -175,7 +175,7 @@
 	if err != nil {
 		return err
 	}
-	v.forwardServer = forwarder.NewServer(forwarder.Config{Listener: ln, Accept: v.platform.AcceptPort, Pool: v.pool, Names: &v.statementNames, Find: v.findInstance, IsUnreachable: v.hasFailedAttempts, StopsAcks: v.stopsAcks, OnPanic: v.logPanic})
+	v.forwardServer = forwarder.NewServer(forwarder.Config{Listener: ln, Accept: v.platform.AcceptPort, Pool: v.pool, Names: &v.statementNames, Find: v.findInstance, IsUnreachable: v.hasFailedAttempts, StopsAck: v.stopsAck, OnPanic: v.logPanic})
 	go v.forwardServer.Serve()
 	return nil
 }
@@ -223,7 +223,9 @@
 	return v.groups.Group(group)
 }
 
-func (v *VM) stopsAcks(group string, term uint64) bool { return v.groups.Group(group).StopsAcks(term) }
+func (v *VM) stopsAck(group string, p tokenizer.Position) bool {
+	return v.groups.Group(group).StopsAck(p)
+}
 
 // writerAddresses returns the peer addresses of the other VMs through which the writes to a group pass: its gateways, or else
 // all VMs.
--- a/internal/group/registrar/group.go
+++ b/internal/group/registrar/group.go
@@ -24,17 +24,17 @@
 	mu               sync.Mutex
 	instances        map[string]*instanceState // by identity
 	primary          Primary
-	latestPrimary    string             // the known primary, or else the one that was known last
-	latestTerm       uint64             // highest term in which latestPrimary proved to be the primary; zero: it did not, or restarted since
-	departure        departure          // the latest departure of a replica
-	seal             activeSeal         // the latest one
-	ackStop          activeSeal         // the one of the highest term that stops acknowledgements
-	firstProof       tokenizer.Position // the first position that a primary has proved; zero: none yet
-	registryPrimary  string             // instance that the registry names instead of the known primary; "": none
-	noPrimarySince   time.Time          // when the last primary became unknown; zero: a primary is known or there was none yet
-	unansweredWrites int                // unanswered writes since the last answered one, or since the primary or its term changed
-	stalledAt        time.Time          // when the first of them was recorded
-	changed          chan struct{}      // closed and replaced at each change of the instances or the primary
+	latestPrimary    string                // the known primary, or else the one that was known last
+	latestTerm       uint64                // highest term in which latestPrimary proved to be the primary; zero: it did not, or restarted since
+	departure        departure             // the latest departure of a replica
+	seal             activeSeal            // the latest one
+	ackStops         map[string]activeSeal // those that stop acknowledgements, by holder
+	firstProof       tokenizer.Position    // the first position that a primary has proved; zero: none yet
+	registryPrimary  string                // instance that the registry names instead of the known primary; "": none
+	noPrimarySince   time.Time             // when the last primary became unknown; zero: a primary is known or there was none yet
+	unansweredWrites int                   // unanswered writes since the last answered one, or since the primary or its term changed
+	stalledAt        time.Time             // when the first of them was recorded
+	changed          chan struct{}         // closed and replaced at each change of the instances or the primary
 }
 
 type instanceState struct {
--- a/internal/group/registrar/seal.go
+++ b/internal/group/registrar/seal.go
@@ -18,10 +18,11 @@
 	// IsSpare states that the VM uses a spare token. Its choice is not recorded, so that no other VM may end the term meanwhile: the
 	// platform carries out two promote requests that arrive one after the other, even if the second has the higher token.
 	IsSpare bool
-	// StopsAcks states that no VM may pass on the acknowledgement of a commit in the term or in a lower one. While a promotion is on
-	// its way, the primary may still acknowledge commits with the help of an instance that joined or restarted after the
-	// replicas were compared. The new primary lacks these.
+	// StopsAcks states that no VM may pass on the acknowledgement of a commit after the position After in the term, or of any in a
+	// lower term. While a promotion is on its way, the primary may still acknowledge commits with the help of an instance that
+	// joined or restarted after the replicas were compared. The new primary lacks these.
 	StopsAcks bool
+	After     tokenizer.Position // of a demoted primary, which its successor covers; zero: none
 }
 
 // activeSeal is a seal and the time at which it expires.
@@ -41,10 +42,9 @@
 	if latest.isActive() && latest.Holder != s.Holder && latest.Term >= s.Term && (latest.IsSpare || s.IsSpare) {
 		return classifier.New(classifier.Conflict, "group %s: VM %s is ending term %d", g.name, latest.Holder, latest.Term)
 	}
-	next := activeSeal{s, time.Now().Add(sealTTL)}
-	g.seal = next
-	if s.StopsAcks && (s.Term >= g.ackStop.Term || !g.ackStop.isActive()) {
-		g.ackStop = next
+	g.seal = activeSeal{s, time.Now().Add(sealTTL)}
+	if s.StopsAcks {
+		g.ackStops[s.Holder] = g.seal
 	}
 	return nil
 }
@@ -56,26 +56,34 @@
 	if g.seal.Holder == s.Holder && g.seal.Term == s.Term {
 		g.seal = activeSeal{}
 	}
-	if g.ackStop.Holder == s.Holder && g.ackStop.Term == s.Term {
-		g.ackStop = activeSeal{}
+	if g.ackStops[s.Holder].Term == s.Term {
+		delete(g.ackStops, s.Holder)
 	}
 }
 
-// StopsAcks reports whether acknowledgements of commits in a term are not passed on.
-func (g *Group) StopsAcks(term uint64) bool {
+// StopsAck reports whether the acknowledgement of a commit is not passed on. The position is that of the primary at the
+// acknowledgement.
+func (g *Group) StopsAck(p tokenizer.Position) bool {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	return g.stopsAcks(term)
+	return g.stopsAck(p)
 }
 
-func (g *Group) stopsAcks(term uint64) bool { return term <= g.ackStop.Term && g.ackStop.isActive() }
+func (g *Group) stopsAck(p tokenizer.Position) bool {
+	for _, s := range g.ackStops {
+		if s.isActive() && p.Term <= s.Term && (s.After.IsZero() || !s.After.Covers(p)) {
+			return true
+		}
+	}
+	return false
+}
 
-// Acknowledge reports whether the acknowledgement of a commit may be passed on. The position is that of the primary at the
-// acknowledgement.
+// Acknowledge reports whether the acknowledgement of a commit may be passed on, and records it if so. The position is that of the
+// primary at the acknowledgement.
 func (g *Group) Acknowledge(p tokenizer.Position) bool {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	if g.stopsAcks(p.Term) {
+	if g.stopsAck(p) {
 		return false
 	}
 	g.recordAcknowledged(p)
--- a/internal/group/registrar/seal_test.go
+++ b/internal/group/registrar/seal_test.go
@@ -43,8 +43,20 @@
 		seal(3)
 		g.Unseal(Seal{Term: 3, Holder: "vm-2"})
 		check("unsealed by another VM", 3, false)
+		if err := g.Seal(Seal{Term: 3, Holder: "vm-2", StopsAcks: true}); err != nil {
+			t.Error(err)
+		}
+		g.Unseal(Seal{Term: 3, Holder: "vm-2"})
+		check("sealed by another VM as well, which has unsealed it", 3, false)
 		g.Unseal(Seal{Term: 3, Holder: "vm-1"})
 		check("unsealed", 3, true)
+		if err := g.Seal(Seal{Term: 3, Holder: "vm-1", StopsAcks: true, After: tokenizer.Position{Term: 3, Index: 7}}); err != nil {
+			t.Error(err)
+		}
+		check("sealed after the position of the commit", 3, true)
+		if g.Acknowledge(tokenizer.Position{Term: 3, Index: 8}) {
+			t.Error("sealed before the position of the commit: it is acknowledged")
+		}
 	})
 }
 
--- a/internal/group/replacer/basis.go
+++ b/internal/group/replacer/basis.go
@@ -29,7 +29,7 @@
 	Unanswered    int    // replicas that did not answer the hold
 	Candidates    int
 	Received      tokenizer.Position // of the chosen instance
-	Demoted       tokenizer.Position // of the demoted primary, if all replicas were held and have answered; zero: not known
+	Demoted       tokenizer.Position // of the demoted primary; zero: not known
 
 	RegistryVersion uint64 // zero: not known
 	RegistryAge     time.Duration
--- a/internal/group/replacer/basis_test.go
+++ b/internal/group/replacer/basis_test.go
@@ -41,11 +41,11 @@
 		},
 		{
 			"the primary is leaving", &fakeGroup{received: received}, &fakeTokens{last: 100}, markPrimaryLeaving,
-			Basis{EndedBy: EndedByDemotion, Known: 3, Candidates: 1, Received: nine},
+			Basis{EndedBy: EndedByDemotion, Known: 3, Candidates: 1, Received: nine, Demoted: nine},
 		},
 		{
 			"another VM reaches the primary", &fakeGroup{received: received, hasPeers: true}, &fakeTokens{last: 100}, unreachable,
-			Basis{EndedBy: EndedByPeer, Via: "a", Known: 3, Candidates: 1, Received: nine},
+			Basis{EndedBy: EndedByPeer, Via: "a", Known: 3, Candidates: 1, Received: nine, Demoted: nine},
 		},
 		{
 			"the primary was demoted before", &fakeGroup{received: received, isDemoted: true}, &fakeTokens{last: 100},
--- a/internal/group/replacer/endterm.go
+++ b/internal/group/replacer/endterm.go
@@ -193,6 +193,7 @@
 	if _, known := g.FormerPrimary(old.Term); !demoted.Received.Covers(known) {
 		return r.holdAll(ctx, g, views, old, false, b) // it has lost its log
 	}
+	b.Demoted = demoted.Received
 	hasCaughtUp := func(s carrier.InstanceStatus) bool { return s.Received.Covers(demoted.Received) }
 	if c, ok, err := r.awaitReplica(ctx, g, views, old, earlierChoice, hasCaughtUp); err != nil {
 		return nil, err
@@ -251,10 +252,10 @@
 
 // holdAll holds all replicas, so that they stop receiving entries, and demotes the old primary. If another VM has demoted
 // it already, only the instances that hold all of its entries are candidates. Otherwise, it waits
-// for the old primary's answer if that of a replica is missing or if awaitsOldPrimary is true. With a
+// for the old primary's answer if that of a replica is missing or if its writes have stalled. With a
 // replica missing, or after one has left with entries that the others may lack, only the instances that
 // hold all entries of the old primary are candidates.
-func (r *Replacer) holdAll(ctx context.Context, g *registrar.Group, views []registrar.View, old registrar.Primary, awaitsOldPrimary bool, b *Basis) ([]candidate, error) {
+func (r *Replacer) holdAll(ctx context.Context, g *registrar.Group, views []registrar.View, old registrar.Primary, isStalled bool, b *Basis) ([]candidate, error) {
 	nextTerm := old.Term + 1
 	b.Known, b.Unanswered, b.Demoted = len(views), 0, tokenizer.Position{}
 	replicaAnswers, primaryAnswer := make(chan haltAnswer, len(views)), make(chan haltAnswer, 1)
@@ -305,7 +306,7 @@
 	if replicaErr == nil && !g.IsCoveredDespiteDepartures(furthestReceived(candidates)) {
 		replicaErr = classifier.New(classifier.NoInstance, "a replica of group %s has left, and the others may lack entries that it had received", g.Name())
 	}
-	awaitsOldPrimary = awaitsOldPrimary || former != old.Instance // it may turn out to be a replica
+	awaitsOldPrimary := isStalled || former != old.Instance // it may turn out to be a replica
 	if replicaErr == nil && (!awaitsOldPrimary || replicas == len(views)) {
 		return candidates, nil
 	}
@@ -318,11 +319,11 @@
 		return nil, a.err
 	case a.err == nil && isInLaterTerm(a.status, nextTerm):
 		return nil, r.recordLaterTerm(ctx, g, a.id, a.status)
-	case replicaErr == nil:
+	case replicaErr == nil && (a.err == nil || !isStalled):
 		b.Demoted = a.received
 		return candidates, nil
-	case a.err != nil:
-		return nil, replicaErr
+	case a.err != nil: // a stalled primary that does not answer may be reached through another VM
+		return nil, cmp.Or(replicaErr, a.err)
 	}
 	if lostEntries := !a.received.Covers(furthestReceived(candidates)) || former == a.id && !a.received.Covers(knownPosition); lostEntries {
 		return nil, replicaErr
@@ -371,8 +372,13 @@
 // has to be demoted first.
 func (r *Replacer) hold(ctx context.Context, t carrier.Target, term uint64) (carrier.InstanceStatus, error) {
 	s, err := r.cfg.Controller.Hold(ctx, t, term)
-	if err != nil || !s.IsPrimary || s.Term+1 >= term {
+	switch {
+	case err != nil:
 		return s, err
+	case !s.IsPrimary && s.HoldTerm < term && s.Term < term:
+		return r.holdInLaterTerm(ctx, t, term, s)
+	case !s.IsPrimary || s.Term+1 >= term:
+		return s, nil
 	}
 	if s, err = r.cfg.Controller.Demote(ctx, t, term); err != nil {
 		return s, err
@@ -380,6 +386,17 @@
 	return r.cfg.Controller.Hold(ctx, t, term)
 }
 
+// holdInLaterTerm finds out why a hold for a term had no effect on a replica. If one for the next term has, the replica's group
+// is in the term already, although the replica has not heard of it. Its state then shows the term.
+func (r *Replacer) holdInLaterTerm(ctx context.Context, t carrier.Target, term uint64, s carrier.InstanceStatus) (carrier.InstanceStatus, error) {
+	later, err := r.cfg.Controller.Hold(ctx, t, term+1)
+	if err == nil && later.HoldTerm > term {
+		later.Term = max(later.Term, term)
+		return later, nil
+	}
+	return s, err
+}
+
 // covering returns the candidates that hold all entries of the old primary up to its position, and
 // therefore every commit that it acknowledged. The old primary itself is one of them.
 func covering(candidates []candidate, oldPrimary tokenizer.Position) []candidate {
--- a/internal/group/replacer/replacer.go
+++ b/internal/group/replacer/replacer.go
@@ -208,6 +208,7 @@
 	isReplacing map[string]bool      // by group
 	failures    map[string]int       // failed attempts since the group last had no reason for a replacement
 	lastProbe   map[string]time.Time // by instance
+	requested   map[string]uint64    // latest term for whose end a promote request was sent, by group
 	spareToken  uint64               // for a replacement while the store is unavailable; zero: none
 }
 
@@ -220,7 +221,7 @@
 		cfg.IsConfigured = func(string) bool { return true }
 	}
 	ctx, cancel := context.WithCancel(context.Background())
-	r := &Replacer{cfg: cfg, cancel: cancel, isReplacing: map[string]bool{}, failures: map[string]int{}, lastProbe: map[string]time.Time{}}
+	r := &Replacer{cfg: cfg, cancel: cancel, isReplacing: map[string]bool{}, failures: map[string]int{}, requested: map[string]uint64{}, lastProbe: map[string]time.Time{}}
 	r.wg.Go(func() { r.run(ctx) })
 	r.wg.Go(func() { r.refillSpareToken(ctx) })
 	return r
@@ -342,9 +343,13 @@
 		if current.Term > old.Term || a.Kind == Replace && Decide(Evidence{Health: g.Health(), Now: time.Now()}).Kind == None {
 			return // another VM has replaced the primary, or the primary has recovered
 		}
-		if isRetry && a.Reason == PrimaryUnreachable {
-			if v, ok := g.View(old.Instance); ok && r.cfg.Probe(g, v) == nil {
+		if v, ok := g.View(old.Instance); ok && isRetry && (a.Reason == PrimaryUnreachable || a.Reason == WritesStalled) {
+			err := r.cfg.Probe(g, v)
+			switch {
+			case err == nil && a.Reason == PrimaryUnreachable:
 				return // reachable again, e.g. after a network partition: a replacement would only interrupt service
+			case classifier.Is(err, classifier.NoInstance):
+				a.Reason = PrimaryUnreachable // so that other VMs are asked for a path to it
 			}
 		}
 		if err := r.attempt(ctx, g, a, old); err != nil {
@@ -421,9 +426,8 @@
 	}
 	b := r.newBasis(isSpare, result.ChosenInstance)
 	seal := registrar.Seal{Term: old.Term, Holder: r.cfg.Self, IsSpare: isSpare}
-	isRequested := false
 	defer func() {
-		if !isRequested {
+		if !r.hasRequested(g.Name(), old.Term) {
 			r.unseal(ctx, g, seal)
 		}
 	}()
@@ -451,6 +455,10 @@
 		p.oldPrimary, _ = g.FormerPrimary(old.Term)
 	}
 	awaitHolds := func() error { return nil }
+	if !areHeld {
+		seal.StopsAcks, seal.After = true, b.Demoted
+		r.wg.Go(func() { _ = r.sealTerm(ctx, g, seal) }) // only acknowledgements are stopped now; others were excluded before
+	}
 	if !areHeld && p.target != p.oldPrimary {
 		awaitHolds = r.holdOthers(ctx, p)
 	}
@@ -465,10 +473,23 @@
 		}
 		return err
 	}
-	isRequested = true
+	r.recordRequest(g.Name(), old.Term)
 	return r.requestPromotion(ctx, p, seal)
 }
 
+func (r *Replacer) recordRequest(group string, term uint64) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.requested[group] = term
+}
+
+// hasRequested reports whether this VM has sent a promote request that ends a term. It may still be carried out.
+func (r *Replacer) hasRequested(group string, term uint64) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.requested[group] == term
+}
+
 // promotion is the promotion of an instance in place of the primary of a term.
 type promotion struct {
 	group     *registrar.Group
--- a/internal/group/replacer/stall.go
+++ b/internal/group/replacer/stall.go
@@ -26,7 +26,7 @@
 		return candidates, err
 	}
 	for deadline := time.Now().Add(newcomerTimeout); time.Now().Before(deadline) && ctx.Err() == nil; {
-		if c, ok := r.findNewcomer(ctx, g, known, missing); ok {
+		if c, ok := r.findNewcomer(ctx, g, known, old.Term, missing); ok {
 			return []candidate{c}, nil
 		}
 		_ = r.trySealTerm(ctx, g, seal)
@@ -40,13 +40,13 @@
 
 // findNewcomer returns an instance that is not in a list, does not leave, and has received all entries up to a position. It is not
 // held before, so that it can catch up with the demoted primary.
-func (r *Replacer) findNewcomer(ctx context.Context, g *registrar.Group, known []registrar.View, missing tokenizer.Position) (candidate, bool) {
+func (r *Replacer) findNewcomer(ctx context.Context, g *registrar.Group, known []registrar.View, term uint64, missing tokenizer.Position) (candidate, bool) {
 	for _, v := range g.Views() {
 		if v.IsLeaving || isSameInstances([]registrar.View{v}, ofID(known, v.ID)) {
 			continue
 		}
 		s, err := r.callWithRetry(ctx, v, r.cfg.Controller.Status)
-		if err == nil && s.Received.Covers(missing) {
+		if err == nil && !s.IsPrimary && !isInLaterTerm(s, term+1) && s.Received.Covers(missing) {
 			return candidate{id: v.ID, received: s.Received}, true
 		}
 	}
--- a/internal/group/sealer/sealer.go
+++ b/internal/group/sealer/sealer.go
@@ -21,6 +21,7 @@
 
 	"parsleyscale/internal/failure/classifier"
 	"parsleyscale/internal/group/registrar"
+	"parsleyscale/internal/session/tokenizer"
 )
 
 // Path is the URL path at which a VM seals a term. The query has the fields of the seal, or its term and holder for its end.
@@ -41,13 +42,16 @@
 // Seal asks the other VMs to seal a term of a group and waits for their answers. It fails with kind conflict if one of them knows
 // of another VM that is ending the term, and with another kind if some did not answer, which may be down.
 func (s *Sealer) Seal(ctx context.Context, group string, seal registrar.Seal) error {
-	ctx, cancel := context.WithTimeout(ctx, timeout)
-	defer cancel()
 	q := url.Values{"group": {group}, "term": {strconv.FormatUint(seal.Term, 10)}, "holder": {seal.Holder}}
 	q.Set("spare", strconv.FormatBool(seal.IsSpare))
 	q.Set("stopsAcks", strconv.FormatBool(seal.StopsAcks))
+	q.Set("after", seal.After.String())
 	refreshed := make(chan error, 1)
-	go func() { refreshed <- s.RefreshAddresses(ctx) }()
+	go func() {
+		ctx, cancel := context.WithTimeout(ctx, timeout)
+		defer cancel()
+		refreshed <- s.RefreshAddresses(ctx)
+	}()
 	known := s.Addresses(group)
 	err := s.sendAll(ctx, http.MethodPost, known, q)
 	refreshErr := <-refreshed
@@ -61,14 +65,14 @@
 
 // Unseal ends the seal on the other VMs that can be reached.
 func (s *Sealer) Unseal(ctx context.Context, group string, seal registrar.Seal) {
-	ctx, cancel := context.WithTimeout(ctx, timeout)
-	defer cancel()
 	q := url.Values{"group": {group}, "term": {strconv.FormatUint(seal.Term, 10)}, "holder": {seal.Holder}}
 	_ = s.sendAll(ctx, http.MethodDelete, s.Addresses(group), q)
 }
 
 // sendAll sends a request to other VMs and returns the error of one, preferably one of kind conflict.
 func (s *Sealer) sendAll(ctx context.Context, method string, addresses []string, q url.Values) error {
+	ctx, cancel := context.WithTimeout(ctx, timeout)
+	defer cancel()
 	errs := make([]error, len(addresses))
 	var wg sync.WaitGroup
 	for k, a := range addresses {
@@ -112,9 +116,12 @@
 func (h Handler) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	q := r.URL.Query()
 	seal := registrar.Seal{Holder: q.Get("holder"), IsSpare: q.Get("spare") == "true", StopsAcks: q.Get("stopsAcks") == "true"}
-	var err error
+	var err, afterErr error
 	seal.Term, err = strconv.ParseUint(q.Get("term"), 10, 64)
-	if err != nil || seal.Holder == "" {
+	if q.Has("after") {
+		seal.After, afterErr = tokenizer.ParsePosition(q.Get("after"))
+	}
+	if err != nil || afterErr != nil || seal.Holder == "" {
 		w.WriteHeader(http.StatusBadRequest)
 		return
 	}
--- a/internal/statement/forwarder/server.go
+++ b/internal/statement/forwarder/server.go
@@ -51,8 +51,8 @@
 	// Find returns the address of an instance and its newest known log position. It
 	// returns false if the instance is unknown.
 	Find func(group, instance string) (carrier.Target, tokenizer.Position, bool)
-	// StopsAcks reports whether acknowledgements of commits in a term of a group are not passed on; nil stands for never.
-	StopsAcks func(group string, term uint64) bool
+	// StopsAck reports whether the acknowledgement of a commit of a group is not passed on; nil stands for never.
+	StopsAck func(group string, p tokenizer.Position) bool
 	// OnPanic is called with the value and the stack of a panic that has ended a connection; may be nil.
 	OnPanic func(err error)
 }
@@ -265,7 +265,7 @@
 // checkSeal returns an error for an acknowledgement that is not passed on, because the term of its commit is sealed.
 func (c *proxyConn) checkSeal(cmd carrier.Command, prepared *carrier.Statement, r carrier.Reply) error {
 	isCommit := cmd.Verb == carrier.Commit || cmd.Verb == carrier.Write || prepared != nil && prepared.PreparedVerb == carrier.Write
-	if !isCommit || !r.OK() || c.server.cfg.StopsAcks == nil || !c.server.cfg.StopsAcks(c.target.Group, r.Position.Term) {
+	if !isCommit || !r.OK() || c.server.cfg.StopsAck == nil || !c.server.cfg.StopsAck(c.target.Group, r.Position) {
 		return nil
 	}
 	return classifier.New(classifier.OutcomeUnknown, "the primary %s is being replaced, and its successor may lack the commit", c.target.Instance)
