--- a/internal/statement/forwarder/server.go
+++ b/internal/statement/forwarder/server.go
@@ -256,17 +256,17 @@
 	if reply.State == carrier.Idle {
 		c.lease = nil
 		lease.Release()
-		return reply, c.checkSeal(cmd, prepared, reply)
+		return c.withSeal(cmd, prepared, reply), nil
 	}
 	lease.MarkIdleInTx()
 	return reply, nil
 }
 
-// checkSeal returns an error for an acknowledgement that is not passed on, because the term of its commit is sealed.
-func (c *proxyConn) checkSeal(cmd carrier.Command, prepared *carrier.Statement, r carrier.Reply) error {
+// withSeal returns the reply for the other VM, to which the acknowledgement of a sealed term is not passed on.
+func (c *proxyConn) withSeal(cmd carrier.Command, prepared *carrier.Statement, r carrier.Reply) carrier.Reply {
 	isCommit := cmd.Verb == carrier.Commit || cmd.Verb == carrier.Write || prepared != nil && prepared.PreparedVerb == carrier.Write
 	if !isCommit || !r.OK() || c.server.cfg.StopsAck == nil || !c.server.cfg.StopsAck(c.target.Group, r.Position) {
-		return nil
+		return r
 	}
-	return classifier.New(classifier.OutcomeUnknown, "the primary %s is being replaced, and its successor may lack the commit", c.target.Instance)
+	return carrier.ErrorReply(classifier.OutcomeUnknown, "the primary "+c.target.Instance+" is being replaced, and its successor may lack the commit")
 }
