Let the test of merges wait before the table is read

It merges changes before the table is read, but nothing kept the follower's goroutine from reading the table first. The fake source now returns the table only after that check.

--- a/internal/platform/follower/follower_test.go
+++ b/internal/platform/follower/follower_test.go
@@ -15,9 +15,10 @@
 // fakeSource answers feed calls from a script, and without changes once the script has ended.
 type fakeSource struct {
 	mu          sync.Mutex
-	reads       int          // of the whole table
-	feedCalls   int          // to Follow
-	feedAnswers []feedAnswer // to the next feed calls
+	reads       int           // of the whole table
+	feedCalls   int           // to Follow
+	feedAnswers []feedAnswer  // to the next feed calls
+	readGate    chan struct{} // closed when Read may return; nil: it returns at once
 }
 
 type feedAnswer struct {
@@ -26,6 +27,9 @@
 }
 
 func (f *fakeSource) Read(context.Context, string) (Page, error) {
+	if f.readGate != nil {
+		<-f.readGate
+	}
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	f.reads++
@@ -85,7 +89,7 @@
 // another VM before the store's feed delivers it.
 func TestMerge(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		src := &fakeSource{}
+		src := &fakeSource{readGate: make(chan struct{})}
 		var passedOn []Row
 		f := Start(Config{
 			Source: src, Table: "t", OnTable: func(rows []Row, _ uint64) { passedOn = append([]Row(nil), rows...) },
@@ -95,6 +99,7 @@
 		if f.Merge(Page{Rows: []Row{{Key: "b", Version: 3}}, Version: 3}, false) {
 			t.Error("changes were merged before the table was read")
 		}
+		close(src.readGate)
 		synctest.Wait()
 		src.mu.Lock()
 		src.feedAnswers = []feedAnswer{{page: Page{Rows: []Row{{Key: "b", Version: 2}, {Key: "c", Version: 4}}, Version: 4}}}
