Show the platform the token before a new primary is demoted

Callers lost commits: a promote request that had got no answer was carried out late, after its instance had led and been demoted again for a switchover.

Cause: the platform refuses a request once it has seen a higher token, but saw the token of the switchover only with its promote request, after the demotion.

Without an answer the primary is not demoted, since it could not be replaced either.

--- a/internal/daemon/assembler/assembler.go
+++ b/internal/daemon/assembler/assembler.go
@@ -12,6 +12,7 @@
 
 	"parsleyscale/internal/backend/allotter"
 	"parsleyscale/internal/config/loader"
+	"parsleyscale/internal/failure/classifier"
 	"parsleyscale/internal/group/claimer"
 	"parsleyscale/internal/group/commander"
 	"parsleyscale/internal/group/registrar"
@@ -63,6 +64,9 @@
 	Clock  func() time.Duration // monotonic, and includes the time during which the VM was suspended
 }
 
+// absentInstance is the identity of no instance. The platform refuses to promote it, but has then seen the token.
+const absentInstance = "-"
+
 // VM is a running entry VM.
 type VM struct {
 	cfg      loader.LineSettings
@@ -150,6 +154,13 @@
 		Promote: func(ctx context.Context, group, instance string, token uint64) error {
 			return p.Promote(ctx, group, instance, cfg.ID, token)
 		},
+		Fence: func(ctx context.Context, group string, token uint64) error {
+			err := p.Promote(ctx, group, absentInstance, cfg.ID, token)
+			if classifier.Is(err, classifier.Conflict) {
+				return nil // the instance is not running, or a higher token was seen, which the promote request will meet as well
+			}
+			return err
+		},
 		RefreshInstances:  v.refreshRegistry,
 		Self:              cfg.ID,
 		Sealer:            &sealer.Sealer{Client: replicator.NewClient(), Addresses: v.writerAddresses, RefreshAddresses: v.members.refreshIfOld},
--- a/internal/group/replacer/endterm.go
+++ b/internal/group/replacer/endterm.go
@@ -24,37 +24,45 @@
 	received     tokenizer.Position // the newest entry that it holds
 }
 
+// ending is what the end of a term depends on.
+type ending struct {
+	group         *registrar.Group
+	action        Action
+	old           registrar.Primary
+	path          <-chan carrier.Target // gets the path to an unreachable primary, if there is one
+	earlierChoice string
+	token         uint64 // of the promote request, or a lower one of the same attempt
+}
+
 // endTerm ends the old term and returns the candidates for the new one. A planned switchover
 // demotes the primary first and then lets a replica catch up with it. So does the replacement of a
 // primary that only other VMs reach. Otherwise, the replicas are held.
-func (r *Replacer) endTerm(ctx context.Context, g *registrar.Group, a Action, old registrar.Primary, path <-chan carrier.Target, earlierChoice string, seal *registrar.Seal, b *Basis) (candidates []candidate, areHeld bool, err error) {
-	views := g.Views()
-	b.Known, b.EndedBy = len(views), EndedByDemotion
-	if a.Kind == Switch {
-		if err := r.sealTerm(ctx, g, *seal); err != nil {
-			return nil, false, err
+func (r *Replacer) endTerm(ctx context.Context, e ending, seal *registrar.Seal, b *Basis) (candidates []candidate, areHeld bool, err error) {
+	b.Known, b.EndedBy = len(e.group.Views()), EndedByDemotion
+	status, demote := r.cfg.Controller.Status, r.cfg.Controller.Demote
+	isReached := e.action.Kind == Switch
+	if !isReached {
+		var t carrier.Target
+		if t, isReached = awaitPath(e.path); isReached {
+			b.EndedBy, b.Via = EndedByPeer, t.Address
+			status = func(ctx context.Context, _ carrier.Target) (carrier.InstanceStatus, error) {
+				return r.cfg.Peers.Status(ctx, t)
+			}
+			demote = func(ctx context.Context, _ carrier.Target, term uint64) (carrier.InstanceStatus, error) {
+				return r.cfg.Peers.Demote(ctx, t, term)
+			}
 		}
-		candidates, err = r.demoteAndCatchUp(ctx, g, views, old, earlierChoice, b, r.cfg.Controller.Status, func(ctx context.Context, t carrier.Target) (carrier.InstanceStatus, error) {
-			return r.cfg.Controller.Demote(ctx, t, old.Term+1)
-		})
-		return candidates, false, err
 	}
-	if t, ok := awaitPath(path); ok {
-		b.EndedBy, b.Via = EndedByPeer, t.Address
-		if err := r.sealTerm(ctx, g, *seal); err != nil {
+	if isReached {
+		if err := r.sealTerm(ctx, e.group, *seal); err != nil {
 			return nil, false, err
 		}
-		status := func(ctx context.Context, _ carrier.Target) (carrier.InstanceStatus, error) {
-			return r.cfg.Peers.Status(ctx, t)
-		}
-		candidates, err = r.demoteAndCatchUp(ctx, g, views, old, earlierChoice, b, status, func(ctx context.Context, _ carrier.Target) (carrier.InstanceStatus, error) {
-			return r.cfg.Peers.Demote(ctx, t, old.Term+1)
-		})
+		candidates, err = r.demoteAndCatchUp(ctx, e, b, status, demote)
 		return candidates, false, err
 	}
 	// A stalled primary is reachable, so holdAll awaits the answer to its demotion.
 	b.EndedBy, seal.StopsAcks = EndedByHold, true
-	candidates, err = r.holdAllRegistered(ctx, g, old, a.Reason == WritesStalled, *seal, b)
+	candidates, err = r.holdAllRegistered(ctx, e.group, e.old, e.action.Reason == WritesStalled, *seal, b)
 	return candidates, true, err
 }
 
@@ -155,7 +163,8 @@
 // demoteAndCatchUp demotes a working primary and waits until a replica that is not leaving has received
 // all entries of the primary. If none has within catchUpTimeout, only the demoted primary itself may be promoted: any
 // other instance may lack a commit that was acknowledged with the help of one that is not known here.
-func (r *Replacer) demoteAndCatchUp(ctx context.Context, g *registrar.Group, views []registrar.View, old registrar.Primary, earlierChoice string, b *Basis, status, demote func(context.Context, carrier.Target) (carrier.InstanceStatus, error)) ([]candidate, error) {
+func (r *Replacer) demoteAndCatchUp(ctx context.Context, e ending, b *Basis, status func(context.Context, carrier.Target) (carrier.InstanceStatus, error), demote func(context.Context, carrier.Target, uint64) (carrier.InstanceStatus, error)) ([]candidate, error) {
+	g, old, earlierChoice, views := e.group, e.old, e.earlierChoice, e.group.Views()
 	v, ok := g.View(old.Instance)
 	if !ok {
 		return nil, classifier.New(classifier.NoPrimary, "cannot demote the primary of group %s: its instance is no longer known", g.Name())
@@ -176,7 +185,12 @@
 	} else if !ok {
 		return nil, classifier.New(classifier.NoInstance, "cannot demote the primary of group %s: no replica that stays has received the entries that the primary held a moment ago", g.Name())
 	}
-	demoted, err := r.callWithRetry(ctx, v, demote)
+	if err := r.fenceLateRequests(ctx, e); err != nil {
+		return nil, err
+	}
+	demoted, err := r.callWithRetry(ctx, v, func(ctx context.Context, t carrier.Target) (carrier.InstanceStatus, error) {
+		return demote(ctx, t, nextTerm)
+	})
 	r.cfg.Observe(Event{Name: EventDemoted, Group: g.Name(), Instance: v.ID, Term: old.Term, Command: CommandDemote, Via: b.Via, Status: demoted, Err: err})
 	if err != nil {
 		// The primary may still acknowledge commits, perhaps with the help of a replica that is not in
--- a/internal/group/replacer/replacer.go
+++ b/internal/group/replacer/replacer.go
@@ -124,6 +124,8 @@
 	Tokens     TokenSource
 	Claims     Claims
 	Promote    Promote
+	// Fence shows the platform a token without a promotion, so that it refuses lower ones; nil if it cannot.
+	Fence func(ctx context.Context, group string, token uint64) error
 	// IsUnfenced states that the platform does not check the tokens of promote requests, and that a replaced primary goes
 	// on answering until it is demoted or learns of its successor.
 	IsUnfenced bool
@@ -431,7 +433,8 @@
 			r.unseal(ctx, g, seal)
 		}
 	}()
-	candidates, areHeld, err := r.endTerm(ctx, g, a, old, path, result.ChosenInstance, &seal, &b)
+	e := ending{group: g, action: a, old: old, path: path, earlierChoice: result.ChosenInstance, token: fencingToken(old.Term, result.FencingToken, !isSpare)}
+	candidates, areHeld, err := r.endTerm(ctx, e, &seal, &b)
 	if err != nil {
 		if g.Primary().Term == old.Term+1 {
 			g.SuggestPrimary(result.ChosenInstance) // it may have crashed before any VM saw it lead
