--- a/internal/group/registrar/group.go
+++ b/internal/group/registrar/group.go
@@ -27,8 +27,7 @@
 	latestPrimary    string                // the known primary, or else the one that was known last
 	latestTerm       uint64                // highest term in which latestPrimary proved to be the primary; zero: it did not, or restarted since
 	departure        departure             // the latest departure of a replica
-	seal             activeSeal            // the latest one
-	ackStops         map[string]activeSeal // those that stop acknowledgements, by holder
+	seals            map[string]activeSeal // the latest of each VM
 	firstProof       tokenizer.Position    // the first position that a primary has proved; zero: none yet
 	registryPrimary  string                // instance that the registry names instead of the known primary; "": none
 	noPrimarySince   time.Time             // when the last primary became unknown; zero: a primary is known or there was none yet
--- a/internal/group/registrar/seal.go
+++ b/internal/group/registrar/seal.go
@@ -38,14 +38,15 @@
 func (g *Group) Seal(s Seal) error {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	latest := g.seal
-	if latest.isActive() && latest.Holder != s.Holder && latest.Term >= s.Term && (latest.IsSpare || s.IsSpare) {
-		return classifier.New(classifier.Conflict, "group %s: VM %s is ending term %d", g.name, latest.Holder, latest.Term)
+	for holder, other := range g.seals {
+		if other.isActive() && holder != s.Holder && other.Term >= s.Term && (other.IsSpare || s.IsSpare) {
+			return classifier.New(classifier.Conflict, "group %s: VM %s is ending term %d", g.name, holder, other.Term)
+		}
 	}
-	g.seal = activeSeal{s, time.Now().Add(sealTTL)}
-	if s.StopsAcks {
-		g.ackStops[s.Holder] = g.seal
+	if last := g.seals[s.Holder]; last.isActive() && last.Term == s.Term && last.StopsAcks && !s.StopsAcks {
+		s.StopsAcks, s.After = true, last.After // an earlier promote request of the VM may still be carried out
 	}
+	g.seals[s.Holder] = activeSeal{s, time.Now().Add(sealTTL)}
 	return nil
 }
 
@@ -53,11 +54,8 @@
 func (g *Group) Unseal(s Seal) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	if g.seal.Holder == s.Holder && g.seal.Term == s.Term {
-		g.seal = activeSeal{}
-	}
-	if g.ackStops[s.Holder].Term == s.Term {
-		delete(g.ackStops, s.Holder)
+	if g.seals[s.Holder].Term == s.Term {
+		delete(g.seals, s.Holder)
 	}
 }
 
@@ -70,8 +68,8 @@
 }
 
 func (g *Group) stopsAck(p tokenizer.Position) bool {
-	for _, s := range g.ackStops {
-		if s.isActive() && p.Term <= s.Term && (s.After.IsZero() || !s.After.Covers(p)) {
+	for _, s := range g.seals {
+		if s.StopsAcks && s.isActive() && p.Term <= s.Term && (s.After.IsZero() || !s.After.Covers(p)) {
 			return true
 		}
 	}
--- a/internal/group/registrar/seal_test.go
+++ b/internal/group/registrar/seal_test.go
@@ -93,3 +93,20 @@
 		})
 	}
 }
+
+// Guards against a seal that hides, or ends with, that of another VM.
+func TestSealsOfTwoVMs(t *testing.T) {
+	g := newTestGroup()
+	for _, holder := range []string{"vm-1", "vm-2"} {
+		if err := g.Seal(Seal{Term: 3, Holder: holder, StopsAcks: true}); err != nil {
+			t.Fatal(err)
+		}
+	}
+	g.Unseal(Seal{Term: 3, Holder: "vm-2"})
+	if !g.StopsAck(tokenizer.Position{Term: 3, Index: 1}) {
+		t.Error("the seal of vm-1 does not stop acknowledgements any more")
+	}
+	if err := g.Seal(Seal{Term: 3, Holder: "vm-3", IsSpare: true}); err == nil {
+		t.Error("a spare token is used while vm-1 ends the term")
+	}
+}
--- a/internal/group/replacer/endterm.go
+++ b/internal/group/replacer/endterm.go
@@ -386,13 +386,8 @@
 // has to be demoted first.
 func (r *Replacer) hold(ctx context.Context, t carrier.Target, term uint64) (carrier.InstanceStatus, error) {
 	s, err := r.cfg.Controller.Hold(ctx, t, term)
-	switch {
-	case err != nil:
+	if err != nil || !s.IsPrimary || s.Term+1 >= term {
 		return s, err
-	case !s.IsPrimary && s.HoldTerm < term && s.Term < term:
-		return r.holdInLaterTerm(ctx, t, term, s)
-	case !s.IsPrimary || s.Term+1 >= term:
-		return s, nil
 	}
 	if s, err = r.cfg.Controller.Demote(ctx, t, term); err != nil {
 		return s, err
@@ -400,17 +395,6 @@
 	return r.cfg.Controller.Hold(ctx, t, term)
 }
 
-// holdInLaterTerm finds out why a hold for a term had no effect on a replica. If one for the next term has, the replica's group
-// is in the term already, although the replica has not heard of it. Its state then shows the term.
-func (r *Replacer) holdInLaterTerm(ctx context.Context, t carrier.Target, term uint64, s carrier.InstanceStatus) (carrier.InstanceStatus, error) {
-	later, err := r.cfg.Controller.Hold(ctx, t, term+1)
-	if err == nil && later.HoldTerm > term {
-		later.Term = max(later.Term, term)
-		return later, nil
-	}
-	return s, err
-}
-
 // covering returns the candidates that hold all entries of the old primary up to its position, and
 // therefore every commit that it acknowledged. The old primary itself is one of them.
 func covering(candidates []candidate, oldPrimary tokenizer.Position) []candidate {
--- a/internal/group/replacer/replacer.go
+++ b/internal/group/replacer/replacer.go
@@ -44,6 +44,7 @@
 package replacer
 
 import (
+	"cmp"
 	"context"
 	"math/rand/v2"
 	"slices"
@@ -457,10 +458,10 @@
 	if p.oldPrimary = old.Instance; p.oldPrimary == "" {
 		p.oldPrimary, _ = g.FormerPrimary(old.Term)
 	}
-	awaitHolds := func() error { return nil }
+	awaitSeal, awaitHolds := noWait, noWait
 	if !areHeld {
 		seal.StopsAcks, seal.After = true, b.Demoted
-		r.wg.Go(func() { _ = r.sealTerm(ctx, g, seal) }) // only acknowledgements are stopped now; others were excluded before
+		awaitSeal = r.startSeal(ctx, g, seal)
 	}
 	if !areHeld && p.target != p.oldPrimary {
 		awaitHolds = r.holdOthers(ctx, p)
@@ -470,7 +471,7 @@
 			return err
 		}
 	}
-	if err := awaitHolds(); err != nil {
+	if err := cmp.Or(awaitHolds(), awaitSeal()); err != nil {
 		if p.isClaimed && p.isFirstChoice {
 			_ = r.cfg.Claims.Withdraw(ctx, g.Name(), p.term, p.number) // no request was sent; otherwise the choice stands, which only delays
 		}
--- a/internal/group/replacer/replacer_test.go
+++ b/internal/group/replacer/replacer_test.go
@@ -40,7 +40,9 @@
 	tokenBeforeSpare uint64            // last token that was issued before the first spare one
 	refresh          func()            // called by Config.RefreshInstances; may be nil
 	events           []Event
-	refreshErr       error // returned by Config.RefreshInstances
+	refreshErr       error                             // returned by Config.RefreshInstances
+	states           map[string]carrier.InstanceStatus // reported in place of the real ones, by instance
+	sealer           Sealer                            // Config.Sealer
 }
 
 // command carries out a command with a term, zero if it has none. A hold has an effect on a replica only if its term is above
@@ -75,6 +77,9 @@
 	if f.received[id] == 0 {
 		term = 0
 	}
+	if reported, ok := f.states[id]; ok {
+		return reported, nil
+	}
 	return carrier.InstanceStatus{Term: f.term, HoldTerm: max(f.heldTerm, f.holds[id]), IsPrimary: f.primary == id && !f.isDemoted, Received: tokenizer.Position{Term: term, Index: f.received[id]}}, nil
 }
 
@@ -174,7 +179,7 @@
 		peers = fakePeers{f}
 	}
 	replacer := Start(Config{
-		Groups: r, Controller: f, Peers: peers, IsUnfenced: f.isUnfenced, Tokens: &fakeTokens{last: f.tokenBeforeSpare}, Claims: claims, AnswersDirectly: answers, Rank: func(string) int { return 0 }, OnInstanceRemoved: func(string) {},
+		Groups: r, Controller: f, Sealer: f.sealer, Self: "vm-1", Peers: peers, IsUnfenced: f.isUnfenced, Tokens: &fakeTokens{last: f.tokenBeforeSpare}, Claims: claims, AnswersDirectly: answers, Rank: func(string) int { return 0 }, OnInstanceRemoved: func(string) {},
 		Observe: func(e Event) {
 			f.mu.Lock()
 			defer f.mu.Unlock()
--- a/internal/group/replacer/seal.go
+++ b/internal/group/replacer/seal.go
@@ -41,6 +41,22 @@
 	return r.cfg.Sealer.Seal(ctx, g.Name(), s)
 }
 
+// startSeal is sealTerm beside other steps. The returned function waits for its result, for up to holdGrace.
+func (r *Replacer) startSeal(ctx context.Context, g *registrar.Group, s registrar.Seal) func() error {
+	result := make(chan error, 1)
+	r.wg.Go(func() { result <- r.sealTerm(ctx, g, s) })
+	return func() error {
+		select {
+		case err := <-result:
+			return err
+		case <-time.After(holdGrace):
+			return nil
+		}
+	}
+}
+
+func noWait() error { return nil }
+
 // keepSealed renews a seal until ctx ends.
 func (r *Replacer) keepSealed(ctx context.Context, g *registrar.Group, s registrar.Seal) {
 	for sleeper.Sleep(ctx, sealInterval) {
--- /dev/null
+++ b/internal/group/replacer/seal_test.go
@@ -0,0 +1,139 @@
+package replacer
+
+import (
+	"context"
+	"slices"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"parsleyscale/internal/failure/classifier"
+	"parsleyscale/internal/group/registrar"
+	"parsleyscale/internal/session/tokenizer"
+	"parsleyscale/internal/sheet/cataloger"
+	"parsleyscale/internal/statement/carrier"
+)
+
+// fakeSealer records the requests to other VMs.
+type fakeSealer struct {
+	mu        sync.Mutex
+	seals     []registrar.Seal
+	isUnseal  bool // the latest seal was withdrawn
+	sealError error
+}
+
+func (s *fakeSealer) Seal(_ context.Context, _ string, seal registrar.Seal) error {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.seals, s.isUnseal = append(s.seals, seal), false
+	return s.sealError
+}
+
+func (s *fakeSealer) Unseal(context.Context, string, registrar.Seal) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.isUnseal = true
+}
+
+func stallWrites(g *registrar.Group) {
+	g.RecordUnansweredWrite()
+	g.RecordUnansweredWrite()
+}
+
+// Guards against the loss of commits that a stalled primary acknowledges after it has not answered its demotion, or has answered that
+// it goes on.
+func TestStalledPrimaryIsNotDemoted(t *testing.T) {
+	for name, c := range map[string]struct {
+		errs   map[string]error
+		states map[string]carrier.InstanceStatus
+	}{
+		"no answer": {map[string]error{"demote a": errNoAnswer, "probe a": errNoAnswer}, nil},
+		"no effect": {map[string]error{"probe a": errNoAnswer}, map[string]carrier.InstanceStatus{"a": {Term: 3, IsPrimary: true, Received: tokenizer.Position{Term: 3, Index: 9}}}},
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				f := &fakeGroup{primary: "a", term: 3, received: map[string]uint64{"a": 9, "b": 8, "c": 8}, errs: c.errs, states: c.states}
+				got := promotedInstances(t, f, func(g *registrar.Group, _ *registrar.Registrar, _ cataloger.Registry) { stallWrites(g) })
+				if len(got) > 0 {
+					t.Errorf("%v promoted, want none; commands %v", got, f.commands)
+				}
+			})
+		})
+	}
+}
+
+// Guards against the promotion of an instance of a later term, which covers every position of the term that ends.
+func TestNewcomerOfLaterTerm(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := &fakeGroup{primary: "a", term: 3, received: map[string]uint64{"a": 9, "b": 8, "c": 8}, errs: map[string]error{"probe a": errNoAnswer},
+			states: map[string]carrier.InstanceStatus{"d": {Term: 4, Received: tokenizer.Position{Term: 4, Index: 12}}}}
+		got := promotedInstances(t, f, func(g *registrar.Group, r *registrar.Registrar, reg cataloger.Registry) {
+			stallWrites(g)
+			time.AfterFunc(600*time.Millisecond, func() {
+				r.Update(reg.With(map[string]*cataloger.Instance{"d": {ID: "d", Group: "g", Address: "d"}}))
+			})
+		})
+		for k, token := range f.tokens {
+			if k < len(got) && got[k] == "d" && token>>termShift == 3 {
+				t.Errorf("d of term 4 was promoted with a token that ends term 3: %v", got)
+			}
+		}
+	})
+}
+
+// Guards against the loss of commits that a demoted primary acknowledges after it has restarted: the VMs that reach it were not
+// told. Commits in flight at the demotion must still be acknowledged.
+func TestDemotionStopsLaterAcks(t *testing.T) {
+	for _, isLeaving := range []bool{false, true} {
+		synctest.Test(t, func(t *testing.T) {
+			s := &fakeSealer{}
+			f := &fakeGroup{primary: "a", term: 3, received: map[string]uint64{"a": 9, "b": 9, "c": 9}, errs: map[string]error{}, hasPeers: true, sealer: s}
+			promotedInstances(t, f, func(g *registrar.Group, r *registrar.Registrar, reg cataloger.Registry) {
+				if isLeaving {
+					markPrimaryLeaving(g, r, reg)
+					return
+				}
+				f.errs["demote a"] = errNoAnswer
+				failPrimary(g)
+			})
+			after := tokenizer.Position{Term: 3, Index: 9}
+			if !slices.ContainsFunc(s.seals, func(seal registrar.Seal) bool { return seal.StopsAcks && seal.After == after }) {
+				t.Errorf("leaving %t: seals %+v, want one that stops acknowledgements after %v", isLeaving, s.seals, after)
+			}
+		})
+	}
+}
+
+// Guards against the end of a seal while a promote request without an answer may still be carried out.
+func TestSealOutlastsRequest(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := &fakeSealer{}
+		f := &fakeGroup{primary: "a", term: 3, received: map[string]uint64{"a": 9, "b": 9, "c": 9}, errs: map[string]error{"demote a": errNoAnswer}, dropsPromote: true, sealer: s}
+		promotedInstancesWith(t, f, &fakeTokens{last: 100, lostAt: 2}, nil, func(g *registrar.Group, _ *registrar.Registrar, _ cataloger.Registry) { failPrimary(g) })
+		if len(f.tokens) == 0 || s.isUnseal {
+			t.Errorf("%d promote requests, seal withdrawn: %t; want some, and false", len(f.tokens), s.isUnseal)
+		}
+	})
+}
+
+// Guards against two VMs that end a term at the same time, one of them with a spare token.
+func TestSealConflictEndsAttempt(t *testing.T) {
+	for _, isLeaving := range []bool{false, true} {
+		synctest.Test(t, func(t *testing.T) {
+			s := &fakeSealer{sealError: classifier.New(classifier.Conflict, "another VM ends the term")}
+			f := &fakeGroup{primary: "a", term: 3, received: map[string]uint64{"a": 9, "b": 9, "c": 9}, errs: map[string]error{}, sealer: s}
+			got := promotedInstancesWith(t, f, &fakeTokens{last: 100, err: errNoAnswer}, nil, func(g *registrar.Group, r *registrar.Registrar, reg cataloger.Registry) {
+				if isLeaving {
+					markPrimaryLeaving(g, r, reg)
+					return
+				}
+				f.errs["demote a"] = errNoAnswer
+				failPrimary(g)
+			})
+			if len(got) > 0 || !s.isUnseal {
+				t.Errorf("leaving %t: %v promoted, seal withdrawn: %t; want none, and true", isLeaving, got, s.isUnseal)
+			}
+		})
+	}
+}
--- a/internal/group/sealer/sealer_test.go
+++ b/internal/group/sealer/sealer_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"net"
 	"net/http"
 	"net/http/httptest"
 	"slices"
@@ -13,7 +14,7 @@
 )
 
 // Guards against a VM that goes on passing on acknowledgements because it was added after the list of VMs was read, and
-// against one without an answer that keeps others from being asked.
+// against ones that refuse the connection or stay silent and keep others from being asked.
 func TestSealReachesAllVMs(t *testing.T) {
 	var mu sync.Mutex
 	var sealed []string
@@ -27,7 +28,12 @@
 		t.Cleanup(s.Close)
 		return s.Listener.Addr().String()
 	}
-	addresses := []string{start("a"), "127.0.0.1:1"}
+	silent, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = silent.Close() }()
+	addresses := []string{start("a"), "127.0.0.1:1", silent.Addr().String()}
 	s := Sealer{Client: http.DefaultClient, Addresses: func(string) []string { mu.Lock(); defer mu.Unlock(); return slices.Clone(addresses) }}
 	s.RefreshAddresses = func(context.Context) error {
 		added := start("b")
--- a/internal/platform/replicator/refresher_test.go
+++ b/internal/platform/replicator/refresher_test.go
@@ -20,7 +20,7 @@
 	for f.Version() == 0 {
 		time.Sleep(time.Millisecond)
 	}
-	return &Refresher{Store: store, Table: "t", Copy: c, Follower: f}
+	return &Refresher{Store: store, Table: "t", Copy: c, Follower: f, ArePeersKnown: func() bool { return true }}
 }
 
 // silentFeed answers reads of the whole table, but no feed calls.
