--- a/internal/group/replacer/replacer.go
+++ b/internal/group/replacer/replacer.go
@@ -403,82 +403,108 @@
 // attempt takes a token, ends the old term on the instances, chooses a candidate and requests its promotion.
 func (r *Replacer) attempt(ctx context.Context, g *registrar.Group, a Action, old registrar.Primary) error {
 	path := r.startPathSearch(ctx, g, a, old)
-	isReplaced, unreachableErr := r.probeOthers(g, old)
-	if isReplaced {
-		return nil
-	}
-	if v, ok := g.View(old.Instance); a.Kind == Replace && unreachableErr != nil && ok && classifier.Is(r.cfg.Probe(g, v), classifier.NoInstance) {
-		return unreachableErr // endTerm would fail after it had held the reachable replicas to no purpose
-	}
-	if old.Term == 0 {
-		if old.Term = r.discoverTerm(ctx, g); old.Term == 0 {
-			return classifier.New(classifier.NoPrimary, "cannot replace the primary of group %s: no instance has reported a term", g.Name())
-		}
-	}
-	if r.cfg.MayHaveMissedDeparture != nil && r.cfg.MayHaveMissedDeparture(ctx) {
-		g.RecordMissedDeparture()
-	}
-	if a.Reason == WritesStalled {
-		if err := r.checkStallCanEnd(ctx, g, old.Instance); err != nil {
-			return err
-		}
+	isReplaced, err := r.prepare(ctx, g, a, &old)
+	if isReplaced || err != nil {
+		return err
 	}
-	result, isSpare, err := r.acquireToken(ctx, g.Name(), old.Term)
+	claim, isSpare, err := r.acquireToken(ctx, g.Name(), old.Term)
 	if err != nil {
 		return err
 	}
-	b := r.newBasis(isSpare, result.ChosenInstance)
+	b := r.newBasis(isSpare, claim.ChosenInstance)
 	seal := registrar.Seal{Term: old.Term, Holder: r.cfg.Self, IsSpare: isSpare}
 	defer func() {
 		if !r.hasRequested(g.Name(), old.Term) {
 			r.unseal(ctx, g, seal)
 		}
 	}()
-	e := ending{group: g, action: a, old: old, path: path, earlierChoice: result.ChosenInstance, token: fencingToken(old.Term, result.FencingToken, !isSpare)}
+	e := ending{group: g, action: a, old: old, path: path, earlierChoice: claim.ChosenInstance, token: fencingToken(old.Term, claim.FencingToken, !isSpare)}
 	candidates, areHeld, err := r.endTerm(ctx, e, &seal, &b)
 	if err != nil {
 		if g.Primary().Term == old.Term+1 {
-			g.SuggestPrimary(result.ChosenInstance) // it may have crashed before any VM saw it lead
+			g.SuggestPrimary(claim.ChosenInstance) // it may have crashed before any VM saw it lead
 		}
 		return err
 	}
-	_, isEarlierPresent := g.View(result.ChosenInstance)
-	if isEarlierPresent && !slices.ContainsFunc(candidates, func(c candidate) bool { return c.id == result.ChosenInstance }) {
-		return classifier.New(classifier.Conflict, "instance %s may still be promoted by an earlier attempt and is no candidate in this one", result.ChosenInstance)
-	}
-	target, err := choose(candidates, result.ChosenInstance)
+	target, err := r.chooseTarget(g, candidates, claim.ChosenInstance)
 	if err != nil {
 		return err
 	}
-	if r.cfg.IsUnfenced && isEarlierPresent && target != result.ChosenInstance {
-		return classifier.New(classifier.Conflict, "instance %s may still be promoted by an earlier attempt, which instance %s is ahead of", result.ChosenInstance, target)
-	}
 	b.recordChoice(g, candidates, target)
-	p := promotion{group: g, action: a, basis: b, term: old.Term, target: target, received: furthestReceived(candidates), number: result.FencingToken, isClaimed: !isSpare, isFirstChoice: result.ChosenInstance == ""}
+	p := promotion{group: g, action: a, basis: b, term: old.Term, target: target, received: furthestReceived(candidates), number: claim.FencingToken, isClaimed: !isSpare, isFirstChoice: claim.ChosenInstance == ""}
 	if p.oldPrimary = old.Instance; p.oldPrimary == "" {
 		p.oldPrimary, _ = g.FormerPrimary(old.Term)
 	}
-	awaitSeal, awaitHolds := noWait, noWait
 	if !areHeld {
 		seal.StopsAcks, seal.After = true, b.Demoted
-		awaitSeal = r.startSeal(ctx, g, seal)
 	}
-	if !areHeld && p.target != p.oldPrimary {
-		awaitHolds = r.holdOthers(ctx, p)
+	if err := r.settleChoice(ctx, &p, areHeld, seal); err != nil {
+		return err
 	}
-	if !isSpare {
-		if err := r.record(ctx, &p); err != nil {
-			return err
+	r.recordRequest(g.Name(), old.Term)
+	return r.requestPromotion(ctx, p, seal)
+}
+
+// prepare checks that a replacement is needed and may succeed, and learns the term that it ends. It changes nothing on the
+// instances.
+func (r *Replacer) prepare(ctx context.Context, g *registrar.Group, a Action, old *registrar.Primary) (isReplaced bool, err error) {
+	isReplaced, unreachableErr := r.probeOthers(g, *old)
+	if isReplaced {
+		return true, nil
+	}
+	if v, ok := g.View(old.Instance); a.Kind == Replace && unreachableErr != nil && ok && classifier.Is(r.cfg.Probe(g, v), classifier.NoInstance) {
+		return false, unreachableErr // endTerm would fail after it had held the reachable replicas to no purpose
+	}
+	if old.Term == 0 {
+		if old.Term = r.discoverTerm(ctx, g); old.Term == 0 {
+			return false, classifier.New(classifier.NoPrimary, "cannot replace the primary of group %s: no instance has reported a term", g.Name())
+		}
+	}
+	if r.cfg.MayHaveMissedDeparture != nil && r.cfg.MayHaveMissedDeparture(ctx) {
+		g.RecordMissedDeparture()
+	}
+	if a.Reason == WritesStalled {
+		return false, r.checkStallCanEnd(ctx, g, old.Instance)
+	}
+	return false, nil
+}
+
+// chooseTarget chooses the instance to promote. An earlier choice, which may still be promoted, must be among the candidates.
+func (r *Replacer) chooseTarget(g *registrar.Group, candidates []candidate, earlierChoice string) (string, error) {
+	_, isEarlierPresent := g.View(earlierChoice)
+	if isEarlierPresent && !slices.ContainsFunc(candidates, func(c candidate) bool { return c.id == earlierChoice }) {
+		return "", classifier.New(classifier.Conflict, "instance %s may still be promoted by an earlier attempt and is no candidate in this one", earlierChoice)
+	}
+	target, err := choose(candidates, earlierChoice)
+	if err != nil {
+		return "", err
+	}
+	if r.cfg.IsUnfenced && isEarlierPresent && target != earlierChoice {
+		return "", classifier.New(classifier.Conflict, "instance %s may still be promoted by an earlier attempt, which instance %s is ahead of", earlierChoice, target)
+	}
+	return target, nil
+}
+
+// settleChoice records the choice. After a demotion, it meanwhile holds the replicas and stops the acknowledgements of later
+// commits, in case the demoted primary leads again before the promotion is carried out.
+func (r *Replacer) settleChoice(ctx context.Context, p *promotion, areHeld bool, seal registrar.Seal) error {
+	awaitSeal, awaitHolds := noWait, noWait
+	if !areHeld {
+		awaitSeal = r.startSeal(ctx, p.group, seal)
+		if p.target != p.oldPrimary {
+			awaitHolds = r.holdOthers(ctx, *p)
 		}
 	}
-	if err := cmp.Or(awaitHolds(), awaitSeal()); err != nil {
-		if p.isClaimed && p.isFirstChoice {
-			_ = r.cfg.Claims.Withdraw(ctx, g.Name(), p.term, p.number) // no request was sent; otherwise the choice stands, which only delays
+	if p.isClaimed {
+		if err := r.record(ctx, p); err != nil {
+			return err
 		}
-		return err
 	}
-	r.recordRequest(g.Name(), old.Term)
-	return r.requestPromotion(ctx, p, seal)
+	err := cmp.Or(awaitHolds(), awaitSeal())
+	if err != nil && p.isClaimed && p.isFirstChoice {
+		_ = r.cfg.Claims.Withdraw(ctx, p.group.Name(), p.term, p.number) // no request was sent; otherwise the choice stands, which only delays
+	}
+	return err
 }
 
 func (r *Replacer) recordRequest(group string, term uint64) {
