--- a/internal/group/replacer/replacer.go
+++ b/internal/group/replacer/replacer.go
@@ -2,7 +2,7 @@
 // a number of replicas has received it, and whose new primary is appointed by a
 // single fenced promote request to the platform.
 //
-// Seven rules make the promotion safe.
+// Eight rules make the promotion safe.
 //   - An attempt takes its fencing token before it holds, demotes or compares any
 //     instance. An attempt that begins later has a higher token, and once the
 //     platform has seen that token, it refuses the lower one. A spare token is fetched
@@ -17,6 +17,9 @@
 //     primary acknowledges commits only with the help of an instance that joins or
 //     restarts, and no VM passes these acknowledgements on. If the primary is back before
 //     the promotion takes effect, it is demoted.
+//   - The term is sealed: no VM that can be reached passes on the acknowledgement of a commit once the replicas are
+//     compared, or of one after the position of a demoted primary. What was compared need not stand until the
+//     promotion takes effect. A VM with a spare token excludes other VMs by its seal.
 //   - The replicas are those that the store lists once the token has been taken. A VM's copy of the registry may lack the
 //     one that registered last, and that may be the only one with an acknowledged commit. Without an answer of the store, other
 //     VMs read the list. If the store answers none of them, it is taken to be down for the instances as well, and what the VMs
@@ -35,7 +38,8 @@
 //     never undone: a promote request that got no answer may still be carried out
 //     later, and until then nothing may be acknowledged that the chosen replica lacks.
 //   - The claim is renewed before each repeated promote request, so that none is sent after another VM has claimed the
-//     group: by then, the instance may have led and been demoted again.
+//     group: by then, the instance may have led and been demoted again. A primary that has led for a short time only is demoted after the
+//     platform has seen the token, so that it refuses late requests for it.
 //
 // On a platform that does not check the tokens, two more rules take the place of the refusal.
 //   - Spare tokens are not used: a VM that cannot claim the group leaves it alone.
