Keep a recorded choice while the VM that made it goes on

While the first VM's seal is in force, another choice is a conflict. TestChoiceOfActiveVMStands.

Also from the review, each with a test unless said: - The platform is shown the token before a stalled primary is demoted, too (TestDemotionsAreFenced). - A conflict is returned although another VM is silent (no test of the time). - The renewal of a claim before a repeated request is bounded by the claim's timeout; it had kept the request from being repeated for 5.5 s (no test). - A later seal of a VM does not narrow its earlier one (TestSealStopsAcks).

--- a/internal/group/registrar/seal.go
+++ b/internal/group/registrar/seal.go
@@ -18,8 +18,8 @@
 	// IsSpare states that the VM uses a spare token. Its choice is not recorded, so that no other VM may end the term meanwhile: the
 	// platform carries out two promote requests that arrive one after the other, even if the second has the higher token.
 	IsSpare bool
-	// StopsAcks states that no VM may pass on the acknowledgement of a commit after the position After in the term, or of any in a
-	// lower term. While a promotion is on its way, the primary may still acknowledge commits with the help of an instance that
+	// StopsAcks states that no VM may pass on the acknowledgement of a commit in the term or in a lower one that is not covered by
+	// the position After. While a promotion is on its way, the primary may still acknowledge commits with the help of an instance that
 	// joined or restarted after the replicas were compared. The new primary lacks these.
 	StopsAcks bool
 	After     tokenizer.Position // of a demoted primary, which its successor covers; zero: none
@@ -43,13 +43,28 @@
 			return classifier.New(classifier.Conflict, "group %s: VM %s is ending term %d", g.name, holder, other.Term)
 		}
 	}
-	if last := g.seals[s.Holder]; last.isActive() && last.Term == s.Term && last.StopsAcks && !s.StopsAcks {
-		s.StopsAcks, s.After = true, last.After // an earlier promote request of the VM may still be carried out
+	if last := g.seals[s.Holder]; last.isActive() && last.Term == s.Term && last.StopsAcks {
+		if !s.StopsAcks || s.After.Covers(last.After) {
+			s.After = last.After // an earlier promote request of the VM may still be carried out
+		}
+		s.StopsAcks = true
 	}
 	g.seals[s.Holder] = activeSeal{s, time.Now().Add(sealTTL)}
 	return nil
 }
 
+// IsSealedByOther reports whether another VM than self is ending a term.
+func (g *Group) IsSealedByOther(self string, term uint64) bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	for holder, s := range g.seals {
+		if holder != self && s.Term == term && s.isActive() {
+			return true
+		}
+	}
+	return false
+}
+
 // Unseal ends a seal whose holder has sent no promote request.
 func (g *Group) Unseal(s Seal) {
 	g.mu.Lock()
--- a/internal/group/registrar/seal_test.go
+++ b/internal/group/registrar/seal_test.go
@@ -57,6 +57,14 @@
 		if g.Acknowledge(tokenizer.Position{Term: 3, Index: 8}) {
 			t.Error("sealed before the position of the commit: it is acknowledged")
 		}
+		for _, s := range []Seal{{Term: 3, Holder: "vm-1"}, {Term: 3, Holder: "vm-1", StopsAcks: true, After: tokenizer.Position{Term: 3, Index: 9}}} {
+			if err := g.Seal(s); err != nil {
+				t.Error(err)
+			}
+			if g.Acknowledge(tokenizer.Position{Term: 3, Index: 8}) {
+				t.Errorf("sealed again with %+v: a commit after the first seal's position is acknowledged", s)
+			}
+		}
 	})
 }
 
--- a/internal/group/replacer/endterm.go
+++ b/internal/group/replacer/endterm.go
@@ -61,6 +61,11 @@
 		return candidates, false, err
 	}
 	// A stalled primary is reachable, so holdAll awaits the answer to its demotion.
+	if e.action.Reason == WritesStalled {
+		if err := r.fenceLateRequests(ctx, e); err != nil {
+			return nil, true, err
+		}
+	}
 	b.EndedBy, seal.StopsAcks = EndedByHold, true
 	candidates, err = r.holdAllRegistered(ctx, e.group, e.old, e.action.Reason == WritesStalled, *seal, b)
 	return candidates, true, err
--- a/internal/group/replacer/replacer.go
+++ b/internal/group/replacer/replacer.go
@@ -430,7 +430,7 @@
 		}
 		return err
 	}
-	target, err := r.chooseTarget(g, candidates, claim.ChosenInstance)
+	target, err := r.chooseTarget(g, candidates, claim.ChosenInstance, old.Term)
 	if err != nil {
 		return err
 	}
@@ -474,7 +474,8 @@
 }
 
 // chooseTarget chooses the instance to promote. An earlier choice, which may still be promoted, must be among the candidates.
-func (r *Replacer) chooseTarget(g *registrar.Group, candidates []candidate, earlierChoice string) (string, error) {
+// While the VM that made it goes on, no other one is chosen: the platform may carry out both promote requests, one after the other.
+func (r *Replacer) chooseTarget(g *registrar.Group, candidates []candidate, earlierChoice string, term uint64) (string, error) {
 	_, isEarlierPresent := g.View(earlierChoice)
 	if isEarlierPresent && !slices.ContainsFunc(candidates, func(c candidate) bool { return c.id == earlierChoice }) {
 		return "", classifier.New(classifier.Conflict, "instance %s may still be promoted by an earlier attempt and is no candidate in this one", earlierChoice)
@@ -483,7 +484,7 @@
 	if err != nil {
 		return "", err
 	}
-	if r.cfg.IsUnfenced && isEarlierPresent && target != earlierChoice {
+	if isEarlierPresent && target != earlierChoice && (r.cfg.IsUnfenced || g.IsSealedByOther(r.cfg.Self, term)) {
 		return "", classifier.New(classifier.Conflict, "instance %s may still be promoted by an earlier attempt, which instance %s is ahead of", earlierChoice, target)
 	}
 	return target, nil
@@ -552,6 +553,13 @@
 	return nil
 }
 
+// renewClaim records the choice again. A store that does not answer must not keep the promote request from being repeated.
+func (r *Replacer) renewClaim(ctx context.Context, p *promotion) error {
+	ctx, cancel := context.WithTimeout(ctx, claimTimeout)
+	defer cancel()
+	return r.record(ctx, p)
+}
+
 // probeOthers probes the instances other than the old primary and reports whether one of them is the
 // primary already, as after a replacement by another VM: holding its replicas would block the new
 // primary's writes. The error is that of an instance that is unreachable, if there is one.
@@ -592,7 +600,7 @@
 	isUnanswered := false
 	for isRetry := false; ctx.Err() == nil; isRetry = true {
 		if isRetry && p.isClaimed {
-			if err := r.record(ctx, &p); err != nil {
+			if err := r.renewClaim(ctx, &p); err != nil {
 				return settled(err)
 			}
 		}
--- a/internal/group/replacer/replacer_test.go
+++ b/internal/group/replacer/replacer_test.go
@@ -43,6 +43,8 @@
 	refreshErr       error                             // returned by Config.RefreshInstances
 	states           map[string]carrier.InstanceStatus // reported in place of the real ones, by instance
 	sealer           Sealer                            // Config.Sealer
+	fences           int                               // calls of Config.Fence
+	fenceErr         error                             // returned by Config.Fence
 }
 
 // command carries out a command with a term, zero if it has none. A hold has an effect on a replica only if its term is above
@@ -186,6 +188,12 @@
 			f.events = append(f.events, e)
 		},
 		RegistryState: func() (uint64, time.Duration) { return 40, time.Second },
+		Fence: func(context.Context, string, uint64) error {
+			f.mu.Lock()
+			defer f.mu.Unlock()
+			f.fences++
+			return f.fenceErr
+		},
 		DemoteAt: func(_ context.Context, t carrier.Target, term uint64) (carrier.InstanceStatus, error) {
 			return f.command("demoteAt", t.Address, term)
 		},
--- a/internal/group/replacer/seal_test.go
+++ b/internal/group/replacer/seal_test.go
@@ -137,3 +137,39 @@
 		})
 	}
 }
+
+// Guards against two promotions of different instances: the VM that recorded the choice repeats its request without the store, and
+// another one, whose claim succeeds, would prefer an instance with more entries.
+func TestChoiceOfActiveVMStands(t *testing.T) {
+	for _, isActive := range []bool{true, false} {
+		synctest.Test(t, func(t *testing.T) {
+			f := &fakeGroup{primary: "a", term: 3, received: map[string]uint64{"a": 9, "b": 9, "c": 8}, errs: map[string]error{"demote a": errNoAnswer}}
+			got := promotedInstancesWith(t, f, &fakeTokens{last: 100, choice: "c"}, nil, func(g *registrar.Group, _ *registrar.Registrar, _ cataloger.Registry) {
+				failPrimary(g)
+				for n := 0; isActive && n < 3; n++ {
+					time.AfterFunc(time.Duration(n)*time.Second, func() { _ = g.Seal(registrar.Seal{Term: 3, Holder: "vm-2", StopsAcks: true}) })
+				}
+			})
+			if want := !isActive; slices.Contains(got, "b") != want {
+				t.Errorf("other VM active %t: %v promoted, want b: %t", isActive, got, want)
+			}
+		})
+	}
+}
+
+// Guards against a late request that makes a stalled or leaving primary lead again after its demotion.
+func TestDemotionsAreFenced(t *testing.T) {
+	for name, setUp := range map[string]func(g *registrar.Group, r *registrar.Registrar, reg cataloger.Registry){
+		"leaving": markPrimaryLeaving,
+		"stalled": func(g *registrar.Group, _ *registrar.Registrar, _ cataloger.Registry) { stallWrites(g) },
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				f := &fakeGroup{primary: "a", term: 3, received: map[string]uint64{"a": 9, "b": 9, "c": 9}, errs: map[string]error{"probe a": nil}, fenceErr: errNoAnswer}
+				if got := promotedInstances(t, f, setUp); len(got) > 0 || f.fences == 0 || f.hasCommand("demote a") {
+					t.Errorf("%v promoted after %d fences without an answer; commands %v", got, f.fences, f.commands)
+				}
+			})
+		})
+	}
+}
--- a/internal/group/sealer/sealer.go
+++ b/internal/group/sealer/sealer.go
@@ -16,7 +16,6 @@
 	"net/url"
 	"slices"
 	"strconv"
-	"sync"
 	"time"
 
 	"parsleyscale/internal/failure/classifier"
@@ -54,13 +53,15 @@
 	}()
 	known := s.Addresses(group)
 	err := s.sendAll(ctx, http.MethodPost, known, q)
+	if classifier.Is(err, classifier.Conflict) {
+		return err
+	}
 	refreshErr := <-refreshed
 	added := slices.DeleteFunc(s.Addresses(group), func(a string) bool { return slices.Contains(known, a) })
-	addedErr := s.sendAll(ctx, http.MethodPost, added, q)
-	if classifier.Is(addedErr, classifier.Conflict) {
+	if addedErr := s.sendAll(ctx, http.MethodPost, added, q); addedErr != nil {
 		return addedErr
 	}
-	return cmp.Or(err, addedErr, refreshErr)
+	return cmp.Or(err, refreshErr)
 }
 
 // Unseal ends the seal on the other VMs that can be reached.
@@ -69,20 +70,23 @@
 	_ = s.sendAll(ctx, http.MethodDelete, s.Addresses(group), q)
 }
 
-// sendAll sends a request to other VMs and returns the error of one, preferably one of kind conflict.
+// sendAll sends a request to other VMs and returns the error of one. It returns as soon as there is one of kind conflict.
 func (s *Sealer) sendAll(ctx context.Context, method string, addresses []string, q url.Values) error {
 	ctx, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
-	errs := make([]error, len(addresses))
-	var wg sync.WaitGroup
-	for k, a := range addresses {
-		wg.Go(func() { errs[k] = s.send(ctx, method, "http://"+a+Path+"?"+q.Encode()) })
+	results := make(chan error, len(addresses))
+	for _, a := range addresses {
+		go func() { results <- s.send(ctx, method, "http://"+a+Path+"?"+q.Encode()) }()
 	}
-	wg.Wait()
-	if k := slices.IndexFunc(errs, func(err error) bool { return classifier.Is(err, classifier.Conflict) }); k >= 0 {
-		return errs[k]
+	var err error
+	for range addresses {
+		result := <-results
+		if classifier.Is(result, classifier.Conflict) {
+			return result
+		}
+		err = cmp.Or(err, result)
 	}
-	return cmp.Or(errs...)
+	return err
 }
 
 func (s *Sealer) send(ctx context.Context, method, target string) error {
