Name the team in configurations, targets and requests

The parts that identify callers, keep connections by team and limit teams share these types. Nothing sets a team yet, so that nothing changes.

--- a/internal/sheet/cataloger/catalog.go
+++ b/internal/sheet/cataloger/catalog.go
@@ -29,6 +29,7 @@
 	LatencyObjective time.Duration // 0: none
 	Priority         int           // 0 is the highest
 	SyncReplicas     int           // of the group: replicas that must hold a commit before it is acknowledged
+	IsPublic         bool          // whether callers without a known key are served
 }
 
 // Group is a set of instances with one primary.
@@ -44,6 +45,41 @@
 	Routes                 map[string]Route // by database name
 	Groups                 map[string]Group // by group name; includes the groups of all routes
 	IdleTransactionTimeout time.Duration    // a transaction that is idle for longer may be aborted
+	Teams                  map[string]Team  // by name; empty if callers need no key
+
+	teamByKey map[string]string // team name by key
+}
+
+// Team is a set of callers that share keys and a limit of operations.
+type Team struct {
+	Name     string
+	Keys     []string // secrets; must not be logged
+	Priority int      // 0 is the highest
+	Rate     float64  // limit of operations a second, over all VMs; 0: none
+	Burst    float64  // operations above Rate that may come at once
+}
+
+// WithTeams returns a copy of the configuration with the given teams. A key that several teams have belongs to the first of them.
+func (c Configuration) WithTeams(teams []Team) *Configuration {
+	c.Teams, c.teamByKey = make(map[string]Team, len(teams)), map[string]string{}
+	for _, t := range teams {
+		c.Teams[t.Name] = t
+		for _, key := range t.Keys {
+			if _, ok := c.teamByKey[key]; !ok {
+				c.teamByKey[key] = t.Name
+			}
+		}
+	}
+	return &c
+}
+
+// TeamOf returns the team that holds a key and reports whether there is one. The receiver may be nil.
+func (c *Configuration) TeamOf(key string) (Team, bool) {
+	if c == nil {
+		return Team{}, false
+	}
+	name, ok := c.teamByKey[key]
+	return c.Teams[name], ok
 }
 
 // Route returns the route of a database and reports whether there is one. The receiver may be nil.
--- a/internal/statement/carrier/conn.go
+++ b/internal/statement/carrier/conn.go
@@ -14,11 +14,25 @@
 	After tokenizer.Position
 }
 
-// Target identifies an instance and the network address of its listener.
+// Target identifies an instance, the network address of its listener and the team for which a connection to it is used.
 type Target struct {
 	Instance string
 	Group    string
 	Address  string
+	Team     string // for which the connection is opened; empty: for the VM itself
+	AnyTeam  bool   // an open connection of any team will do; for commands of the VM itself
+}
+
+// WithTeam returns a copy of the target for connections of a team.
+func (t Target) WithTeam(team string) Target {
+	t.Team, t.AnyTeam = team, false
+	return t
+}
+
+// WithAnyTeam returns a copy of the target for commands of the VM itself.
+func (t Target) WithAnyTeam() Target {
+	t.Team, t.AnyTeam = "", true
+	return t
 }
 
 // Conn is an open connection to an instance. It must not be used concurrently.
--- a/internal/statement/conductor/server_test.go
+++ b/internal/statement/conductor/server_test.go
@@ -33,10 +33,10 @@
 	sent   []carrier.Reply
 }
 
-func (c *fakeClient) Start() (string, error)     { return "d", nil }
-func (c *fakeClient) Wait(time.Time) error       { return nil }
-func (c *fakeClient) Send(r carrier.Reply) error { c.sent = append(c.sent, r); return nil }
-func (c *fakeClient) Close()                     { _ = c.conn.Close() }
+func (c *fakeClient) Start() (string, string, error) { return "d", "", nil }
+func (c *fakeClient) Wait(time.Time) error           { return nil }
+func (c *fakeClient) Send(r carrier.Reply) error     { c.sent = append(c.sent, r); return nil }
+func (c *fakeClient) Close()                         { _ = c.conn.Close() }
 func (c *fakeClient) Receive() (carrier.Statement, error) {
 	if c.panics {
 		panic("index out of range")
--- a/internal/statement/conductor/session.go
+++ b/internal/statement/conductor/session.go
@@ -23,8 +23,9 @@
 
 // ClientConn is the connection of a client.
 type ClientConn interface {
-	// Start returns the name of the database that the client asks for.
-	Start() (database string, err error)
+	// Start returns the name of the database that the client asks for, and who the client says that it is: in a configuration
+	// with teams, a key.
+	Start() (database, who string, err error)
 	// Wait returns nil once a statement has begun to arrive, or os.ErrDeadlineExceeded at the deadline.
 	Wait(deadline time.Time) error
 	// Receive returns the next statement. It returns io.EOF if the client has ended
@@ -48,6 +49,7 @@
 	server   *Server
 	client   ClientConn
 	database string
+	key      string // that the client stated; a secret, must not be logged
 
 	values      map[string]string
 	prepared    map[string]carrier.Statement // by the client's name for the statement
@@ -102,11 +104,11 @@
 
 // start receives the start message of the client and replies to it.
 func (s *session) start() error {
-	database, err := s.client.Start()
+	database, who, err := s.client.Start()
 	if err != nil {
 		return err
 	}
-	s.database = database
+	s.database, s.key = database, who
 	if _, r, ok := s.route(); !ok {
 		_ = s.client.Send(r)
 		return errStartRefused
--- a/internal/statement/performer/performer.go
+++ b/internal/statement/performer/performer.go
@@ -131,6 +131,7 @@
 // Request is a statement together with its route and the state of its session.
 type Request struct {
 	Route         cataloger.Route
+	Team          string // that the statement runs for; empty if the caller has none
 	Statement     carrier.Statement
 	Prepared      *carrier.Statement // the prepared statement that Statement executes; nil for other statements
 	SessionValues map[string]string
@@ -335,7 +336,7 @@
 
 // exchangeBegin begins a transaction on an instance and rolls it back. It records and returns the reply to the begin.
 func (p *Performer) exchangeBegin(ctx context.Context, g *registrar.Group, v registrar.View, priority int) (carrier.Reply, error) {
-	lease, err := p.cfg.Pool.Acquire(ctx, registrar.NewTarget(v.Instance), priority)
+	lease, err := p.cfg.Pool.Acquire(ctx, registrar.NewTarget(v.Instance).WithAnyTeam(), priority)
 	if err != nil {
 		return carrier.Reply{}, err
 	}
@@ -441,7 +442,7 @@
 		ctx, cancel = context.WithDeadline(ctx, e.acquireDeadline)
 		defer cancel()
 	}
-	lease, err := e.performer.cfg.Pool.Acquire(ctx, target, e.request.Route.Priority)
+	lease, err := e.performer.cfg.Pool.Acquire(ctx, target.WithTeam(e.request.Team), e.request.Route.Priority)
 	switch {
 	case allotter.IsRejected(err):
 		e.acquireErr = err
