Keep idle connections by team

The name in START is fixed for the lifetime of a connection, so a connection serves one team. The limits of a pool hold over all teams. Within each priority, teams that held connections for less time get one first.

--- a/internal/backend/allotter/allotter.go
+++ b/internal/backend/allotter/allotter.go
@@ -7,10 +7,16 @@
 // that becomes free. A request that is not expected to get a connection before its deadline
 // is rejected at once. So is a request to an instance that has been unreachable for
 // some time; the instance is then still dialed, but no request waits for the dial.
+//
+// The name in an instance's START belongs to one team for the lifetime of the connection, so
+// a connection serves the statements of this team only. The limits of a pool hold for all teams
+// together; decide (decision.go) chooses which team gets a connection next, and which idle
+// connection is closed for another team.
 package allotter
 
 import (
 	"context"
+	"slices"
 	"sync"
 	"time"
 
@@ -42,6 +48,12 @@
 	// Observe is called after each dial, until Close, with the log position of the
 	// instance, the duration and the error of the dial.
 	Observe func(t carrier.Target, p tokenizer.Position, took time.Duration, err error)
+	// Route returns the target with the gateway through which its requests pass at present, if any; nil: t itself.
+	// It is called for waiting requests, too, so that they do not wait for a gateway that has failed. load is the
+	// mean number of connections that the team recently had in use at the instance.
+	Route func(t carrier.Target, load float64) carrier.Target
+	// ObserveWait is called when a request of a team has waited for at least LongTeamWait; may be nil. It must not block.
+	ObserveWait func(t carrier.Target, waited time.Duration)
 
 	DialTimeout       time.Duration
 	IdleTimeout       time.Duration // a connection that is idle for longer is closed
@@ -95,6 +107,7 @@
 	InUse    int // connections in use, without those idle in a transaction
 	Waiting  int // requests in the queue for a connection
 	Idle     int // idle connections
+	Open     int // connections in use, idle, idle in a transaction or being dialed
 	MaxInUse int // connections that may be in use at once
 
 	InDialBackoff        bool // no connection is open, and dials are suspended because the instance refused one
@@ -124,16 +137,17 @@
 
 // loadLocked returns the load of a pool. The caller holds a.mu.
 func (a *Allotter) loadLocked(p *instancePool) Load {
-	return Load{InUse: p.inUse(), Waiting: len(p.waiters), Idle: len(p.idle), MaxInUse: a.maxInUse(p), InDialBackoff: p.open == 0 && p.inDialBackoff(), HasSustainedOverload: p.hasSustainedOverload(time.Now())}
+	return Load{InUse: p.inUse(), Waiting: len(p.waiters), Idle: len(p.idle), Open: p.open, MaxInUse: a.maxInUse(p), InDialBackoff: p.open == 0 && p.inDialBackoff(), HasSustainedOverload: p.hasSustainedOverload(time.Now())}
 }
 
-// Acquire leases a connection to an instance; no transaction is open on it. Requests
-// with a lower priority number are served first. Acquire fails with
+// Acquire leases a connection to an instance; no transaction is open on it. It belongs to
+// the team of t, unless t.AnyTeam is set. Requests with a lower priority number are
+// served first. Acquire fails with
 //   - kind overloaded when ctx ends, or at once when the estimated wait exceeds its deadline;
 //   - kind noInstance, at once, when all dials have failed for some time;
-//   - kind tooManyConnections, at once, when no connection is open and the instance recently refused one;
+//   - kind tooManyConnections, at once, when no connection of the team is open and the instance recently refused one;
 //   - kind shuttingDown after Close;
-//   - the error of a failed dial when no connection is open or being dialed.
+//   - the error of a failed dial when no connection of the team is open or being dialed.
 func (a *Allotter) Acquire(ctx context.Context, t carrier.Target, priority int) (*Lease, error) {
 	for {
 		l, err := a.lease(ctx, t, priority)
@@ -157,33 +171,52 @@
 	}
 	p := a.poolOf(t)
 	maxInUse := a.maxInUse(p)
+	r := a.newRequest(p, t, priority)
 	if p.inUse() < maxInUse && len(p.waiters) == 0 {
-		if l := p.popIdle(); l != nil {
+		if k := p.findIdle(r); k >= 0 {
+			l := p.takeIdle(k, r)
 			a.mu.Unlock()
 			return l, nil
 		}
 	}
 	if now := time.Now(); p.isUnreachable(now) {
 		if p.dialing == 0 && now.Sub(p.lastDialFailedAt) >= unreachableRedialInterval {
-			a.startDial(p)
+			a.startDial(p, a.route(p, t))
 		}
 		a.mu.Unlock()
 		return nil, withRetryAfter(unreachableRetryAfter, classifier.New(classifier.NoInstance, "%s is unreachable: all dials have failed for at least %s", t.Instance, unreachableAfter))
 	}
-	if err := p.admit(ctx, priority, maxInUse); err != nil {
+	if err := p.admit(ctx, r, maxInUse); err != nil {
 		a.mu.Unlock()
 		return nil, err
 	}
-	if p.open == 0 && p.inDialBackoff() {
+	if p.openFor(r) == 0 && p.inDialBackoff() {
 		a.mu.Unlock()
 		return nil, classifier.New(classifier.TooManyConnections, "no open connection to %s, which recently refused one", t.Instance)
 	}
-	w := p.enqueue(priority)
+	w := p.enqueue(t, r)
 	a.serveWaiters(p)
 	a.mu.Unlock()
 	return a.awaitGrant(ctx, p, w)
 }
 
+// newRequest returns the description of a request that arrives now. The caller holds a.mu.
+func (a *Allotter) newRequest(p *instancePool, t carrier.Target, priority int) request {
+	return request{team: t.Team, scope: scopeOf(a.route(p, t)), anyTeam: t.AnyTeam, isControl: priority == ControlPriority, priority: priority, effectiveArrival: effectiveArrival(priority)}
+}
+
+// route returns the target with the gateway through which its requests pass at present.
+func (a *Allotter) route(p *instancePool, t carrier.Target) carrier.Target {
+	if a.cfg.Route == nil {
+		return t
+	}
+	load := 0.0
+	if u := p.teams[t.Team]; u != nil {
+		load = u.meanInUse(time.Now())
+	}
+	return a.cfg.Route(t, load)
+}
+
 // awaitGrant waits until the queued request gets its grant or ctx ends.
 func (a *Allotter) awaitGrant(ctx context.Context, p *instancePool, w *waiter) (*Lease, error) {
 	select {
@@ -195,6 +228,9 @@
 	wasQueued := p.dequeue(w)
 	p.recordOverload(time.Now())
 	wait, isConnected := p.estimateWait(len(p.waiters)+1, a.maxInUse(p)), p.open > p.dialing
+	if wasQueued {
+		a.observeWait(w)
+	}
 	a.mu.Unlock()
 	if !wasQueued {
 		if g := <-w.ready; g.lease != nil {
@@ -209,41 +245,71 @@
 	return nil, err
 }
 
-// serveWaiters gives idle connections to the first requests in the queue, up to the limit
-// of connections in use, and starts dials for the others. The caller holds a.mu.
+// serveWaiters gives idle connections to requests in the queue and starts dials for others, as
+// decide says. The caller holds a.mu.
 func (a *Allotter) serveWaiters(p *instancePool) {
-	for len(p.waiters) > 0 && len(p.idle) > 0 && p.inUse() < a.maxInUse(p) {
-		p.grantFirst(grant{lease: p.popIdle()})
+	if len(p.waiters) == 0 {
+		return
+	}
+	a.routeWaiters(p)
+	limits := a.cfg.Limits(p.target)
+	for len(p.waiters) > 0 {
+		switch d := decide(p.snapshot(limits, a.cfg.LimitGrowInterval, !a.closed)); d.kind {
+		case giveIdle:
+			w := p.waiters[d.waiter]
+			a.observeWait(w)
+			p.grantWaiter(d.waiter, grant{lease: p.takeIdle(d.idle, w.request)})
+		case closeIdle:
+			l := p.idle[d.idle]
+			p.idle = slices.Delete(p.idle, d.idle, d.idle+1)
+			p.close(l)
+			p.stats.ClosedForOthers++
+		case dial:
+			a.startDial(p, a.route(p, p.waiters[d.waiter].target))
+		default:
+			return
+		}
+	}
+}
+
+// routeWaiters updates which connections the requests in the queue can use. The caller holds a.mu.
+func (a *Allotter) routeWaiters(p *instancePool) {
+	if a.cfg.Route == nil {
+		return
 	}
-	for p.dialing < len(p.waiters) && a.mayDial(p) {
-		a.startDial(p)
+	scopes := map[string]scope{}
+	for _, w := range p.waiters {
+		s, ok := scopes[w.team]
+		if !ok {
+			s = scopeOf(a.route(p, w.target))
+			scopes[w.team] = s
+		}
+		w.scope = s
+	}
+}
+
+// LongTeamWait is the wait for a connection from which Config.ObserveWait is called. It is half of the
+// shortest latency objective of routes with teams.
+const LongTeamWait = 200 * time.Millisecond
+
+// observeWait reports the wait of a request of a team if it is long. The caller holds a.mu.
+func (a *Allotter) observeWait(w *waiter) {
+	if waited := time.Since(w.enqueuedAt); w.team != "" && waited >= LongTeamWait && a.cfg.ObserveWait != nil {
+		a.cfg.ObserveWait(w.target, waited)
 	}
 }
 
 // startDial dials an instance in the background. The caller holds a.mu.
-func (a *Allotter) startDial(p *instancePool) {
+func (a *Allotter) startDial(p *instancePool, t carrier.Target) {
+	t.Address, t.AnyTeam = p.target.Address, false // the address may have changed since the request
 	p.open++
 	p.dialing++
-	t := p.target
+	u := p.scopeUse(scopeOf(t))
+	u.open++
+	u.dialing++
 	a.wg.Go(func() { a.dial(p, t) })
 }
 
-// mayDial reports whether the limits allow one more dial and a request could use the
-// connection. The caller holds a.mu.
-func (a *Allotter) mayDial(p *instancePool) bool {
-	if a.closed || p.inDialBackoff() || len(p.idle) > 0 {
-		return false
-	}
-	limits := a.cfg.Limits(p.target)
-	// A handshake occupies a slot of the instance that a statement could use. The number of
-	// connections therefore at most doubles in the time of one dial.
-	maxDialing := max(1, p.open-p.dialing)
-	if limits.Dialing > 0 {
-		maxDialing = min(maxDialing, limits.Dialing)
-	}
-	return p.dialing < maxDialing && p.open < p.maxOpen(limits, a.cfg.LimitGrowInterval) && p.open-p.idleInTx < p.maxInUse(limits, a.cfg.LimitGrowInterval)
-}
-
 // dial opens a connection, reports the outcome to Config.Observe and adds the connection to the pool.
 func (a *Allotter) dial(p *instancePool, t carrier.Target) {
 	ctx, cancel := context.WithTimeout(a.ctx, a.cfg.DialTimeout)
@@ -256,23 +322,27 @@
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	p.dialing--
+	u := p.scopeUse(scopeOf(t))
+	u.dialing--
 	if err != nil {
 		p.open--
-		a.handleDialError(p, err)
+		u.open--
+		a.handleDialError(p, scopeOf(t), err)
 		return
 	}
 	p.stats.Opened++
 	p.dialBackoff, p.dialsFailingSince = 0, time.Time{}
 	// After an accepted connection, the instance may have room for another one.
 	p.reducedLimit = max(p.reducedLimit, p.open+1)
-	l := &Lease{allotter: a, pool: p, target: t, conn: conn, sessionValues: map[string]string{}, prepared: map[string]bool{}, lastUsedAt: time.Now()}
+	l := &Lease{allotter: a, pool: p, target: t, scope: scopeOf(t), conn: conn, sessionValues: map[string]string{}, prepared: map[string]bool{}, lastUsedAt: time.Now()}
 	a.putLocked(l)
 }
 
 // handleDialError lowers the limit of open connections and suspends dials when the
 // instance refused the connection. It records other failures if no connection is established.
-// If none is being dialed either, all requests in the queue fail with err. The caller holds a.mu.
-func (a *Allotter) handleDialError(p *instancePool, err error) {
+// If none is being dialed either, all requests in the queue fail with err, and if none of scope s
+// is, those that need one. The caller holds a.mu.
+func (a *Allotter) handleDialError(p *instancePool, s scope, err error) {
 	if classifier.Is(err, classifier.TooManyConnections) {
 		p.reducedLimit = max(1, p.open)
 		p.refusedAt, p.dialsFailingSince = time.Now(), time.Time{}
@@ -281,8 +351,14 @@
 	} else if p.open == p.dialing {
 		p.recordDialFailure(time.Now())
 	}
-	if p.open == 0 {
+	a.routeWaiters(p)
+	switch {
+	case s.gateway != "" && !classifier.Is(err, classifier.TooManyConnections) && !p.isAwaited(s):
+		a.serveWaiters(p) // the requests now pass through another gateway
+	case p.open == 0:
 		p.failWaiters(err)
+	case p.scopeUse(s).open == 0:
+		p.failWaitersOf(s, err)
 	}
 }
 
@@ -292,8 +368,7 @@
 func (a *Allotter) putLocked(l *Lease) {
 	p := l.pool
 	if a.closed || p.target.Address != l.target.Address || p.open > a.maxOpen(p) {
-		l.conn.Close()
-		p.open--
+		p.close(l)
 	} else {
 		p.idle = append(p.idle, l)
 	}
@@ -346,8 +421,9 @@
 
 // Stats counts the connections to one instance since the start of the allotter.
 type Stats struct {
-	Opened  uint64
-	Refused uint64 // by the instance, because it had too many
+	Opened          uint64
+	Refused         uint64 // by the instance, because it had too many
+	ClosedForOthers uint64 // idle ones that were closed to open one for another team
 }
 
 // Stats returns the counts of all instances, by instance name.
@@ -375,6 +451,7 @@
 		for _, p := range a.pools {
 			p.closeIdleBefore(time.Now().Add(-a.cfg.IdleTimeout))
 			p.closeExtraIdle(time.Now().Add(-a.cfg.ExtraIdleTimeout))
+			p.dropUnused(time.Now())
 		}
 		a.mu.Unlock()
 	}
--- a/internal/backend/allotter/instance_pool.go
+++ b/internal/backend/allotter/instance_pool.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"maps"
 	"math/rand/v2"
 	"slices"
 	"time"
@@ -21,7 +22,9 @@
 type instancePool struct {
 	target            carrier.Target
 	idle              []*Lease // the most recently used one is last
-	open              int      // in use, idle or being dialed
+	scopes            map[scope]*scopeUse
+	teams             map[string]*teamUse // teams that used the instance recently, by name
+	open              int                 // in use, idle or being dialed
 	dialing           int
 	idleInTx          int           // leased and idle in a transaction
 	waiters           []*waiter     // ordered by effectiveArrival
@@ -49,10 +52,10 @@
 
 // waiter is a request in the queue for a connection.
 type waiter struct {
-	effectiveArrival time.Time // time of arrival, shifted by the priority
-	enqueuedAt       time.Time
-	isControl        bool
-	ready            chan grant
+	request
+	target     carrier.Target // as requested, before Config.Route
+	enqueuedAt time.Time
+	ready      chan grant
 }
 
 // effectiveArrival returns the sort key of the queue for a request that arrives now: the arrival time, shifted by the priority.
@@ -72,12 +75,12 @@
 func (a *Allotter) poolOf(t carrier.Target) *instancePool {
 	p, ok := a.pools[t.Instance]
 	if !ok {
-		p = &instancePool{target: t, meanHoldTime: initialHoldTime, congestionWindow: maxCongestionWindow}
+		p = &instancePool{target: t.WithTeam("").WithGateway(""), scopes: map[scope]*scopeUse{}, teams: map[string]*teamUse{}, meanHoldTime: initialHoldTime, congestionWindow: maxCongestionWindow}
 		a.pools[t.Instance] = p
 	}
 	if p.target.Address != t.Address {
 		p.closeIdleBefore(time.Now())
-		p.target = t
+		p.target = t.WithTeam("").WithGateway("")
 	}
 	return p
 }
@@ -85,38 +88,124 @@
 // inUse returns the number of leased connections that are not idle in a transaction.
 func (p *instancePool) inUse() int { return p.open - p.dialing - len(p.idle) - p.idleInTx }
 
-// markActive ends the idle-in-transaction state of a lease, if it is in it.
-func (p *instancePool) markActive(l *Lease) {
-	if l.isIdleInTx {
-		l.isIdleInTx = false
-		p.idleInTx--
+// endIdleInTx ends the idle-in-transaction state of a lease. It returns false if the lease is not in it.
+func (p *instancePool) endIdleInTx(l *Lease) bool {
+	if !l.isIdleInTx {
+		return false
 	}
+	l.isIdleInTx = false
+	p.idleInTx--
+	return true
 }
 
-// popIdle takes the most recently used idle connection out of the pool. It returns nil when there is none.
-func (p *instancePool) popIdle() *Lease {
-	n := len(p.idle)
-	if n == 0 {
-		return nil
-	}
-	l := p.idle[n-1]
-	p.idle = p.idle[:n-1]
+// takeIdle takes idle connection k out of the pool for a request.
+func (p *instancePool) takeIdle(k int, r request) *Lease {
+	l := p.idle[k]
+	p.idle = slices.Delete(p.idle, k, k+1)
+	l.team, l.teamConn, l.holdStart = r.team, teamConn{l.conn, r.team}, time.Now()
+	p.scopeUse(l.scope).recordReturn(l.holdStart)
+	p.teamUse(r.team).inUse++
 	return l
 }
 
+// findIdle returns the index of the most recently used idle connection that can serve r, or -1 if there is none.
+func (p *instancePool) findIdle(r request) int {
+	for k := len(p.idle) - 1; k >= 0; k-- {
+		if r.canUse(p.idle[k].scope) {
+			return k
+		}
+	}
+	return -1
+}
+
+// openFor returns the number of connections, including those being dialed, that can serve r.
+func (p *instancePool) openFor(r request) int {
+	if r.anyTeam {
+		return p.open
+	}
+	if u := p.scopes[r.scope]; u != nil {
+		return u.open
+	}
+	return 0
+}
+
+// isAwaited reports whether a request in the queue needs a connection of scope s.
+func (p *instancePool) isAwaited(s scope) bool {
+	return slices.ContainsFunc(p.waiters, func(w *waiter) bool { return w.scope == s })
+}
+
+// endUse records that a connection is no longer in use for its team.
+func (p *instancePool) endUse(l *Lease) {
+	u := p.teamUse(l.team)
+	u.inUse--
+	u.recordHold(time.Now(), time.Since(l.holdStart))
+}
+
+// scopeUse returns the use of a scope and creates it if there is none.
+func (p *instancePool) scopeUse(s scope) *scopeUse {
+	u, ok := p.scopes[s]
+	if !ok {
+		u = &scopeUse{}
+		p.scopes[s] = u
+	}
+	return u
+}
+
+// teamUse returns the use of a team and creates it if there is none.
+func (p *instancePool) teamUse(team string) *teamUse {
+	u, ok := p.teams[team]
+	if !ok {
+		u = &teamUse{}
+		p.teams[team] = u
+	}
+	return u
+}
+
+// dropUnused removes the records of scopes and teams that have not used the instance for a while.
+func (p *instancePool) dropUnused(now time.Time) {
+	maps.DeleteFunc(p.scopes, func(_ scope, u *scopeUse) bool { return u.open == 0 && u.returnsPerSecond(now) < minReturnsPerSecond })
+	maps.DeleteFunc(p.teams, func(_ string, u *teamUse) bool { return u.inUse == 0 && u.meanInUse(now)*loadDecay.Seconds() < minHeld })
+}
+
+// close closes connection l, which is not in p.idle any more.
+func (p *instancePool) close(l *Lease) {
+	l.conn.Close()
+	p.open--
+	p.scopeUse(l.scope).open--
+}
+
+// snapshot returns the state of the pool on which a decision is based.
+func (p *instancePool) snapshot(l Limits, growInterval time.Duration, mayDial bool) snapshot {
+	now := time.Now()
+	s := snapshot{
+		scopes: p.scopes, teams: p.teams, now: now, meanHoldTime: p.meanHoldTime, mayDial: mayDial && !p.inDialBackoff(),
+		inUse: p.inUse(), dialing: p.dialing, open: p.open, maxOpen: p.maxOpen(l, growInterval), maxInUse: p.maxInUseByStatements(l, growInterval),
+	}
+	// A handshake occupies a slot of the instance that a statement could use. The number of
+	// connections therefore at most doubles in the time of one dial.
+	s.maxDialing = max(1, p.open-p.dialing)
+	if l.Dialing > 0 {
+		s.maxDialing = min(s.maxDialing, l.Dialing)
+	}
+	s.waiters = make([]request, len(p.waiters))
+	for k, w := range p.waiters {
+		s.waiters[k] = w.request
+	}
+	s.idle = make([]idleConn, len(p.idle))
+	for k, l := range p.idle {
+		s.idle[k] = idleConn{scope: l.scope, lastUsedAt: l.lastUsedAt}
+	}
+	return s
+}
+
 // admit returns an error when the estimated wait of a new request exceeds the time
 // until its deadline. maxInUse is the number of connections that may be in use at once.
-func (p *instancePool) admit(ctx context.Context, priority, maxInUse int) error {
+func (p *instancePool) admit(ctx context.Context, r request, maxInUse int) error {
 	d, ok := ctx.Deadline()
 	if !ok {
 		return nil
 	}
-	ahead, arrival := 0, effectiveArrival(priority)
-	for _, w := range p.waiters {
-		if !w.effectiveArrival.After(arrival) {
-			ahead++
-		}
-	}
+	ahead := p.requestsAhead(r)
 	if wait := p.estimateWait(ahead, maxInUse); wait > time.Until(d) {
 		p.recordOverload(time.Now())
 		return withRetryAfter(wait, classifier.New(classifier.Overloaded, "%s is overloaded: %d requests are ahead in the queue for %d usable connections", p.target.Instance, ahead, maxInUse))
@@ -124,6 +213,17 @@
 	return nil
 }
 
+// requestsAhead returns how many waiting requests would be served before a new one.
+func (p *instancePool) requestsAhead(r request) int {
+	k := p.placeOf(r.effectiveArrival)
+	s := snapshot{teams: p.teams, now: time.Now(), meanHoldTime: p.meanHoldTime, waiters: make([]request, 0, len(p.waiters)+1)}
+	for _, w := range p.waiters {
+		s.waiters = append(s.waiters, w.request)
+	}
+	s.waiters = slices.Insert(s.waiters, k, r)
+	return slices.Index(fairOrder(s), k)
+}
+
 const (
 	// unreachableAfter is the time for which dials must have failed before requests are
 	// rejected at once instead of waiting. It is longer than a failover usually takes.
@@ -164,16 +264,21 @@
 	return min(n, grown)
 }
 
-// maxInUse returns how many connections may be in use at once. This is less than
-// maxOpen after the instance rejected statements for overload, or when Limits.InUse is
-// lower, as further statements would only queue at the instance. While a control
+// maxInUse returns how many connections may be in use at once. While a control
 // command is first in the queue, all open connections may be used, because the
 // other requests may be waiting for its effect.
 func (p *instancePool) maxInUse(l Limits, growInterval time.Duration) int {
-	n := p.maxOpen(l, growInterval)
 	if p.isControlFirst() {
-		return n
+		return p.maxOpen(l, growInterval)
 	}
+	return p.maxInUseByStatements(l, growInterval)
+}
+
+// maxInUseByStatements returns how many connections statements may use at once. This is
+// less than maxOpen after the instance rejected statements for overload, or when
+// Limits.InUse is lower, as further statements would only queue at the instance.
+func (p *instancePool) maxInUseByStatements(l Limits, growInterval time.Duration) int {
+	n := p.maxOpen(l, growInterval)
 	if l.InUse > 0 {
 		n = min(n, l.InUse)
 	}
@@ -207,14 +312,19 @@
 }
 
 // enqueue adds a request to the queue, behind those with the same or an earlier effective arrival.
-func (p *instancePool) enqueue(priority int) *waiter {
-	w := &waiter{effectiveArrival: effectiveArrival(priority), enqueuedAt: time.Now(), isControl: priority == ControlPriority, ready: make(chan grant, 1)}
+func (p *instancePool) enqueue(t carrier.Target, r request) *waiter {
+	w := &waiter{request: r, target: t, enqueuedAt: time.Now(), ready: make(chan grant, 1)}
+	p.waiters = slices.Insert(p.waiters, p.placeOf(r.effectiveArrival), w)
+	return w
+}
+
+// placeOf returns the index in the queue at which a request with the given effective arrival is inserted.
+func (p *instancePool) placeOf(effectiveArrival time.Time) int {
 	k := len(p.waiters)
-	for k > 0 && p.waiters[k-1].effectiveArrival.After(w.effectiveArrival) {
+	for k > 0 && p.waiters[k-1].effectiveArrival.After(effectiveArrival) {
 		k--
 	}
-	p.waiters = slices.Insert(p.waiters, k, w)
-	return w
+	return k
 }
 
 // dequeue removes a request from the queue. It returns false when the request already has its grant.
@@ -227,10 +337,10 @@
 	return true
 }
 
-// grantFirst removes the first request from the queue and gives it g.
-func (p *instancePool) grantFirst(g grant) {
-	w := p.waiters[0]
-	p.waiters = slices.Delete(p.waiters, 0, 1)
+// grantWaiter removes request k from the queue and gives it g.
+func (p *instancePool) grantWaiter(k int, g grant) {
+	w := p.waiters[k]
+	p.waiters = slices.Delete(p.waiters, k, k+1)
 	if now := time.Now(); now.Sub(w.enqueuedAt) > overloadWait {
 		p.recordOverload(now)
 	}
@@ -264,34 +374,40 @@
 // failWaiters answers all requests in the queue with err.
 func (p *instancePool) failWaiters(err error) {
 	for len(p.waiters) > 0 {
-		p.grantFirst(grant{err: err})
+		p.grantWaiter(0, grant{err: err})
 	}
 }
 
-// closeIdleBefore closes the idle connections that were last used before the given time.
-func (p *instancePool) closeIdleBefore(before time.Time) {
-	keep := p.idle[:0]
-	for _, l := range p.idle {
-		if l.lastUsedAt.Before(before) {
-			l.conn.Close()
-			p.open--
-			continue
+// failWaitersOf answers the requests in the queue that only a connection of scope s can serve with err.
+func (p *instancePool) failWaitersOf(s scope, err error) {
+	for k := len(p.waiters) - 1; k >= 0; k-- {
+		if w := p.waiters[k]; w.scope == s && !w.anyTeam {
+			p.grantWaiter(k, grant{err: err})
 		}
-		keep = append(keep, l)
 	}
-	clear(p.idle[len(keep):])
-	p.idle = keep
+}
+
+// closeIdleBefore closes the idle connections that were last used before the given time.
+func (p *instancePool) closeIdleBefore(before time.Time) {
+	p.closeIdleIf(func(l *Lease) bool { return l.lastUsedAt.Before(before) })
 }
 
 // closeExtraIdle closes idle connections that were last used before the given time, but
-// leaves one connection open. This makes room for VMs that restart: the
+// leaves one connection open for each scope. This makes room for VMs that restart: the
 // instance still counts the connections of VMs that vanished without closing them.
 func (p *instancePool) closeExtraIdle(before time.Time) {
-	for p.open > 1 && len(p.idle) > 0 && p.idle[0].lastUsedAt.Before(before) {
-		p.idle[0].conn.Close()
-		p.idle = slices.Delete(p.idle, 0, 1)
-		p.open--
-	}
+	p.closeIdleIf(func(l *Lease) bool { return l.lastUsedAt.Before(before) && p.scopeUse(l.scope).open > 1 })
+}
+
+// closeIdleIf closes the idle connections for which f returns true.
+func (p *instancePool) closeIdleIf(f func(*Lease) bool) {
+	p.idle = slices.DeleteFunc(p.idle, func(l *Lease) bool {
+		if !f(l) {
+			return false
+		}
+		p.close(l)
+		return true
+	})
 }
 
 // inDialBackoff reports whether dials are suspended after a refused connection.
--- a/internal/backend/allotter/lease.go
+++ b/internal/backend/allotter/lease.go
@@ -19,7 +19,10 @@
 	allotter   *Allotter
 	pool       *instancePool
 	target     carrier.Target
+	scope      scope
 	conn       carrier.Conn
+	team       string   // of the request that has the connection
+	teamConn   teamConn // conn for this team
 	lastUsedAt time.Time
 	holdStart  time.Time // when the request got the connection, or resumed its transaction
 
@@ -32,8 +35,22 @@
 // Target returns the instance that the connection leads to.
 func (l *Lease) Target() carrier.Target { return l.target }
 
-// Conn returns the connection itself.
-func (l *Lease) Conn() carrier.Conn { return l.conn }
+// Conn returns the connection. It sends all commands for the team of the request.
+func (l *Lease) Conn() carrier.Conn { return &l.teamConn }
+
+// teamConn is a connection on which all commands are sent for one team.
+type teamConn struct {
+	carrier.Conn
+	team string
+}
+
+// Send implements carrier.Conn.
+func (c *teamConn) Send(cmds ...carrier.Command) error {
+	for k := range cmds {
+		cmds[k].Team = c.team
+	}
+	return c.Conn.Send(cmds...)
+}
 
 // Release returns the connection to the pool. The connection must be outside a
 // transaction and have no reply outstanding.
@@ -44,8 +61,9 @@
 	defer l.allotter.mu.Unlock()
 	if !l.isIdleInTx {
 		l.pool.recordHoldTime(l.lastUsedAt.Sub(l.holdStart))
+		l.pool.endUse(l)
 	}
-	l.pool.markActive(l)
+	l.pool.endIdleInTx(l)
 	l.allotter.putLocked(l)
 }
 
@@ -59,6 +77,7 @@
 		return
 	}
 	l.pool.recordHoldTime(time.Since(l.holdStart))
+	l.pool.endUse(l)
 	l.isIdleInTx = true
 	l.pool.idleInTx++
 	l.allotter.serveWaiters(l.pool)
@@ -70,7 +89,9 @@
 func (l *Lease) MarkActive() {
 	l.allotter.mu.Lock()
 	defer l.allotter.mu.Unlock()
-	l.pool.markActive(l)
+	if l.pool.endIdleInTx(l) {
+		l.pool.teamUse(l.team).inUse++
+	}
 	l.holdStart = time.Now()
 }
 
@@ -79,16 +100,22 @@
 	l.conn.Close()
 	l.allotter.mu.Lock()
 	defer l.allotter.mu.Unlock()
-	l.pool.markActive(l)
+	if !l.pool.endIdleInTx(l) {
+		l.pool.endUse(l)
+	}
 	l.pool.open--
+	l.pool.scopeUse(l.scope).open--
 	l.allotter.serveWaiters(l.pool)
 }
 
 // discardWithIdle closes a connection that failed its check, and all idle connections to
-// the same instance, because they most likely have the same fault.
+// the same instance through the same gateway, because they most likely have the same fault.
 func (l *Lease) discardWithIdle() {
 	l.allotter.mu.Lock()
-	l.pool.closeIdleBefore(time.Now())
+	now := time.Now()
+	l.pool.closeIdleIf(func(idle *Lease) bool {
+		return idle.scope.gateway == l.scope.gateway && idle.lastUsedAt.Before(now)
+	})
 	l.allotter.mu.Unlock()
 	l.Discard()
 }
@@ -118,7 +145,7 @@
 // Exchange sends commands as one batch and receives their replies. On an error it
 // returns the replies received before.
 func (l *Lease) Exchange(cmds ...carrier.Command) ([]carrier.Reply, error) {
-	if err := l.conn.Send(cmds...); err != nil {
+	if err := l.Conn().Send(cmds...); err != nil {
 		return nil, err
 	}
 	replies := make([]carrier.Reply, 0, len(cmds))
--- a/internal/group/commander/commander.go
+++ b/internal/group/commander/commander.go
@@ -49,7 +49,7 @@
 // execute sends a command over a pooled connection, which it acquires ahead of waiting statements, and returns the
 // status in the instance's answer. It closes the connection if the exchange fails.
 func (c Controller) execute(ctx context.Context, t carrier.Target, s carrier.Statement) (carrier.InstanceStatus, error) {
-	lease, err := c.Pool.Acquire(ctx, t, allotter.ControlPriority)
+	lease, err := c.Pool.Acquire(ctx, t.WithAnyTeam(), allotter.ControlPriority)
 	if err != nil {
 		return carrier.InstanceStatus{}, err
 	}
--- a/internal/statement/carrier/conn.go
+++ b/internal/statement/carrier/conn.go
@@ -12,6 +12,7 @@
 type Command struct {
 	Statement
 	After tokenizer.Position
+	Team  string // that the statement runs for; empty: for the VM itself, or for a client without a team
 }
 
 // Target identifies an instance, the network address of its listener and the team for which a connection to it is used.
@@ -21,6 +22,7 @@
 	Address  string
 	Team     string // for which the connection is opened; empty: for the VM itself
 	AnyTeam  bool   // an open connection of any team will do; for commands of the VM itself
+	Gateway  string // link address of the VM through which statements of several teams pass to the instance; empty: the dialer decides
 }
 
 // WithTeam returns a copy of the target for connections of a team.
@@ -35,6 +37,12 @@
 	return t
 }
 
+// WithGateway returns a copy of the target for connections through the VM with the given link address.
+func (t Target) WithGateway(address string) Target {
+	t.Gateway = address
+	return t
+}
+
 // Conn is an open connection to an instance. It must not be used concurrently.
 type Conn interface {
 	// Send writes all commands without waiting for replies.
