--- a/internal/statement/forwarder/server.go
+++ b/internal/statement/forwarder/server.go
@@ -148,6 +148,7 @@
 	values   map[string]string            // session values
 	prepared map[string]carrier.Statement // by the other VM's name for the statement
 	lease    *allotter.Lease              // connection to the instance that the open transaction holds; nil outside one
+	team     string                       // for which the lease was acquired
 }
 
 func (c *proxyConn) run() {
@@ -185,12 +186,15 @@
 			return carrier.Reply{}, nil
 		}
 	}
+	if c.lease != nil && cmd.Team != c.team {
+		return carrier.ErrorReply(classifier.BadMessage, "statement of another team than the open transaction").WithState(carrier.InTransaction), nil
+	}
 	if c.lease == nil {
 		lease, err := c.acquire(cmd)
 		if err != nil {
 			return c.refuse(err), nil
 		}
-		c.lease = lease
+		c.lease, c.team = lease, cmd.Team
 	}
 	return c.forward(cmd)
 }
@@ -223,11 +227,10 @@
 	}
 	ctx, cancel := context.WithTimeout(c.server.ctx, timeout)
 	defer cancel()
-	priority := statementPriority
 	if cmd.IsControl() {
-		priority = allotter.ControlPriority
+		return c.server.cfg.Pool.Acquire(ctx, c.target.WithAnyTeam(), allotter.ControlPriority)
 	}
-	return c.server.cfg.Pool.Acquire(ctx, c.target, priority)
+	return c.server.cfg.Pool.Acquire(ctx, c.target.WithTeam(cmd.Team), statementPriority)
 }
 
 // forward executes a command on the leased connection. It releases the connection once it is
