Choose the gateway of a team by rendezvous hashing

The few connections of a team are then on one gateway of each instance. Report open connections, connections closed for another team, and long waits.

--- a/internal/daemon/assembler/assembler.go
+++ b/internal/daemon/assembler/assembler.go
@@ -135,14 +135,14 @@
 	p.OnCall(v.countCall)
 	v.groups = registrar.New(p.Clock)
 	v.groups.Observe(v.logPrimaryChange)
-	v.gateways = &gatewayDialer{vm: v, failed: map[string]time.Time{}}
+	v.gateways = &gatewayDialer{vm: v, failed: map[string]time.Time{}, probing: map[string]bool{}}
 	v.tableSource = v.newSource()
 	v.members = newMembers(cfg, p.Store, v.tableSource)
 	v.summarizer = newSummarizer(p.Store, v.isLarge)
 	v.departures = &departures{source: p.Store, table: p.RegistryTable, startedAt: time.Now()}
 	go v.members.refreshLoop(context.Background())
 	v.auditor = auditor.Start(p.Store, cfg.ID)
-	v.pool = allotter.New(allotter.Config{Dialer: v.gateways, Limits: v.gateways.connectionLimits, Observe: v.recordDial})
+	v.pool = allotter.New(allotter.Config{Dialer: v.gateways, Limits: v.gateways.connectionLimits, Observe: v.recordDial, Route: v.gateways.route, ObserveWait: v.logTeamWait})
 	controller := commander.Controller{Pool: v.pool, Parse: p.ParseCondition}
 	peers := commander.Peers{Dialer: p.Dialer, Addresses: v.gateways.linkAddresses, Parse: p.ParseCondition}
 	v.performer = performer.New(performer.Config{
--- a/internal/daemon/assembler/gateway.go
+++ b/internal/daemon/assembler/gateway.go
@@ -36,9 +36,10 @@
 // gatewayDialer decides whether this VM connects to an instance itself or through a gateway, and dials accordingly. A
 // gateway is a VM that shares its connections to an instance with other VMs.
 type gatewayDialer struct {
-	vm     *VM
-	mu     sync.Mutex
-	failed map[string]time.Time // time of the last failed dial, by gateway address
+	vm      *VM
+	mu      sync.Mutex
+	failed  map[string]time.Time // time of the last failed dial, by gateway address
+	probing map[string]bool      // addresses of the gateways that are being probed
 }
 
 // gatewaysOf returns the gateways of an instance. If there are none, each VM connects to the instance itself.
@@ -70,7 +71,11 @@
 func (d *gatewayDialer) connectionLimits(t carrier.Target) allotter.Limits {
 	list := d.gatewaysOf(t)
 	if len(list) > 0 && !d.isSelf(list) {
-		return allotter.Limits{Open: maxConnectionsToGateways}
+		if !d.vm.hasTeams() {
+			return allotter.Limits{Open: maxConnectionsToGateways}
+		}
+		// Open links of each gateway, and of those without a team; no more in use than without teams.
+		return allotter.Limits{Open: maxConnectionsToGateways * (len(list) + 1), InUse: maxConnectionsToGateways}
 	}
 	n := len(list)
 	if n == 0 {
@@ -82,19 +87,29 @@
 		l.Dialing = max(1, i.Slots/n)
 	}
 	if i.Slots > 0 && len(list) > 0 {
-		l.InUse = max(minConnectionsPerGateway, 2*i.Slots)
+		l.InUse = gatewayInUse(i.Slots)
 	}
 	return l
 }
 
+// gatewayInUse returns how many connections to an instance with the given number of slots a gateway may have in use.
+func gatewayInUse(slots int) int { return max(minConnectionsPerGateway, 2*slots) }
+
 func (d *gatewayDialer) isSelf(list []member) bool {
 	return slices.ContainsFunc(list, func(m member) bool { return m.ID == d.vm.cfg.ID })
 }
 
-// Dial implements carrier.Dialer. It dials the instance, or one of its gateways if it has any. If the dials of all
+// Dial implements carrier.Dialer. For a team, it dials t.Gateway, which route has chosen, or the instance itself. Without a
+// team, it dials the instance, or one of its gateways if it has any. If the dials of all
 // gateways failed recently, it dials the instance itself. A failure to reach a gateway shows nothing about the
 // instance, so it is returned as classifier.Overloaded, which does not count as a failed dial of the instance.
 func (d *gatewayDialer) Dial(ctx context.Context, t carrier.Target) (carrier.Conn, tokenizer.Position, error) {
+	if t.Gateway != "" {
+		return d.dialGateway(ctx, t)
+	}
+	if t.Team != "" {
+		return d.vm.platform.Dialer.Dial(ctx, t)
+	}
 	list := d.gatewaysOf(t)
 	if len(list) == 0 || d.isSelf(list) {
 		return d.vm.platform.Dialer.Dial(ctx, t)
@@ -107,14 +122,18 @@
 	via.Address = g.LinkAddress
 	conn, position, err := d.vm.platform.Dialer.Dial(ctx, via)
 	if err != nil && !isRefusal(err) {
-		d.mu.Lock()
-		d.failed[g.LinkAddress] = time.Now()
-		d.mu.Unlock()
+		d.recordFailedGateway(g.LinkAddress)
 		err = classifier.Wrap(classifier.Overloaded, err, "gateway %s cannot be reached", g.ID)
 	}
 	return conn, position, err
 }
 
+func (d *gatewayDialer) recordFailedGateway(address string) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.failed[address] = time.Now()
+}
+
 // directDialTimeout bounds the direct dial with which a VM checks an instance that it usually reaches through gateways.
 const directDialTimeout = 300 * time.Millisecond
 
@@ -244,6 +263,12 @@
 	return addresses
 }
 
+// hasTeams reports whether the configuration has teams.
+func (v *VM) hasTeams() bool {
+	c := v.configuration.Load()
+	return c != nil && len(c.Teams) > 0
+}
+
 // isConfigured reports whether the configuration has a group.
 func (v *VM) isConfigured(group string) bool {
 	c := v.configuration.Load()
--- a/internal/daemon/assembler/log.go
+++ b/internal/daemon/assembler/log.go
@@ -1,6 +1,8 @@
 package assembler
 
 import (
+	"time"
+
 	"parsleyscale/internal/backend/allotter"
 	"parsleyscale/internal/failure/classifier"
 	"parsleyscale/internal/group/registrar"
@@ -57,6 +59,11 @@
 	v.log.Sample(logger.SessionEnded, reason, logger.String("reason", reason))
 }
 
+// logTeamWait logs that a request of a team has waited long for a connection. The lines of each team are sampled.
+func (v *VM) logTeamWait(t carrier.Target, waited time.Duration) {
+	v.log.Sample(logger.TeamWaits, t.Team, logger.String("team", t.Team), logger.String("instance", t.Instance), logger.Millis("waited", waited))
+}
+
 func (v *VM) logPanic(err error) { v.log.Warn(logger.SessionPanicked, logger.Err(err)) }
 
 func (v *VM) countCall(call string, err error) {
@@ -75,6 +82,8 @@
 		{Name: "parsleyscale.links", Help: "connections to an instance in use", Read: v.loadGauge(func(l allotter.Load) int { return l.InUse })},
 		{Name: "parsleyscale.links.waiting", Help: "requests waiting for a connection to an instance", Read: v.loadGauge(func(l allotter.Load) int { return l.Waiting })},
 		{Name: "parsleyscale.links.limit", Help: "limit of the connections to an instance in use", Read: v.loadGauge(func(l allotter.Load) int { return l.MaxInUse })},
+		{Name: "parsleyscale.links.open", Help: "open connections to an instance, or to gateways of it", Read: v.loadGauge(func(l allotter.Load) int { return l.Open })},
+		{Name: "parsleyscale.links.closed_for_team", Help: "idle connections to an instance closed to open one for another team since the VM started", Read: v.statsGauge(func(s allotter.Stats) uint64 { return s.ClosedForOthers })},
 		{Name: "parsleyscale.links.opened", Help: "connections to an instance opened since the VM started", Read: v.statsGauge(func(s allotter.Stats) uint64 { return s.Opened })},
 		{Name: "parsleyscale.links.refused", Help: "connections that an instance refused since the VM started", Read: v.statsGauge(func(s allotter.Stats) uint64 { return s.Refused })},
 		{Name: "parsleyscale.floor.age", Help: "milliseconds since the primary of a group last proved its role, by group", Read: v.readPrimaryProofAges},
--- a/internal/telemetry/logger/event.go
+++ b/internal/telemetry/logger/event.go
@@ -54,6 +54,7 @@
 	TermSealed        Event = "termSealed"
 	PrimaryKnown      Event = "primaryKnown"
 	PrimaryUnknown    Event = "primaryUnknown"
+	TeamWaits         Event = "teamWaits"
 )
 
 // EventDescription describes one event.
@@ -108,6 +109,7 @@
 	{NotInEffect, "an instance answered a hold or a demotion, but its state shows that the term goes on there"},
 	{PrimaryKnown, "an instance has become known to this VM as the primary of a term by its own answer"},
 	{PrimaryUnknown, "this VM no longer takes an instance for the primary, with the reason"},
+	{TeamWaits, "a request of a team has waited for at least 200 ms for a connection to an instance, with or without success; sampled for each team"},
 }
 
 // Table returns the descriptions of all events as a new slice.
