--- a/internal/backend/allotter/allotter.go
+++ b/internal/backend/allotter/allotter.go
@@ -412,7 +412,7 @@
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	if p, ok := a.pools[instance]; ok {
-		p.closeIdleBefore(time.Now())
+		p.closeAllIdle()
 		if p.open == 0 && len(p.waiters) == 0 {
 			delete(a.pools, instance)
 		}
@@ -463,7 +463,7 @@
 	a.mu.Lock()
 	a.closed = true
 	for _, p := range a.pools {
-		p.closeIdleBefore(time.Now())
+		p.closeAllIdle()
 		p.failWaiters(classifier.New(classifier.ShuttingDown, "connection pool is closed"))
 	}
 	a.mu.Unlock()
--- a/internal/backend/allotter/instance_pool.go
+++ b/internal/backend/allotter/instance_pool.go
@@ -79,7 +79,7 @@
 		a.pools[t.Instance] = p
 	}
 	if p.target.Address != t.Address {
-		p.closeIdleBefore(time.Now())
+		p.closeAllIdle()
 		p.target = t.WithTeam("").WithGateway("")
 	}
 	return p
@@ -399,6 +399,9 @@
 	p.closeIdleIf(func(l *Lease) bool { return l.lastUsedAt.Before(before) && p.scopeUse(l.scope).open > 1 })
 }
 
+// closeAllIdle closes all idle connections.
+func (p *instancePool) closeAllIdle() { p.closeIdleIf(func(*Lease) bool { return true }) }
+
 // closeIdleIf closes the idle connections for which f returns true.
 func (p *instancePool) closeIdleIf(f func(*Lease) bool) {
 	p.idle = slices.DeleteFunc(p.idle, func(l *Lease) bool {
