--- /dev/null
+++ b/internal/daemon/assembler/teamgateway_test.go
@@ -0,0 +1,111 @@
+package assembler
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"parsleyscale/internal/session/tokenizer"
+	"parsleyscale/internal/statement/carrier"
+)
+
+// Guards against VMs that use different gateways for a small team, against a team whose load stays on one gateway although it
+// exceeds it, and against teams that change their gateway although it has not failed.
+func TestTeamGateway(t *testing.T) {
+	list := []member{{ID: "g1"}, {ID: "g2"}, {ID: "g3"}, {ID: "g4"}}
+	teamsOf, none := map[string]int{}, func(member) bool { return false }
+	for k := range 75 {
+		team := fmt.Sprintf("team%d", k)
+		first, _ := chooseTeamGateway(list, team, "vm0", 1, none)
+		teamsOf[first.ID]++
+		used := map[string]int{}
+		for v := range 60 {
+			vm := fmt.Sprintf("vm%d", v)
+			if g, _ := chooseTeamGateway(list, team, vm, 1, none); g.ID != first.ID {
+				t.Fatalf("%s: %s uses %s, vm0 %s", team, vm, g.ID, first.ID)
+			}
+			g, _ := chooseTeamGateway(list, team, vm, 2, none)
+			used[g.ID]++
+			hasFailed := func(g member) bool { return g.ID != first.ID }
+			if g, _ := chooseTeamGateway(list, team, vm, 4, hasFailed); g.ID != first.ID {
+				t.Errorf("%s: %s uses %s, which has failed", team, vm, g.ID)
+			}
+			other := list[(k+v)%4]
+			if g, _ := chooseTeamGateway(list, team, vm, 1, func(g member) bool { return g == other }); other.ID != first.ID && g.ID != first.ID {
+				t.Errorf("%s: %s changes from %s to %s, although %s has failed", team, vm, first.ID, g.ID, other.ID)
+			}
+		}
+		if len(used) != 2 || used[first.ID] < 15 || used[first.ID] > 45 {
+			t.Errorf("%s with high load: %v statements' VMs by gateway, want about half on each of two", team, used)
+		}
+	}
+	for id, n := range teamsOf {
+		if n < 8 || n > 30 {
+			t.Errorf("gateway %s has %d teams of 75, want about a quarter", id, n)
+		}
+	}
+	if _, ok := chooseTeamGateway(list, "a", "vm0", 1, func(member) bool { return true }); ok {
+		t.Error("chose a gateway although all have failed")
+	}
+	for load, want := range map[float64]int{0: 1, 5: 1, 8: 2, 16: 3} {
+		if n := gatewaysForLoad(load, 10); n != want {
+			t.Errorf("load of %v connections in use: %d gateways, want %d", load, n, want)
+		}
+	}
+}
+
+// gatewayPlatformDialer dials a gateway that does not answer until isUp is set.
+type gatewayPlatformDialer struct {
+	mu    sync.Mutex
+	dials int
+	isUp  bool
+}
+
+func (f *gatewayPlatformDialer) Dial(ctx context.Context, _ carrier.Target) (carrier.Conn, tokenizer.Position, error) {
+	f.mu.Lock()
+	f.dials++
+	isUp := f.isUp
+	f.mu.Unlock()
+	if !isUp {
+		<-ctx.Done()
+		return nil, tokenizer.Position{}, errors.New("no answer")
+	}
+	return closedConn{}, tokenizer.Position{}, nil
+}
+
+type closedConn struct{ carrier.Conn }
+
+func (closedConn) Close() {}
+
+// Guards against statements that wait for a gateway which does not answer each time failedGatewayBackoff has passed, and against
+// a gateway that is not used again.
+func TestFailedGatewayIsProbed(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := &gatewayPlatformDialer{}
+		d := &gatewayDialer{vm: &VM{platform: Platform{Dialer: f}}, failed: map[string]time.Time{}, probing: map[string]bool{}}
+		d.recordFailedGateway("x")
+		for start := time.Now(); time.Since(start) < 10*time.Second; time.Sleep(10 * time.Millisecond) {
+			if !d.hasFailed(carrier.Target{}, "x") {
+				t.Fatalf("gateway is used %s after it failed, although it does not answer", time.Since(start))
+			}
+		}
+		if f.dials < 3 || f.dials > 5 {
+			t.Errorf("%d dials within 10 s, want one each 2 s", f.dials)
+		}
+		f.mu.Lock()
+		f.isUp = true
+		f.mu.Unlock()
+		for range 2 {
+			d.hasFailed(carrier.Target{}, "x")
+			time.Sleep(failedGatewayBackoff + time.Second)
+		}
+		if d.hasFailed(carrier.Target{}, "x") {
+			t.Error("gateway that answers again is not used")
+		}
+		synctest.Wait()
+	})
+}
