Leave connections to other teams when one keeps them in transactions

The limit of connections in use doesn't cover those that a team's clients leave idle in transactions. One team may hold three quarters of the open ones.

--- a/internal/backend/allotter/allotter.go
+++ b/internal/backend/allotter/allotter.go
@@ -172,7 +172,7 @@
 	p := a.poolOf(t)
 	maxInUse := a.maxInUse(p)
 	r := a.newRequest(p, t, priority)
-	if p.inUse() < maxInUse && len(p.waiters) == 0 {
+	if p.inUse() < maxInUse && len(p.waiters) == 0 && !hasMaxLeased(p.teams, r, a.maxOpen(p)) {
 		if k := p.findIdle(r); k >= 0 {
 			l := p.takeIdle(k, r)
 			a.mu.Unlock()
--- a/internal/backend/allotter/decision.go
+++ b/internal/backend/allotter/decision.go
@@ -91,6 +91,9 @@
 		if w.isControl {
 			maxInUse = s.maxOpen
 		}
+		if s.inUse >= maxInUse || hasMaxLeased(s.teams, w, s.maxOpen) {
+			continue
+		}
 		if i := s.findIdle(w); i >= 0 {
 			// A handshake for another scope occupies a slot of the instance, too.
 			if s.inUse+s.dialing-s.dialingFor(w) < maxInUse {
@@ -117,6 +120,16 @@
 	return action{}
 }
 
+// maxLeasedShare is the share of the open connections that one team may hold while other teams use the instance, too. The
+// limit of connections in use does not cover those that its clients leave idle in transactions.
+const maxLeasedShare = 0.75
+
+// hasMaxLeased reports whether the team of a request holds as many connections as it may.
+func hasMaxLeased(teams map[string]*teamUse, r request, maxOpen int) bool {
+	u := teams[r.team]
+	return u != nil && !r.anyTeam && len(teams) > 1 && u.leased >= max(1, int(maxLeasedShare*float64(maxOpen)))
+}
+
 // dialingFor returns the number of dials in progress whose connection can serve r.
 func (s snapshot) dialingFor(r request) int {
 	if r.anyTeam {
--- a/internal/backend/allotter/decision_test.go
+++ b/internal/backend/allotter/decision_test.go
@@ -37,6 +37,8 @@
 		{"team that returns often", snapshot{idle: []idleConn{ago(2*time.Second, "a"), ago(time.Second, "b")}, scopes: map[scope]*scopeUse{{team: "a"}: often}, waiters: []request{want("c")}, open: 6}, action{closeIdle, 0, 1}},
 		{"connection that is awaited", snapshot{idle: []idleConn{ago(2*time.Second, "a"), ago(time.Second, "b")}, waiters: []request{want("c"), want("a")}, open: 6}, action{closeIdle, 0, 1}},
 		{"all connections in transactions", snapshot{waiters: []request{want("c")}, open: 6}, action{}},
+		{"team with most connections in transactions", snapshot{idle: []idleConn{ago(0, "a"), ago(0, "b")}, teams: map[string]*teamUse{"a": {leased: 4}, "b": {}}, waiters: []request{want("a"), want("b")}, open: 6}, action{giveIdle, 1, 1}},
+		{"the only team, with most connections in transactions", snapshot{idle: []idleConn{ago(0, "a")}, teams: map[string]*teamUse{"a": {leased: 4}}, waiters: []request{want("a")}, open: 5}, action{giveIdle, 0, 0}},
 		{"team that held connections for less time", snapshot{idle: []idleConn{ago(0, "a"), ago(0, "b")}, teams: map[string]*teamUse{"a": {held: 1, heldAt: now}}, waiters: []request{want("a"), want("b")}, open: 2}, action{giveIdle, 1, 1}},
 		{"more urgent request of a team that held connections", snapshot{idle: []idleConn{ago(0, "a"), ago(0, "b")}, teams: map[string]*teamUse{"a": {held: 1, heldAt: now}}, waiters: []request{{team: "a", scope: scope{team: "a"}}, want("b")}, open: 2}, action{giveIdle, 0, 0}},
 	} {
--- a/internal/backend/allotter/instance_pool.go
+++ b/internal/backend/allotter/instance_pool.go
@@ -39,6 +39,10 @@
 	dialsFailingSince time.Time // first of the current series of failed dials; zero: none
 	lastDialFailedAt  time.Time
 	stats             Stats
+
+	// The slices of the latest snapshot, which the next one uses again.
+	requests  []request
+	idleConns []idleConn
 }
 
 // priorityStep is the waiting time that makes up for one step of priority. A request
@@ -104,7 +108,9 @@
 	p.idle = slices.Delete(p.idle, k, k+1)
 	l.team, l.teamConn, l.holdStart = r.team, teamConn{l.conn, r.team}, time.Now()
 	p.scopeUse(l.scope).recordReturn(l.holdStart)
-	p.teamUse(r.team).inUse++
+	u := p.teamUse(r.team)
+	u.inUse++
+	u.leased++
 	return l
 }
 
@@ -164,7 +170,9 @@
 // dropUnused removes the records of scopes and teams that have not used the instance for a while.
 func (p *instancePool) dropUnused(now time.Time) {
 	maps.DeleteFunc(p.scopes, func(_ scope, u *scopeUse) bool { return u.open == 0 && u.returnsPerSecond(now) < minReturnsPerSecond })
-	maps.DeleteFunc(p.teams, func(_ string, u *teamUse) bool { return u.inUse == 0 && u.meanInUse(now)*loadDecay.Seconds() < minHeld })
+	maps.DeleteFunc(p.teams, func(_ string, u *teamUse) bool {
+		return u.leased == 0 && u.meanInUse(now)*loadDecay.Seconds() < minHeld
+	})
 }
 
 // close closes connection l, which is not in p.idle any more.
@@ -187,14 +195,15 @@
 	if l.Dialing > 0 {
 		s.maxDialing = min(s.maxDialing, l.Dialing)
 	}
-	s.waiters = make([]request, len(p.waiters))
-	for k, w := range p.waiters {
-		s.waiters[k] = w.request
+	p.requests = p.requests[:0]
+	for _, w := range p.waiters {
+		p.requests = append(p.requests, w.request)
 	}
-	s.idle = make([]idleConn, len(p.idle))
-	for k, l := range p.idle {
-		s.idle[k] = idleConn{scope: l.scope, lastUsedAt: l.lastUsedAt}
+	p.idleConns = p.idleConns[:0]
+	for _, l := range p.idle {
+		p.idleConns = append(p.idleConns, idleConn{scope: l.scope, lastUsedAt: l.lastUsedAt})
 	}
+	s.waiters, s.idle = p.requests, p.idleConns
 	return s
 }
 
@@ -216,12 +225,15 @@
 // requestsAhead returns how many waiting requests would be served before a new one.
 func (p *instancePool) requestsAhead(r request) int {
 	k := p.placeOf(r.effectiveArrival)
-	s := snapshot{teams: p.teams, now: time.Now(), meanHoldTime: p.meanHoldTime, waiters: make([]request, 0, len(p.waiters)+1)}
+	if k == 0 {
+		return 0
+	}
+	p.requests = p.requests[:0]
 	for _, w := range p.waiters {
-		s.waiters = append(s.waiters, w.request)
+		p.requests = append(p.requests, w.request)
 	}
-	s.waiters = slices.Insert(s.waiters, k, r)
-	return slices.Index(fairOrder(s), k)
+	p.requests = slices.Insert(p.requests, k, r)
+	return slices.Index(fairOrder(snapshot{teams: p.teams, now: time.Now(), meanHoldTime: p.meanHoldTime, waiters: p.requests}), k)
 }
 
 const (
--- a/internal/backend/allotter/lease.go
+++ b/internal/backend/allotter/lease.go
@@ -64,6 +64,7 @@
 		l.pool.endUse(l)
 	}
 	l.pool.endIdleInTx(l)
+	l.pool.teamUse(l.team).leased--
 	l.allotter.putLocked(l)
 }
 
@@ -103,6 +104,7 @@
 	if !l.pool.endIdleInTx(l) {
 		l.pool.endUse(l)
 	}
+	l.pool.teamUse(l.team).leased--
 	l.pool.open--
 	l.pool.scopeUse(l.scope).open--
 	l.allotter.serveWaiters(l.pool)
