--- a/internal/daemon/assembler/gateway.go
+++ b/internal/daemon/assembler/gateway.go
@@ -18,7 +18,7 @@
 
 const (
 	// minConnectionsPerVM is the number of connections to an instance that an even division must leave to each VM.
-	// If it leaves fewer, VMs use gateways.
+	// If it leaves fewer, VMs use gateways. See minConnections for configurations with teams.
 	minConnectionsPerVM = 2
 	// maxVMsPerSlot is the number of VMs for each slot of an instance above which VMs use gateways. With a
 	// connection from each VM, the instance's own queue would overflow before any single VM sees it grow.
@@ -49,12 +49,22 @@
 	if !ok || limit == 0 || n <= 1 {
 		return nil
 	}
-	if limit/n >= minConnectionsPerVM && n <= maxVMsPerSlot*max(1, i.Slots) {
+	if limit/n >= d.minConnections() && n <= maxVMsPerSlot*max(1, i.Slots) {
 		return nil
 	}
 	return d.vm.members.gateways(t.Instance, i.DataCentre, min(maxGatewaysPerInstance, max(1, limit/minConnectionsPerGateway)))
 }
 
+// minConnections returns the number of connections to an instance that an even division must leave to each VM. With teams it
+// is higher, because a VM with few connections would close and open one for almost each statement.
+func (d *gatewayDialer) minConnections() int {
+	c := d.vm.configuration.Load()
+	if c == nil {
+		return minConnectionsPerVM
+	}
+	return max(minConnectionsPerVM, min(len(c.Teams), minConnectionsPerGateway))
+}
+
 // isBehindGateway reports whether this VM connects to an instance through a gateway.
 func (d *gatewayDialer) isBehindGateway(t carrier.Target) bool {
 	list := d.gatewaysOf(t)
