Take refused begins for a proof of the lead only if no later term is known

A primary that has been replaced and is reachable again was taken for the primary once its successor had been demoted: both others then refuse a begin, as in a group whose primary leads. Likewise the term that was compared with the reported ones was that of the group, not the one that the instance itself had proved, so that an instance which only the registry names passed for the primary of the latest term.

The cases of testdata/lead.hujson for both failed before.

--- a/internal/group/registrar/group.go
+++ b/internal/group/registrar/group.go
@@ -237,19 +237,42 @@
 	return removed
 }
 
+// LeadTerm returns the highest term in which an instance has proved to be the primary, and zero if it has not, has restarted
+// since, or is not the latest instance that did.
+func (g *Group) LeadTerm(id string) uint64 {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if g.latestPrimary != id {
+		return 0
+	}
+	return g.latestTerm
+}
+
+// NewestTerm returns the highest term that any instance has reported, or of which it has reported an entry.
+func (g *Group) NewestTerm() uint64 {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	term := g.primary.Term
+	for _, s := range g.instances {
+		term = max(term, s.Position.Term, s.received.Term)
+	}
+	return term
+}
+
 // RecordProof records a proof that an instance is the primary. It ignores proofs of unknown instances and of
-// terms below the highest seen one.
-func (g *Group) RecordProof(p Proof) {
+// terms below the highest seen one, and returns false for them.
+func (g *Group) RecordProof(p Proof) bool {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	if !g.recordRole(p) {
-		return
+		return false
 	}
 	if g.firstProof.IsZero() {
 		g.firstProof = p.Position
 	}
 	g.recordDepartureSample(p)
 	g.Samples.Add(p.SentAt, g.clock(), p.Position)
+	return true
 }
 
 // RecordRole records an answer that only a primary gives, on a platform where a replaced primary may give it, too. Unlike
--- a/internal/group/verifier/verifier.go
+++ b/internal/group/verifier/verifier.go
@@ -6,7 +6,9 @@
 // which has accepted the begin of a transaction after the start of the round, had not been replaced by an acknowledged
 // commit at that start if
 //
-//   - each other instance refuses a begin, so that none of them is a primary; or
+//   - each other instance refuses a begin, so that none of them is a primary, and no entry or report of a term later than
+//     that of the primary is known. A successor that has been demoted refuses a begin, too, but its log and that of a
+//     replica hold the entries of its term; or
 //   - of the other instances, all but as many as a commit waits for report that they are no primary of a later term
 //     and have received no entry of one. A commit of a later primary would have to be received by as many instances as
 //     it waits for, besides that primary. The old primary is none of them, and too few are left.
@@ -161,7 +163,7 @@
 func (v *Verifier) verify(g *registrar.Group, primary string) error {
 	others := slices.DeleteFunc(g.Views(), func(view registrar.View) bool { return view.ID == primary })
 	answers := v.beginOn(g, others)
-	if countOf(answers, refused) == len(others) {
+	if countOf(answers, refused) == len(others) && g.NewestTerm() <= g.LeadTerm(primary) {
 		return nil
 	}
 	if err := v.compareStates(g, primary, others, answers); err != nil {
@@ -254,9 +256,9 @@
 	slices.SortFunc(others, func(a, b registrar.View) int {
 		return cmp.Or(cmp.Compare(answers[a.ID], answers[b.ID]), cmp.Compare(a.Failures, b.Failures), cmp.Compare(a.Latency, b.Latency), cmp.Compare(a.ID, b.ID))
 	})
-	c := comparison{primary: primary, needed: len(others) - v.cfg.SyncReplicas(g.Name()), acceptedLeft: countOf(answers, accepted)}
-	if known := g.Primary(); known.Instance == primary {
-		c.term = known.Term
+	c := comparison{
+		primary: primary, term: g.LeadTerm(primary), newest: g.NewestTerm(),
+		needed: len(others) - v.cfg.SyncReplicas(g.Name()), acceptedLeft: countOf(answers, accepted),
 	}
 	states, outstanding := make(chan state, len(others)+1), 0
 	ask := func(view registrar.View) {
@@ -291,13 +293,13 @@
 // comparison compares the states that instances have reported with the term of the primary.
 type comparison struct {
 	primary      string
-	term         uint64 // of the primary; zero while it is unknown
+	term         uint64 // of the primary, by its own answers; zero while it is unknown
 	isReported   bool   // the primary has reported its term
 	isDeposed    bool   // the primary has reported not to be one
 	needed       int    // other instances that must have reported a state
 	clean        int    // other instances that have reported one
 	acceptedLeft int    // instances that accepted a begin and have not been heard since
-	newest       uint64 // highest term that another instance has reported
+	newest       uint64 // highest term that is known
 	failed       error  // of an instance that has not reported a state
 }
 
--- a/internal/group/verifier/verifier_test.go
+++ b/internal/group/verifier/verifier_test.go
@@ -27,14 +27,17 @@
 	Busy    int    `json:"busy"` // number of questions for its state that it refuses
 }
 
+func (i instance) position() tokenizer.Position { return tokenizer.Position{Term: i.Entry, Index: 7} }
+
 // leadCase is a case of testdata/lead.hujson.
 type leadCase struct {
-	Name string          `json:"name"`
-	Sync int             `json:"sync"`
-	Want classifier.Kind `json:"want"` // of the round's error; "": none
-	A    instance        `json:"a"`
-	B    instance        `json:"b"`
-	C    instance        `json:"c"`
+	Name  string          `json:"name"`
+	Sync  int             `json:"sync"`
+	Known uint64          `json:"known"` // a term that the VM has seen, after which the registry names a as the primary; 0: none
+	Want  classifier.Kind `json:"want"`  // of the round's error; "": none
+	A     instance        `json:"a"`
+	B     instance        `json:"b"`
+	C     instance        `json:"c"`
 }
 
 // fakeGroup is a group of the instances a, b and c.
@@ -55,7 +58,15 @@
 		reg[id] = cataloger.Instance{ID: id, Group: "g", Address: id, IsPrimary: id == "a"}
 	}
 	r.Update(reg)
-	return &fakeGroup{group: r.Group("g"), sync: c.Sync, instances: map[string]instance{"a": c.A, "b": c.B, "c": c.C}}
+	g := r.Group("g")
+	if c.A.Role == "primary" && c.A.Entry > 0 {
+		g.RecordRole(registrar.Proof{Instance: "a", Position: c.A.position()})
+	}
+	if c.Known > 0 {
+		g.RecordTerm(c.Known)
+		g.SuggestPrimary("a")
+	}
+	return &fakeGroup{group: g, sync: c.Sync, instances: map[string]instance{"a": c.A, "b": c.B, "c": c.C}}
 }
 
 func (f *fakeGroup) verifier() *Verifier {
@@ -75,7 +86,9 @@
 		<-ctx.Done()
 		return ctx.Err()
 	}
-	g.RecordAnswer(v.ID, tokenizer.Position{}, 0)
+	if i.Entry > 0 {
+		g.RecordAnswer(v.ID, i.position(), 0)
+	}
 	if i.Role == "replica" {
 		return classifier.New(classifier.NotPrimary, "%s", v.ID)
 	}
@@ -98,7 +111,7 @@
 		<-ctx.Done()
 		return carrier.InstanceStatus{}, ctx.Err()
 	}
-	return carrier.InstanceStatus{IsPrimary: i.Role == "primary", Term: i.Term, Received: tokenizer.Position{Term: i.Entry, Index: 7}}, nil
+	return carrier.InstanceStatus{IsPrimary: i.Role == "primary", Term: i.Term, Received: i.position()}, nil
 }
 
 // Guards against reads at a primary that has been replaced, and against a healthy primary that is not used because an
@@ -123,7 +136,7 @@
 				if c.Want == "" && err != nil || c.Want != "" && !classifier.Is(err, c.Want) {
 					t.Errorf("round ended with %v, want kind %q", err, c.Want)
 				}
-				if isHealthy := c.B.Role == "replica" && c.C.Role == "replica" && c.C.DelayMs == 0; isHealthy && f.states > 0 {
+				if isHealthy := c.Want == "" && c.B.Role == "replica" && c.C.Role == "replica" && c.C.DelayMs == 0; isHealthy && f.states > 0 {
 					t.Errorf("%d questions for states although all others refused a begin, want none", f.states)
 				}
 				time.Sleep(time.Second) // until no goroutine of the round is left
--- a/internal/statement/performer/lead.go
+++ b/internal/statement/performer/lead.go
@@ -35,7 +35,9 @@
 	if err != nil {
 		return err
 	}
-	c.group.RecordProof(registrar.Proof{Instance: c.instance, SentAt: min(sentAt, startedAt), Position: reported})
+	if !c.group.RecordProof(registrar.Proof{Instance: c.instance, SentAt: min(sentAt, startedAt), Position: reported}) {
+		return classifier.New(classifier.NoPrimary, "%s is not the primary any more: a later term is known", c.instance)
+	}
 	return nil
 }
 
