Let gateways tell other VMs positions of the primary for reads that accept an age

With 89 VMs a VM has a read of a group every half second or less. It took a fresh position of the primary for most of them, which replicas that lag by 150 ms have not applied, so that the primary served the read after one or two refusals. A gateway knows the positions of all statements that it forwards, and answers with one that is at most half as old as the read accepts.

--- a/internal/daemon/assembler/gateway.go
+++ b/internal/daemon/assembler/gateway.go
@@ -104,7 +104,7 @@
 		return d.vm.platform.Dialer.Dial(ctx, t)
 	}
 	via := t
-	via.Address = g.LinkAddress
+	via.Address, via.IsLink = g.LinkAddress, true
 	conn, position, err := d.vm.platform.Dialer.Dial(ctx, via)
 	if err != nil && !isRefusal(err) {
 		d.mu.Lock()
@@ -175,11 +175,35 @@
 	if err != nil {
 		return err
 	}
-	v.forwardServer = forwarder.NewServer(forwarder.Config{Listener: ln, Accept: v.platform.AcceptPort, Pool: v.pool, Names: &v.statementNames, Find: v.findInstance, IsUnreachable: v.hasFailedAttempts, StopsAck: v.stopsAck, OnPanic: v.logPanic})
+	v.forwardServer = forwarder.NewServer(forwarder.Config{Listener: ln, Accept: v.platform.AcceptPort, Pool: v.pool, Names: &v.statementNames, Find: v.findInstance, IsUnreachable: v.hasFailedAttempts, StopsAck: v.stopsAck, Now: v.platform.Clock, OnBegin: v.recordForwardedBegin, Sample: v.samplePosition, OnPanic: v.logPanic})
 	go v.forwardServer.Serve()
 	return nil
 }
 
+// recordForwardedBegin records that an instance has accepted a begin, which proves the primary unless it has to be verified.
+func (v *VM) recordForwardedBegin(t carrier.Target, sentAt time.Duration, p tokenizer.Position) {
+	if v.cfg.Fencing {
+		v.groups.Group(t.Group).RecordProof(registrar.Proof{Instance: t.Instance, SentAt: sentAt, Position: p})
+	}
+}
+
+// samplePosition returns a position that the primary of a group held at most maxAge ago, and its age. It asks the primary if
+// it knows of none.
+func (v *VM) samplePosition(ctx context.Context, group string, maxAge time.Duration) (tokenizer.Position, time.Duration, error) {
+	g := v.groups.Group(group)
+	if p, age, ok := g.Sample(maxAge); ok {
+		return p, age, nil
+	}
+	if err := v.performer.SamplePrimaryPosition(ctx, g); err != nil {
+		return tokenizer.Position{}, 0, err
+	}
+	p, age, ok := g.Sample(maxAge)
+	if !ok {
+		return p, age, classifier.New(classifier.NoPrimary, "group %s: no position of the primary is known", group)
+	}
+	return p, age, nil
+}
+
 // registryWait bounds how long a gateway that has just started lets other VMs wait for its registry. A refusal would make
 // them skip the gateway for failedGatewayBackoff.
 const registryWait = 300 * time.Millisecond
--- a/internal/group/registrar/group.go
+++ b/internal/group/registrar/group.go
@@ -16,10 +16,11 @@
 
 // Group is a set of instances with one primary.
 type Group struct {
-	name    string
-	clock   Clock
-	observe func(PrimaryChange)
-	Samples *witness.Witness // positions of proven primaries and their times
+	name      string
+	clock     Clock
+	createdAt time.Duration // on clock
+	observe   func(PrimaryChange)
+	Samples   *witness.Witness // positions of proven primaries and their times
 
 	mu               sync.Mutex
 	instances        map[string]*instanceState // by identity
@@ -275,6 +276,26 @@
 	return true
 }
 
+// RecordSample records a position that another VM has a proof for: the primary held it at sentAt, on the registrar's clock, or
+// later.
+func (g *Group) RecordSample(sentAt time.Duration, p tokenizer.Position) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if g.firstProof.IsZero() && sentAt >= g.createdAt {
+		g.firstProof = p
+	}
+	g.recordDepartureSample(Proof{SentAt: sentAt, Position: p})
+	g.Samples.Add(sentAt, g.clock(), p)
+}
+
+// Sample returns a position that a primary has proved to hold at most maxAge ago, and its age. It returns false if none is
+// known. The oldest such position is the one that replicas are the most likely to have applied.
+func (g *Group) Sample(maxAge time.Duration) (p tokenizer.Position, age time.Duration, ok bool) {
+	now := g.clock()
+	s, ok := g.Samples.OldestSince(now - maxAge)
+	return s.Position, now - s.SentAt, ok
+}
+
 // RecordRole records an answer that only a primary gives, on a platform where a replaced primary may give it, too. Unlike
 // a proof, it yields no sample of the primary's position.
 func (g *Group) RecordRole(p Proof) {
--- a/internal/group/witness/witness.go
+++ b/internal/group/witness/witness.go
@@ -79,13 +79,19 @@
 // Floor returns the lowest position that is known to cover every commit acknowledged before since. It returns
 // false if no sample was requested at or after since.
 func (w *Witness) Floor(since time.Duration) (tokenizer.Position, bool) {
+	s, ok := w.OldestSince(since)
+	return s.Position, ok
+}
+
+// OldestSince returns the oldest sample that was requested at or after since. It returns false if there is none.
+func (w *Witness) OldestSince(since time.Duration) (Sample, bool) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	k := sort.Search(len(w.samples), func(k int) bool { return w.samples[k].SentAt >= since })
 	if k == len(w.samples) {
-		return tokenizer.Position{}, false
+		return Sample{}, false
 	}
-	return w.samples[k].Position, true
+	return w.samples[k], true
 }
 
 // ReachedAt returns when the request of the first sample that covers p was sent. It returns false if no sample covers p.
--- a/internal/statement/carrier/conn.go
+++ b/internal/statement/carrier/conn.go
@@ -21,6 +21,7 @@
 	Address  string
 	Team     string // for which the connection is opened; empty: for the VM itself
 	AnyTeam  bool   // an open connection of any team will do; for commands of the VM itself
+	IsLink   bool   // Address is that of a gateway of the instance
 }
 
 // WithTeam returns a copy of the target for connections of a team.
@@ -49,6 +50,18 @@
 	Close()
 }
 
+// Link is a connection that may lead to a gateway in place of the instance.
+type Link interface {
+	// IsLink reports whether the other end is a gateway, which answers the commands of gateways.
+	IsLink() bool
+}
+
+// IsLink reports whether c leads to a gateway.
+func IsLink(c Conn) bool {
+	l, ok := c.(Link)
+	return ok && l.IsLink()
+}
+
 // Dialer opens connections to instances. The position that Dial returns is the instance's
 // newest log entry at that time.
 type Dialer interface {
--- a/internal/statement/carrier/statement.go
+++ b/internal/statement/carrier/statement.go
@@ -20,9 +20,10 @@
 	Status     // Status, Hold and Demote are control commands to instances, never sent by clients
 	Hold       // Args: the term below which a replica accepts no log entries
 	Demote     // Args: the term below which a primary becomes a replica
+	Sample     // asks a gateway for a position that the primary held; Args: the maximum age in milliseconds
 )
 
-var verbNames = [...]string{"unknown", "begin", "beginRead", "commit", "rollback", "read", "write", "set", "prepare", "execute", "forget", "reset", "status", "hold", "demote"}
+var verbNames = [...]string{"unknown", "begin", "beginRead", "commit", "rollback", "read", "write", "set", "prepare", "execute", "forget", "reset", "status", "hold", "demote", "sample"}
 
 // String returns the name of the statement type, as used in error texts.
 func (v Verb) String() string {
--- a/internal/statement/forwarder/server.go
+++ b/internal/statement/forwarder/server.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"net"
 	"runtime/debug"
+	"strconv"
 	"sync"
 	"time"
 
@@ -53,6 +54,12 @@
 	Find func(group, instance string) (carrier.Target, tokenizer.Position, bool)
 	// StopsAck reports whether the acknowledgement of a commit of a group is not passed on; nil stands for never.
 	StopsAck func(group string, p tokenizer.Position) bool
+	// Sample returns a position that the primary of a group held at most maxAge ago, and its age.
+	Sample func(ctx context.Context, group string, maxAge time.Duration) (p tokenizer.Position, age time.Duration, err error)
+	// OnBegin is called when an instance has accepted the begin of a read-write transaction, with the time on Now at which
+	// it was sent and the position in the reply; may be nil.
+	OnBegin func(t carrier.Target, sentAt time.Duration, p tokenizer.Position)
+	Now     func() time.Duration // on a clock that counts suspension
 	// OnPanic is called with the value and the stack of a panic that has ended a connection; may be nil.
 	OnPanic func(err error)
 }
@@ -184,6 +191,8 @@
 		if c.lease == nil {
 			return carrier.Reply{}, nil
 		}
+	case carrier.Sample:
+		return c.sample(cmd), nil
 	}
 	if c.lease == nil {
 		lease, err := c.acquire(cmd)
@@ -195,6 +204,25 @@
 	return c.forward(cmd)
 }
 
+// sampleTimeout bounds the wait for a position of the primary, for which another VM waits with a read.
+const sampleTimeout = 200 * time.Millisecond
+
+// sample returns the reply to a request for a position of the primary. The row holds the age of the position in milliseconds,
+// rounded up, at a time after the request was sent.
+func (c *proxyConn) sample(cmd carrier.Command) carrier.Reply {
+	ms, err := strconv.ParseInt(cmd.Args, 10, 32)
+	if err != nil || ms < 0 || c.server.cfg.Sample == nil {
+		return carrier.ErrorReply(classifier.BadMessage, "sample needs a maximum age in milliseconds")
+	}
+	ctx, cancel := context.WithTimeout(c.server.ctx, sampleTimeout)
+	defer cancel()
+	p, age, err := c.server.cfg.Sample(ctx, c.target.Group, time.Duration(ms)*time.Millisecond)
+	if err != nil {
+		return carrier.ErrorReplyFor(err)
+	}
+	return carrier.Reply{Rows: []string{strconv.FormatInt(age.Milliseconds()+1, 10)}, Position: p}
+}
+
 // localReply returns the reply to a command that changes only the state of the connection.
 func (c *proxyConn) localReply() carrier.Reply {
 	if c.lease != nil {
@@ -246,6 +274,10 @@
 	}
 	cmds = append(cmds, cmd)
 	lease.Conn().SetDeadline(time.Now().Add(replyTimeout))
+	var sentAt time.Duration
+	if c.server.cfg.OnBegin != nil && cmd.Verb == carrier.Begin {
+		sentAt = c.server.cfg.Now()
+	}
 	replies, err := lease.Exchange(cmds...)
 	if err != nil {
 		lease.Discard()
@@ -253,6 +285,9 @@
 		return carrier.Reply{}, err
 	}
 	reply := replies[len(replies)-1]
+	if c.server.cfg.OnBegin != nil && cmd.Verb == carrier.Begin && reply.OK() {
+		c.server.cfg.OnBegin(c.target, sentAt, reply.Position)
+	}
 	if reply.State == carrier.Idle {
 		c.lease = nil
 		lease.Release()
--- a/internal/statement/performer/fake_test.go
+++ b/internal/statement/performer/fake_test.go
@@ -29,6 +29,7 @@
 	statementTime time.Duration
 	replies       map[classifier.Kind]int // number of replies by error kind
 	dials         int
+	gatewaySample uint64 // newest entries that the gateways' sample, which is 100 ms old, lacks; 0: the instances are reached without gateways
 }
 
 func newFakeGroup(slots int, statementTime time.Duration) *fakeGroup {
@@ -92,6 +93,9 @@
 	defer c.group.mu.Unlock()
 	c.group.replies[r.Kind]++
 	r.Position = c.group.position(c.instance)
+	if cmd.Verb == carrier.Sample {
+		r.Position.Index = c.group.lastIndex - c.group.gatewaySample
+	}
 	if c.inTransaction {
 		r.State = carrier.InTransaction
 	}
@@ -114,6 +118,8 @@
 		c.inTransaction = false
 	case cmd.Verb == carrier.Read, cmd.Verb == carrier.Write:
 		return c.runInSlot()
+	case cmd.Verb == carrier.Sample:
+		return carrier.Reply{Rows: []string{"100"}}
 	}
 	return carrier.Reply{}
 }
@@ -138,6 +144,7 @@
 	return carrier.Reply{Signature: c.instance}
 }
 
+func (c *fakeConn) IsLink() bool        { return c.group.gatewaySample > 0 }
 func (*fakeConn) SetDeadline(time.Time) {}
 func (*fakeConn) IsBroken() bool        { return false }
 func (*fakeConn) Close()                {}
--- a/internal/statement/performer/load_test.go
+++ b/internal/statement/performer/load_test.go
@@ -198,3 +198,45 @@
 		}
 	})
 }
+
+// A VM among many has a read once a second, and the replicas lag a little. Guards against reads that need the newest entries,
+// because the VM has no older position of the primary at hand, so that the primary serves all of them.
+func TestRareReadsUseOlderSamples(t *testing.T) {
+	for _, c := range []struct {
+		gatewaySample uint64
+		wantBehind    bool
+	}{{gatewaySample: 20}, {wantBehind: true}} {
+		synctest.Test(t, func(t *testing.T) {
+			f := newFakeGroup(3, 18*time.Millisecond)
+			f.missing["q"], f.missing["r"], f.gatewaySample = 10, 10, c.gatewaySample
+			v := newFakeVM(f, 40)
+			defer v.pool.Close()
+			inTime, late, refused := runLoad(v, 20, time.Second, cataloger.BoundedStaleness, carrier.Read)
+			t.Logf("gateway %t: %d in time, %d late, %d refused, %d refused by replicas that are behind", c.gatewaySample > 0, inTime, late, refused, f.count(classifier.ReplicaBehind))
+			if inTime != 20 || (f.count(classifier.ReplicaBehind) > 0) != c.wantBehind {
+				t.Errorf("%d of 20 reads in time, %d refused by replicas; want all, and refusals only without a gateway", inTime, f.count(classifier.ReplicaBehind))
+			}
+		})
+	}
+}
+
+// Guards against a read that lacks commits within its bound because a gateway's position is older than the read accepts.
+func TestSharedSampleKeepsStalenessBound(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFakeGroup(3, 18*time.Millisecond)
+		f.gatewaySample = 20
+		v := newFakeVM(f, 40)
+		defer v.pool.Close()
+		r := v.request(cataloger.BoundedStaleness, carrier.Read)
+		if reply := v.Read(t.Context(), r); !reply.OK() {
+			t.Fatal(reply)
+		}
+		time.Sleep(time.Second)
+		if _, ok := v.group.Samples.Floor(v.group.Now() - r.Route.MaxStaleness); ok {
+			t.Error("the position of a second ago still counts for a bound of 500 ms")
+		}
+		if _, ok := v.group.Samples.Floor(r.ArrivedClock); ok {
+			t.Error("a position that was 100 ms old counts as held when the request arrived")
+		}
+	})
+}
--- a/internal/statement/performer/performer.go
+++ b/internal/statement/performer/performer.go
@@ -16,6 +16,7 @@
 import (
 	"context"
 	"math/rand/v2"
+	"strconv"
 	"time"
 
 	"golang.org/x/sync/singleflight"
@@ -268,7 +269,7 @@
 		if _, ok := e.awaitPrimary(ctx); !ok {
 			return false
 		}
-		err := e.performer.SamplePrimaryPosition(ctx, e.group)
+		err := e.performer.shareSample(ctx, e.group, e.request.Route.MaxStaleness/sharedSampleAgeDivisor)
 		if err == nil {
 			continue
 		}
@@ -313,6 +314,67 @@
 	return lead.wait(ctx, sentAt, reply.Position)
 }
 
+// sharedSampleAgeDivisor sets the maximum age of a position that a gateway is asked for, as a fraction of the staleness that a
+// read accepts. A fresher position than necessary makes replicas refuse the read; an older one could not serve the next reads.
+const sharedSampleAgeDivisor = 2
+
+// shareSample obtains a position of the primary from one of its gateways, which answers from the statements of all VMs that it
+// forwards. A VM on its own has too few statements in a large deployment: it would take most positions at the time of the
+// read, and replicas would refuse them. Without a gateway, the primary is asked.
+func (p *Performer) shareSample(ctx context.Context, g *registrar.Group, maxAge time.Duration) error {
+	done := p.primarySamples.DoChan(g.Name()+" "+maxAge.String(), func() (any, error) {
+		if isShared, err := p.sampleFromGateway(g, maxAge); isShared || err != nil {
+			return nil, err
+		}
+		return nil, p.samplePrimary(g)
+	})
+	select {
+	case r := <-done:
+		return r.Err
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+}
+
+// sampleFromGateway asks a gateway of the primary for a position that the primary held. It returns false if the primary is not
+// reached through a gateway, or if that knows of no position.
+func (p *Performer) sampleFromGateway(g *registrar.Group, maxAge time.Duration) (bool, error) {
+	v, ok := g.View(g.Primary().Instance)
+	if !ok {
+		return false, nil
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), minReplyTimeout)
+	defer cancel()
+	lease, err := p.cfg.Pool.Acquire(ctx, registrar.NewTarget(v.Instance).WithAnyTeam(), 0)
+	if err != nil {
+		return false, err
+	}
+	if !carrier.IsLink(lease.Conn()) {
+		lease.Release()
+		return false, nil
+	}
+	command := carrier.Internal(carrier.Sample)
+	command.Args = strconv.FormatInt(maxAge.Milliseconds(), 10)
+	lease.Conn().SetDeadline(time.Now().Add(minReplyTimeout))
+	sentAt := g.Now()
+	replies, err := lease.Exchange(carrier.Command{Statement: command})
+	if err != nil {
+		p.discardFailed(g, lease)
+		return false, err
+	}
+	releaseOrDiscard(lease, replies[0])
+	if !replies[0].OK() || len(replies[0].Rows) != 1 || replies[0].Position.IsZero() {
+		return false, nil
+	}
+	ms, err := strconv.ParseInt(replies[0].Rows[0], 10, 32)
+	if err != nil {
+		return false, nil
+	}
+	// The gateway computed the age after the request was sent, so that the position was held at this time or later.
+	g.RecordSample(sentAt-time.Duration(ms)*time.Millisecond, replies[0].Position)
+	return true, nil
+}
+
 // Probe asks an instance whether it acts as the primary and records the answer. It returns
 // an error if the instance does not or could not be asked.
 func (p *Performer) Probe(g *registrar.Group, v registrar.View) error {
