--- a/internal/group/registrar/group.go
+++ b/internal/group/registrar/group.go
@@ -16,11 +16,11 @@
 
 // Group is a set of instances with one primary.
 type Group struct {
-	name      string
-	clock     Clock
-	createdAt time.Duration // on clock
-	observe   func(PrimaryChange)
-	Samples   *witness.Witness // positions of proven primaries and their times
+	name          string
+	clock         Clock
+	firstUpdateAt time.Duration // on clock; zero: no instance is known yet
+	observe       func(PrimaryChange)
+	Samples       *witness.Witness // positions of proven primaries and their times
 
 	mu               sync.Mutex
 	instances        map[string]*instanceState // by identity
@@ -123,6 +123,9 @@
 func (g *Group) update(entries []cataloger.Instance) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
+	if g.firstUpdateAt == 0 {
+		g.firstUpdateAt = g.clock()
+	}
 	present := map[string]bool{}
 	isChanged := false
 	for _, i := range entries {
@@ -281,7 +284,7 @@
 func (g *Group) RecordSample(sentAt time.Duration, p tokenizer.Position) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	if g.firstProof.IsZero() && sentAt >= g.createdAt {
+	if g.firstProof.IsZero() && sentAt >= g.firstUpdateAt {
 		g.firstProof = p
 	}
 	g.recordDepartureSample(Proof{SentAt: sentAt, Position: p})
--- a/internal/group/registrar/registrar.go
+++ b/internal/group/registrar/registrar.go
@@ -59,7 +59,7 @@
 func (r *Registrar) groupLocked(name string) *Group {
 	g, ok := r.groups[name]
 	if !ok {
-		g = &Group{name: name, clock: r.clock, createdAt: r.clock(), observe: r.observe, instances: map[string]*instanceState{}, seals: map[string]activeSeal{}, changed: make(chan struct{}), Samples: witness.New(sampleRetention)}
+		g = &Group{name: name, clock: r.clock, observe: r.observe, instances: map[string]*instanceState{}, seals: map[string]activeSeal{}, changed: make(chan struct{}), Samples: witness.New(sampleRetention)}
 		r.groups[name] = g
 	}
 	return g
