--- a/internal/backend/allotter/lease.go
+++ b/internal/backend/allotter/lease.go
@@ -52,6 +52,9 @@
 	return c.Conn.Send(cmds...)
 }
 
+// IsLink implements carrier.Link.
+func (c *teamConn) IsLink() bool { return carrier.IsLink(c.Conn) }
+
 // Release returns the connection to the pool. The connection must be outside a
 // transaction and have no reply outstanding.
 func (l *Lease) Release() {
