Let a new configuration's teams shorten the next feed call

The wait of a feed call was chosen before its answer was applied, so that the first configuration with teams was followed with the long wait.

--- a/internal/daemon/assembler/followers.go
+++ b/internal/daemon/assembler/followers.go
@@ -201,13 +201,13 @@
 }
 
 // followWait returns the longest wait of a call for changes of a table. It is shorter for readers that other VMs use, and
-// for the configuration if it has teams.
+// for the configuration if it has teams, or may soon have where a VM without a source refuses keys.
 func (v *VM) followWait(table string) time.Duration {
 	wait := follower.DefaultWait
 	if v.isReader() && v.usesReaders() {
 		wait = replicator.ReaderWait
 	}
-	if table == v.platform.ConfigurationTable && v.configuration.Load().HasTeams() {
+	if table == v.platform.ConfigurationTable && (v.cfg.FailClosed || v.configuration.Load().HasTeams()) {
 		wait = min(wait, v.maxTeamWait())
 	}
 	return wait
--- a/internal/platform/follower/follower.go
+++ b/internal/platform/follower/follower.go
@@ -209,11 +209,11 @@
 			f.cfg.OnFault(nil)
 		}
 		pause = DefaultMinPause
-		if isLoaded {
-			wait = f.cfg.Wait()
-		}
 		f.cfg.OnAnswer()
 		f.handleAnswer(p, !isLoaded)
+		if isLoaded {
+			wait = f.cfg.Wait() // may depend on the rows that were passed on
+		}
 	}
 }
 
--- a/internal/statement/conductor/identity_test.go
+++ b/internal/statement/conductor/identity_test.go
@@ -23,8 +23,9 @@
 
 // textClient is a connection on which each line is a verb. The first line has the key.
 type textClient struct {
-	conn net.Conn
-	r    *bufio.Reader
+	conn      net.Conn
+	r         *bufio.Reader
+	waitDelay time.Duration // before the deadline of a wait is set
 }
 
 var verbs = map[string]carrier.Verb{"begin": carrier.Begin, "commit": carrier.Commit, "rollback": carrier.Rollback, "read": carrier.Read, "write": carrier.Write, "set": carrier.Set}
@@ -36,6 +37,7 @@
 }
 
 func (c *textClient) Wait(deadline time.Time) error {
+	time.Sleep(c.waitDelay)
 	_ = c.conn.SetReadDeadline(deadline)
 	_, err := c.r.Peek(1)
 	return err
@@ -88,6 +90,7 @@
 type identityTest struct {
 	*testing.T
 	server    *Server
+	waitDelay time.Duration // of each client
 	listener  pipeListener
 	performer *teamPerformer
 	admitter  *admitAll
@@ -107,7 +110,9 @@
 		it.configure(1, map[string]string{"k1": "jsb", "k2": "hh", "k3": "over"})
 		it.server = NewServer(Config{
 			Listener: it.listener, Clock: func() time.Duration { return 0 }, Names: &namer.Namer{}, Configuration: it.cfg.Load, Performer: it.performer,
-			Accept:         func(c net.Conn) ClientConn { return &textClient{conn: c, r: bufio.NewReader(c)} },
+			Accept: func(c net.Conn) ClientConn {
+				return &textClient{conn: c, r: bufio.NewReader(c), waitDelay: it.waitDelay}
+			},
 			Authentication: rule, SilentFor: func() time.Duration { return time.Duration(it.silentFor.Load()) }, Admitter: it.admitter,
 			OnEnd: func(reason string) {
 				it.mu.Lock()
@@ -190,6 +195,13 @@
 	}
 }
 
+// beginOperation makes the open transaction of the only session look as after its first statement, which needs an instance.
+func (it *identityTest) beginOperation(team string) {
+	for sess := range it.server.sessions {
+		sess.txTeam = &cataloger.Team{Name: team}
+	}
+}
+
 // wantEnds checks for which reasons sessions have ended and operations were refused.
 func (it *identityTest) wantEnds(ends string, refusals authenticator.Reason) {
 	it.Helper()
@@ -246,15 +258,31 @@
 	})
 }
 
+// Guards against an idle session of a removed key that stays open because it begins to wait for its client while the
+// configuration comes into force.
+func TestKeyRemovedWhileWaitBegins(t *testing.T) {
+	runIdentityTest(t, authenticator.Rule{}, func(it *identityTest) {
+		it.waitDelay = 30 * time.Millisecond
+		c, _ := it.dial("d k1")
+		synctest.Wait()
+		it.configure(2, nil)
+		it.configure(3, map[string]string{"k2": "hh"})
+		if c.isOpen() {
+			it.Error("the session stayed open")
+		}
+	})
+}
+
 // Guards against a statement of a removed key that is served, or not answered, because it arrives when the configuration comes
-// into force.
+// into force or is on its way then.
 func TestKeyRemovedBetweenStatements(t *testing.T) {
-	for _, statement := range []string{"read", "write", "begin", "commit", "rollback", "set"} {
+	for k, statement := range []string{"read", "write", "begin", "commit", "rollback", "set"} {
 		runIdentityTest(t, authenticator.Rule{}, func(it *identityTest) {
 			c, _ := it.dial("d k1")
 			it.want("read", c.query("read"), done)
 			it.cfg.Store(cataloger.Configuration{Version: 2, Routes: it.cfg.Load().Routes}.WithTeams(nil))
 			go it.server.CloseRemoved()
+			time.Sleep(time.Duration(k%2) * 30 * time.Millisecond)
 			it.want(statement, c.query(statement), noAuth)
 			if c.isOpen() || len(it.performer.teams) != 1 {
 				it.Errorf("%s: the session is open, or operations ran for %q", statement, it.performer.teams)
@@ -270,10 +298,7 @@
 			runIdentityTest(t, authenticator.Rule{}, func(it *identityTest) {
 				c, _ := it.dial(start)
 				it.want("begin", c.query("begin"), inTransaction)
-				team := cataloger.Team{Name: "jsb"}
-				for sess := range it.server.sessions {
-					sess.txTeam = &team // as after the first statement, which needs an instance
-				}
+				it.beginOperation("jsb")
 				it.configure(2, map[string]string{"k2": "hh"})
 				time.Sleep(10 * time.Second)
 				it.want(start+" "+statement, c.query(statement), noAuth)
@@ -347,10 +372,12 @@
 		c, _ := it.dial("d k3")
 		for _, s := range []struct{ statement, want string }{
 			{"read", "overloaded 0"}, {"set", done}, {"begin", inTransaction}, {"read", "overloaded 2"}, {"read", "badMessage 2"}, {"commit", "notRun 0"},
-			{"begin", inTransaction}, {"commit", "overloaded 0"}, {"begin", inTransaction}, {"rollback", done},
+			{"begin", inTransaction}, {"commit", "overloaded 0"}, {"begin", inTransaction}, {"rollback", done}, {"begin", inTransaction},
 		} {
 			it.want(s.statement, c.query(s.statement), s.want)
 		}
+		it.beginOperation("over")
+		it.want("second statement of a transaction", c.query("read"), "noPrimary 2") // no instance is known
 		if len(it.performer.teams) > 0 || len(it.admitter.calls) != 3 {
 			it.Errorf("operations ran for %q, %d asked for admission; want none and 3", it.performer.teams, len(it.admitter.calls))
 		}
