--- a/internal/telemetry/logger/event.go
+++ b/internal/telemetry/logger/event.go
@@ -55,6 +55,8 @@
 	PrimaryKnown      Event = "primaryKnown"
 	PrimaryUnknown    Event = "primaryUnknown"
 	TeamWaits         Event = "teamWaits"
+	TeamRefused       Event = "teamRefused"
+	TeamsInForce      Event = "teamsInForce"
 )
 
 // EventDescription describes one event.
@@ -110,6 +112,8 @@
 	{PrimaryKnown, "an instance has become known to this VM as the primary of a term by its own answer"},
 	{PrimaryUnknown, "this VM no longer takes an instance for the primary, with the reason"},
 	{TeamWaits, "a request of a team has waited for at least 200 ms for a connection to an instance, with or without success; sampled for each team"},
+	{TeamRefused, "the operation of a caller was refused for its key, with the reason and the database; sampled"},
+	{TeamsInForce, "a configuration with teams is in force on this VM, with the numbers of teams and of keys"},
 }
 
 // Table returns the descriptions of all events as a new slice.
