--- a/internal/platform/follower/follower_test.go
+++ b/internal/platform/follower/follower_test.go
@@ -121,3 +121,21 @@
 		}
 	})
 }
+
+// Guards against a wait that does not follow from the latest rows: the first configuration with keys must be followed with the
+// short wait at once.
+func TestWaitDependsOnRows(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		src := &fakeSource{feedAnswers: []feedAnswer{{page: Page{Rows: []Row{{Key: "b", Version: 2}}, Version: 2}}}}
+		wait := time.Hour
+		f := Start(Config{
+			Source: src, Table: "t", OnTable: func([]Row, uint64) {},
+			OnChanges: func([]Row, uint64) { wait = time.Second }, Wait: func() time.Duration { return wait },
+		})
+		time.Sleep(2500 * time.Millisecond)
+		f.Close()
+		if src.feedCalls != 4 {
+			t.Errorf("%d feed calls within 2.5 s, want 4: one that is answered at once, and one each second", src.feedCalls)
+		}
+	})
+}
--- a/internal/statement/conductor/identity.go
+++ b/internal/statement/conductor/identity.go
@@ -121,8 +121,9 @@
 	return d.IsRefused()
 }
 
+// silentFor returns the time without a source, or 0 if it decides nothing: reading the clock takes a system call.
 func (s *Server) silentFor() time.Duration {
-	if s.cfg.SilentFor == nil {
+	if s.cfg.SilentFor == nil || !s.cfg.Authentication.FailClosed {
 		return 0
 	}
 	return s.cfg.SilentFor()
