--- a/internal/backend/allotter/allotter.go
+++ b/internal/backend/allotter/allotter.go
@@ -170,9 +170,10 @@
 		return nil, classifier.New(classifier.ShuttingDown, "connection pool is closed")
 	}
 	p := a.poolOf(t)
-	maxInUse := a.maxInUse(p)
+	limits := a.cfg.Limits(p.target)
+	maxInUse := p.maxInUse(limits, a.cfg.LimitGrowInterval)
 	r := a.newRequest(p, t, priority)
-	if p.inUse() < maxInUse && len(p.waiters) == 0 && !hasMaxLeased(p.teams, r, a.maxOpen(p)) {
+	if p.inUse() < maxInUse && len(p.waiters) == 0 && !hasMaxLeased(p.teams, r, p.maxOpen(limits, a.cfg.LimitGrowInterval)) {
 		if k := p.findIdle(r); k >= 0 {
 			l := p.takeIdle(k, r)
 			a.mu.Unlock()
@@ -359,6 +360,10 @@
 		p.failWaiters(err)
 	case p.scopeUse(s).open == 0:
 		p.failWaitersOf(s, err)
+		a.serveWaiters(p) // others may have waited for the dial to end
+	case slices.ContainsFunc(p.waiters, func(w *waiter) bool { return w.scope != s }):
+		p.scopeUse(s).noDialUntil = time.Now().Add(minDialBackoff)
+		a.serveWaiters(p)
 	}
 }
 
--- a/internal/backend/allotter/decision.go
+++ b/internal/backend/allotter/decision.go
@@ -106,7 +106,7 @@
 			claimedTotal++
 			continue
 		}
-		if !s.mayDial || s.dialing >= s.maxDialing || s.inUse+s.dialing >= maxInUse {
+		if !s.mayDial || s.dialing >= s.maxDialing || s.inUse+s.dialing >= maxInUse || s.isDialPaused(w.scope) {
 			continue
 		}
 		victim := s.chooseVictim(w)
@@ -141,6 +141,12 @@
 	return 0
 }
 
+// isDialPaused reports whether no connection of a scope is to be dialed for now.
+func (s snapshot) isDialPaused(of scope) bool {
+	u := s.scopes[of]
+	return u != nil && u.open > 0 && s.now.Before(u.noDialUntil)
+}
+
 // findIdle returns the index of the most recently used idle connection that can serve r, or -1 if there is none.
 func (s snapshot) findIdle(r request) int {
 	for k := len(s.idle) - 1; k >= 0; k-- {
--- a/internal/backend/allotter/decision_test.go
+++ b/internal/backend/allotter/decision_test.go
@@ -135,6 +135,49 @@
 	})
 }
 
+// Guards against requests that wait until their deadline because the dial of another team, behind which they waited, failed.
+func TestDialAfterFailedDial(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		var dialed []string
+		a := New(Config{
+			Dialer: dialerFunc(func(tt carrier.Target) (carrier.Conn, error) {
+				time.Sleep(10 * time.Millisecond)
+				if dialed = append(dialed, tt.Team); len(dialed) == 3 {
+					return nil, classifier.New(classifier.Timeout, "no answer")
+				}
+				return &fakeConn{dialer: &fakeDialer{}}, nil
+			}),
+			Limits: func(carrier.Target) Limits { return Limits{Open: 9, Dialing: 1} }, Observe: func(carrier.Target, tokenizer.Position, time.Duration, error) {},
+		})
+		defer a.Close()
+		acquire := func(team string) (*Lease, error) {
+			ctx, cancel := context.WithTimeout(t.Context(), 5*time.Second)
+			defer cancel()
+			return a.Acquire(ctx, target.WithTeam(team), 1)
+		}
+		for _, team := range []string{"idle", "b"} {
+			l, err := acquire(team)
+			if err != nil {
+				t.Fatal(err)
+			}
+			if team == "idle" {
+				l.Release()
+			} else {
+				defer l.Discard()
+			}
+		}
+		start := time.Now()
+		go func() { _, _ = acquire("b") }()
+		synctest.Wait()
+		if _, err := acquire("c"); err != nil || time.Since(start) != 20*time.Millisecond {
+			t.Errorf("team c: %v after %v; want a connection after its own dial and the failed one, 20 ms", err, time.Since(start))
+		}
+		if !slices.Equal(dialed, []string{"idle", "b", "b", "c"}) {
+			t.Errorf("dialed for %q, want c directly after the failed dial for b", dialed)
+		}
+	})
+}
+
 type dialerFunc func(t carrier.Target) (carrier.Conn, error)
 
 func (f dialerFunc) Dial(_ context.Context, t carrier.Target) (carrier.Conn, tokenizer.Position, error) {
--- a/internal/backend/allotter/use.go
+++ b/internal/backend/allotter/use.go
@@ -25,6 +25,9 @@
 type scopeUse struct {
 	open    int // in use, idle, idle in a transaction or being dialed
 	dialing int
+	// noDialUntil is the end of a pause after a failed dial, in which other scopes can dial. The connections of this scope
+	// that are open serve its requests meanwhile.
+	noDialUntil time.Time
 
 	returns   float64 // uses, decayed with returnDecay since returnsAt
 	returnsAt time.Time
