--- a/internal/backend/allotter/decision_test.go
+++ b/internal/backend/allotter/decision_test.go
@@ -92,7 +92,7 @@
 	})
 }
 
-// Guards against requests that wait for a gateway that can't be reached although another one can, and against a link that is
+// Guards against requests that wait for a gateway that cannot be reached although another one can, and against a link that is
 // not shared by the teams that prefer its gateway.
 func TestRouteChangesWhileWaiting(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
@@ -101,7 +101,7 @@
 			time.Sleep(10 * time.Millisecond)
 			dialed = append(dialed, tt.Gateway)
 			if tt.Gateway == "x" {
-				return nil, classifier.New(classifier.Overloaded, "gateway can't be reached")
+				return nil, classifier.New(classifier.Overloaded, "gateway cannot be reached")
 			}
 			return &fakeConn{dialer: &fakeDialer{}}, nil
 		})
