Let VMs state the urgency of statements to gateways

A gateway gave all statements the same priority and at most 150 ms, since the other VM had ordered them. With 89 VMs each has hardly a queue, so that the order at an overloaded instance was that of arrival, and each statement was repeated three to four times at the end of the queue. The first statement of an operation now carries its priority, its age and the longest wait.

--- a/internal/backend/allotter/allotter.go
+++ b/internal/backend/allotter/allotter.go
@@ -149,8 +149,14 @@
 //   - kind shuttingDown after Close;
 //   - the error of a failed dial when no connection of the team is open or being dialed.
 func (a *Allotter) Acquire(ctx context.Context, t carrier.Target, priority int) (*Lease, error) {
+	return a.AcquireUrgent(ctx, t, carrier.Urgency{Priority: priority})
+}
+
+// AcquireUrgent is Acquire for a request that another VM has passed on. The request is ordered as if it had waited here since
+// it arrived there.
+func (a *Allotter) AcquireUrgent(ctx context.Context, t carrier.Target, u carrier.Urgency) (*Lease, error) {
 	for {
-		l, err := a.lease(ctx, t, priority)
+		l, err := a.lease(ctx, t, u)
 		if err != nil {
 			return nil, err
 		}
@@ -163,7 +169,7 @@
 }
 
 // lease returns a connection that may have broken while it was idle.
-func (a *Allotter) lease(ctx context.Context, t carrier.Target, priority int) (*Lease, error) {
+func (a *Allotter) lease(ctx context.Context, t carrier.Target, u carrier.Urgency) (*Lease, error) {
 	a.mu.Lock()
 	if a.closed {
 		a.mu.Unlock()
@@ -172,7 +178,7 @@
 	p := a.poolOf(t)
 	limits := a.cfg.Limits(p.target)
 	maxInUse := p.maxInUse(limits, a.cfg.LimitGrowInterval)
-	r := a.newRequest(p, t, priority)
+	r := a.newRequest(p, t, u)
 	if p.inUse() < maxInUse && len(p.waiters) == 0 && !hasMaxLeased(p.teams, r, p.maxOpen(limits, a.cfg.LimitGrowInterval)) {
 		if k := p.findIdle(r); k >= 0 {
 			l := p.takeIdle(k, r)
@@ -202,8 +208,8 @@
 }
 
 // newRequest returns the description of a request that arrives now. The caller holds a.mu.
-func (a *Allotter) newRequest(p *instancePool, t carrier.Target, priority int) request {
-	return request{team: t.Team, scope: scopeOf(a.route(p, t)), anyTeam: t.AnyTeam, isControl: priority == ControlPriority, priority: priority, effectiveArrival: effectiveArrival(priority)}
+func (a *Allotter) newRequest(p *instancePool, t carrier.Target, u carrier.Urgency) request {
+	return request{team: t.Team, scope: scopeOf(a.route(p, t)), anyTeam: t.AnyTeam, isControl: u.Priority == ControlPriority, priority: u.Priority, effectiveArrival: effectiveArrival(u)}
 }
 
 // route returns the target with the gateway through which its requests pass at present.
--- a/internal/backend/allotter/allotter_test.go
+++ b/internal/backend/allotter/allotter_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"slices"
 	"sync"
 	"testing"
 	"testing/synctest"
@@ -308,3 +309,48 @@
 		}
 	})
 }
+
+// All VMs send their statements through the gateways of an instance that is overloaded. Guards against an order of arrival at
+// the gateway that serves statements of low priority first, and against one that forgets how long a repeated statement has
+// waited at its VM.
+func TestUrgencyOfOtherVMs(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		a := newAllotter(&fakeDialer{}, 1)
+		defer a.Close()
+		l, err := acquire(t, a, time.Second)
+		if err != nil {
+			t.Fatal(err)
+		}
+		var mu sync.Mutex
+		var order []string
+		var wg sync.WaitGroup
+		for _, c := range []struct {
+			name string
+			u    carrier.Urgency
+		}{
+			{"batch", carrier.Urgency{Priority: 2}},
+			{"counter", carrier.Urgency{Priority: 0}},
+			{"batch that has waited for 700 ms", carrier.Urgency{Priority: 2, Age: 700 * time.Millisecond}},
+			{"look-up", carrier.Urgency{Priority: 1}},
+		} {
+			wg.Go(func() {
+				l, err := a.AcquireUrgent(t.Context(), target, c.u)
+				if err != nil {
+					t.Error(err)
+					return
+				}
+				mu.Lock()
+				order = append(order, c.name)
+				mu.Unlock()
+				time.Sleep(time.Millisecond)
+				l.Release()
+			})
+			synctest.Wait()
+		}
+		l.Release()
+		wg.Wait()
+		if want := []string{"batch that has waited for 700 ms", "counter", "look-up", "batch"}; !slices.Equal(order, want) {
+			t.Errorf("served in the order %q, want %q", order, want)
+		}
+	})
+}
--- a/internal/backend/allotter/instance_pool.go
+++ b/internal/backend/allotter/instance_pool.go
@@ -62,9 +62,9 @@
 	ready      chan grant
 }
 
-// effectiveArrival returns the sort key of the queue for a request that arrives now: the arrival time, shifted by the priority.
-func effectiveArrival(priority int) time.Time {
-	return time.Now().Add(time.Duration(priority) * priorityStep)
+// effectiveArrival returns the sort key of the queue for a request: the time of its arrival, shifted by its priority.
+func effectiveArrival(u carrier.Urgency) time.Time {
+	return time.Now().Add(time.Duration(u.Priority)*priorityStep - u.Age)
 }
 
 // grant is the result of a wait in the queue: a connection or an error.
--- a/internal/statement/carrier/conn.go
+++ b/internal/statement/carrier/conn.go
@@ -13,6 +13,15 @@
 	Statement
 	After tokenizer.Position
 	Team  string // that the statement runs for; empty: for the VM itself, or for a client without a team
+
+	Urgency Urgency // for a gateway, which has the connections to the instance; zero: not given
+}
+
+// Urgency states how a request that needs a connection to an instance is to be queued.
+type Urgency struct {
+	Priority int           // 0 is the highest
+	Age      time.Duration // time since the request arrived at the VM of its client
+	Wait     time.Duration // longest time to wait for a connection; 0: not given
 }
 
 // Target identifies an instance, the network address of its listener and the team for which a connection to it is used.
--- a/internal/statement/forwarder/server.go
+++ b/internal/statement/forwarder/server.go
@@ -18,15 +18,19 @@
 )
 
 const (
-	// acquireTimeout bounds the wait for a connection to the instance. It is shorter than the time
-	// after which the other VM considers the instance unresponsive and tries another one.
+	// acquireTimeout bounds the wait for a connection to the instance for a command without an urgency. It is shorter than the
+	// time after which the other VM considers the instance unresponsive and tries another one.
 	acquireTimeout = 150 * time.Millisecond
 	// overloadAcquireTimeout replaces acquireTimeout under sustained overload of the instance.
 	overloadAcquireTimeout = 60 * time.Millisecond
 	// replyTimeout bounds the wait for a reply of the instance. The other VM usually gives up earlier.
 	replyTimeout = 10 * time.Second
-	// statementPriority is the priority of all statements except control commands. The other VM
-	// has already ordered them by their own priority.
+	// maxAcquireTimeout bounds the wait that another VM asks for.
+	maxAcquireTimeout = time.Second
+	// overloadWaitDivisor divides the wait that another VM asks for under sustained overload of the instance. It leaves refused
+	// clients enough time to retry within their objective.
+	overloadWaitDivisor = 4
+	// statementPriority is the priority of statements without an urgency, except control commands.
 	statementPriority = 1
 )
 
@@ -253,12 +257,20 @@
 	if c.server.cfg.Pool.Load(c.target).HasSustainedOverload {
 		timeout = overloadAcquireTimeout
 	}
+	u := carrier.Urgency{Priority: statementPriority}
+	if cmd.Urgency.Wait > 0 {
+		u = cmd.Urgency
+		isOverloaded := timeout == overloadAcquireTimeout
+		if timeout = min(u.Wait, maxAcquireTimeout); isOverloaded {
+			timeout = max(timeout/overloadWaitDivisor, overloadAcquireTimeout)
+		}
+	}
 	ctx, cancel := context.WithTimeout(c.server.ctx, timeout)
 	defer cancel()
 	if cmd.IsControl() {
 		return c.server.cfg.Pool.Acquire(ctx, c.target.WithAnyTeam(), allotter.ControlPriority)
 	}
-	return c.server.cfg.Pool.Acquire(ctx, c.target.WithTeam(cmd.Team), statementPriority)
+	return c.server.cfg.Pool.AcquireUrgent(ctx, c.target.WithTeam(cmd.Team), u)
 }
 
 // forward executes a command on the leased connection. It releases the connection once it is
--- a/internal/statement/performer/performer.go
+++ b/internal/statement/performer/performer.go
@@ -514,6 +514,23 @@
 	return lease, err
 }
 
+// urgency returns the urgency of the request for a gateway, which orders the requests of all VMs for the instance. It is zero
+// for a request without a latency objective, and on a connection that leads to the instance itself.
+func (e *execution) urgency(lease *allotter.Lease) carrier.Urgency {
+	if e.acquireDeadline.IsZero() || !carrier.IsLink(lease.Conn()) {
+		return carrier.Urgency{}
+	}
+	wait := min(max(time.Until(e.acquireDeadline), minGatewayWait), maxGatewayWait)
+	return carrier.Urgency{Priority: e.request.Route.Priority, Age: time.Since(e.request.ArrivedAt), Wait: wait}
+}
+
+// Bounds of the wait for a connection that a gateway is asked for. It comes on top of the time after which the gateway counts
+// as silent, so that a longer one would delay the attempt through another gateway.
+const (
+	minGatewayWait = 20 * time.Millisecond
+	maxGatewayWait = 250 * time.Millisecond
+)
+
 const (
 	// minAcquireWaitDivisor sets the least time that a request may wait for a connection, as a
 	// fraction of its latency objective.
--- a/internal/statement/performer/read.go
+++ b/internal/statement/performer/read.go
@@ -84,15 +84,15 @@
 		lead = e.performer.startLeadCheck(e.group, v.ID)
 	}
 	cmds := lease.SessionCommands(e.request.SessionValues, e.request.Prepared)
-	sentAt, readIndex := e.group.Now(), len(cmds)
+	sentAt, readIndex, u := e.group.Now(), len(cmds), e.urgency(lease)
 	if needsPrimary {
-		cmds = append(cmds, carrier.Command{Statement: carrier.Internal(carrier.Begin)}, carrier.Command{Statement: e.request.Statement}, carrier.Command{Statement: carrier.Internal(carrier.Rollback)})
+		cmds = append(cmds, carrier.Command{Statement: carrier.Internal(carrier.Begin), Urgency: u}, carrier.Command{Statement: e.request.Statement}, carrier.Command{Statement: carrier.Internal(carrier.Rollback)})
 		readIndex++
 	} else {
-		cmds = append(cmds, carrier.Command{Statement: e.request.Statement, After: e.floor})
+		cmds = append(cmds, carrier.Command{Statement: e.request.Statement, Urgency: u, After: e.floor})
 	}
 	start := time.Now()
-	lease.Conn().SetDeadline(start.Add(replyTimeout(v)))
+	lease.Conn().SetDeadline(start.Add(replyTimeout(v) + u.Wait))
 	replies, err := lease.Exchange(cmds...)
 	if err != nil {
 		e.handleLostReplies(lease, err, len(cmds)-len(replies))
--- a/internal/statement/performer/transaction.go
+++ b/internal/statement/performer/transaction.go
@@ -156,9 +156,10 @@
 	}
 	e.attempts++
 	e.group.RecordReadSent(v.ID)
-	begin := carrier.Command{Statement: carrier.Internal(carrier.Begin)}
+	u := e.urgency(lease)
+	begin := carrier.Command{Statement: carrier.Internal(carrier.Begin), Urgency: u}
 	if !needsPrimary {
-		begin = carrier.Command{Statement: carrier.Internal(carrier.BeginRead), After: e.floor}
+		begin = carrier.Command{Statement: carrier.Internal(carrier.BeginRead), Urgency: u, After: e.floor}
 	}
 	var lead leadCheck
 	if needsPrimary {
@@ -166,7 +167,7 @@
 	}
 	sentAt, start := e.group.Now(), time.Now()
 	cmds := append(lease.SessionCommands(e.request.SessionValues, e.request.Prepared), begin)
-	lease.Conn().SetDeadline(earlier(deadline, start.Add(replyTimeout(v))))
+	lease.Conn().SetDeadline(earlier(deadline, start.Add(replyTimeout(v)+u.Wait)))
 	replies, err := lease.Exchange(cmds...)
 	if err != nil {
 		e.handleLostBegin(lease, err, len(cmds)-len(replies))
--- a/internal/statement/performer/write.go
+++ b/internal/statement/performer/write.go
@@ -40,7 +40,7 @@
 		return carrier.Reply{}, false
 	}
 	e.attempts++
-	cmds := append(lease.SessionCommands(e.request.SessionValues, e.request.Prepared), carrier.Command{Statement: e.request.Statement})
+	cmds := append(lease.SessionCommands(e.request.SessionValues, e.request.Prepared), carrier.Command{Statement: e.request.Statement, Urgency: e.urgency(lease)})
 	sentAt, start := e.group.Now(), time.Now()
 	lease.Conn().SetDeadline(deadline.Add(writeReplyGrace))
 	replies, err := lease.Exchange(cmds...)
