Admit the operations of teams with tokens from sharded holders

The limit of a team holds over all VMs: a few VMs hold shards of it by leases in the store, and grant prepaid tokens to the others on the peer address. limits.Admit in the assembler is to be connected to the sessions.

--- a/internal/config/loader/line.go
+++ b/internal/config/loader/line.go
@@ -23,11 +23,14 @@
 	StopGrace     Duration          `json:"stopGrace" doc:"time from the stop signal to the end of the process"`
 	StopNotice    Duration          `json:"stopNotice" doc:"time from reporting not ready to closing idle sessions"`
 	Callers       int               `json:"callers" doc:"limit of concurrent client connections"`
+	LimitWindow   Duration          `json:"limitWindow" doc:"window in which the operations of a team are counted against its limit; it must be the same on all VMs"`
+	LimitOverage  float64           `json:"limitOverage" doc:"fraction of a team's limit that may be exceeded in a window; it must be the same on all VMs"`
+	LimitSlack    float64           `json:"limitSlack" doc:"operations that a team may run above its limit in a window, in addition to the overage; it must be the same on all VMs"`
 }
 
 // DefaultLine returns the default values of the settings.
 func DefaultLine() LineSettings {
-	return LineSettings{Fencing: true, StopGrace: Duration(6 * time.Second), StopNotice: Duration(2300 * time.Millisecond), Callers: 20000}
+	return LineSettings{Fencing: true, StopGrace: Duration(6 * time.Second), StopNotice: Duration(2300 * time.Millisecond), Callers: 20000, LimitWindow: Duration(5 * time.Second), LimitOverage: 0.1, LimitSlack: 20}
 }
 
 // LoadLine reads and validates the settings in a file.
@@ -53,6 +56,8 @@
 		checkSeeds(s.Seeds, checkAddress),
 		checkNotNegative("/linkMbps", s.LinkMbps),
 		checkNotNegative("/coreShare", s.CoreShare),
+		checkNotNegative("/limitOverage", s.LimitOverage),
+		checkNotNegative("/limitSlack", s.LimitSlack),
 		s.checkStop(),
 	} {
 		if f != nil {
@@ -69,7 +74,7 @@
 	return nil
 }
 
-// checkStop checks the durations of a stop and the limit of client connections.
+// checkStop checks the durations of a stop, the limit of client connections and the window of the teams' limits.
 func (s LineSettings) checkStop() *fieldError {
 	switch {
 	case s.StopGrace <= 0:
@@ -78,6 +83,8 @@
 		return &fieldError{"/stopNotice", "must be shorter than stopGrace"}
 	case s.Callers <= 0:
 		return &fieldError{"/callers", "must be greater than zero"}
+	case s.LimitWindow <= 0:
+		return &fieldError{"/limitWindow", "must be greater than zero"}
 	}
 	return nil
 }
--- a/internal/daemon/assembler/assembler.go
+++ b/internal/daemon/assembler/assembler.go
@@ -29,6 +29,7 @@
 	"parsleyscale/internal/statement/forwarder"
 	"parsleyscale/internal/statement/namer"
 	"parsleyscale/internal/statement/performer"
+	"parsleyscale/internal/team/holder"
 	"parsleyscale/internal/telemetry/logger"
 	"parsleyscale/internal/telemetry/meter"
 )
@@ -46,6 +47,7 @@
 // Platform holds the services and formats of the users' platform that a VM needs.
 type Platform struct {
 	Store      Store
+	Limits     holder.Store // of the shards of the teams' limits
 	Dialer     carrier.Dialer
 	Accept     func(c net.Conn) conductor.ClientConn
 	AcceptPort func(c net.Conn) forwarder.Conn
@@ -91,6 +93,7 @@
 	replacer         *replacer.Replacer
 	members          *members
 	departures       *departures
+	limits           *limits
 	auditor          *auditor.Auditor
 	sessionServer    *conductor.Server
 	tableCopies      map[string]*replicator.TableCopy // by table
@@ -172,6 +175,7 @@
 		RegistryState:     v.registryState,
 	})
 	v.startFollowers()
+	v.startLimits()
 	clientListener, err := net.Listen("tcp", cfg.CallerAddress)
 	if err != nil {
 		return nil, err
@@ -218,6 +222,7 @@
 	v.log.Info(logger.VMStopping, logger.Int("sessions", int64(v.sessionServer.SessionCount())))
 	settings := v.latestSettings.Load()
 	v.sessionServer.Stop(settings.StopNotice.Std(), settings.StopGrace.Std()*5/6)
+	v.limits.close()
 	v.replacer.Close()
 	v.auditor.Close()
 	v.log.Info(logger.VMStopped)
--- a/internal/daemon/assembler/followers.go
+++ b/internal/daemon/assembler/followers.go
@@ -13,6 +13,7 @@
 	"parsleyscale/internal/operator/inspector"
 	"parsleyscale/internal/platform/follower"
 	"parsleyscale/internal/platform/replicator"
+	"parsleyscale/internal/team/messenger"
 )
 
 // isReader reports whether this VM is a reader: it follows the store on behalf of the other VMs. The readers are the
@@ -217,6 +218,7 @@
 	mux.HandleFunc(replicator.ChangesPath, h.ServeChanges)
 	mux.Handle(sealer.Path, sealer.Handler{Group: v.configuredGroup})
 	mux.Handle(replicator.ConfirmPath, v.refresher.Load())
+	mux.Handle(messenger.Path, messenger.Handler(v.limits.holder.Serve))
 	mux.Handle(inspector.Path, inspector.Handler(v.status))
 	v.peerServer = &http.Server{Handler: mux, ReadHeaderTimeout: time.Second}
 	go func() { _ = v.peerServer.Serve(l) }()
--- a/internal/daemon/assembler/log.go
+++ b/internal/daemon/assembler/log.go
@@ -77,6 +77,7 @@
 		{Name: "parsleyscale.links.limit", Help: "limit of the connections to an instance in use", Read: v.loadGauge(func(l allotter.Load) int { return l.MaxInUse })},
 		{Name: "parsleyscale.links.opened", Help: "connections to an instance opened since the VM started", Read: v.statsGauge(func(s allotter.Stats) uint64 { return s.Opened })},
 		{Name: "parsleyscale.links.refused", Help: "connections that an instance refused since the VM started", Read: v.statsGauge(func(s allotter.Stats) uint64 { return s.Refused })},
+		{Name: "parsleyscale.team.shards_held", Help: "shards of the teams' limits that this VM holds", Read: v.readShardsHeld},
 		{Name: "parsleyscale.floor.age", Help: "milliseconds since the primary of a group last proved its role, by group", Read: v.readPrimaryProofAges},
 	}
 }
--- /dev/null
+++ b/internal/team/holder/decide.go
@@ -0,0 +1,142 @@
+// Package holder holds shards of teams' limits: one VM at a time for each, by a lease in the store.
+//
+// A holder grants only until a lease after the start of its last successful write of the row. Another VM writes the row only
+// after it has seen it unchanged for longer than that, and the write fails if the row changed in between. So the lease of the
+// earlier holder has ended by then, whatever the store or the network delayed. Both times are read from clocks that go on while
+// the VM is suspended.
+package holder
+
+import (
+	"encoding/json"
+	"slices"
+	"time"
+
+	"parsleyscale/internal/platform/follower"
+	"parsleyscale/internal/team/sharder"
+)
+
+const (
+	// lease is how long a holder grants after the start of its last successful write. It outlasts an outage of the store of
+	// 9 s that begins just before a renewal.
+	lease = 30 * time.Second
+	// takeOverWait is how long a row must be unchanged before another VM takes it over. The excess over lease covers clocks
+	// that differ in speed by up to 5%.
+	takeOverWait = lease + lease/20
+	// renewInterval is the time between two renewals. After a failed one, retryInterval applies.
+	renewInterval = 10 * time.Second
+	retryInterval = 2 * time.Second
+	// rankDelay is how long each VM waits for the one that ranks before it, up to maxRankDelay.
+	rankDelay    = 500 * time.Millisecond
+	maxRankDelay = 10 * time.Second
+)
+
+// Row is the row of a shard in the store.
+type Row struct {
+	Holder  string `json:"holder"`  // VM; empty if the shard is free
+	Address string `json:"address"` // peer address of the holder
+	Start   string `json:"start"`   // identifies the process of the holder
+}
+
+// SeenRow is a row as this VM knows it.
+type SeenRow struct {
+	Row
+	Version uint64        // 0: there is no row
+	SeenAt  time.Duration // when this VM first received or wrote this version
+	// IsOlder is set if this VM knew a later version of the row, as after the store was restored from a copy. Another VM may
+	// have a lease that the row does not show.
+	IsOlder bool
+}
+
+// isFree reports whether the row shows that nobody has a lease.
+func (r SeenRow) isFree() bool { return r.Holder == "" && !r.IsOlder }
+
+// View is what a VM knows when it decides.
+type View struct {
+	Now         time.Duration
+	ReadAt      time.Duration // when the latest read of the table began
+	RenewedAt   time.Duration // when the latest successful write began
+	AttemptedAt time.Duration // when the latest write began
+	Self, Start string
+	HasLease    [sharder.Count]bool // whether this process may grant now
+	Rows        [sharder.Count]SeenRow
+	IsSilent    [sharder.Count]bool // whether the holder of the row has not confirmed that it holds the shard
+	Ranks       [sharder.Count]int  // of this VM
+	// AreRanksKnown is false until the VMs that start together know each other. Until then a VM claims one free shard after
+	// another, so that the first VM does not claim all.
+	AreRanksKnown bool
+	FirstChoice   int // shard that this VM claims first while ranks are not known
+}
+
+// Decision is what a VM writes to the store next. Without shards, it writes nothing.
+type Decision struct {
+	Renew []int // shards that this process holds
+	Claim []int
+	// Read is set if the table must be read before the VM can claim.
+	Read bool
+}
+
+// Decide returns the next step of a VM.
+func Decide(v View) Decision {
+	var d Decision
+	isRetry := v.AttemptedAt > v.RenewedAt
+	for shard, r := range v.Rows {
+		switch {
+		case r.Holder == v.Self && r.Start == v.Start && (v.HasLease[shard] || !r.IsOlder):
+			d.Renew = append(d.Renew, shard)
+		case r.Holder == v.Self && r.Start != v.Start && !r.IsOlder:
+			d.Claim = append(d.Claim, shard) // of an earlier process of this VM, which has ended
+		case r.isFree() && !v.AreRanksKnown:
+			if shard == v.FirstChoice {
+				d.Claim = append(d.Claim, shard)
+			}
+		default:
+			d.consider(v, shard)
+		}
+	}
+	isRegressed := slices.ContainsFunc(d.Renew, func(shard int) bool { return v.Rows[shard].IsOlder })
+	if len(d.Claim) == 0 && !isRegressed && v.Now-v.RenewedAt < renewInterval {
+		d.Renew = nil
+	}
+	if isRetry && v.Now-v.AttemptedAt < retryInterval {
+		d.Renew, d.Claim = nil, nil
+	}
+	return d
+}
+
+// consider adds a shard that is free or held by another VM, if this VM may claim it.
+func (d *Decision) consider(v View, shard int) {
+	r, rank := v.Rows[shard], v.Ranks[shard]
+	if rank < 0 || r.Holder != "" && !r.IsOlder && !v.IsSilent[shard] {
+		return
+	}
+	due := r.SeenAt + min(time.Duration(rank)*rankDelay, maxRankDelay)
+	if !r.isFree() {
+		due += takeOverWait
+	}
+	switch {
+	case v.Now < due:
+	case rank == 0 || v.ReadAt >= due:
+		d.Claim = append(d.Claim, shard)
+	default:
+		d.Read = true // a VM that ranks before this one may have claimed the shard
+	}
+}
+
+// seen returns a row of the store as this VM knows it at a time, given what it knew before. The row is nil if there is none.
+func seen(old SeenRow, r *follower.Row, now time.Duration) SeenRow {
+	switch {
+	case r == nil && old.Version == 0 && old.SeenAt != 0:
+		return old
+	case r == nil && old.Version == 0:
+		return SeenRow{SeenAt: now}
+	case r == nil:
+		return SeenRow{SeenAt: now, IsOlder: true}
+	case old.Version == r.Version:
+		return old
+	}
+	next := SeenRow{Version: r.Version, SeenAt: now, IsOlder: r.Version < old.Version}
+	if err := json.Unmarshal(r.Value, &next.Row); err != nil {
+		next.Row = Row{Holder: "unknown"} // in another format: it may be a lease, so that it is waited for
+	}
+	return next
+}
--- a/internal/telemetry/logger/event.go
+++ b/internal/telemetry/logger/event.go
@@ -54,6 +54,9 @@
 	TermSealed        Event = "termSealed"
 	PrimaryKnown      Event = "primaryKnown"
 	PrimaryUnknown    Event = "primaryUnknown"
+	ShardHeld         Event = "shardHeld"
+	ShardReleased     Event = "shardReleased"
+	TeamOverLimit     Event = "teamOverLimit"
 )
 
 // EventDescription describes one event.
@@ -108,6 +111,9 @@
 	{NotInEffect, "an instance answered a hold or a demotion, but its state shows that the term goes on there"},
 	{PrimaryKnown, "an instance has become known to this VM as the primary of a term by its own answer"},
 	{PrimaryUnknown, "this VM no longer takes an instance for the primary, with the reason"},
+	{ShardHeld, "this VM has begun to grant a part of the teams' limits"},
+	{ShardReleased, "this VM has ended granting a part of the teams' limits, with the reason"},
+	{TeamOverLimit, "an operation was refused because its team has used its limit; sampled"},
 }
 
 // Table returns the descriptions of all events as a new slice.
--- a/internal/telemetry/meter/lines.go
+++ b/internal/telemetry/meter/lines.go
@@ -19,6 +19,8 @@
 	replacements      metric.Int64Counter
 	promoteRequests   metric.Int64Counter
 	ineffective       metric.Int64Counter
+	teamOperations    metric.Int64Counter
+	teamWait          metric.Float64Histogram
 
 	mu      sync.Mutex
 	options map[statementKey]metric.MeasurementOption
@@ -64,12 +66,16 @@
 	}{
 		{&l.replacements, "parsleyscale.replacements", "replacements begun by this VM that ended with a new primary, and failed attempts, by reason and outcome"},
 		{&l.promoteRequests, "parsleyscale.promote.requests", "promote requests that this VM sent, by kind of the token and outcome"},
+		{&l.teamOperations, "parsleyscale.team.operations", "operations of teams with a limit, by team and outcome"},
 		{&l.ineffective, "parsleyscale.commands.ineffective", "holds and demotions whose answer shows that they are not in effect, by command"},
 	} {
 		if *c.counter, err = otelMeter.Int64Counter(c.name, metric.WithDescription(c.title)); err != nil {
 			return nil, err
 		}
 	}
+	if l.teamWait, err = otelMeter.Float64Histogram("parsleyscale.team.wait", metric.WithUnit("s"), metric.WithExplicitBucketBoundaries(durationBucketsSeconds...), metric.WithDescription("time that an operation of a team waited for its token, by outcome")); err != nil {
+		return nil, err
+	}
 	for _, g := range gauges {
 		if _, err := otelMeter.Int64ObservableGauge(g.Name, metric.WithDescription(g.Help), metric.WithInt64Callback(func(_ context.Context, observer metric.Int64Observer) error {
 			g.Read(func(n int64, instance string) {
@@ -101,6 +107,13 @@
 	l.statementDuration.Record(ctx, took.Seconds(), o)
 }
 
+// TeamOperation counts an operation of a team with a limit by its outcome, and records how long it waited for a token.
+func (l *LineMeter) TeamOperation(team, outcome string, waited time.Duration) {
+	ctx := context.Background()
+	l.teamOperations.Add(ctx, 1, metric.WithAttributes(attribute.String("team", team), attribute.String("outcome", outcome)))
+	l.teamWait.Record(ctx, waited.Seconds(), metric.WithAttributes(attribute.String("outcome", outcome)))
+}
+
 // Call counts a call to the platform by its name and outcome.
 func (l *LineMeter) Call(call, outcome string) {
 	l.platformCalls.Add(context.Background(), 1, metric.WithAttributes(attribute.String("call", call), attribute.String("outcome", outcome)))
--- a/review/harness/deployment.go
+++ b/review/harness/deployment.go
@@ -10,6 +10,7 @@
 	"os"
 	"os/exec"
 	"path/filepath"
+	"regexp"
 	"strings"
 	"sync"
 	"syscall"
@@ -137,6 +138,9 @@
 	return false
 }
 
+// optionalSections matches the parts of the template for values that a deployment may lack, as this one does.
+var optionalSections = regexp.MustCompile(`\{\{#[^}]*\}\}.*\{\{/[^}]*\}\}`)
+
 // writeSettings fills in the template as the platform does. The first VM is the only seed.
 func (v *vm) writeSettings(zone string, earlier []*vm, store string) error {
 	for _, port := range []*int{&v.front, &v.ready, &v.peer, &v.link} {
@@ -177,6 +181,7 @@
 		}
 		text = strings.ReplaceAll(text, "{{"+placeholder+"}}", string(j))
 	}
+	text = optionalSections.ReplaceAllString(text, "")
 	text = strings.ReplaceAll(text, "{{ip}}", v.ip)
 	if strings.Contains(text, "{{") {
 		return fmt.Errorf("%s has a placeholder that this stand-in does not fill in", template)
