--- a/internal/team/explorer/fleet_test.go
+++ b/internal/team/explorer/fleet_test.go
@@ -52,6 +52,7 @@
 	version    uint64
 	storeCalls int
 	isStoreOut bool
+	faults     *rand.Rand // if not nil, messages and calls to the store are lost, repeated and delayed at random
 	messages   int
 	bytes      int
 	admitted   map[string][]time.Duration // by team
@@ -183,15 +184,22 @@
 	f.mu.Lock()
 	f.messages++
 	f.mu.Unlock()
+	isLost, isRepeated := f.chance(0.1), f.chance(0.1)
+	requestDelay, answerDelay := latency+f.delay(), latency+f.delay()
 	done := make(chan messenger.Response, 1)
 	go func() {
-		time.Sleep(latency)
+		time.Sleep(requestDelay)
 		to.pause()
 		if p := to.process.Load(); p != nil && f.reaches(v.number, n) {
 			a := p.holder.Serve(q)
+			if isRepeated {
+				p.holder.Serve(q)
+			}
 			to.pause()
-			time.Sleep(latency)
-			done <- a
+			time.Sleep(answerDelay)
+			if !isLost {
+				done <- a
+			}
 		}
 	}()
 	if to.process.Load() == nil {
@@ -206,6 +214,23 @@
 	}
 }
 
+// chance reports true with a probability if the fleet has random faults.
+func (f *fleet) chance(p float64) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.faults != nil && f.faults.Float64() < p
+}
+
+// delay returns the additional delay of a message.
+func (f *fleet) delay() time.Duration {
+	if !f.chance(0.3) {
+		return 0
+	}
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return time.Duration(f.faults.ExpFloat64() * float64(100*time.Millisecond))
+}
+
 // storeCall waits for the store.
 func (v *vm) storeCall(ctx context.Context) error {
 	v.pause()
@@ -213,7 +238,7 @@
 	v.fleet.storeCalls++
 	isOut := v.fleet.isStoreOut || v.fleet.side(v.number) != 0
 	v.fleet.mu.Unlock()
-	if !sleeper.Sleep(ctx, storeLatency) || isOut || v.process.Load() == nil {
+	if !sleeper.Sleep(ctx, storeLatency+10*v.fleet.delay()) || isOut || v.process.Load() == nil {
 		return classifier.New(classifier.PlatformUnavailable, "no answer")
 	}
 	v.pause()
@@ -237,6 +262,7 @@
 		return 0, nil, err
 	}
 	f := v.fleet
+	isLost := f.chance(0.1)
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	for _, r := range rows {
@@ -249,11 +275,15 @@
 		r.Version = f.version
 		f.rows[r.Key] = r
 	}
+	if isLost {
+		return 0, nil, classifier.New(classifier.PlatformUnavailable, "answer lost")
+	}
 	return f.version, nil, nil
 }
 
 // operate admits one operation of a team on a VM and reports whether it may run.
 func (f *fleet) operate(v *vm, team string) bool {
+	v.pause()
 	p := v.process.Load()
 	t := f.configuration.Load().Teams[team]
 	if p == nil {
@@ -296,8 +326,8 @@
 	f.admitted, f.refused, f.slowest, f.messages, f.storeCalls = map[string][]time.Duration{}, map[string]int{}, 0, 0, 0
 }
 
-// checkBound checks the operations of a team in all windows that begin at or after a time.
-func (f *fleet) checkBound(t cataloger.Team, from time.Duration) {
+// checkBound checks the operations of a team in all windows that begin in a period.
+func (f *fleet) checkBound(t cataloger.Team, from, to time.Duration) {
 	f.t.Helper()
 	f.mu.Lock()
 	defer f.mu.Unlock()
@@ -307,7 +337,7 @@
 		for end < len(list) && list[end] < list[k]+window {
 			end++
 		}
-		if list[k] >= from && float64(end-k) > limit {
+		if list[k] >= from && list[k] <= to && float64(end-k) > limit {
 			f.t.Errorf("team %s: %d operations in the window from %s, want at most %.1f", t.Name, end-k, list[k], limit)
 			return
 		}
@@ -342,3 +372,10 @@
 	}
 	return n
 }
+
+// restart kills the process, if it runs, and starts it again.
+func (v *vm) restart() {
+	v.thaw()
+	v.kill()
+	v.start()
+}
--- a/internal/team/explorer/load_test.go
+++ b/internal/team/explorer/load_test.go
@@ -26,7 +26,7 @@
 		time.Sleep(time.Minute) // messages under way end
 		for _, team := range teams {
 			if team.Rate > 0 {
-				f.checkBound(team, 0)
+				f.checkBound(team, 0, f.clock())
 			}
 		}
 	})
@@ -200,7 +200,7 @@
 		at := f.clock() + 5*time.Second
 		time.AfterFunc(5*time.Second, func() { f.setTeams(reduced) })
 		f.load("large", 300, 20*time.Second, 10, f.anyVM)
-		f.checkBound(reduced, at+window)
+		f.checkBound(reduced, at+window, f.clock())
 	}, large)
 }
 
--- a/internal/team/holder/decide.go
+++ b/internal/team/holder/decide.go
@@ -16,12 +16,12 @@
 )
 
 const (
-	// lease is how long a holder grants after the start of its last successful write. It outlasts an outage of the store of
+	// Lease is how long a holder grants after the start of its last successful write. It outlasts an outage of the store of
 	// 9 s that begins just before a renewal.
-	lease = 30 * time.Second
-	// takeOverWait is how long a row must be unchanged before another VM takes it over. The excess over lease covers clocks
+	Lease = 30 * time.Second
+	// takeOverWait is how long a row must be unchanged before another VM takes it over. The excess over Lease covers clocks
 	// that differ in speed by up to 5%.
-	takeOverWait = lease + lease/20
+	takeOverWait = Lease + Lease/20
 	// renewInterval is the time between two renewals. After a failed one, retryInterval applies.
 	renewInterval = 10 * time.Second
 	retryInterval = 2 * time.Second
@@ -122,20 +122,20 @@
 	}
 }
 
-// seen returns a row of the store as this VM knows it at a time, given what it knew before. The row is nil if there is none.
-func seen(old SeenRow, r *follower.Row, now time.Duration) SeenRow {
+// With returns the row as this VM knows it after it received the present row of the store, which is nil if there is none.
+func (r SeenRow) With(row *follower.Row, now time.Duration) SeenRow {
 	switch {
-	case r == nil && old.Version == 0 && old.SeenAt != 0:
-		return old
-	case r == nil && old.Version == 0:
+	case row == nil && r.Version == 0 && r.SeenAt != 0:
+		return r
+	case row == nil && r.Version == 0:
 		return SeenRow{SeenAt: now}
-	case r == nil:
+	case row == nil:
 		return SeenRow{SeenAt: now, IsOlder: true}
-	case old.Version == r.Version:
-		return old
+	case r.Version == row.Version:
+		return r
 	}
-	next := SeenRow{Version: r.Version, SeenAt: now, IsOlder: r.Version < old.Version}
-	if err := json.Unmarshal(r.Value, &next.Row); err != nil {
+	next := SeenRow{Version: row.Version, SeenAt: now, IsOlder: row.Version < r.Version}
+	if err := json.Unmarshal(row.Value, &next.Row); err != nil {
 		next.Row = Row{Holder: "unknown"} // in another format: it may be a lease, so that it is waited for
 	}
 	return next
--- a/internal/team/holder/holder.go
+++ b/internal/team/holder/holder.go
@@ -373,7 +373,7 @@
 			row = &rows[k]
 		}
 		old := h.view.Rows[shard]
-		next := seen(old, row, now)
+		next := old.With(row, now)
 		isOwn := next.Holder == h.cfg.Self.ID && next.Start == h.cfg.Start
 		if hasLease := now < h.leaseUntil[shard]; row == nil && hasLease {
 			next.Row = old.Row // lost by the store; it is written again
@@ -426,7 +426,7 @@
 				h.heldSince[shard] = now
 				h.cfg.OnChange(shard, true, "claimed")
 			}
-			h.leaseUntil[shard] = startedAt + lease
+			h.leaseUntil[shard] = startedAt + Lease
 		}
 	case classifier.Is(err, classifier.Conflict):
 		h.view.AttemptedAt = h.view.RenewedAt // a refused write is repeated at once, with the current versions
--- a/internal/team/limiter/limiter.go
+++ b/internal/team/limiter/limiter.go
@@ -64,7 +64,7 @@
 	cfg Config
 
 	mu       sync.Mutex
-	teams    map[string]*team
+	teams    map[string]*state
 	holders  map[int]string           // address by shard, as the VMs there said
 	hints    map[int]string           // address by shard, as other VMs said
 	failedAt map[string]time.Duration // when an address last did not answer
@@ -73,8 +73,8 @@
 	ranked   []sharder.VM             // list that ranks was computed from
 }
 
-// team is the state of one team.
-type team struct {
+// state is the state of one team.
+type state struct {
 	name     string
 	division sharder.Division
 	limit    cataloger.Team // that division was computed from
@@ -105,7 +105,7 @@
 // New returns a Limiter.
 func New(cfg Config) *Limiter {
 	return &Limiter{
-		cfg: cfg, teams: map[string]*team{}, holders: map[int]string{}, hints: map[int]string{}, failedAt: map[string]time.Duration{},
+		cfg: cfg, teams: map[string]*state{}, holders: map[int]string{}, hints: map[int]string{}, failedAt: map[string]time.Duration{},
 		callers: map[string]*caller{}, ranks: map[int][]string{},
 	}
 }
@@ -165,10 +165,10 @@
 }
 
 // team returns the state of a team under its present limit. The caller holds l.mu.
-func (l *Limiter) team(t cataloger.Team) *team {
+func (l *Limiter) team(t cataloger.Team) *state {
 	s := l.teams[t.Name]
 	if s == nil {
-		s = &team{name: t.Name, until: map[string]time.Duration{}}
+		s = &state{name: t.Name, until: map[string]time.Duration{}}
 		l.teams[t.Name] = s
 	}
 	if s.limit.Rate != t.Rate || s.limit.Burst != t.Burst {
@@ -179,7 +179,7 @@
 }
 
 // take takes a token that has not expired.
-func (s *team) take(now time.Duration) bool {
+func (s *state) take(now time.Duration) bool {
 	s.hand = slices.DeleteFunc(s.hand, func(k tokens) bool { return now >= k.expiresAt })
 	if len(s.hand) == 0 {
 		return false
@@ -191,7 +191,7 @@
 }
 
 // inHand returns the number of tokens in hand.
-func (s *team) inHand(now time.Duration) int {
+func (s *state) inHand(now time.Duration) int {
 	n := 0
 	for _, k := range s.hand {
 		if now < k.expiresAt {
@@ -202,13 +202,13 @@
 }
 
 // countOperation updates the estimate of the team's operations per second on this VM.
-func (s *team) countOperation(now time.Duration) {
+func (s *state) countOperation(now time.Duration) {
 	s.rate = s.rate*max(0, 1-(now-s.rateAt).Seconds()) + 1
 	s.rateAt = now
 }
 
 // prefetch returns the number of tokens to have in hand.
-func (s *team) prefetch(now time.Duration) int {
+func (s *state) prefetch(now time.Duration) int {
 	if s.rate < minPrefetchRate || s.hadShortage && now-s.shortageAt < noPrefetchPeriod {
 		return 0
 	}
@@ -216,7 +216,7 @@
 }
 
 // request starts a request if the requests under way are for fewer operations than wait. The caller holds l.mu.
-func (l *Limiter) request(s *team, now time.Duration) {
+func (l *Limiter) request(s *state, now time.Duration) {
 	ahead := max(0, s.prefetch(now)-s.inHand(now))
 	if len(s.waiting)+ahead <= s.covered || s.requests >= maxRequests {
 		return
@@ -228,7 +228,7 @@
 }
 
 // run asks the holders of a team's shards in turn for count tokens. If none has enough, it refuses the operations that wait.
-func (l *Limiter) run(s *team, count int, isAwaited bool) {
+func (l *Limiter) run(s *state, count int, isAwaited bool) {
 	remaining, asked := count, map[string]bool{}
 	for remaining > 0 {
 		l.mu.Lock()
@@ -256,11 +256,13 @@
 	if isAwaited && remaining > 0 {
 		l.refuse(s, min(remaining, len(s.waiting)-s.covered), now)
 	}
-	l.request(s, now)
+	if len(s.waiting) > s.covered { // tokens in advance are requested by the next operation, so that a failing request is not repeated
+		l.request(s, now)
+	}
 }
 
 // recordGrant takes in the answer of a holder to a request for count tokens and returns how many it granted. The caller holds l.mu.
-func (l *Limiter) recordGrant(s *team, address string, sentAt time.Duration, g messenger.Grant, count int, err error) int {
+func (l *Limiter) recordGrant(s *state, address string, sentAt time.Duration, g messenger.Grant, count int, err error) int {
 	now := l.cfg.Clock()
 	if err != nil {
 		return 0
@@ -287,7 +289,7 @@
 }
 
 // refuse refuses the first n operations that wait. The caller holds l.mu.
-func (l *Limiter) refuse(s *team, n int, now time.Duration) {
+func (l *Limiter) refuse(s *state, n int, now time.Duration) {
 	next := now + maxRefusedBackoff
 	for address, t := range s.until {
 		if t <= now {
@@ -306,7 +308,7 @@
 // next returns the address to ask next for tokens of a team, or "" if all have been asked or have refused. Holders come first, near
 // ones before far ones, then VMs that may hold a shard whose holder is not known. VMs that did not answer recently are left out.
 // The caller holds l.mu.
-func (l *Limiter) next(s *team, asked map[string]bool, now time.Duration) string {
+func (l *Limiter) next(s *state, asked map[string]bool, now time.Duration) string {
 	l.rank()
 	best, bestCost := "", 0.0
 	consider := func(address string, cost float64) {
