--- a/internal/daemon/assembler/assembler.go
+++ b/internal/daemon/assembler/assembler.go
@@ -83,6 +83,8 @@
 	hasRegistry    atomic.Bool
 	registryLoaded chan struct{} // closed when hasRegistry becomes true
 	isStopping     atomic.Bool
+	teamsChanged   chan struct{} // signals closeRemovedSessions
+	sourceAnswerAt atomic.Int64  // on Platform.Clock, when the store or another VM last answered; see silentFor
 
 	groups           *registrar.Registrar
 	pool             *allotter.Allotter
@@ -117,6 +119,7 @@
 		return err
 	}
 	go v.watchSettings(ctx, reload)
+	go v.closeRemovedSessions(ctx)
 	served := make(chan error, 1)
 	go func() { served <- v.sessionServer.Serve() }()
 	select {
@@ -129,8 +132,9 @@
 }
 
 func start(cfg loader.LineSettings, p Platform, log *logger.Logger) (*VM, error) {
-	v := &VM{cfg: cfg, platform: p, log: log, registry: cataloger.Registry{}, registryLoaded: make(chan struct{})}
+	v := &VM{cfg: cfg, platform: p, log: log, registry: cataloger.Registry{}, registryLoaded: make(chan struct{}), teamsChanged: make(chan struct{}, 1)}
 	v.latestSettings.Store(&cfg)
+	v.recordSourceAnswer()
 	var err error
 	if v.meter, err = meter.NewLineMeter(v.gauges()...); err != nil {
 		return nil, err
@@ -138,14 +142,14 @@
 	p.OnCall(v.countCall)
 	v.groups = registrar.New(p.Clock)
 	v.groups.Observe(v.logPrimaryChange)
-	v.gateways = &gatewayDialer{vm: v, failed: map[string]time.Time{}}
+	v.gateways = &gatewayDialer{vm: v, failed: map[string]time.Time{}, probing: map[string]bool{}}
 	v.tableSource = v.newSource()
 	v.members = newMembers(cfg, p.Store, v.tableSource)
 	v.summarizer = newSummarizer(p.Store, v.isLarge)
 	v.departures = &departures{source: p.Store, table: p.RegistryTable, startedAt: time.Now()}
 	go v.members.refreshLoop(context.Background())
 	v.auditor = auditor.Start(p.Store, cfg.ID)
-	v.pool = allotter.New(allotter.Config{Dialer: v.gateways, Limits: v.gateways.connectionLimits, Observe: v.recordDial})
+	v.pool = allotter.New(allotter.Config{Dialer: v.gateways, Limits: v.gateways.connectionLimits, Observe: v.recordDial, Route: v.gateways.route, ObserveWait: v.logTeamWait})
 	controller := commander.Controller{Pool: v.pool, Parse: p.ParseCondition}
 	peers := commander.Peers{Dialer: p.Dialer, Addresses: v.gateways.linkAddresses, Parse: p.ParseCondition}
 	v.performer = performer.New(performer.Config{
@@ -182,6 +186,7 @@
 	}
 	v.sessionServer = conductor.NewServer(conductor.Config{
 		Listener: clientListener, Accept: p.Accept, Configuration: v.configuration.Load, Performer: v.performer, Clock: p.Clock, MaxSessions: cfg.Callers, Names: &v.statementNames, OnEnd: v.logSession, OnPanic: v.logPanic,
+		Authentication: v.authentication(), SilentFor: v.silentFor, OnRefuse: v.recordTeamRefusal, Admitter: v.limits,
 	})
 	readyListener, err := net.Listen("tcp", cfg.ReadyAddress)
 	if err != nil {
@@ -245,7 +250,7 @@
 }
 
 func (v *VM) isReady() bool {
-	return !v.isStopping.Load() && v.configuration.Load() != nil && v.hasRegistry.Load()
+	return !v.isStopping.Load() && v.configuration.Load() != nil && v.hasRegistry.Load() && !v.refusesAll()
 }
 
 func (v *VM) serveReady(w http.ResponseWriter, _ *http.Request) {
@@ -269,7 +274,9 @@
 			continue
 		}
 		v.configuration.Store(c)
+		v.notifyTeamsChanged()
 		v.auditConfiguration(c.Version)
+		v.logTeams(c)
 		v.log.Info(logger.SheetInForce, logger.Int("version", int64(c.Version)), logger.Int("routes", int64(len(c.Routes))))
 	}
 }
--- a/internal/daemon/assembler/gateway.go
+++ b/internal/daemon/assembler/gateway.go
@@ -18,7 +18,7 @@
 
 const (
 	// minConnectionsPerVM is the number of connections to an instance that an even division must leave to each VM.
-	// If it leaves fewer, VMs use gateways.
+	// If it leaves fewer, VMs use gateways. See minConnections for configurations with teams.
 	minConnectionsPerVM = 2
 	// maxVMsPerSlot is the number of VMs for each slot of an instance above which VMs use gateways. With a
 	// connection from each VM, the instance's own queue would overflow before any single VM sees it grow.
@@ -36,9 +36,10 @@
 // gatewayDialer decides whether this VM connects to an instance itself or through a gateway, and dials accordingly. A
 // gateway is a VM that shares its connections to an instance with other VMs.
 type gatewayDialer struct {
-	vm     *VM
-	mu     sync.Mutex
-	failed map[string]time.Time // time of the last failed dial, by gateway address
+	vm      *VM
+	mu      sync.Mutex
+	failed  map[string]time.Time // time of the last failed dial, by gateway address
+	probing map[string]bool      // addresses of the gateways that are being probed
 }
 
 // gatewaysOf returns the gateways of an instance. If there are none, each VM connects to the instance itself.
@@ -48,12 +49,22 @@
 	if !ok || limit == 0 || n <= 1 {
 		return nil
 	}
-	if limit/n >= minConnectionsPerVM && n <= maxVMsPerSlot*max(1, i.Slots) {
+	if limit/n >= d.minConnections() && n <= maxVMsPerSlot*max(1, i.Slots) {
 		return nil
 	}
 	return d.vm.members.gateways(t.Instance, i.DataCentre, min(maxGatewaysPerInstance, max(1, limit/minConnectionsPerGateway)))
 }
 
+// minConnections returns the number of connections to an instance that an even division must leave to each VM. With teams it
+// is higher, because a VM with few connections would close and open one for almost each statement.
+func (d *gatewayDialer) minConnections() int {
+	c := d.vm.configuration.Load()
+	if c == nil {
+		return minConnectionsPerVM
+	}
+	return max(minConnectionsPerVM, min(len(c.Teams), minConnectionsPerGateway))
+}
+
 // isBehindGateway reports whether this VM connects to an instance through a gateway.
 func (d *gatewayDialer) isBehindGateway(t carrier.Target) bool {
 	list := d.gatewaysOf(t)
@@ -70,7 +81,11 @@
 func (d *gatewayDialer) connectionLimits(t carrier.Target) allotter.Limits {
 	list := d.gatewaysOf(t)
 	if len(list) > 0 && !d.isSelf(list) {
-		return allotter.Limits{Open: maxConnectionsToGateways}
+		if !d.vm.hasTeams() {
+			return allotter.Limits{Open: maxConnectionsToGateways}
+		}
+		// Open links of each gateway, and of those without a team; no more in use than without teams.
+		return allotter.Limits{Open: maxConnectionsToGateways * (len(list) + 1), InUse: maxConnectionsToGateways}
 	}
 	n := len(list)
 	if n == 0 {
@@ -82,19 +97,29 @@
 		l.Dialing = max(1, i.Slots/n)
 	}
 	if i.Slots > 0 && len(list) > 0 {
-		l.InUse = max(minConnectionsPerGateway, 2*i.Slots)
+		l.InUse = gatewayInUse(i.Slots)
 	}
 	return l
 }
 
+// gatewayInUse returns how many connections to an instance with the given number of slots a gateway may have in use.
+func gatewayInUse(slots int) int { return max(minConnectionsPerGateway, 2*slots) }
+
 func (d *gatewayDialer) isSelf(list []member) bool {
 	return slices.ContainsFunc(list, func(m member) bool { return m.ID == d.vm.cfg.ID })
 }
 
-// Dial implements carrier.Dialer. It dials the instance, or one of its gateways if it has any. If the dials of all
+// Dial implements carrier.Dialer. For a team, it dials t.Gateway, which route has chosen, or the instance itself. Without a
+// team, it dials the instance, or one of its gateways if it has any. If the dials of all
 // gateways failed recently, it dials the instance itself. A failure to reach a gateway shows nothing about the
 // instance, so it is returned as classifier.Overloaded, which does not count as a failed dial of the instance.
 func (d *gatewayDialer) Dial(ctx context.Context, t carrier.Target) (carrier.Conn, tokenizer.Position, error) {
+	if t.Gateway != "" {
+		return d.dialGateway(ctx, t)
+	}
+	if t.Team != "" {
+		return d.vm.platform.Dialer.Dial(ctx, t)
+	}
 	list := d.gatewaysOf(t)
 	if len(list) == 0 || d.isSelf(list) {
 		return d.vm.platform.Dialer.Dial(ctx, t)
@@ -104,17 +129,21 @@
 		return d.vm.platform.Dialer.Dial(ctx, t)
 	}
 	via := t
-	via.Address = g.LinkAddress
+	via.Address, via.IsLink = g.LinkAddress, true
 	conn, position, err := d.vm.platform.Dialer.Dial(ctx, via)
 	if err != nil && !isRefusal(err) {
-		d.mu.Lock()
-		d.failed[g.LinkAddress] = time.Now()
-		d.mu.Unlock()
+		d.recordFailedGateway(g.LinkAddress)
 		err = classifier.Wrap(classifier.Overloaded, err, "gateway %s cannot be reached", g.ID)
 	}
 	return conn, position, err
 }
 
+func (d *gatewayDialer) recordFailedGateway(address string) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.failed[address] = time.Now()
+}
+
 // directDialTimeout bounds the direct dial with which a VM checks an instance that it usually reaches through gateways.
 const directDialTimeout = 300 * time.Millisecond
 
@@ -175,11 +204,35 @@
 	if err != nil {
 		return err
 	}
-	v.forwardServer = forwarder.NewServer(forwarder.Config{Listener: ln, Accept: v.platform.AcceptPort, Pool: v.pool, Names: &v.statementNames, Find: v.findInstance, IsUnreachable: v.hasFailedAttempts, StopsAck: v.stopsAck, OnPanic: v.logPanic})
+	v.forwardServer = forwarder.NewServer(forwarder.Config{Listener: ln, Accept: v.platform.AcceptPort, Pool: v.pool, Names: &v.statementNames, Find: v.findInstance, IsUnreachable: v.hasFailedAttempts, StopsAck: v.stopsAck, Now: v.platform.Clock, OnBegin: v.recordForwardedBegin, Sample: v.samplePosition, OnPanic: v.logPanic})
 	go v.forwardServer.Serve()
 	return nil
 }
 
+// recordForwardedBegin records that an instance has accepted a begin, which proves the primary unless it has to be verified.
+func (v *VM) recordForwardedBegin(t carrier.Target, sentAt time.Duration, p tokenizer.Position) {
+	if v.cfg.Fencing {
+		v.groups.Group(t.Group).RecordProof(registrar.Proof{Instance: t.Instance, SentAt: sentAt, Position: p})
+	}
+}
+
+// samplePosition returns a position that the primary of a group held at most maxAge ago, and its age. It asks the primary if
+// it knows of none.
+func (v *VM) samplePosition(ctx context.Context, group string, maxAge time.Duration) (tokenizer.Position, time.Duration, error) {
+	g := v.groups.Group(group)
+	if p, age, ok := g.Sample(maxAge); ok {
+		return p, age, nil
+	}
+	if err := v.performer.SamplePrimaryPosition(ctx, g); err != nil {
+		return tokenizer.Position{}, 0, err
+	}
+	p, age, ok := g.Sample(maxAge)
+	if !ok {
+		return p, age, classifier.New(classifier.NoPrimary, "group %s: no position of the primary is known", group)
+	}
+	return p, age, nil
+}
+
 // registryWait bounds how long a gateway that has just started lets other VMs wait for its registry. A refusal would make
 // them skip the gateway for failedGatewayBackoff.
 const registryWait = 300 * time.Millisecond
@@ -244,6 +297,12 @@
 	return addresses
 }
 
+// hasTeams reports whether the configuration has teams.
+func (v *VM) hasTeams() bool {
+	c := v.configuration.Load()
+	return c != nil && len(c.Teams) > 0
+}
+
 // isConfigured reports whether the configuration has a group.
 func (v *VM) isConfigured(group string) bool {
 	c := v.configuration.Load()
--- a/internal/group/registrar/group.go
+++ b/internal/group/registrar/group.go
@@ -16,10 +16,11 @@
 
 // Group is a set of instances with one primary.
 type Group struct {
-	name    string
-	clock   Clock
-	observe func(PrimaryChange)
-	Samples *witness.Witness // positions of proven primaries and their times
+	name          string
+	clock         Clock
+	firstUpdateAt time.Duration // on clock; zero: no instance is known yet
+	observe       func(PrimaryChange)
+	Samples       *witness.Witness // positions of proven primaries and their times
 
 	mu               sync.Mutex
 	instances        map[string]*instanceState // by identity
@@ -122,6 +123,9 @@
 func (g *Group) update(entries []cataloger.Instance) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
+	if g.firstUpdateAt == 0 {
+		g.firstUpdateAt = g.clock()
+	}
 	present := map[string]bool{}
 	isChanged := false
 	for _, i := range entries {
@@ -237,19 +241,62 @@
 	return removed
 }
 
+// LeadTerm returns the highest term in which an instance has proved to be the primary, and zero if it has not, has restarted
+// since, or is not the latest instance that did.
+func (g *Group) LeadTerm(id string) uint64 {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if g.latestPrimary != id {
+		return 0
+	}
+	return g.latestTerm
+}
+
+// NewestTerm returns the highest term that any instance has reported, or of which it has reported an entry.
+func (g *Group) NewestTerm() uint64 {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	term := g.primary.Term
+	for _, s := range g.instances {
+		term = max(term, s.Position.Term, s.received.Term)
+	}
+	return term
+}
+
 // RecordProof records a proof that an instance is the primary. It ignores proofs of unknown instances and of
-// terms below the highest seen one.
-func (g *Group) RecordProof(p Proof) {
+// terms below the highest seen one, and returns false for them.
+func (g *Group) RecordProof(p Proof) bool {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	if !g.recordRole(p) {
-		return
+		return false
 	}
 	if g.firstProof.IsZero() {
 		g.firstProof = p.Position
 	}
 	g.recordDepartureSample(p)
 	g.Samples.Add(p.SentAt, g.clock(), p.Position)
+	return true
+}
+
+// RecordSample records a position that another VM has a proof for: the primary held it at sentAt, on the registrar's clock, or
+// later.
+func (g *Group) RecordSample(sentAt time.Duration, p tokenizer.Position) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if g.firstProof.IsZero() && sentAt >= g.firstUpdateAt {
+		g.firstProof = p
+	}
+	g.recordDepartureSample(Proof{SentAt: sentAt, Position: p})
+	g.Samples.Add(sentAt, g.clock(), p)
+}
+
+// Sample returns a position that a primary has proved to hold at most maxAge ago, and its age. It returns false if none is
+// known. The oldest such position is the one that replicas are the most likely to have applied.
+func (g *Group) Sample(maxAge time.Duration) (p tokenizer.Position, age time.Duration, ok bool) {
+	now := g.clock()
+	s, ok := g.Samples.OldestSince(now - maxAge)
+	return s.Position, now - s.SentAt, ok
 }
 
 // RecordRole records an answer that only a primary gives, on a platform where a replaced primary may give it, too. Unlike
--- a/internal/telemetry/logger/event.go
+++ b/internal/telemetry/logger/event.go
@@ -57,6 +57,9 @@
 	ShardHeld         Event = "shardHeld"
 	ShardReleased     Event = "shardReleased"
 	TeamOverLimit     Event = "teamOverLimit"
+	TeamWaits         Event = "teamWaits"
+	TeamRefused       Event = "teamRefused"
+	TeamsInForce      Event = "teamsInForce"
 )
 
 // EventDescription describes one event.
@@ -114,6 +117,9 @@
 	{ShardHeld, "this VM has begun to grant a part of the teams' limits"},
 	{ShardReleased, "this VM has ended granting a part of the teams' limits, with the reason"},
 	{TeamOverLimit, "an operation was refused because its team has used its limit; sampled"},
+	{TeamWaits, "a request of a team has waited for at least 200 ms for a connection to an instance, with or without success; sampled for each team"},
+	{TeamRefused, "the operation of a caller was refused for its key, with the reason and the database; sampled"},
+	{TeamsInForce, "a configuration with teams is in force on this VM, with the numbers of teams and of keys"},
 }
 
 // Table returns the descriptions of all events as a new slice.
--- a/review/harness/deployment.go
+++ b/review/harness/deployment.go
@@ -138,9 +138,6 @@
 	return false
 }
 
-// optionalSections matches the parts of the template for values that a deployment may lack, as this one does.
-var optionalSections = regexp.MustCompile(`\{\{#[^}]*\}\}.*\{\{/[^}]*\}\}`)
-
 // writeSettings fills in the template as the platform does. The first VM is the only seed.
 func (v *vm) writeSettings(zone string, earlier []*vm, store string) error {
 	for _, port := range []*int{&v.front, &v.ready, &v.peer, &v.link} {
@@ -181,14 +178,16 @@
 		}
 		text = strings.ReplaceAll(text, "{{"+placeholder+"}}", string(j))
 	}
-	text = optionalSections.ReplaceAllString(text, "")
-	text = strings.ReplaceAll(text, "{{ip}}", v.ip)
+	text = sections.ReplaceAllString(strings.ReplaceAll(text, "{{ip}}", v.ip), "")
 	if strings.Contains(text, "{{") {
 		return fmt.Errorf("%s has a placeholder that this stand-in does not fill in", template)
 	}
 	return os.WriteFile(v.settingsFile(), []byte(text), 0o600)
 }
 
+// sections matches the parts of the template that are rendered only if the deployment has their value, which this one lacks.
+var sections = regexp.MustCompile(`\{\{#[^{}]*\}\}.*\{\{/[^{}]*\}\}`)
+
 func (v *vm) settingsFile() string { return filepath.Join(v.dir, v.id+".jsonc") }
 
 func (v *vm) frontAddress() string { return fmt.Sprintf("%s:%d", v.ip, v.front) }
