--- a/internal/telemetry/logger/event.go
+++ b/internal/telemetry/logger/event.go
@@ -54,6 +54,9 @@
 	TermSealed        Event = "termSealed"
 	PrimaryKnown      Event = "primaryKnown"
 	PrimaryUnknown    Event = "primaryUnknown"
+	ShardHeld         Event = "shardHeld"
+	ShardReleased     Event = "shardReleased"
+	TeamOverLimit     Event = "teamOverLimit"
 	TeamWaits         Event = "teamWaits"
 	TeamRefused       Event = "teamRefused"
 	TeamsInForce      Event = "teamsInForce"
@@ -111,6 +114,9 @@
 	{NotInEffect, "an instance answered a hold or a demotion, but its state shows that the term goes on there"},
 	{PrimaryKnown, "an instance has become known to this VM as the primary of a term by its own answer"},
 	{PrimaryUnknown, "this VM no longer takes an instance for the primary, with the reason"},
+	{ShardHeld, "this VM has begun to grant a part of the teams' limits"},
+	{ShardReleased, "this VM has ended granting a part of the teams' limits, with the reason"},
+	{TeamOverLimit, "an operation was refused because its team has used its limit; sampled"},
 	{TeamWaits, "a request of a team has waited for at least 200 ms for a connection to an instance, with or without success; sampled for each team"},
 	{TeamRefused, "the operation of a caller was refused for its key, with the reason and the database; sampled"},
 	{TeamsInForce, "a configuration with teams is in force on this VM, with the numbers of teams and of keys"},
