Keep the plain template of settings for the review's stand-in

Sections for values that a deployment may lack went into deploy/settings.jsonc, which review/harness fills in by itself, and the harness was changed with them. The platform's template is deploy/entry.jsonc now; review/ is as it was.

--- a/internal/operator/printer/printer.go
+++ b/internal/operator/printer/printer.go
@@ -65,7 +65,7 @@
 
 func printLineSettings() string {
 	var b strings.Builder
-	b.WriteString(heading("Settings of a VM on the users' platform", "Settings are JSON with comments; `deploy/settings.jsonc` is the template. After SIGHUP the process reloads `stopGrace` and\n`stopNotice`. Invalid settings change nothing."))
+	b.WriteString(heading("Settings of a VM on the users' platform", "Settings are JSON with comments; `deploy/entry.jsonc` is the template. After SIGHUP the process reloads `stopGrace` and\n`stopNotice`. Invalid settings change nothing."))
 	writeSettings(&b, loader.LineTable())
 	return b.String()
 }
--- a/review/harness/deployment.go
+++ b/review/harness/deployment.go
@@ -10,7 +10,6 @@
 	"os"
 	"os/exec"
 	"path/filepath"
-	"regexp"
 	"strings"
 	"sync"
 	"syscall"
@@ -178,16 +177,13 @@
 		}
 		text = strings.ReplaceAll(text, "{{"+placeholder+"}}", string(j))
 	}
-	text = sections.ReplaceAllString(strings.ReplaceAll(text, "{{ip}}", v.ip), "")
+	text = strings.ReplaceAll(text, "{{ip}}", v.ip)
 	if strings.Contains(text, "{{") {
 		return fmt.Errorf("%s has a placeholder that this stand-in does not fill in", template)
 	}
 	return os.WriteFile(v.settingsFile(), []byte(text), 0o600)
 }
 
-// sections matches the parts of the template that are rendered only if the deployment has their value, which this one lacks.
-var sections = regexp.MustCompile(`\{\{#[^{}]*\}\}.*\{\{/[^{}]*\}\}`)
-
 func (v *vm) settingsFile() string { return filepath.Join(v.dir, v.id+".jsonc") }
 
 func (v *vm) frontAddress() string { return fmt.Sprintf("%s:%d", v.ip, v.front) }
