Serve the queue of a pool also when no connection is released

After a failed or refused dial, a request for which a connection of its scope is open waited for that connection. If a client kept it in a transaction, nothing called serveWaiters when the pause between dials ended, and the request waited until its deadline although the pool had room. Teams make this common: most have one or two connections to an instance.

The new test fails without the change (5 s until the deadline instead of less than 1 s), for a dial that times out. It also covers a refused one.

--- a/internal/backend/allotter/allotter.go
+++ b/internal/backend/allotter/allotter.go
@@ -448,7 +448,8 @@
 	return m
 }
 
-// closeIdleLoop closes connections at the end of their idle timeout, until Close.
+// closeIdleLoop closes connections at the end of their idle timeout, until Close. It also serves the queues: a request may
+// wait for the end of a pause between dials while all connections are idle in transactions, so that none is released.
 func (a *Allotter) closeIdleLoop() {
 	t := time.NewTicker(a.cfg.ExtraIdleTimeout / 2)
 	defer t.Stop()
@@ -463,6 +464,7 @@
 			p.closeIdleBefore(time.Now().Add(-a.cfg.IdleTimeout))
 			p.closeExtraIdle(time.Now().Add(-a.cfg.ExtraIdleTimeout))
 			p.dropUnused(time.Now())
+			a.serveWaiters(p)
 		}
 		a.mu.Unlock()
 	}
--- a/internal/backend/allotter/decision_test.go
+++ b/internal/backend/allotter/decision_test.go
@@ -184,3 +184,36 @@
 	c, err := f(t)
 	return c, tokenizer.Position{}, err
 }
+
+// A client keeps the only connection of its team in a transaction, so that no connection comes back. Guards against a request
+// of the team that waits until its deadline because nothing dials again after a failed or refused dial.
+func TestDialAgainWithoutReturns(t *testing.T) {
+	for _, kind := range []classifier.Kind{classifier.Timeout, classifier.TooManyConnections} {
+		synctest.Test(t, func(t *testing.T) {
+			dials := 0
+			a := New(Config{
+				Dialer: dialerFunc(func(carrier.Target) (carrier.Conn, error) {
+					time.Sleep(10 * time.Millisecond)
+					if dials++; dials == 2 {
+						return nil, classifier.New(kind, "no connection")
+					}
+					return &fakeConn{dialer: &fakeDialer{}}, nil
+				}),
+				Limits: func(carrier.Target) Limits { return Limits{Open: 9} }, Observe: func(carrier.Target, tokenizer.Position, time.Duration, error) {},
+			})
+			defer a.Close()
+			l, err := acquire(t, a, time.Second)
+			if err != nil {
+				t.Fatal(err)
+			}
+			defer l.Discard()
+			l.MarkIdleInTx()
+			start := time.Now()
+			second, err := acquire(t, a, 5*time.Second)
+			if err != nil || time.Since(start) > time.Second {
+				t.Fatalf("after a dial that failed with %s: %v after %s, want a connection within 1 s", kind, err, time.Since(start))
+			}
+			second.Release()
+		})
+	}
+}
