Don't count commands of the VM itself as another team

A team may lease three quarters of the connections while other teams use the instance, too. The record of the VM's own commands (samples, probes, states) counted as another team, so that the only team of a pool never got the rest: of two connections it got one.

The record of a team now says whether only commands of the VM itself used the instance. The new tests fail without the change in decision.go.

--- a/internal/backend/allotter/decision.go
+++ b/internal/backend/allotter/decision.go
@@ -127,7 +127,17 @@
 // hasMaxLeased reports whether the team of a request holds as many connections as it may.
 func hasMaxLeased(teams map[string]*teamUse, r request, maxOpen int) bool {
 	u := teams[r.team]
-	return u != nil && !r.anyTeam && len(teams) > 1 && u.leased >= max(1, int(maxLeasedShare*float64(maxOpen)))
+	return u != nil && !r.anyTeam && u.leased >= max(1, int(maxLeasedShare*float64(maxOpen))) && hasOtherTeam(teams, r.team)
+}
+
+// hasOtherTeam reports whether another team uses the instance, too.
+func hasOtherTeam(teams map[string]*teamUse, team string) bool {
+	for name, u := range teams {
+		if name != team && !u.isOwn {
+			return true
+		}
+	}
+	return false
 }
 
 // dialingFor returns the number of dials in progress whose connection can serve r.
--- a/internal/backend/allotter/decision_test.go
+++ b/internal/backend/allotter/decision_test.go
@@ -39,6 +39,7 @@
 		{"all connections in transactions", snapshot{waiters: []request{want("c")}, open: 6}, action{}},
 		{"team with most connections in transactions", snapshot{idle: []idleConn{ago(0, "a"), ago(0, "b")}, teams: map[string]*teamUse{"a": {leased: 4}, "b": {}}, waiters: []request{want("a"), want("b")}, open: 6}, action{giveIdle, 1, 1}},
 		{"the only team, with most connections in transactions", snapshot{idle: []idleConn{ago(0, "a")}, teams: map[string]*teamUse{"a": {leased: 4}}, waiters: []request{want("a")}, open: 5}, action{giveIdle, 0, 0}},
+		{"the only team besides the VM itself", snapshot{idle: []idleConn{ago(0, "a")}, teams: map[string]*teamUse{"a": {leased: 4}, "": {isOwn: true}}, waiters: []request{want("a")}, open: 5}, action{giveIdle, 0, 0}},
 		{"team that held connections for less time", snapshot{idle: []idleConn{ago(0, "a"), ago(0, "b")}, teams: map[string]*teamUse{"a": {held: 1, heldAt: now}}, waiters: []request{want("a"), want("b")}, open: 2}, action{giveIdle, 1, 1}},
 		{"more urgent request of a team that held connections", snapshot{idle: []idleConn{ago(0, "a"), ago(0, "b")}, teams: map[string]*teamUse{"a": {held: 1, heldAt: now}}, waiters: []request{{team: "a", scope: scope{team: "a"}}, want("b")}, open: 2}, action{giveIdle, 0, 0}},
 	} {
@@ -217,3 +218,26 @@
 		})
 	}
 }
+
+// Guards against a team that may use only a part of the connections because the VM itself sends commands to the instance.
+func TestOnlyTeamUsesAllConnections(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		a := newAllotter(&fakeDialer{}, 2)
+		defer a.Close()
+		command, err := a.Acquire(t.Context(), target.WithAnyTeam(), ControlPriority)
+		if err != nil {
+			t.Fatal(err)
+		}
+		time.Sleep(time.Second)
+		command.Release()
+		for n := range 2 {
+			ctx, cancel := context.WithTimeout(t.Context(), time.Second)
+			defer cancel()
+			l, err := a.Acquire(ctx, target.WithTeam("a"), 1)
+			if err != nil {
+				t.Fatalf("connection %d of 2: %v", n+1, err)
+			}
+			defer l.Discard()
+		}
+	})
+}
--- a/internal/backend/allotter/instance_pool.go
+++ b/internal/backend/allotter/instance_pool.go
@@ -108,7 +108,9 @@
 	p.idle = slices.Delete(p.idle, k, k+1)
 	l.team, l.teamConn, l.holdStart = r.team, teamConn{l.conn, r.team}, time.Now()
 	p.scopeUse(l.scope).recordReturn(l.holdStart)
+	_, isKnown := p.teams[r.team]
 	u := p.teamUse(r.team)
+	u.isOwn = r.anyTeam && (u.isOwn || !isKnown)
 	u.inUse++
 	u.leased++
 	return l
--- a/internal/backend/allotter/use.go
+++ b/internal/backend/allotter/use.go
@@ -46,8 +46,9 @@
 
 // teamUse describes how much a team uses the connections to an instance.
 type teamUse struct {
-	inUse  int // connections in use for the team, without those idle in a transaction
-	leased int // connections in use or idle in a transaction
+	inUse  int  // connections in use for the team, without those idle in a transaction
+	leased int  // connections in use or idle in a transaction
+	isOwn  bool // only commands of the VM itself used the instance, so that this is no other team
 
 	held     float64 // seconds for which it held connections, decayed with heldDecay since heldAt
 	heldLong float64 // the same, decayed with loadDecay
