Don't lengthen the wait that another VM asks for under overload

Under sustained overload, a gateway raised a wait of less than 60 ms to overloadAcquireTimeout, so that a statement could run after its VM had given it up. The wait is now computed by a function of values, and overload only shortens it. The new test fails without the change for a wait of 20 ms.

--- a/internal/statement/forwarder/server.go
+++ b/internal/statement/forwarder/server.go
@@ -253,17 +253,10 @@
 }
 
 func (c *proxyConn) acquire(cmd carrier.Command) (*allotter.Lease, error) {
-	timeout := acquireTimeout
-	if c.server.cfg.Pool.Load(c.target).HasSustainedOverload {
-		timeout = overloadAcquireTimeout
-	}
+	timeout := acquireWait(cmd.Urgency, c.server.cfg.Pool.Load(c.target).HasSustainedOverload)
 	u := carrier.Urgency{Priority: statementPriority}
 	if cmd.Urgency.Wait > 0 {
 		u = cmd.Urgency
-		isOverloaded := timeout == overloadAcquireTimeout
-		if timeout = min(u.Wait, maxAcquireTimeout); isOverloaded {
-			timeout = max(timeout/overloadWaitDivisor, overloadAcquireTimeout)
-		}
 	}
 	ctx, cancel := context.WithTimeout(c.server.ctx, timeout)
 	defer cancel()
@@ -273,6 +266,21 @@
 	return c.server.cfg.Pool.AcquireUrgent(ctx, c.target.WithTeam(cmd.Team), u)
 }
 
+// acquireWait returns how long a command may wait for a connection to the instance. Overload shortens the wait.
+func acquireWait(u carrier.Urgency, isOverloaded bool) time.Duration {
+	switch {
+	case u.Wait <= 0 && isOverloaded:
+		return overloadAcquireTimeout
+	case u.Wait <= 0:
+		return acquireTimeout
+	}
+	wait := min(u.Wait, maxAcquireTimeout)
+	if isOverloaded {
+		wait = min(wait, max(wait/overloadWaitDivisor, overloadAcquireTimeout))
+	}
+	return wait
+}
+
 // forward executes a command on the leased connection. It releases the connection once it is
 // outside a transaction, and discards it on an error.
 func (c *proxyConn) forward(cmd carrier.Command) (carrier.Reply, error) {
--- a/internal/statement/forwarder/server_test.go
+++ b/internal/statement/forwarder/server_test.go
@@ -5,6 +5,7 @@
 	"net"
 	"testing"
 	"testing/synctest"
+	"time"
 
 	"parsleyscale/internal/session/tokenizer"
 	"parsleyscale/internal/statement/carrier"
@@ -66,3 +67,21 @@
 		}
 	})
 }
+
+// Guards against a wait that is longer than another VM asks for, after which it has given up, and against a long wait under
+// overload.
+func TestAcquireWait(t *testing.T) {
+	const ms = time.Millisecond
+	for _, c := range []struct {
+		asked        time.Duration // 0: not given
+		isOverloaded bool
+		want         time.Duration
+	}{
+		{0, false, acquireTimeout}, {0, true, overloadAcquireTimeout}, {200 * ms, false, 200 * ms}, {time.Hour, false, maxAcquireTimeout},
+		{200 * ms, true, overloadAcquireTimeout}, {800 * ms, true, 200 * ms}, {time.Hour, true, maxAcquireTimeout / overloadWaitDivisor}, {20 * ms, true, 20 * ms},
+	} {
+		if got := acquireWait(carrier.Urgency{Wait: c.asked}, c.isOverloaded); got != c.want {
+			t.Errorf("asked for %s, overload %t: %s, want %s", c.asked, c.isOverloaded, got, c.want)
+		}
+	}
+}
