Don't ask gateways again for a position that is too old for a read

A read asked a gateway again at once if the gateway's position was older than its bound, and repeated that until its deadline. A read without a bound needs a position that was held after its arrival, which no gateway has: its gateway asked the primary and then refused, so that the primary was asked twice.

Such a read now asks the primary directly, and a position that is older than was asked for makes the read ask the primary.

--- a/internal/statement/performer/load_test.go
+++ b/internal/statement/performer/load_test.go
@@ -240,3 +240,23 @@
 		}
 	})
 }
+
+// Guards against a read that asks gateways again and again, because their position, which is 100 ms old, is too old for it.
+func TestSharedSampleIsTooOld(t *testing.T) {
+	for _, maxStaleness := range []time.Duration{0, 60 * time.Millisecond} {
+		synctest.Test(t, func(t *testing.T) {
+			f := newFakeGroup(3, 18*time.Millisecond)
+			f.gatewaySample = 20
+			v := newFakeVM(f, 40)
+			defer v.pool.Close()
+			r := v.request(cataloger.BoundedStaleness, carrier.Read)
+			r.Route.MaxStaleness = maxStaleness
+			if reply := v.Read(t.Context(), r); !reply.OK() {
+				t.Errorf("bound of %s: %s %s, want the read served at the position of the primary", maxStaleness, reply.Kind, reply.Detail)
+			}
+			if p := v.group.Samples.Newest().Position; p.Index != f.lastIndex {
+				t.Errorf("bound of %s: position %s, want that of the primary, %d", maxStaleness, p, f.lastIndex)
+			}
+		})
+	}
+}
--- a/internal/statement/performer/performer.go
+++ b/internal/statement/performer/performer.go
@@ -318,10 +318,17 @@
 // read accepts. A fresher position than necessary makes replicas refuse the read; an older one could not serve the next reads.
 const sharedSampleAgeDivisor = 2
 
+// minSharedSampleAge is the least maximum age, and the unit, in which a gateway is asked for a position. It has none that was
+// held at the time of the request.
+const minSharedSampleAge = time.Millisecond
+
 // shareSample obtains a position of the primary from one of its gateways, which answers from the statements of all VMs that it
 // forwards. A VM on its own has too few statements in a large deployment: it would take most positions at the time of the
 // read, and replicas would refuse them. Without a gateway, the primary is asked.
 func (p *Performer) shareSample(ctx context.Context, g *registrar.Group, maxAge time.Duration) error {
+	if maxAge < minSharedSampleAge {
+		return p.SamplePrimaryPosition(ctx, g)
+	}
 	done := p.primarySamples.DoChan(g.Name()+" "+maxAge.String(), func() (any, error) {
 		if isShared, err := p.sampleFromGateway(g, maxAge); isShared || err != nil {
 			return nil, err
@@ -367,8 +374,8 @@
 		return false, nil
 	}
 	ms, err := strconv.ParseInt(replies[0].Rows[0], 10, 32)
-	if err != nil {
-		return false, nil
+	if err != nil || ms > maxAge.Milliseconds()+1 {
+		return false, nil // too old to serve the read, which would ask again at once
 	}
 	// The gateway computed the age after the request was sent, so that the position was held at this time or later.
 	g.RecordSample(sentAt-time.Duration(ms)*time.Millisecond, replies[0].Position)
