Open no connection for each team while no gateway of an instance answers

With teams, a VM behind gateways may have 3 open links to each of them and 3 without a team, up to 15. While all gateways have failed, it connects to the instance itself, but kept this limit: 65 VMs could open 975 connections, one or more for each team, to an instance that accepts 72, and keep them for the idle time-out when the gateways return.

The limit is now that of a configuration without teams (3) while no gateway is usable. The new test fails without the change (15).

--- a/internal/daemon/assembler/gateway.go
+++ b/internal/daemon/assembler/gateway.go
@@ -81,7 +81,9 @@
 func (d *gatewayDialer) connectionLimits(t carrier.Target) allotter.Limits {
 	list := d.gatewaysOf(t)
 	if len(list) > 0 && !d.isSelf(list) {
-		if !d.vm.hasTeams() {
+		// While all gateways have failed, the connections lead to the instance itself, which could not accept one for each team
+		// from each VM.
+		if !d.vm.hasTeams() || !d.hasUsable(t, list) {
 			return allotter.Limits{Open: maxConnectionsToGateways}
 		}
 		// Open links of each gateway, and of those without a team; no more in use than without teams.
--- a/internal/daemon/assembler/teamgateway.go
+++ b/internal/daemon/assembler/teamgateway.go
@@ -81,6 +81,11 @@
 	return true
 }
 
+// hasUsable reports whether the latest dial of a gateway in list has not failed.
+func (d *gatewayDialer) hasUsable(t carrier.Target, list []member) bool {
+	return slices.ContainsFunc(list, func(g member) bool { return !d.hasFailed(t, g.LinkAddress) })
+}
+
 // probe dials a gateway that has failed.
 func (d *gatewayDialer) probe(t carrier.Target) {
 	ctx, cancel := context.WithTimeout(context.Background(), allotter.DefaultDialTimeout)
--- a/internal/daemon/assembler/teamgateway_test.go
+++ b/internal/daemon/assembler/teamgateway_test.go
@@ -9,7 +9,10 @@
 	"testing/synctest"
 	"time"
 
+	"parsleyscale/internal/config/loader"
+	"parsleyscale/internal/group/registrar"
 	"parsleyscale/internal/session/tokenizer"
+	"parsleyscale/internal/sheet/cataloger"
 	"parsleyscale/internal/statement/carrier"
 )
 
@@ -109,3 +112,36 @@
 		synctest.Wait()
 	})
 }
+
+// Guards against VMs that open a connection to the instance itself for each of many teams while no gateway answers, so that it
+// refuses those of other VMs, and later those of its gateways.
+func TestLimitWithoutUsableGateway(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := &gatewayPlatformDialer{}
+		v := &VM{cfg: loader.LineSettings{ID: "vm0"}, platform: Platform{Dialer: f}, groups: registrar.New(func() time.Duration { return time.Second })}
+		v.members = newMembers(v.cfg, nil, nil)
+		v.members.isSettled = true
+		for k := range 60 {
+			v.members.vms = append(v.members.vms, member{ID: fmt.Sprintf("vm%d", k), DataCentre: "other", LinkAddress: fmt.Sprintf("link%d", k)})
+		}
+		v.members.vms[0].LinkAddress = "" // so that vm0 is not a gateway
+		c := cataloger.Configuration{Groups: map[string]cataloger.Group{"g": {MaxConnectionsPerInstance: 72}}}
+		v.configuration.Store(c.WithTeams([]cataloger.Team{{Name: "a"}, {Name: "b"}}))
+		v.groups.Update(cataloger.Registry{"i": {ID: "i", Group: "g", Address: "a", DataCentre: "d", Slots: 5}})
+		d := &gatewayDialer{vm: v, failed: map[string]time.Time{}, probing: map[string]bool{}}
+		target := carrier.Target{Instance: "i", Group: "g", Address: "a"}
+		list := d.gatewaysOf(target)
+		if l := d.connectionLimits(target); len(list) != maxGatewaysPerInstance || l.Open != maxConnectionsToGateways*(maxGatewaysPerInstance+1) {
+			t.Fatalf("%d gateways, limits %+v; want open links for each of %d gateways", len(list), l, maxGatewaysPerInstance)
+		}
+		for k, g := range list {
+			if l := d.connectionLimits(target); l.Open <= maxConnectionsToGateways {
+				t.Errorf("%d of %d gateways failed: limits %+v, want open links for each gateway", k, len(list), l)
+			}
+			d.recordFailedGateway(g.LinkAddress)
+		}
+		if l := d.connectionLimits(target); l.Open != maxConnectionsToGateways {
+			t.Errorf("all gateways failed: limits %+v, want at most %d connections", l, maxConnectionsToGateways)
+		}
+	})
+}
