Read the table of limits after a conflict without rows

The store may refuse a conditional write without the current rows (status 409 or 410, or an answer that cannot be decoded). The holder took this for a store without the rows: it then wrote them with version 0, which never matched, and lost all of its shards at the end of the lease because of one row that another VM had claimed.

It now reads the table and keeps its versions until then. The new test fails without the change: no shard is held instead of all but the claimed one.

--- a/internal/team/holder/holder.go
+++ b/internal/team/holder/holder.go
@@ -428,6 +428,8 @@
 			}
 			h.leaseUntil[shard] = startedAt + Lease
 		}
+	case classifier.Is(err, classifier.Conflict) && len(current) == 0:
+		h.mustRead = true // the store sent no rows, which does not show that it has none
 	case classifier.Is(err, classifier.Conflict):
 		h.view.AttemptedAt = h.view.RenewedAt // a refused write is repeated at once, with the current versions
 		h.merge(shards, current)
@@ -550,6 +552,8 @@
 		switch now := h.cfg.Clock(); {
 		case err == nil:
 			h.view.Rows[shard] = SeenRow{Row: successor, Version: version, SeenAt: now}
+		case classifier.Is(err, classifier.Conflict) && len(current) == 0:
+			h.mustRead = true
 		case classifier.Is(err, classifier.Conflict):
 			h.merge([]int{shard}, current)
 		}
--- a/internal/team/holder/holder_test.go
+++ b/internal/team/holder/holder_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"strconv"
+	"sync"
 	"sync/atomic"
 	"testing"
 	"testing/synctest"
@@ -58,6 +59,25 @@
 	return s.version, nil, nil
 }
 
+// rowlessStore is a Store that sends no rows with a conflict, as one whose answer cannot be read.
+type rowlessStore struct {
+	*fakeStore
+	mu sync.Mutex
+}
+
+func (s *rowlessStore) Read(ctx context.Context, table string) (follower.Page, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.fakeStore.Read(ctx, table)
+}
+
+func (s *rowlessStore) SwapRows(ctx context.Context, table string, rows []follower.Row) (uint64, []follower.Row, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	version, _, err := s.fakeStore.SwapRows(ctx, table, rows)
+	return version, nil, err
+}
+
 // startHolder starts the only VM of a deployment, with a team that has a limit of 40 operations/s.
 func startHolder(s Store, start string) *Holder {
 	base := time.Now().Add(-time.Hour)
@@ -145,3 +165,23 @@
 		}
 	}
 }
+
+// Guards against a VM that takes a conflict without rows for a store without rows: it then writes versions that never match, and
+// loses all of its shards because another VM has claimed one.
+func TestConflictWithoutRows(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := &rowlessStore{fakeStore: &fakeStore{rows: map[string]follower.Row{}}}
+		h := startHolder(s, "1")
+		time.Sleep(5 * time.Second)
+		s.mu.Lock()
+		s.version++
+		s.rows["0"] = follower.Row{Key: "0", Version: s.version, Value: []byte(`{"holder":"other","address":"other","start":"1"}`)}
+		s.mu.Unlock()
+		time.Sleep(Lease + 3*time.Second) // before this VM may take the shard back
+		held := h.Held()
+		if len(held) != sharder.Count-1 || held[0] == 0 {
+			t.Errorf("shards %v are held, want all %d but shard 0", held, sharder.Count)
+		}
+		h.Close(t.Context())
+	})
+}
