--- a/internal/team/limiter/limiter.go
+++ b/internal/team/limiter/limiter.go
@@ -19,6 +19,8 @@
 	// maxTokenLifetime is how long a token may be used at most after the request for it was sent. It lets a token that a far
 	// holder granted serve operations of some round trips.
 	maxTokenLifetime = 300 * time.Millisecond
+	// minTokenLifetime is the least lifetime, which a round trip to a far holder needs also where no overage is permitted.
+	minTokenLifetime = 50 * time.Millisecond
 	// prefetchPeriod is how long tokens that are requested in advance should last.
 	prefetchPeriod = 100 * time.Millisecond
 	// minPrefetchRate is the operations per second of a team on this VM above which tokens are requested in advance. Below it,
@@ -114,7 +116,7 @@
 // limit by a fraction. Tokens granted in a window and one lifetime may be used in one window, so that a lifetime of 0.6 times the
 // permitted excess leaves the rest for the time between the admission of an operation and its arrival at an instance.
 func TokenLifetime(window time.Duration, overage float64) time.Duration {
-	return min(maxTokenLifetime, time.Duration(0.6*overage*float64(window)))
+	return min(maxTokenLifetime, max(minTokenLifetime, time.Duration(0.6*overage*float64(window))))
 }
 
 // Admit returns nil if an operation of a team may run, and an error of kind overloaded if the team is above its limit. A team
@@ -264,8 +266,8 @@
 // recordGrant takes in the answer of a holder to a request for count tokens and returns how many it granted. The caller holds l.mu.
 func (l *Limiter) recordGrant(s *state, address string, sentAt time.Duration, g messenger.Grant, count int, err error) int {
 	now := l.cfg.Clock()
-	if err != nil {
-		return 0
+	if err != nil || now >= sentAt+l.cfg.TokenLifetime {
+		return 0 // tokens that arrive too late are lost
 	}
 	granted := min(max(g.Count, 0), count)
 	if granted > 0 {
--- a/internal/team/limiter/limiter_test.go
+++ b/internal/team/limiter/limiter_test.go
@@ -83,6 +83,18 @@
 	})
 }
 
+// Failure: each answer takes longer than a token may be used. Guards against an operation that waits for ever.
+func TestAnswersTooLate(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		l := newLimiter(400*time.Millisecond, func(q messenger.Request) messenger.Response {
+			return messenger.Response{Grants: []messenger.Grant{{Count: q.Asks[0].Count}}}
+		})
+		if err := l.Admit(t.Context(), team); !classifier.Is(err, classifier.Overloaded) {
+			t.Errorf("error %v, want kind overloaded", err)
+		}
+	})
+}
+
 // Failure: nobody answers, or nobody holds a shard. Operations must be refused with the time after which to return, without a
 // request for each of them.
 func TestNoHolder(t *testing.T) {
