--- a/internal/team/explorer/load_test.go
+++ b/internal/team/explorer/load_test.go
@@ -1,6 +1,7 @@
 package explorer
 
 import (
+	"context"
 	"math/rand/v2"
 	"sync"
 	"testing"
@@ -226,3 +227,50 @@
 		}
 	}, cataloger.Team{Name: "free", Rate: 0})
 }
+
+// Failure: a holder stops as planned, and returns. Its shards must pass on at once both times, without a refusal.
+func TestPlannedStop(t *testing.T) {
+	run(t, 65, func(f *fleet) {
+		v := f.holding("large")
+		p := v.process.Load()
+		held := len(p.holder.Held())
+		go f.load("large", 62, 4*time.Minute, 14, func(r *rand.Rand) *vm { return f.vms[(v.number+1+r.IntN(64))%65] })
+		time.Sleep(time.Second)
+		p.holder.Close(context.Background())
+		v.process.Store(nil)
+		time.Sleep(100 * time.Millisecond)
+		for shard, n := range f.heldBy() {
+			if n != 1 {
+				t.Errorf("shard %d has %d holders 100 ms after the stop, want 1", shard, n)
+			}
+		}
+		v.start()
+		time.Sleep(2*time.Minute + time.Duration(held)*time.Minute)
+		if n := len(v.process.Load().holder.Held()); n != held {
+			t.Errorf("the VM holds %d shards some minutes after its return, want %d as before", n, held)
+		}
+		time.Sleep(2 * time.Minute)
+		if n := f.refused["large"]; n > 0 {
+			t.Errorf("%d operations refused", n)
+		}
+	}, large)
+}
+
+// Failure: one holder is killed at a random moment. The shard must be held again within 50 s.
+func TestTakeOver(t *testing.T) {
+	for k := range 5 {
+		run(t, 65, func(f *fleet) {
+			time.Sleep(time.Duration(k) * 2300 * time.Millisecond)
+			f.holding("large").kill()
+			killedAt := f.clock()
+			for f.heldBy() != [8]int{1, 1, 1, 1, 1, 1, 1, 1} && f.clock() < killedAt+time.Minute {
+				time.Sleep(100 * time.Millisecond)
+			}
+			if d := f.clock() - killedAt; d > 50*time.Second {
+				t.Errorf("held again after %s, want at most 50s", d)
+			} else {
+				t.Logf("held again after %s", d)
+			}
+		}, large)
+	}
+}
