Account for what clients of the line daemon occupy

The package internal/client/budgeter holds a budget for each resource that clients and other VMs' connections occupy: bytes of messages in progress, bytes of answers not yet taken, bytes of session values and prepared statements, sessions that have not started, and connections. Above a budget, the connection with the heaviest use and the slowest progress is closed, or the request that needs more is refused with BUSY. The decision is a function of the usages.

- Texts of prepared statements are kept once for all sessions.
The table of names holds their hashes in place of the texts, which could take 10 GB.
- The key of a table of a session no longer refers to the text of an earlier message.
- Settings memoryMB and maxDescriptors, from which the budgets and the limit of the garbage collector follow.

The tests in test/overload are given the two settings, which the loader refused until now.

--- a/cmd/parsleyline/main.go
+++ b/cmd/parsleyline/main.go
@@ -6,10 +6,12 @@
 	"fmt"
 	"os"
 	"os/signal"
+	"runtime/debug"
 	"syscall"
 
 	"github.com/jessevdk/go-flags"
 
+	"parsleyscale/internal/client/budgeter"
 	"parsleyscale/internal/config/loader"
 	"parsleyscale/internal/daemon/assembler"
 	"parsleyscale/internal/telemetry/logger"
@@ -46,6 +48,9 @@
 	if err != nil || o.Check {
 		return err
 	}
+	if cfg.MemoryMB > 0 {
+		debug.SetMemoryLimit(budgeter.MemoryLimit(cfg.MemoryMB))
+	}
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
 	defer stop()
 	reload := assembler.Reload{Signal: notifyReload(), Load: func() (loader.LineSettings, error) { return loader.LoadLine(o.Settings) }}
--- a/internal/config/loader/line.go
+++ b/internal/config/loader/line.go
@@ -23,6 +23,9 @@
 	StopGrace     Duration          `json:"stopGrace" doc:"time from the stop signal to the end of the process"`
 	StopNotice    Duration          `json:"stopNotice" doc:"time from reporting not ready to closing idle sessions"`
 	Callers       int               `json:"callers" doc:"limit of concurrent client connections"`
+	MemoryMB      int               `json:"memoryMB" doc:"memory of the VM in MB, from which the budgets for what clients occupy are derived; if 0, they are those of a large VM and the garbage collector has no limit"`
+
+	MaxDescriptors int `json:"maxDescriptors" doc:"file descriptors that the process may have open, from which the limit of connections is derived; if 0, that of a large VM applies"`
 }
 
 // DefaultLine returns the default values of the settings.
@@ -53,6 +56,8 @@
 		checkSeeds(s.Seeds, checkAddress),
 		checkNotNegative("/linkMbps", s.LinkMbps),
 		checkNotNegative("/coreShare", s.CoreShare),
+		checkNotNegative("/memoryMB", float64(s.MemoryMB)),
+		checkNotNegative("/maxDescriptors", float64(s.MaxDescriptors)),
 		s.checkStop(),
 	} {
 		if f != nil {
--- a/internal/daemon/assembler/assembler.go
+++ b/internal/daemon/assembler/assembler.go
@@ -11,6 +11,7 @@
 	"time"
 
 	"parsleyscale/internal/backend/allotter"
+	"parsleyscale/internal/client/budgeter"
 	"parsleyscale/internal/config/loader"
 	"parsleyscale/internal/failure/classifier"
 	"parsleyscale/internal/group/claimer"
@@ -47,8 +48,8 @@
 type Platform struct {
 	Store      Store
 	Dialer     carrier.Dialer
-	Accept     func(c net.Conn) conductor.ClientConn
-	AcceptPort func(c net.Conn) forwarder.Conn
+	Accept     func(c net.Conn, a *budgeter.Account) conductor.ClientConn
+	AcceptPort func(c net.Conn, a *budgeter.Account) forwarder.Conn
 	Promote    func(ctx context.Context, group, instance, holder string, token uint64) error
 
 	ParseCondition func(row string) (carrier.InstanceStatus, error)
@@ -83,6 +84,7 @@
 	isStopping     atomic.Bool
 
 	groups           *registrar.Registrar
+	budget           *budgeter.Budget // of what clients and other VMs' connections use
 	pool             *allotter.Allotter
 	gateways         *gatewayDialer
 	statementNames   namer.Namer
@@ -128,6 +130,7 @@
 func start(cfg loader.LineSettings, p Platform, log *logger.Logger) (*VM, error) {
 	v := &VM{cfg: cfg, platform: p, log: log, registry: cataloger.Registry{}, registryLoaded: make(chan struct{})}
 	v.latestSettings.Store(&cfg)
+	v.budget = budgeter.New(budgeter.LimitsFor(cfg.MemoryMB, cfg.MaxDescriptors), v.logBudget)
 	var err error
 	if v.meter, err = meter.NewLineMeter(v.gauges()...); err != nil {
 		return nil, err
@@ -177,7 +180,7 @@
 		return nil, err
 	}
 	v.sessionServer = conductor.NewServer(conductor.Config{
-		Listener: clientListener, Accept: p.Accept, Configuration: v.configuration.Load, Performer: v.performer, Clock: p.Clock, MaxSessions: cfg.Callers, Names: &v.statementNames, OnEnd: v.logSession, OnPanic: v.logPanic,
+		Listener: clientListener, Accept: p.Accept, Budget: v.budget, Configuration: v.configuration.Load, Performer: v.performer, Clock: p.Clock, MaxSessions: cfg.Callers, Names: &v.statementNames, OnEnd: v.logSession, OnPanic: v.logPanic,
 	})
 	readyListener, err := net.Listen("tcp", cfg.ReadyAddress)
 	if err != nil {
--- a/internal/daemon/assembler/gateway.go
+++ b/internal/daemon/assembler/gateway.go
@@ -175,7 +175,7 @@
 	if err != nil {
 		return err
 	}
-	v.forwardServer = forwarder.NewServer(forwarder.Config{Listener: ln, Accept: v.platform.AcceptPort, Pool: v.pool, Names: &v.statementNames, Find: v.findInstance, IsUnreachable: v.hasFailedAttempts, StopsAck: v.stopsAck, OnPanic: v.logPanic})
+	v.forwardServer = forwarder.NewServer(forwarder.Config{Listener: ln, Accept: v.platform.AcceptPort, Budget: v.budget, Pool: v.pool, Names: &v.statementNames, Find: v.findInstance, IsUnreachable: v.hasFailedAttempts, StopsAck: v.stopsAck, OnPanic: v.logPanic})
 	go v.forwardServer.Serve()
 	return nil
 }
--- a/internal/daemon/assembler/log.go
+++ b/internal/daemon/assembler/log.go
@@ -69,7 +69,7 @@
 
 // gauges returns the gauges of this VM, which are read at each scrape.
 func (v *VM) gauges() []meter.Gauge {
-	return []meter.Gauge{
+	return append([]meter.Gauge{
 		{Name: "parsleyscale.sessions", Help: "open sessions", Read: func(observe func(int64, string)) { observe(int64(v.sessionServer.SessionCount()), "") }},
 		{Name: "parsleyscale.vms", Help: "VMs listed in the store", Read: func(observe func(int64, string)) { observe(int64(v.members.count()), "") }},
 		{Name: "parsleyscale.links", Help: "connections to an instance in use", Read: v.loadGauge(func(l allotter.Load) int { return l.InUse })},
@@ -78,7 +78,7 @@
 		{Name: "parsleyscale.links.opened", Help: "connections to an instance opened since the VM started", Read: v.statsGauge(func(s allotter.Stats) uint64 { return s.Opened })},
 		{Name: "parsleyscale.links.refused", Help: "connections that an instance refused since the VM started", Read: v.statsGauge(func(s allotter.Stats) uint64 { return s.Refused })},
 		{Name: "parsleyscale.floor.age", Help: "milliseconds since the primary of a group last proved its role, by group", Read: v.readPrimaryProofAges},
-	}
+	}, v.budgetGauges()...)
 }
 
 // loadGauge returns a gauge function that reports f of the connection pool's load for each instance.
--- a/internal/statement/carrier/reply.go
+++ b/internal/statement/carrier/reply.go
@@ -32,6 +32,15 @@
 // OK reports whether the statement succeeded.
 func (r Reply) OK() bool { return r.Kind == "" }
 
+// Size returns the approximate number of bytes of the reply.
+func (r Reply) Size() int {
+	n := len(r.Signature) + len(r.Detail)
+	for _, row := range r.Rows {
+		n += len(row)
+	}
+	return n
+}
+
 // WithState returns a copy of the reply with the transaction state s.
 func (r Reply) WithState(s State) Reply {
 	r.State = s
--- a/internal/statement/conductor/server.go
+++ b/internal/statement/conductor/server.go
@@ -11,6 +11,7 @@
 	"sync/atomic"
 	"time"
 
+	"parsleyscale/internal/client/budgeter"
 	"parsleyscale/internal/sheet/cataloger"
 	"parsleyscale/internal/statement/namer"
 )
@@ -18,7 +19,8 @@
 // Config holds the dependencies and limits of a Server.
 type Config struct {
 	Listener      net.Listener
-	Accept        func(c net.Conn) ClientConn
+	Accept        func(c net.Conn, a *budgeter.Account) ClientConn
+	Budget        *budgeter.Budget                // of the process; nil for no limits
 	Configuration func() *cataloger.Configuration // returns nil while the VM has no configuration yet
 	Performer     Performer
 	Names         *namer.Namer         // names of prepared statements on all connections of the VM
@@ -67,16 +69,24 @@
 			_ = conn.Close()
 			continue
 		}
+		account, err := s.cfg.Budget.Open(conn)
+		if err != nil {
+			_ = conn.Close()
+			continue
+		}
 		s.open.Add(1)
-		s.wg.Go(func() { s.run(conn) })
+		s.wg.Go(func() {
+			defer account.Close()
+			s.run(conn, account)
+		})
 	}
 }
 
 // acceptRetryDelay is the delay after a failed accept, most likely for lack of file descriptors.
 const acceptRetryDelay = 20 * time.Millisecond
 
-func (s *Server) run(conn net.Conn) {
-	sess := &session{server: s, client: s.cfg.Accept(conn)}
+func (s *Server) run(conn net.Conn, account *budgeter.Account) {
+	sess := &session{server: s, client: s.cfg.Accept(conn, account), account: account}
 	s.mu.Lock()
 	s.sessions[sess] = conn
 	if !s.noticeEnd.IsZero() {
--- a/internal/statement/conductor/server_test.go
+++ b/internal/statement/conductor/server_test.go
@@ -8,6 +8,7 @@
 	"testing/synctest"
 	"time"
 
+	"parsleyscale/internal/client/budgeter"
 	"parsleyscale/internal/sheet/cataloger"
 	"parsleyscale/internal/statement/carrier"
 )
@@ -53,7 +54,7 @@
 		accepted := 0
 		s := NewServer(Config{
 			Listener: l, Clock: func() time.Duration { return 0 },
-			Accept: func(c net.Conn) ClientConn {
+			Accept: func(c net.Conn, _ *budgeter.Account) ClientConn {
 				accepted++
 				return &fakeClient{conn: c, panics: accepted == 1}
 			},
--- a/internal/statement/conductor/session.go
+++ b/internal/statement/conductor/session.go
@@ -9,8 +9,10 @@
 	"fmt"
 	"io"
 	"os"
+	"strings"
 	"time"
 
+	"parsleyscale/internal/client/budgeter"
 	"parsleyscale/internal/failure/classifier"
 	"parsleyscale/internal/session/tokenizer"
 	"parsleyscale/internal/sheet/cataloger"
@@ -48,6 +50,7 @@
 type session struct {
 	server   *Server
 	client   ClientConn
+	account  *budgeter.Account
 	database string
 	key      string // that the client stated; a secret, must not be logged
 
@@ -78,16 +81,24 @@
 		case err == nil:
 			r = s.handle(ctx, st, arrivedAt, arrivedClock)
 		case isInvalidStatement(err):
-			r = s.refuse(classifier.KindOf(err), classifier.Message(err))
+			r = carrier.ErrorReplyFor(err).WithState(s.state())
 		case errors.Is(err, io.EOF):
 			return "callerLeft"
 		default:
 			return "callerBroke"
 		}
+		if r, err = s.accountForAnswer(st, r); err != nil {
+			return overBudget
+		}
 		if err := s.client.Send(r); err != nil {
 			return "callerBroke"
 		}
+		s.account.ReleaseAll(budgeter.Received)
+		s.account.ReleaseAll(budgeter.Answers)
 		s.lastReplyAt = time.Now()
+		if s.account.MustEnd() {
+			return overBudget
+		}
 		if r.Kind == classifier.UnknownDatabase {
 			return "unknownDatabase"
 		}
@@ -97,9 +108,35 @@
 	}
 }
 
+// overBudget is the reason for the end of a session that was closed because the process was above a budget.
+const overBudget = "overBudget"
+
+const (
+	// maxUncountedAnswerBytes is the size of answers up to which their memory is not accounted for.
+	maxUncountedAnswerBytes = 4096
+	// answerCopies is how many times an answer is in memory: as the instance sent it, until that is collected as garbage,
+	// and as its rows.
+	answerCopies = 2
+)
+
+// accountForAnswer accounts for a large answer until the client has taken it. If there is no memory for it, it returns the
+// refusal that takes its place, or an error if that would hide the outcome of a write.
+func (s *session) accountForAnswer(st carrier.Statement, r carrier.Reply) (carrier.Reply, error) {
+	size := r.Size()
+	if size <= maxUncountedAnswerBytes {
+		return r, nil
+	}
+	err := s.account.Reserve(budgeter.Answers, int64(answerCopies*size))
+	isRead := st.Verb == carrier.Read || st.Verb == carrier.Execute && s.prepared[st.Name].PreparedVerb == carrier.Read
+	if err == nil || !isRead {
+		return r, err
+	}
+	return carrier.ErrorReplyFor(err).WithState(r.State), nil
+}
+
 // isInvalidStatement reports whether err is due to one statement only, so that the session can go on.
 func isInvalidStatement(err error) bool {
-	return classifier.Is(err, classifier.BadMessage) || classifier.Is(err, classifier.MessageTooLarge)
+	return classifier.Is(err, classifier.BadMessage) || classifier.Is(err, classifier.MessageTooLarge) || classifier.Is(err, classifier.Overloaded)
 }
 
 // start receives the start message of the client and replies to it.
@@ -113,6 +150,12 @@
 		_ = s.client.Send(r)
 		return errStartRefused
 	}
+	if err := s.account.Keep(len(database) + len(who)); err != nil {
+		_ = s.client.Send(carrier.ErrorReplyFor(err))
+		return err
+	}
+	s.account.ReleaseAll(budgeter.Received)
+	s.account.Started()
 	s.lastReplyAt = time.Now()
 	return s.client.Send(carrier.Reply{})
 }
@@ -148,6 +191,9 @@
 // session ends instead, and an empty string otherwise. It aborts a transaction that is idle for too long.
 func (s *session) waitForStatement() string {
 	for {
+		if s.account.MustEnd() {
+			return overBudget
+		}
 		deadline, endsSession := s.waitDeadline()
 		err := s.client.Wait(deadline)
 		switch {
@@ -224,8 +270,11 @@
 	return carrier.ErrorReply(k, text).WithState(s.state())
 }
 
-// close rolls back a transaction that the client left open and closes the connection.
+// close rolls back a transaction that the client left open, gives up the session's state and closes the connection.
 func (s *session) close() {
+	for name := range s.prepared {
+		s.deallocate(name)
+	}
 	if s.tx != nil {
 		s.tx.Rollback()
 		s.tx = nil
@@ -241,7 +290,7 @@
 	case carrier.Prepare:
 		return s.prepare(st)
 	case carrier.Deallocate:
-		delete(s.prepared, st.Name)
+		s.deallocate(st.Name)
 		return carrier.Reply{State: s.state()}
 	case carrier.Rollback:
 		if s.tx != nil {
@@ -334,10 +383,16 @@
 	if len(s.values) >= maxEntriesPerSession {
 		return s.refuse(classifier.MessageTooLarge, fmt.Sprintf("too many session values, the limit is %d", maxEntriesPerSession))
 	}
+	if err := s.account.Keep(len(st.Name) + len(st.Args)); err != nil {
+		return carrier.ErrorReplyFor(err).WithState(s.state())
+	}
+	if old, ok := s.values[st.Name]; ok {
+		s.account.Unkeep(len(st.Name) + len(old))
+	}
 	if s.values == nil {
 		s.values = map[string]string{}
 	}
-	s.values[st.Name] = st.Args
+	s.values[strings.Clone(st.Name)] = st.Args // a part of the message's text would keep all of it in memory
 	return carrier.Reply{State: s.state()}
 }
 
@@ -345,9 +400,23 @@
 	if len(s.prepared) >= maxEntriesPerSession {
 		return s.refuse(classifier.MessageTooLarge, fmt.Sprintf("too many prepared statements, the limit is %d", maxEntriesPerSession))
 	}
+	text, err := s.account.KeepText(st.Args)
+	if err != nil {
+		return carrier.ErrorReplyFor(err).WithState(s.state())
+	}
+	s.deallocate(st.Name)
 	if s.prepared == nil {
 		s.prepared = map[string]carrier.Statement{}
 	}
-	s.prepared[st.Name] = st.WithName(s.server.cfg.Names.Name(st))
+	st.Args, st.ID = text, ""
+	s.prepared[strings.Clone(st.Name)] = st.WithName(s.server.cfg.Names.Name(st))
 	return carrier.Reply{State: s.state()}
 }
+
+// deallocate gives up a prepared statement, if there is one of the name.
+func (s *session) deallocate(name string) {
+	if old, ok := s.prepared[name]; ok {
+		s.account.UnkeepText(old.Args)
+		delete(s.prepared, name)
+	}
+}
--- a/internal/statement/forwarder/server.go
+++ b/internal/statement/forwarder/server.go
@@ -6,10 +6,12 @@
 	"fmt"
 	"net"
 	"runtime/debug"
+	"strings"
 	"sync"
 	"time"
 
 	"parsleyscale/internal/backend/allotter"
+	"parsleyscale/internal/client/budgeter"
 	"parsleyscale/internal/failure/classifier"
 	"parsleyscale/internal/session/tokenizer"
 	"parsleyscale/internal/statement/carrier"
@@ -24,6 +26,10 @@
 	overloadAcquireTimeout = 60 * time.Millisecond
 	// replyTimeout bounds the wait for a reply of the instance. The other VM usually gives up earlier.
 	replyTimeout = 10 * time.Second
+	// maxUncountedReplyBytes is the size of replies up to which their memory is not accounted for.
+	maxUncountedReplyBytes = 4096
+	// replyCopies is how many times a reply is in memory: its rows, and the message with them.
+	replyCopies = 2
 	// statementPriority is the priority of all statements except control commands. The other VM
 	// has already ordered them by their own priority.
 	statementPriority = 1
@@ -43,7 +49,8 @@
 // Config holds the dependencies of a Server.
 type Config struct {
 	Listener net.Listener
-	Accept   func(c net.Conn) Conn
+	Accept   func(c net.Conn, a *budgeter.Account) Conn
+	Budget   *budgeter.Budget // of the process; nil for no limits
 	Pool     *allotter.Allotter
 	Names    *namer.Namer // names of prepared statements on all connections of the VM
 	// IsUnreachable reports whether the latest attempts of this VM to reach an instance failed.
@@ -86,7 +93,15 @@
 			time.Sleep(acceptRetryDelay)
 			continue
 		}
-		s.wg.Go(func() { s.run(s.cfg.Accept(conn)) })
+		account, err := s.cfg.Budget.OpenPeer(conn)
+		if err != nil {
+			_ = conn.Close()
+			continue
+		}
+		s.wg.Go(func() {
+			defer account.Close()
+			s.run(s.cfg.Accept(conn, account), account)
+		})
 	}
 }
 
@@ -105,7 +120,7 @@
 	s.wg.Wait()
 }
 
-func (s *Server) run(conn Conn) {
+func (s *Server) run(conn Conn, account *budgeter.Account) {
 	s.mu.Lock()
 	s.conns[conn] = true
 	s.mu.Unlock()
@@ -131,8 +146,10 @@
 	if conn.ReplyToStart(position, nil) != nil {
 		return
 	}
-	c := &proxyConn{server: s, conn: conn, target: target, values: map[string]string{}, prepared: map[string]carrier.Statement{}}
+	account.Started()
+	c := &proxyConn{server: s, conn: conn, account: account, target: target, values: map[string]string{}, prepared: map[string]carrier.Statement{}}
 	defer func() {
+		c.reset()
 		if c.lease != nil {
 			c.lease.Discard()
 		}
@@ -144,6 +161,7 @@
 type proxyConn struct {
 	server   *Server
 	conn     Conn
+	account  *budgeter.Account
 	target   carrier.Target
 	values   map[string]string            // session values
 	prepared map[string]carrier.Statement // by the other VM's name for the statement
@@ -153,16 +171,25 @@
 func (c *proxyConn) run() {
 	for {
 		cmd, err := c.conn.Receive()
-		if err != nil {
+		var reply carrier.Reply
+		switch {
+		case err == nil:
+			if reply, err = c.handle(cmd); err != nil {
+				return // closing the connection makes the other VM treat it as a lost connection to the instance
+			}
+		case classifier.Is(err, classifier.Overloaded):
+			reply = carrier.ErrorReplyFor(err).WithState(c.localReply().State)
+		default:
 			return
 		}
-		reply, err := c.handle(cmd)
-		if err != nil {
-			return // closing the connection makes the other VM treat it as a lost connection to the instance
+		if size := reply.Size(); size > maxUncountedReplyBytes && c.account.Reserve(budgeter.Answers, int64(replyCopies*size)) != nil {
+			return
 		}
 		if c.conn.Send(reply) != nil {
 			return
 		}
+		c.account.ReleaseAll(budgeter.Received)
+		c.account.ReleaseAll(budgeter.Answers)
 	}
 }
 
@@ -171,14 +198,11 @@
 func (c *proxyConn) handle(cmd carrier.Command) (carrier.Reply, error) {
 	switch cmd.Verb {
 	case carrier.Set:
-		c.values[cmd.Name] = cmd.Args
-		return c.localReply(), nil
+		return c.localReply(), c.setValue(cmd.Statement)
 	case carrier.Prepare:
-		c.prepared[cmd.Name] = cmd.WithName(c.server.cfg.Names.Name(cmd.Statement))
-		return c.localReply(), nil
+		return c.localReply(), c.prepare(cmd.Statement)
 	case carrier.Reset:
-		clear(c.values)
-		clear(c.prepared)
+		c.reset()
 		return c.localReply(), nil
 	case carrier.Rollback:
 		if c.lease == nil {
@@ -195,6 +219,45 @@
 	return c.forward(cmd)
 }
 
+// setValue sets a session value. It returns an error, which ends the connection, if there is no memory for it: the other VM
+// sends the statements that need it without waiting for the answer.
+func (c *proxyConn) setValue(st carrier.Statement) error {
+	if err := c.account.Keep(len(st.Name) + len(st.Args)); err != nil {
+		return err
+	}
+	if old, ok := c.values[st.Name]; ok {
+		c.account.Unkeep(len(st.Name) + len(old))
+	}
+	c.values[strings.Clone(st.Name)] = st.Args // a part of the name's text would keep all of the message
+	return nil
+}
+
+// prepare keeps a prepared statement. It returns an error like setValue.
+func (c *proxyConn) prepare(st carrier.Statement) error {
+	text, err := c.account.KeepText(st.Args)
+	if err != nil {
+		return err
+	}
+	if old, ok := c.prepared[st.Name]; ok {
+		c.account.UnkeepText(old.Args)
+	}
+	st.Args, st.ID = text, ""
+	c.prepared[strings.Clone(st.Name)] = st.WithName(c.server.cfg.Names.Name(st))
+	return nil
+}
+
+// reset gives up the session values and the prepared statements.
+func (c *proxyConn) reset() {
+	for name, value := range c.values {
+		c.account.Unkeep(len(name) + len(value))
+	}
+	for _, st := range c.prepared {
+		c.account.UnkeepText(st.Args)
+	}
+	clear(c.values)
+	clear(c.prepared)
+}
+
 // localReply returns the reply to a command that changes only the state of the connection.
 func (c *proxyConn) localReply() carrier.Reply {
 	if c.lease != nil {
--- a/internal/statement/forwarder/server_test.go
+++ b/internal/statement/forwarder/server_test.go
@@ -6,6 +6,7 @@
 	"testing"
 	"testing/synctest"
 
+	"parsleyscale/internal/client/budgeter"
 	"parsleyscale/internal/session/tokenizer"
 	"parsleyscale/internal/statement/carrier"
 )
@@ -49,7 +50,7 @@
 		accepted, panics := 0, 0
 		s := NewServer(Config{
 			Listener: l, OnPanic: func(error) { panics++ },
-			Accept: func(net.Conn) Conn { accepted++; return conns[accepted-1] },
+			Accept: func(net.Conn, *budgeter.Account) Conn { accepted++; return conns[accepted-1] },
 			Find: func(string, string) (carrier.Target, tokenizer.Position, bool) {
 				return carrier.Target{}, tokenizer.Position{}, true
 			},
--- a/internal/statement/namer/namer.go
+++ b/internal/statement/namer/namer.go
@@ -4,6 +4,7 @@
 package namer
 
 import (
+	"crypto/sha256"
 	"strconv"
 	"sync"
 
@@ -21,15 +22,16 @@
 	names      map[statementKey]string
 }
 
-// statementKey identifies a prepared statement by its type and text.
+// statementKey identifies a prepared statement by its type and the hash of its text. The texts themselves, of up to 1 MiB each,
+// would take more memory than a VM has. Clients choose them, so the hash must be one for which no collisions can be found.
 type statementKey struct {
 	verb carrier.Verb
-	text string
+	hash [sha256.Size]byte
 }
 
 // Name returns the name for the statement that s prepares.
 func (n *Namer) Name(s carrier.Statement) string {
-	key := statementKey{s.PreparedVerb, s.Args}
+	key := statementKey{s.PreparedVerb, sha256.Sum256([]byte(s.Args))}
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	if name, ok := n.names[key]; ok {
--- a/internal/telemetry/logger/event.go
+++ b/internal/telemetry/logger/event.go
@@ -54,6 +54,8 @@
 	TermSealed        Event = "termSealed"
 	PrimaryKnown      Event = "primaryKnown"
 	PrimaryUnknown    Event = "primaryUnknown"
+	ClientClosed      Event = "clientClosed"
+	ClientRefused     Event = "clientRefused"
 )
 
 // EventDescription describes one event.
@@ -108,6 +110,8 @@
 	{NotInEffect, "an instance answered a hold or a demotion, but its state shows that the term goes on there"},
 	{PrimaryKnown, "an instance has become known to this VM as the primary of a term by its own answer"},
 	{PrimaryUnknown, "this VM no longer takes an instance for the primary, with the reason"},
+	{ClientClosed, "the connection with the heaviest use and the slowest progress was chosen to be closed, because clients occupy more of a resource than the process may spend on them; sampled"},
+	{ClientRefused, "a connection or a request was refused, because clients occupy as much of a resource as the process may spend on them; sampled"},
 }
 
 // Table returns the descriptions of all events as a new slice.
--- a/internal/telemetry/meter/lines.go
+++ b/internal/telemetry/meter/lines.go
@@ -1,6 +1,7 @@
 package meter
 
 import (
+	"cmp"
 	"context"
 	"sync"
 	"time"
@@ -36,6 +37,7 @@
 type Gauge struct {
 	Name, Help string
 	Read       func(observe func(n int64, instance string))
+	Label      string // name of the label that tells the values apart; "instance" if empty
 }
 
 // NewLineMeter returns a LineMeter that also exports gauges.
@@ -71,9 +73,10 @@
 		}
 	}
 	for _, g := range gauges {
+		label := cmp.Or(g.Label, "instance")
 		if _, err := otelMeter.Int64ObservableGauge(g.Name, metric.WithDescription(g.Help), metric.WithInt64Callback(func(_ context.Context, observer metric.Int64Observer) error {
 			g.Read(func(n int64, instance string) {
-				observer.Observe(n, metric.WithAttributes(attribute.String("instance", instance)))
+				observer.Observe(n, metric.WithAttributes(attribute.String(label, instance)))
 			})
 			return nil
 		})); err != nil {
--- a/test/overload/system_test.go
+++ b/test/overload/system_test.go
@@ -80,7 +80,7 @@
 		"id": "vm-1", "region": "r1", "dataCentre": "z1", "dataCentres": map[string]string{"z1": "r1", "z2": "r1", "z3": "r2"},
 		"callerAddress": address(host, clientPort), "readyAddress": address(host, readyPort), "peerAddress": address(host, peerPort),
 		"linkAddress": address(host, linkPort), "adminAddress": address(host, adminPort), "seeds": []string{address(host, peerPort)},
-		"store": store.Address(), "orders": store.Address(), "linkMbps": 1000, "coreShare": 0.4,
+		"store": store.Address(), "orders": store.Address(), "linkMbps": 1000, "coreShare": 0.4, "memoryMB": memoryMB, "maxDescriptors": maxDescriptors,
 	}
 	file := writeJSON(t, dir, "vm.json", settings)
 	p := startProcess(t, dir, "vm-1", "parsleyline", "--settings", file)
