Account for what clients of the PostgreSQL listener occupy

The listener uses the same budgets as the line daemon: buffers for messages as they grow, messages collected for a unit, prepared statements, large rows while they are written, connections and sessions that have not started.

A row of an instance that is larger than what the executor holds back was copied into the held back part, decoded from it and copied again.

The settings of the tests in test/overload get memoryMB and maxDescriptors, which the loader refused until now.

--- a/cmd/parsleyscale/main.go
+++ b/cmd/parsleyscale/main.go
@@ -6,10 +6,12 @@
 	"fmt"
 	"os"
 	"os/signal"
+	"runtime/debug"
 	"syscall"
 
 	"github.com/jessevdk/go-flags"
 
+	"parsleyscale/internal/client/budgeter"
 	"parsleyscale/internal/config/loader"
 	"parsleyscale/internal/daemon/runner"
 	"parsleyscale/internal/telemetry/logger"
@@ -52,6 +54,9 @@
 	if err != nil {
 		return err
 	}
+	if cfg.MemoryMB > 0 {
+		debug.SetMemoryLimit(budgeter.MemoryLimit(cfg.MemoryMB))
+	}
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
 	defer stop()
 	return runner.Run(ctx, cfg, logger.New(os.Stderr, cfg.ID))
--- a/internal/client/budgeter/account.go
+++ b/internal/client/budgeter/account.go
@@ -7,8 +7,8 @@
 	"parsleyscale/internal/failure/classifier"
 )
 
-// entryBytes approximates the memory of an entry of a session's tables beyond its texts.
-const entryBytes = 128
+// EntryBytes approximates the memory of an entry of a session's tables beyond its texts.
+const EntryBytes = 128
 
 // Account is what one connection uses. Its methods are called by the goroutine of the connection. A nil Account accepts
 // everything.
@@ -31,6 +31,9 @@
 // Enter records what the connection does from now on.
 func (a *Account) Enter(s Stage) {
 	if a != nil {
+		if s == Idle && !a.hasStarted {
+			s = AwaitingStart
+		}
 		a.stage.Store(int64(time.Since(a.budget.started))<<stageBits | int64(s))
 	}
 }
@@ -87,6 +90,13 @@
 	return a.budget.refusal(r, n)
 }
 
+// Add accounts for n more of a resource, also above the budget. It is for what cannot be refused any more.
+func (a *Account) Add(r Resource, n int64) {
+	if a != nil {
+		a.add(r, n)
+	}
+}
+
 // Release ends the accounting for n of a resource.
 func (a *Account) Release(r Resource, n int64) {
 	if a != nil && n != 0 {
@@ -110,14 +120,14 @@
 	if err := a.checkKept(n); err != nil {
 		return err
 	}
-	return a.Reserve(Kept, int64(n)+entryBytes)
+	return a.Reserve(Kept, int64(n)+EntryBytes)
 }
 
 // Unkeep ends what Keep began.
-func (a *Account) Unkeep(n int) { a.Release(Kept, int64(n)+entryBytes) }
+func (a *Account) Unkeep(n int) { a.Release(Kept, int64(n)+EntryBytes) }
 
 func (a *Account) checkKept(n int) error {
-	if kept, limit := atomic.LoadInt64(&a.used[Kept])+int64(n)+entryBytes, a.budget.limits.KeptBySession; kept > limit {
+	if kept, limit := atomic.LoadInt64(&a.used[Kept])+int64(n)+EntryBytes, a.budget.limits.KeptBySession; kept > limit {
 		return classifier.New(classifier.MessageTooLarge, "session would keep %d bytes of values and prepared statements, the limit is %d", kept, limit)
 	}
 	return nil
@@ -149,7 +159,7 @@
 
 // keepEntry accounts for the table entry of a shared text, and gives up the text if there is no room.
 func (a *Account) keepEntry(text string) error {
-	err := a.Reserve(Kept, entryBytes)
+	err := a.Reserve(Kept, EntryBytes)
 	if err != nil {
 		a.unshare(text)
 	}
@@ -160,7 +170,7 @@
 func (a *Account) UnkeepText(text string) {
 	if a != nil {
 		a.unshare(text)
-		a.Release(Kept, entryBytes)
+		a.Release(Kept, EntryBytes)
 	}
 }
 
--- a/internal/client/budgeter/budgeter_test.go
+++ b/internal/client/budgeter/budgeter_test.go
@@ -58,10 +58,10 @@
 		t.Errorf("clients may occupy %d bytes, more than a quarter of the memory", sum)
 	}
 	const message = 1 << 20
-	if l.Process[Received] < 4*message || l.Process[Answers] < 4*message || l.KeptBySession < message+entryBytes {
+	if l.Process[Received] < 4*message || l.Process[Answers] < 4*message || l.KeptBySession < message+EntryBytes {
 		t.Errorf("limits %+v leave no room for a few messages of the largest size", l)
 	}
-	if l.Process[Kept] < sessions*5*(entryBytes+100) { // five values or names of statements for each session
+	if l.Process[Kept] < sessions*5*(EntryBytes+100) { // five values or names of statements for each session
 		t.Errorf("limit of %d bytes for values, too few for %d ordinary sessions", l.Process[Kept], sessions)
 	}
 }
@@ -142,7 +142,7 @@
 			t.Fatal(err)
 		}
 	}
-	if used := b.Used(Kept); used != 1000+2*entryBytes {
+	if used := b.Used(Kept); used != 1000+2*EntryBytes {
 		t.Errorf("%d bytes for a text of 1,000 bytes that two sessions keep", used)
 	}
 	if _, err := first.KeepText(text + "y"); !classifier.Is(err, classifier.MessageTooLarge) {
@@ -150,7 +150,7 @@
 	}
 	first.UnkeepText(text)
 	first.Close()
-	if used := b.Used(Kept); used != 1000+entryBytes {
+	if used := b.Used(Kept); used != 1000+EntryBytes {
 		t.Errorf("%d bytes after one of two sessions has ended", used)
 	}
 	second.UnkeepText(text)
--- a/internal/config/loader/check.go
+++ b/internal/config/loader/check.go
@@ -30,6 +30,8 @@
 		s.checkTLS(),
 		s.checkUsers(),
 		s.checkTokenKeys(),
+		checkNotNegative("/memoryMB", float64(s.MemoryMB)),
+		checkNotNegative("/maxDescriptors", float64(s.MaxDescriptors)),
 		s.Limits.validate(),
 	} {
 		if f != nil {
--- a/internal/config/loader/settings.go
+++ b/internal/config/loader/settings.go
@@ -26,6 +26,8 @@
 	Backend           User     `json:"backend" doc:"user name and password for connections to instances"`
 	TokenKeys         []string `json:"tokenKeys" doc:"keys of session tokens, at least 16 bytes each; the first one signs tokens, and all of them verify tokens"`
 	Limits            Limits   `json:"limits" doc:"limits and timeouts"`
+	MemoryMB          int      `json:"memoryMB" doc:"memory of the VM in MB, from which the budgets for what clients occupy are derived; if 0, they are those of a large VM and the garbage collector has no limit"`
+	MaxDescriptors    int      `json:"maxDescriptors" doc:"file descriptors that the process may have open, from which the limit of connections is derived; if 0, that of a large VM applies"`
 }
 
 // TLS holds the names of the TLS files.
--- a/internal/daemon/runner/config.go
+++ b/internal/daemon/runner/config.go
@@ -9,11 +9,13 @@
 	"time"
 
 	"parsleyscale/internal/backend/pooler"
+	"parsleyscale/internal/client/budgeter"
 	"parsleyscale/internal/config/loader"
 	"parsleyscale/internal/failure/classifier"
 	"parsleyscale/internal/request/exchanger"
 	"parsleyscale/internal/request/listener"
 	"parsleyscale/internal/session/tokenizer"
+	"parsleyscale/internal/telemetry/logger"
 )
 
 // idleTransactionMargin is the time by which an instance's limit for idle transactions exceeds the VM's own limit. The
@@ -59,10 +61,21 @@
 			IdleInTransaction: limits.IdleTransaction.Std(),
 			Statement:         limits.RequestTimeout.Std(),
 		},
+		Budget:   budgeter.New(budgeter.LimitsFor(d.cfg.MemoryMB, d.cfg.MaxDescriptors), d.logBudget),
 		Observer: d.observer,
 	}
 }
 
+// logBudget logs that a connection was chosen to be closed, or that a connection or a request was refused, for lack of a resource.
+func (d *Daemon) logBudget(e budgeter.Event) {
+	event := logger.ClientClosed
+	if e.IsRefusal {
+		event = logger.ClientRefused
+	}
+	d.log.Sample(event, e.Resource.String(), logger.String("resource", e.Resource.String()), logger.Int("used", e.Used), logger.Int("limit", e.Limit),
+		logger.Int("amount", e.Amount), logger.Millis("age", e.Age))
+}
+
 // checkNames returns an error unless the sheet, which is the deployment configuration, has the database and, if readKind
 // is not empty, the database's service defines that kind of read.
 func (d *Daemon) checkNames(database, readKind string) error {
--- a/internal/request/executor/exchange.go
+++ b/internal/request/executor/exchange.go
@@ -324,19 +324,35 @@
 	if u.streaming {
 		return u.streamMessage(m)
 	}
-	if err := u.buffered.add(m); err != nil {
-		return err
-	}
 	limit := maxBufferedResponseBytes
 	if !u.isRead() && u.commandTag != "" {
 		limit = maxBufferedCommitBytes
 	}
+	if row, ok := m.(*pgproto3.DataRow); ok && u.isRead() && rowBytes(row) >= limit {
+		// Buffering the row would end the buffering as well, but hold up to four further copies of it.
+		if err := u.startStreaming(ctx); err != nil {
+			return err
+		}
+		return u.streamMessage(m)
+	}
+	if err := u.buffered.add(m); err != nil {
+		return err
+	}
 	if len(u.buffered.encoded) < limit {
 		return nil
 	}
 	return u.startStreaming(ctx)
 }
 
+// rowBytes returns the number of bytes of the values of a row.
+func rowBytes(row *pgproto3.DataRow) int {
+	n := 0
+	for _, v := range row.Values {
+		n += len(v)
+	}
+	return n
+}
+
 // startStreaming sends the buffered messages to the client and lets later messages go to the client directly.
 func (u *unit) startStreaming(ctx context.Context) error {
 	if err := u.sendBuffered(ctx); err != nil {
--- a/internal/request/framer/framer.go
+++ b/internal/request/framer/framer.go
@@ -16,6 +16,7 @@
 
 	"github.com/jackc/pgx/v5/pgproto3"
 
+	"parsleyscale/internal/client/budgeter"
 	"parsleyscale/internal/failure/classifier"
 )
 
@@ -35,6 +36,8 @@
 	readPos, writePos int                // the unread bytes are buf[readPos:writePos]
 	maxBodyBytes      int
 	waitBuf           [headerBytes]byte // holds the bytes that Wait reads without a buffer
+	account           *budgeter.Account // may be nil
+	accountedBytes    int               // size of buf if it is not from bufferPool
 }
 
 // NewReader returns a Reader that rejects messages whose body is longer than maxBodyBytes.
@@ -42,6 +45,12 @@
 	return &Reader{r: r, maxBodyBytes: maxBodyBytes}
 }
 
+// WithAccount makes the reader account in a for buffers that are larger than those of the pool, and returns the reader.
+func (r *Reader) WithAccount(a *budgeter.Account) *Reader {
+	r.account = a
+	return r
+}
+
 // Reset discards the buffered bytes and makes the reader read from src.
 func (r *Reader) Reset(src io.Reader) {
 	r.readPos, r.writePos = 0, 0
@@ -64,6 +73,8 @@
 		bufferPool.Put(r.pooledBuf)
 	}
 	r.pooledBuf, r.buf, r.readPos, r.writePos = nil, nil, 0, 0
+	r.account.Release(budgeter.Received, int64(r.accountedBytes))
+	r.accountedBytes = 0
 }
 
 // Wait blocks until at least one byte is buffered. After ReleaseBuffer it takes a buffer only once bytes have arrived.
@@ -74,7 +85,9 @@
 	}
 	n, err := r.r.Read(r.waitBuf[:])
 	if n > 0 {
-		r.reserve(n)
+		if err := r.reserve(n); err != nil {
+			return err
+		}
 		r.writePos = copy(r.buf, r.waitBuf[:n])
 		return nil
 	}
@@ -109,8 +122,15 @@
 
 // peek returns the next n bytes without consuming them, and reads from the connection until they are buffered.
 func (r *Reader) peek(n int) ([]byte, error) {
+	isWaiting := false
 	for r.Buffered() < n {
-		r.reserve(n)
+		if err := r.reserve(n); err != nil {
+			return nil, err
+		}
+		if r.Buffered() > 0 && !isWaiting {
+			isWaiting = true
+			r.account.Enter(budgeter.Receiving)
+		}
 		m, err := r.r.Read(r.buf[r.writePos:])
 		r.writePos += m
 		if err != nil && r.Buffered() < n {
@@ -120,20 +140,24 @@
 			return nil, err
 		}
 	}
+	if isWaiting {
+		r.account.Enter(budgeter.Idle)
+	}
 	return r.buf[r.readPos : r.readPos+n : r.readPos+n], nil
 }
 
 // reserve makes room for at least one more byte of the n that the reader needs.
 // The buffer grows as bytes arrive and not to the length that a message claims
 // to have, so that a client cannot make a VM allocate memory without sending data.
-func (r *Reader) reserve(n int) {
+// It fails if there is no memory for it.
+func (r *Reader) reserve(n int) error {
 	switch {
 	case r.buf == nil:
 		r.pooledBuf = bufferPool.Get().(*[bufferBytes]byte)
 		r.buf, r.readPos, r.writePos = r.pooledBuf[:], 0, 0
 	case r.Buffered() == 0 && r.pooledBuf == nil:
 		r.ReleaseBuffer()
-		r.reserve(n)
+		return r.reserve(n)
 	case r.Buffered() == 0:
 		r.readPos, r.writePos = 0, 0
 	case r.writePos < len(r.buf) && len(r.buf)-r.readPos >= n:
@@ -141,18 +165,25 @@
 		r.writePos = copy(r.buf, r.buf[r.readPos:r.writePos])
 		r.readPos = 0
 	case r.writePos == len(r.buf):
-		r.grow(n)
+		return r.grow(n)
 	}
+	return nil
 }
 
 // grow moves the unread bytes to a buffer of twice the size, but of at most n bytes.
-func (r *Reader) grow(n int) {
-	grown := make([]byte, min(n, 2*len(r.buf)))
+func (r *Reader) grow(n int) error {
+	size := min(n, 2*len(r.buf))
+	if err := r.account.Reserve(budgeter.Received, int64(size-r.accountedBytes)); err != nil {
+		return err
+	}
+	r.accountedBytes = size
+	grown := make([]byte, size)
 	r.writePos = copy(grown, r.buf[r.readPos:r.writePos])
 	if r.pooledBuf != nil {
 		bufferPool.Put(r.pooledBuf)
 	}
 	r.pooledBuf, r.buf, r.readPos = nil, grown, 0
+	return nil
 }
 
 // Decode returns the message with the given type and body. The message stays
--- a/internal/request/listener/batch.go
+++ b/internal/request/listener/batch.go
@@ -3,6 +3,7 @@
 import (
 	"github.com/jackc/pgx/v5/pgproto3"
 
+	"parsleyscale/internal/client/budgeter"
 	"parsleyscale/internal/failure/classifier"
 	"parsleyscale/internal/request/exchanger"
 	"parsleyscale/internal/request/framer"
@@ -207,9 +208,30 @@
 	if s.batch.collectedBytes > s.l.cfg.Limits.MessageBytes+messageOverheadBytes {
 		return nil, classifier.New(classifier.MessageTooLarge, "batch exceeds the limit of %d bytes", s.l.cfg.Limits.MessageBytes)
 	}
+	if err := s.accountForMessages(); err != nil {
+		return nil, err
+	}
 	return framer.Decode(messageType, body)
 }
 
+// maxUncountedMessageBytes is the size of collected messages up to which their memory is not accounted for.
+const maxUncountedMessageBytes = 8 << 10
+
+// accountForMessages accounts for the messages that are collected now. It fails only if they need more than before.
+func (s *session) accountForMessages() error {
+	n := s.batch.collectedBytes
+	if n <= maxUncountedMessageBytes {
+		n = 0
+	}
+	if n <= s.accountedMessageBytes {
+		s.account.Release(budgeter.Received, int64(s.accountedMessageBytes-n))
+	} else if err := s.account.Reserve(budgeter.Received, int64(n-s.accountedMessageBytes)); err != nil {
+		return err
+	}
+	s.accountedMessageBytes = n
+	return nil
+}
+
 // translate processes an extended-query message: it queues messages for the Runner and the responses that the listener
 // gives itself.
 func (s *session) translate(m pgproto3.FrontendMessage) error {
@@ -257,6 +279,10 @@
 			return err
 		}
 	}
+	if err := s.account.Keep(len(st.sql)); err != nil {
+		return err
+	}
+	s.account.Unkeep(len(st.sql)) // setStatement accounts for it, also when a statement is restored
 	s.setStatement(m.Name, st)
 	if isLocal {
 		s.respond(&pgproto3.ParseComplete{})
@@ -272,12 +298,14 @@
 func (s *session) setStatement(name string, st *preparedStatement) {
 	if old := s.statements[name]; old != nil {
 		s.statementTextBytes -= len(old.sql)
+		s.account.Unkeep(len(old.sql))
 	}
 	if st == nil {
 		delete(s.statements, name)
 		return
 	}
 	s.statementTextBytes += len(st.sql)
+	s.account.Add(budgeter.Kept, int64(len(st.sql)+budgeter.EntryBytes))
 	if s.statements == nil {
 		s.statements = make(map[string]*preparedStatement)
 	}
--- a/internal/request/listener/config.go
+++ b/internal/request/listener/config.go
@@ -7,6 +7,7 @@
 	"fmt"
 	"time"
 
+	"parsleyscale/internal/client/budgeter"
 	"parsleyscale/internal/request/exchanger"
 	"parsleyscale/internal/session/tokenizer"
 )
@@ -76,7 +77,8 @@
 	// If it is nil, such requests are ignored.
 	ForwardCancel func(ctx context.Context, hash uint16, processID, secretKey uint32)
 	Limits        Limits
-	Observer      Observer // may be nil
+	Budget        *budgeter.Budget // of what clients occupy; nil for no limits
+	Observer      Observer         // may be nil
 }
 
 func (c Config) validate() error {
--- a/internal/request/listener/fuzz_test.go
+++ b/internal/request/listener/fuzz_test.go
@@ -33,7 +33,7 @@
 	done := make(chan struct{})
 	go func() {
 		defer close(done)
-		newSession(l, c).serve(false)
+		newSession(l, c, nil).serve(false)
 	}()
 	select {
 	case <-done:
--- a/internal/request/listener/listener.go
+++ b/internal/request/listener/listener.go
@@ -104,14 +104,20 @@
 		conn.Close()
 		return
 	}
+	account, err := l.cfg.Budget.Open(conn)
+	if err != nil {
+		conn.Close()
+		return
+	}
 	l.openConns++
-	s := newSession(l, conn)
+	s := newSession(l, conn, account)
 	if l.admitted < l.cfg.Limits.Clients {
 		l.admitted++
 		s.isAdmitted = true
 	}
 	isOverLimit := !s.isAdmitted
 	l.wg.Go(func() {
+		defer account.Close()
 		s.serve(isOverLimit)
 		l.mu.Lock()
 		l.openConns--
--- a/internal/request/listener/session.go
+++ b/internal/request/listener/session.go
@@ -16,6 +16,7 @@
 
 	"github.com/jackc/pgx/v5/pgproto3"
 
+	"parsleyscale/internal/client/budgeter"
 	"parsleyscale/internal/failure/classifier"
 	"parsleyscale/internal/request/exchanger"
 	"parsleyscale/internal/request/framer"
@@ -44,7 +45,11 @@
 // session serves one client connection. All fields are owned by the session's goroutine, except the atomic ones,
 // isAdmitted and those below mu.
 type session struct {
-	l    *Listener
+	l *Listener
+	// account is what the client occupies; may be nil. accountedMessageBytes is the part of it for collected messages.
+	account               *budgeter.Account
+	accountedMessageBytes int
+
 	ctx  context.Context // ends with the session or the listener
 	conn net.Conn
 	raw  syscall.RawConn // to query the state of the TCP connection; nil if conn is not based on TCP
@@ -79,8 +84,8 @@
 	cancelUnit context.CancelCauseFunc // nil if no unit is in progress
 }
 
-func newSession(l *Listener, conn net.Conn) *session {
-	s := &session{l: l, conn: conn}
+func newSession(l *Listener, conn net.Conn, account *budgeter.Account) *session {
+	s := &session{l: l, conn: conn, account: account}
 	s.stream.s = s
 	s.setConn(conn)
 	return s
@@ -91,8 +96,8 @@
 func (s *session) setConn(conn net.Conn) {
 	s.conn = conn
 	s.raw = rawConn(conn)
-	s.in = framer.NewReader(conn, s.l.cfg.Limits.MessageBytes)
-	s.out = writer{conn: conn}
+	s.in = framer.NewReader(conn, s.l.cfg.Limits.MessageBytes).WithAccount(s.account)
+	s.out = writer{conn: conn, account: s.account}
 }
 
 // serve runs the session to its end and closes the connection. If isOverLimit is set, it refuses the client after
@@ -157,11 +162,12 @@
 // serveUnits serves units of work until the session ends, and returns the reason for its end.
 func (s *session) serveUnits() error {
 	for {
+		s.batch.collectedBytes = 0
+		_ = s.accountForMessages() // releases, which cannot fail
 		messageType, body, err := s.readFirstMessage()
 		if err != nil {
 			return err
 		}
-		s.batch.collectedBytes = 0
 		m, err := s.decodeBatchMessage(messageType, body)
 		if err != nil {
 			return err
@@ -238,7 +244,7 @@
 	}
 	messageType, body, err := s.in.Next()
 	if errors.Is(err, os.ErrDeadlineExceeded) && s.mustEnd() {
-		return 0, nil, errShuttingDown()
+		return 0, nil, s.endReason()
 	}
 	return messageType, body, err
 }
@@ -249,7 +255,7 @@
 	case err == nil || !errors.Is(err, os.ErrDeadlineExceeded):
 		return err
 	case s.mustEnd():
-		return errShuttingDown()
+		return s.endReason()
 	}
 	return classifier.New(classifier.Timeout, "client timed out while %s", activity)
 }
@@ -258,17 +264,25 @@
 func (s *session) setReadDeadline(d time.Duration) error {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if s.isClosing || s.isDraining && !s.inUnit {
-		return errShuttingDown()
+	if s.isClosing || s.isDraining && !s.inUnit || s.account.MustEnd() {
+		return s.endReason()
 	}
 	return s.conn.SetReadDeadline(time.Now().Add(d))
 }
 
-// mustEnd reports whether Drain or Close requires the session to end now.
+// endReason returns the error for a session that must end.
+func (s *session) endReason() error {
+	if s.account.MustEnd() {
+		return classifier.New(classifier.Overloaded, "VM needs the resources that this session has occupied for the longest time")
+	}
+	return errShuttingDown()
+}
+
+// mustEnd reports whether Drain, Close or the account requires the session to end now.
 func (s *session) mustEnd() bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return s.isClosing || s.isDraining && !s.inUnit
+	return s.isClosing || s.isDraining && !s.inUnit || s.account.MustEnd()
 }
 
 // drain makes the session end now if no unit is in progress, and otherwise after the current unit.
--- a/internal/request/listener/startup.go
+++ b/internal/request/listener/startup.go
@@ -227,6 +227,7 @@
 	if err := s.l.register(s); err != nil {
 		return err
 	}
+	s.account.Started()
 	s.requestIDPrefix = fmt.Sprintf("%s-%08x-%08x-", s.l.cfg.VM, s.processID, random[4:])
 	return nil
 }
--- a/test/overload/system_test.go
+++ b/test/overload/system_test.go
@@ -115,6 +115,7 @@
 	cfg.Platform = "http://" + address(platform, platformPort)
 	cfg.TokenKeys, cfg.PlainText = []string{"overload-test-key"}, true
 	cfg.Limits.MessageBytes = 1 << 20
+	cfg.MemoryMB, cfg.MaxDescriptors = memoryMB, maxDescriptors
 	p := startProcess(t, dir, "vm-1", "parsleyscale", "--settings", writeJSON(t, dir, "vm.json", cfg))
 	awaitReady(t, p, address(host, adminPort))
 	target := &target{address: address(host, clientPort), daemon: p, protocol: postgresProtocol{}}
