--- a/internal/client/budgeter/limits.go
+++ b/internal/client/budgeter/limits.go
@@ -43,10 +43,10 @@
 const (
 	// defaultMemoryMB and defaultDescriptors stand for settings that are 0. Their budgets are those of a large VM.
 	defaultMemoryMB    = 512
-	defaultDescriptors = 21_000 // leaves more than the default limit of 20,000 client connections
-	// clientMemoryShare is the divisor for the part of the memory that clients may occupy. Another quarter goes to
-	// copies that are made on the way and to garbage, and half to the process itself: its tables, connections to instances,
-	// and goroutines and buffers of up to 4,000 sessions (about 15 KB each).
+	defaultDescriptors = 22_000 // leaves more than the default limit of 20,000 client connections
+	// clientMemoryShare is the divisor for the part of the memory that clients may occupy. Half is left to the process
+	// itself (its tables, connections to instances, and goroutines and buffers of up to 4,000 sessions, about 15 KB each),
+	// and a quarter to the program's text, garbage, and what closed connections have yet to release.
 	clientMemoryShare = 4
 	// minKeptBySession is the least that one session may keep: a value of the size of the largest message, and others.
 	minKeptBySession = 2 << 20
@@ -76,9 +76,9 @@
 	}
 }
 
-// MemoryLimit returns the limit for the garbage collector of a process with so much memory, or 0 for none. The rest is
-// left to the program's text and to allocations that the collector doesn't follow in time.
-func MemoryLimit(memoryMB int) int64 { return int64(memoryMB) * megabyte * 4 / 5 }
+// MemoryLimit returns the limit for the garbage collector of a process with so much memory. The rest is left to the
+// program's text (17 MB resident) and to allocations that the collector does not follow in time.
+func MemoryLimit(memoryMB int) int64 { return int64(memoryMB) * megabyte * 3 / 4 }
 
 const (
 	// stallTime is how long a message or an answer must have been in transit before its connection may be closed in
