Keep no large session values on connections to instances

A connection remembered the values of the session that used it last, of up to 3.8 MiB on the smallest VM, and kept them while it was idle. It now remembers a digest of values over 256 bytes.

--- a/internal/backend/allotter/allotter_test.go
+++ b/internal/backend/allotter/allotter_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"strings"
 	"sync"
 	"testing"
 	"testing/synctest"
@@ -273,6 +274,32 @@
 	})
 }
 
+// Guards against connections that keep the large values of sessions that have ended, and against a large value that is not
+// sent although it differs from the one before.
+func TestLargeValuesAreNotRemembered(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		a := newAllotter(&fakeDialer{}, 1)
+		defer a.Close()
+		l, err := acquire(t, a, time.Second)
+		if err != nil {
+			t.Fatal(err)
+		}
+		first, second := strings.Repeat("x", 1<<20), strings.Repeat("x", 1<<20-1)+"y"
+		for i, c := range []struct {
+			value string
+			want  int
+		}{{first, 1}, {first, 0}, {second, 1}, {first, 1}} {
+			if cmds := l.SessionCommands(map[string]string{"v": c.value}, nil); len(cmds) != c.want || c.want > 0 && cmds[0].Args != c.value {
+				t.Errorf("step %d: %d commands, want %d", i, len(cmds), c.want)
+			}
+		}
+		if n := len(l.sessionValues["v"]); n > maxRememberedValueBytes {
+			t.Errorf("the connection remembers %d bytes of a value", n)
+		}
+		l.Release()
+	})
+}
+
 // Many requests arrive at once while no connection is open, as after a restart of all VMs.
 // Guards against simultaneous dials for all of them. Their handshakes occupy the slots
 // of the instance: with 8 VMs and 5 connections each, all slots for a third of a second.
--- a/internal/backend/allotter/lease.go
+++ b/internal/backend/allotter/lease.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"fmt"
+	"hash/maphash"
 	"time"
 
 	"parsleyscale/internal/statement/carrier"
@@ -150,11 +152,12 @@
 		l.clearSessionState()
 	}
 	for name, v := range values {
-		if current, ok := l.sessionValues[name]; ok && current == v {
+		remembered := digestIfLong(v)
+		if current, ok := l.sessionValues[name]; ok && current == remembered {
 			continue
 		}
 		cmds = append(cmds, carrier.Command{Statement: carrier.Statement{ID: carrier.InternalID, Verb: carrier.Set, Name: name, Args: v}})
-		l.sessionValues[name] = v
+		l.sessionValues[name] = remembered
 	}
 	if prepared != nil && !l.prepared[prepared.Name] {
 		p := *prepared
@@ -165,6 +168,21 @@
 	return cmds
 }
 
+// maxRememberedValueBytes is the size of session values that a connection remembers as they are.
+const maxRememberedValueBytes = 256
+
+// digestSeed makes digests unpredictable, so that no client can choose a value that is taken for another one's.
+var digestSeed = maphash.MakeSeed()
+
+// digestIfLong returns what a connection remembers of a session value. Idle connections would otherwise keep the
+// values of sessions that have ended, of up to 1 MiB each.
+func digestIfLong(v string) string {
+	if len(v) <= maxRememberedValueBytes {
+		return v
+	}
+	return fmt.Sprintf("%d bytes with digest %016x", len(v), maphash.String(digestSeed, v))
+}
+
 // hasExtraValue reports whether a session value is set on the connection that is not in values.
 func (l *Lease) hasExtraValue(values map[string]string) bool {
 	for name := range l.sessionValues {
