Account for large answers while they arrive from instances

Rows on connections to instances were bounded only by the number of connections in use. Large answers now wait at the instance until clients have taken others, or until the deadline of the statement.

--- a/internal/client/budgeter/account.go
+++ b/internal/client/budgeter/account.go
@@ -80,14 +80,32 @@
 // Reserve accounts for n more of a resource. If that exceeds the budget and cannot be made available by closing other
 // connections, it returns an error of kind overloaded and accounts for nothing.
 func (a *Account) Reserve(r Resource, n int64) error {
+	if a == nil || n <= 0 || a.tryReserve(r, n) {
+		return nil
+	}
+	return a.budget.refusal(r, n)
+}
+
+// ReserveBy is Reserve, but waits until a time for others to release what is missing.
+func (a *Account) ReserveBy(deadline time.Time, r Resource, n int64) error {
 	if a == nil || n <= 0 {
 		return nil
 	}
+	for !a.tryReserve(r, n) {
+		if n > a.budget.limits.Process[r] || time.Until(deadline) < releasePollInterval {
+			return a.budget.refusal(r, n)
+		}
+		time.Sleep(releasePollInterval)
+	}
+	return nil
+}
+
+func (a *Account) tryReserve(r Resource, n int64) bool {
 	if a.add(r, n) <= a.budget.limits.Process[r] || a.budget.makeRoom(a, r, n) {
-		return nil
+		return true
 	}
 	a.add(r, -n)
-	return a.budget.refusal(r, n)
+	return false
 }
 
 // Add accounts for n more of a resource, also above the budget. It is for what cannot be refused any more.
--- a/internal/client/budgeter/budgeter.go
+++ b/internal/client/budgeter/budgeter.go
@@ -64,6 +64,14 @@
 // OpenPeer accounts for a new connection of another VM.
 func (b *Budget) OpenPeer(c Conn) (*Account, error) { return b.open(c, true) }
 
+// OpenInstance accounts for what arrives on a connection to an instance. Such a connection is never closed for others.
+func (b *Budget) OpenInstance() *Account {
+	if b == nil {
+		return nil
+	}
+	return &Account{budget: b, hasStarted: true}
+}
+
 func (b *Budget) open(c Conn, isPeer bool) (*Account, error) {
 	if b == nil {
 		return nil, nil
--- a/internal/client/budgeter/limits.go
+++ b/internal/client/budgeter/limits.go
@@ -90,6 +90,8 @@
 	// scanPause is the time between two searches for connections to close if the first found too few. It bounds the
 	// processor time that refused requests take.
 	scanPause = 50 * time.Millisecond
+	// releasePollInterval is the time between two attempts of ReserveBy.
+	releasePollInterval = 5 * time.Millisecond
 	// retryDelay is the time after which a refused client should retry: by then stalled connections can be closed.
 	retryDelay = stallTime
 )
--- a/internal/daemon/assembler/assembler.go
+++ b/internal/daemon/assembler/assembler.go
@@ -60,6 +60,8 @@
 	RegistryTable      string
 	ParseEntry         func(id string, b []byte) (cataloger.Instance, error)
 
+	// UseBudget sets the budget that connections to instances account in; called before the first dial.
+	UseBudget func(b *budgeter.Budget)
 	// OnCall sets the function that is called after each call to the platform.
 	OnCall func(f func(call string, err error))
 	Clock  func() time.Duration // monotonic, and includes the time during which the VM was suspended
@@ -131,6 +133,7 @@
 	v := &VM{cfg: cfg, platform: p, log: log, registry: cataloger.Registry{}, registryLoaded: make(chan struct{})}
 	v.latestSettings.Store(&cfg)
 	v.budget = budgeter.New(budgeter.LimitsFor(cfg.MemoryMB, cfg.MaxDescriptors), v.logBudget)
+	p.UseBudget(v.budget)
 	var err error
 	if v.meter, err = meter.NewLineMeter(v.gauges()...); err != nil {
 		return nil, err
