--- a/internal/daemon/assembler/assembler.go
+++ b/internal/daemon/assembler/assembler.go
@@ -11,6 +11,7 @@
 	"time"
 
 	"parsleyscale/internal/backend/allotter"
+	"parsleyscale/internal/client/budgeter"
 	"parsleyscale/internal/config/loader"
 	"parsleyscale/internal/failure/classifier"
 	"parsleyscale/internal/group/claimer"
@@ -49,8 +50,8 @@
 	Store      Store
 	Limits     holder.Store // of the shards of the teams' limits
 	Dialer     carrier.Dialer
-	Accept     func(c net.Conn) conductor.ClientConn
-	AcceptPort func(c net.Conn) forwarder.Conn
+	Accept     func(c net.Conn, a *budgeter.Account) conductor.ClientConn
+	AcceptPort func(c net.Conn, a *budgeter.Account) forwarder.Conn
 	Promote    func(ctx context.Context, group, instance, holder string, token uint64) error
 
 	ParseCondition func(row string) (carrier.InstanceStatus, error)
@@ -61,6 +62,8 @@
 	RegistryTable      string
 	ParseEntry         func(id string, b []byte) (cataloger.Instance, error)
 
+	// UseBudget sets the budget that connections to instances account in; called before the first dial.
+	UseBudget func(b *budgeter.Budget)
 	// OnCall sets the function that is called after each call to the platform.
 	OnCall func(f func(call string, err error))
 	Clock  func() time.Duration // monotonic, and includes the time during which the VM was suspended
@@ -87,6 +90,7 @@
 	sourceAnswerAt atomic.Int64  // on Platform.Clock, when the store or another VM last answered; see silentFor
 
 	groups           *registrar.Registrar
+	budget           *budgeter.Budget // of what clients and other VMs' connections use
 	pool             *allotter.Allotter
 	gateways         *gatewayDialer
 	statementNames   namer.Namer
@@ -135,6 +139,8 @@
 	v := &VM{cfg: cfg, platform: p, log: log, registry: cataloger.Registry{}, registryLoaded: make(chan struct{}), teamsChanged: make(chan struct{}, 1)}
 	v.latestSettings.Store(&cfg)
 	v.recordSourceAnswer()
+	v.budget = budgeter.New(budgeter.LimitsFor(cfg.MemoryMB, cfg.MaxDescriptors), v.logBudget)
+	p.UseBudget(v.budget)
 	var err error
 	if v.meter, err = meter.NewLineMeter(v.gauges()...); err != nil {
 		return nil, err
@@ -185,7 +191,7 @@
 		return nil, err
 	}
 	v.sessionServer = conductor.NewServer(conductor.Config{
-		Listener: clientListener, Accept: p.Accept, Configuration: v.configuration.Load, Performer: v.performer, Clock: p.Clock, MaxSessions: cfg.Callers, Names: &v.statementNames, OnEnd: v.logSession, OnPanic: v.logPanic,
+		Listener: clientListener, Accept: p.Accept, Budget: v.budget, Configuration: v.configuration.Load, Performer: v.performer, Clock: p.Clock, MaxSessions: cfg.Callers, Names: &v.statementNames, OnEnd: v.logSession, OnPanic: v.logPanic,
 		Authentication: v.authentication(), SilentFor: v.silentFor, OnRefuse: v.recordTeamRefusal, Admitter: v.limits,
 	})
 	readyListener, err := net.Listen("tcp", cfg.ReadyAddress)
--- a/internal/statement/conductor/identity_test.go
+++ b/internal/statement/conductor/identity_test.go
@@ -12,6 +12,7 @@
 	"testing/synctest"
 	"time"
 
+	"parsleyscale/internal/client/budgeter"
 	"parsleyscale/internal/failure/classifier"
 	"parsleyscale/internal/group/registrar"
 	"parsleyscale/internal/sheet/cataloger"
@@ -110,7 +111,7 @@
 		it.configure(1, map[string]string{"k1": "jsb", "k2": "hh", "k3": "over"})
 		it.server = NewServer(Config{
 			Listener: it.listener, Clock: func() time.Duration { return 0 }, Names: &namer.Namer{}, Configuration: it.cfg.Load, Performer: it.performer,
-			Accept: func(c net.Conn) ClientConn {
+			Accept: func(c net.Conn, _ *budgeter.Account) ClientConn {
 				return &textClient{conn: c, r: bufio.NewReader(c), waitDelay: it.waitDelay}
 			},
 			Authentication: rule, SilentFor: func() time.Duration { return time.Duration(it.silentFor.Load()) }, Admitter: it.admitter,
