Order versions of the store by its era first, and follow a restored store

A store that is restored from an older copy issues versions again. A follower compared these only, so it ignored the restored table and joined its feed to the table before. A follower replaces its table by one of a later era, joins only changes of the same era, and takes nothing of an earlier one; a source that is behind counts as failing, so that it isn't asked without a pause.

--- a/internal/platform/follower/follower.go
+++ b/internal/platform/follower/follower.go
@@ -25,12 +25,13 @@
 // Page is the result of a call to a Source.
 type Page struct {
 	Rows    []Row
-	Version uint64 // latest version of the store
+	Version uint64 // latest version of the store; all rows are of its era
 }
 
 // Source is the store, or a substitute for it. Read returns all rows of a table. Follow returns the changes after a
 // version and waits up to the given time for the first one; it fails with kind conflict if these changes are no longer
-// kept. If there is no answer, both must return an error soon after the time at which the answer was due.
+// kept, or if the store has been restored since that version. If there is no answer, both must return an error soon after
+// the time at which the answer was due.
 type Source interface {
 	Read(ctx context.Context, table string) (Page, error)
 	Follow(ctx context.Context, table string, after uint64, wait time.Duration) (Page, error)
@@ -119,7 +120,7 @@
 func (f *Follower) Merge(p Page, isWhole bool) bool {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	if p.Version <= f.version || !isWhole && !f.isLoaded {
+	if p.Version <= f.version || !isWhole && (!f.isLoaded || EraOf(p.Version) != EraOf(f.version)) {
 		return false
 	}
 	if isWhole {
@@ -130,14 +131,14 @@
 }
 
 // MergeTable applies a whole table that was read besides the feed. Once the table has been passed on, only the changes that
-// lead to it are, which changesTo returns. It reports whether any of it was new.
+// lead to it are, which changesTo returns, unless the store was restored in between. It reports whether any of it was new.
 func (f *Follower) MergeTable(p Page, changesTo func(table Page) []Row) bool {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	switch {
 	case p.Version <= f.version:
 		return false
-	case !f.isLoaded:
+	case !f.isLoaded || EraOf(p.Version) != EraOf(f.version):
 		f.replaceTable(p)
 		return true
 	}
@@ -191,6 +192,9 @@
 		if ctx.Err() != nil {
 			return
 		}
+		if err == nil && !isLoaded && EraOf(p.Version) < EraOf(version) {
+			err = classifier.New(classifier.PlatformUnavailable, "table %s is of era %d, before era %d of this VM's copy", f.cfg.Table, EraOf(p.Version), EraOf(version))
+		}
 		if err != nil {
 			wait = initialWait
 			if isLoaded && classifier.Is(err, classifier.Conflict) {
@@ -222,7 +226,9 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	f.answeredAt = time.Now()
+	isOtherEra := p.Version != 0 && EraOf(p.Version) != EraOf(f.version)
 	switch {
+	case isOtherEra && (!isWhole || p.Version < f.version): // another VM's table of a new era was merged during the call
 	case !isWhole:
 		f.applyChanges(p)
 	case !f.isLoaded || p.Version >= f.version: // otherwise a newer table of another VM was merged during the call
--- a/internal/platform/follower/follower_test.go
+++ b/internal/platform/follower/follower_test.go
@@ -27,8 +27,11 @@
 }
 
 func (f *fakeSource) Read(context.Context, string) (Page, error) {
-	if f.readGate != nil {
-		<-f.readGate
+	f.mu.Lock()
+	gate := f.readGate
+	f.mu.Unlock()
+	if gate != nil {
+		<-gate
 	}
 	f.mu.Lock()
 	defer f.mu.Unlock()
