Exchange table copies by era, and the configuration in force besides them

A VM took the answer of a reader or peer by its version alone. Pages between VMs name their era; without it they are of era 0, as those of the earlier software. Readers refuse VMs that know a later era, and name their era when they no longer keep the changes asked for, so that these VMs don't call the store in vain. A VM also says which configuration it has in force and gets a later one, since the table of a restored store may show an older one.

--- a/internal/platform/replicator/codec.go
+++ b/internal/platform/replicator/codec.go
@@ -23,11 +23,35 @@
 	// IsConfirmed is set for ConfirmPath only: the store has answered since the request.
 	IsConfirmed bool
 	IsWhole     bool // Rows is the whole table, because the missing changes are no longer kept; set for ChangesPath only
+	// Era is that of Version and of the versions of Rows, which are numbers of the store. VMs that don't know it have era 0.
+	Era     uint64
+	InForce []follower.Row // the row of InForce, if the requesting VM has an older one; it has no version of the store
 }
 
-func newPage(p follower.Page) page { return page{Rows: p.Rows, Version: p.Version} }
+// newPage returns the wire form of a page, whose rows are of one era.
+func newPage(p follower.Page) page {
+	next := page{Rows: p.Rows, Version: follower.NumberOf(p.Version), Era: follower.EraOf(p.Version)}
+	if next.Era > 0 {
+		next.Rows = make([]follower.Row, len(p.Rows))
+		for k, r := range p.Rows {
+			r.Version = follower.NumberOf(r.Version)
+			next.Rows[k] = r
+		}
+	}
+	return next
+}
 
-func (p page) followerPage() follower.Page { return follower.Page{Version: p.Version, Rows: p.Rows} }
+func (p page) followerPage() follower.Page {
+	rows := p.Rows
+	if p.Era > 0 {
+		rows = make([]follower.Row, len(p.Rows))
+		for k, r := range p.Rows {
+			r.Version = follower.VersionAt(p.Era, r.Version)
+			rows[k] = r
+		}
+	}
+	return follower.Page{Version: follower.VersionAt(p.Era, p.Version), Rows: rows}
+}
 
 const (
 	// formatPlain and formatGzip are the values of the first byte of an answer. They tell how the rest is encoded.
--- a/internal/platform/replicator/puller.go
+++ b/internal/platform/replicator/puller.go
@@ -40,7 +40,8 @@
 		if !ok {
 			continue
 		}
-		if p, ok := c.delta(version); ok {
+		p, ok := c.delta(version)
+		if p = c.withInForce(p, table, r.URL.Query()); ok || len(p.InForce) > 0 {
 			pages[table] = p
 		}
 	}
@@ -61,6 +62,7 @@
 	Followers map[string]*follower.Follower // by table
 	Peers     func() []string               // addresses of other VMs, which are asked round-robin
 	Client    *http.Client
+	Exchange  Exchange
 	// OnMerge is called for each table to which a peer contributed a new change; may be nil.
 	OnMerge func(peer, table string, version uint64)
 }
@@ -108,34 +110,45 @@
 }
 
 // pull fetches the missing changes of all tables from one peer and merges them. It also returns an error for
-// status 204, with which a peer says that it has no newer changes.
+// status 204, with which a peer says that it has nothing newer.
 func (a *Puller) pull(ctx context.Context, address string) error {
 	ctx, cancel := context.WithTimeout(ctx, pullTimeout)
 	defer cancel()
 	q := url.Values{}
 	for table, f := range a.cfg.Followers {
 		q.Set(table, strconv.FormatUint(f.Version(), 10))
+		a.cfg.Exchange.addTo(q, table)
 	}
-	req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+address+ChangesPath+"?"+q.Encode(), nil)
+	pages, err := fetchChanges(ctx, a.cfg.Client, address, q)
 	if err != nil {
 		return err
 	}
-	res, err := a.cfg.Client.Do(req)
+	for table, p := range pages {
+		a.cfg.Exchange.receive(table, p)
+		if f, ok := a.cfg.Followers[table]; ok && f.Merge(p.followerPage(), p.IsWhole) {
+			a.cfg.OnMerge(address, table, p.followerPage().Version)
+		}
+	}
+	return nil
+}
+
+// fetchChanges requests the changes of tables from another VM.
+func fetchChanges(ctx context.Context, client *http.Client, address string, q url.Values) (map[string]page, error) {
+	req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+address+ChangesPath+"?"+q.Encode(), nil)
 	if err != nil {
-		return err
+		return nil, err
+	}
+	res, err := client.Do(req)
+	if err != nil {
+		return nil, err
 	}
 	defer func() { _ = res.Body.Close() }()
 	if res.StatusCode != http.StatusOK {
-		return fmt.Errorf("pull changes from %s: HTTP status %d", address, res.StatusCode)
+		return nil, fmt.Errorf("pull changes from %s: HTTP status %d", address, res.StatusCode)
 	}
 	var pages map[string]page
 	if err := decode(res.Body, &pages); err != nil {
-		return fmt.Errorf("pull changes from %s: %w", address, err)
-	}
-	for table, p := range pages {
-		if f, ok := a.cfg.Followers[table]; ok && f.Merge(p.followerPage(), p.IsWhole) {
-			a.cfg.OnMerge(address, table, p.Version)
-		}
+		return nil, fmt.Errorf("pull changes from %s: %w", address, err)
 	}
-	return nil
+	return pages, nil
 }
--- a/internal/platform/replicator/refresher.go
+++ b/internal/platform/replicator/refresher.go
@@ -124,7 +124,8 @@
 }
 
 func (r *Refresher) askPeer(ctx context.Context, address string) (page, error) {
-	q := url.Values{"table": {r.Table}, "after": {strconv.FormatUint(r.Follower.Version(), 10)}}
+	after := r.Follower.Version()
+	q := url.Values{"table": {r.Table}, "after": {strconv.FormatUint(after, 10)}}
 	req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+address+ConfirmPath+"?"+q.Encode(), nil)
 	if err != nil {
 		return page{}, err
@@ -138,7 +139,13 @@
 		return page{}, fmt.Errorf("confirm table %s at %s: HTTP status %d", r.Table, address, res.StatusCode)
 	}
 	var p page
-	return p, decode(res.Body, &p)
+	if err := decode(res.Body, &p); err != nil {
+		return page{}, err
+	}
+	if p.Era < follower.EraOf(after) {
+		return page{}, fmt.Errorf("confirm table %s at %s: answer is of era %d, before era %d of this VM's copy", r.Table, address, p.Era, follower.EraOf(after))
+	}
+	return p, nil
 }
 
 // ServeHTTP implements http.Handler for ConfirmPath.
@@ -151,7 +158,10 @@
 	ctx, cancel := context.WithTimeout(req.Context(), confirmTimeout)
 	defer cancel()
 	err = r.readStore(ctx)
-	p, _ := r.Copy.delta(after)
+	p, ok := r.Copy.delta(after)
+	if !ok {
+		p = newPage(follower.Page{Version: r.Follower.Version()})
+	}
 	p.IsConfirmed = err == nil
 	b, err := encode(p)
 	if err != nil {
--- a/internal/platform/replicator/replicator.go
+++ b/internal/platform/replicator/replicator.go
@@ -11,6 +11,7 @@
 import (
 	"cmp"
 	"context"
+	"math"
 	"net/http"
 	"net/url"
 	"slices"
@@ -45,6 +46,7 @@
 	freshness     time.Duration           // how long the copy is served after the store last answered
 	storeAnswerAt time.Time               // when the store last answered; zero after MarkStale
 	changed       chan struct{}           // closed and replaced by notify
+	inForce       InForce                 // zero: none
 
 	lastResponse encodedResponse // reused, because many VMs send the same request at the same time
 }
@@ -215,7 +217,7 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	switch {
-	case !c.isFresh():
+	case !c.isFresh(), follower.EraOf(version) > follower.EraOf(c.version):
 		return follower.Page{}, nil, errStale
 	case version < c.historyStart:
 		return follower.Page{}, nil, classifier.New(classifier.Conflict, "changes after version %d are requested, but only those after version %d are kept", version, c.historyStart)
@@ -223,13 +225,23 @@
 	return follower.Page{Version: max(version, c.version), Rows: c.changesAfter(version)}, c.changed, nil
 }
 
+// eraHeader names the era of a reader's copy in an answer with status 410.
+const eraHeader = "Table-Era"
+
+// reached returns the version of the copy.
+func (c *TableCopy) reached() uint64 {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.version
+}
+
 // Handler serves table copies to other VMs.
 type Handler struct {
 	Copies map[string]*TableCopy // by table
 }
 
-// ServeHTTP implements http.Handler. The query parameters are table, after and waitMs. With after, the answer
-// holds the changes after that version, and waitMs bounds the wait for the first one. Without after, the answer
+// ServeHTTP implements http.Handler. The query parameters are table, after, era and waitMs. With after, the answer
+// holds the changes after that number of the era, and waitMs bounds the wait for the first one. Without after, the answer
 // holds the whole table, and waitMs bounds the wait for the copy to become fresh. The status is 404 for an
 // unknown table, 410 if the changes are no longer kept, and 503 if the copy is stale or a parameter is malformed.
 func (h *Handler) ServeHTTP(w http.ResponseWriter, r *http.Request) {
@@ -246,13 +258,19 @@
 	}
 	switch {
 	case classifier.Is(err, classifier.Conflict):
+		w.Header().Set(eraHeader, strconv.FormatUint(follower.EraOf(c.reached()), 10))
 		w.WriteHeader(http.StatusGone)
 		return
 	case err != nil:
 		w.WriteHeader(http.StatusServiceUnavailable)
 		return
 	}
-	b, err := c.encodeCached(req.after, p)
+	var b []byte
+	if encoded := c.withInForce(newPage(p), q.Get("table"), q); len(encoded.InForce) > 0 {
+		b, err = encode(encoded)
+	} else {
+		b, err = c.encodeCached(req.after, p)
+	}
 	if err != nil {
 		w.WriteHeader(http.StatusInternalServerError)
 		return
@@ -280,10 +298,11 @@
 	isWhole bool   // the whole table is requested
 	after   uint64 // otherwise: the changes after this version
 	wait    time.Duration
+	inForce uint64 // version that the requesting VM has in force; math.MaxUint64: it doesn't ask for a later one
 }
 
 func parseCopyRequest(q url.Values) (copyRequest, error) {
-	req := copyRequest{isWhole: !q.Has("after")}
+	req := copyRequest{isWhole: !q.Has("after"), inForce: math.MaxUint64}
 	waitMs, err := strconv.Atoi(cmp.Or(q.Get("waitMs"), "0"))
 	if err != nil {
 		return req, classifier.Wrap(classifier.BadMessage, err, "query parameter waitMs")
@@ -295,6 +314,14 @@
 	if req.after, err = strconv.ParseUint(q.Get("after"), 10, 64); err != nil {
 		return req, classifier.Wrap(classifier.BadMessage, err, "query parameter after")
 	}
+	era, err := strconv.ParseUint(cmp.Or(q.Get("era"), "0"), 10, 64)
+	if err != nil {
+		return req, classifier.Wrap(classifier.BadMessage, err, "query parameter era")
+	}
+	req.after = follower.VersionAt(era, req.after)
+	if known, err := strconv.ParseUint(q.Get(inForceParam+q.Get("table")), 10, 64); err == nil {
+		req.inForce = known
+	}
 	return req, nil
 }
 
@@ -308,7 +335,7 @@
 	defer timer.Stop()
 	for {
 		p, changed, err := c.freshChanges(req.after)
-		if err != nil || len(p.Rows) > 0 {
+		if err != nil || len(p.Rows) > 0 || c.hasLaterInForce(req.inForce) {
 			return p, err
 		}
 		select {
--- a/internal/platform/replicator/source.go
+++ b/internal/platform/replicator/source.go
@@ -56,6 +56,7 @@
 	// IsLinkSlow is set if a whole table may take long to arrive over this VM's network link. The answers of
 	// readers are compressed, so such a VM asks them in parallel with the store even right after its start.
 	IsLinkSlow bool
+	Exchange   Exchange
 
 	mu           sync.Mutex
 	skippedUntil map[string]time.Time // by reader address
@@ -80,7 +81,7 @@
 // if readers are not preferred or do not answer.
 func (s *Source) ReadAgain(ctx context.Context, table string) (follower.Page, error) {
 	if s.PreferReaders() {
-		if p, err := s.queryReaders(ctx, url.Values{"table": {table}}, readerTimeout); err == nil {
+		if p, err := s.queryReaders(ctx, s.query(table), readerTimeout); err == nil {
 			return p, nil
 		}
 	}
@@ -117,13 +118,18 @@
 func (s *Source) Follow(ctx context.Context, table string, after uint64, wait time.Duration) (follower.Page, error) {
 	if s.PreferReaders() {
 		readerWait := min(wait, PeerWait)
-		q := url.Values{"table": {table}, "after": {strconv.FormatUint(after, 10)}, "waitMs": {strconv.FormatInt(readerWait.Milliseconds(), 10)}}
+		q := s.query(table)
+		q.Set("after", strconv.FormatUint(follower.NumberOf(after), 10))
+		q.Set("waitMs", strconv.FormatInt(readerWait.Milliseconds(), 10))
+		if era := follower.EraOf(after); era > 0 {
+			q.Set("era", strconv.FormatUint(era, 10))
+		}
 		p, err := s.queryReaders(ctx, q, readerWait+readerTimeout)
 		for err != nil && s.areReadersStarting() && sleeper.Sleep(ctx, startingReaderDelay/2+rand.N(startingReaderDelay)) {
 			p, err = s.queryReaders(ctx, q, readerWait+readerTimeout)
 		}
-		if err == nil {
-			return p, nil
+		if err == nil || errors.Is(err, errRestored) {
+			return p, err
 		}
 		// The store may still have changes that a reader lacks because the reader read the table after them.
 		wait = min(wait, ReaderWait)
@@ -140,6 +146,13 @@
 	return p, err
 }
 
+// query returns a query to a reader for a whole table.
+func (s *Source) query(table string) url.Values {
+	q := url.Values{"table": {table}}
+	s.Exchange.addTo(q, table)
+	return q
+}
+
 // areReadersStarting reports whether the readers may be starting at the same time as this VM, so that they do not accept
 // connections yet. If all VMs called the store until then, each change of a table would cost a call from each VM.
 func (s *Source) areReadersStarting() bool {
@@ -164,6 +177,15 @@
 	return s.storeErr
 }
 
+// errRestored is the error for changes after a version of before the store was restored. The store doesn't have them either.
+var errRestored = classifier.New(classifier.Conflict, "store was restored since the version of this VM's table copy")
+
+// eraParam returns the era of the version in a query.
+func eraParam(q url.Values) uint64 {
+	era, _ := strconv.ParseUint(q.Get("era"), 10, 64) // missing in era 0
+	return era
+}
+
 var errNoReader = classifier.New(classifier.PlatformUnavailable, "no reader answered with a table copy")
 
 // queryReaders sends a query to one reader after the other until one answers, each with the given timeout. It makes
@@ -221,7 +243,8 @@
 func (s *Source) readAnyReader(ctx context.Context, table string) (follower.Page, error) {
 	ctx, cancel := context.WithTimeout(ctx, readerTimeout)
 	defer cancel()
-	q := url.Values{"table": {table}, "waitMs": {strconv.FormatInt(readerTimeout.Milliseconds(), 10)}}
+	q := s.query(table)
+	q.Set("waitMs", strconv.FormatInt(readerTimeout.Milliseconds(), 10))
 	readers := s.Readers()
 	pages := make(chan follower.Page, len(readers))
 	for i, address := range readers {
@@ -281,6 +304,7 @@
 // fetch sends a query to one reader. Its error is of kind conflict if the reader no longer keeps the requested
 // history, and of kind notReady if the reader refuses to serve its copy.
 func (s *Source) fetch(ctx context.Context, address string, q url.Values) (follower.Page, error) {
+	table := q.Get("table")
 	req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+address+CopyPath+"?"+q.Encode(), nil)
 	if err != nil {
 		return follower.Page{}, err
@@ -293,6 +317,9 @@
 	switch res.StatusCode {
 	case http.StatusOK:
 	case http.StatusGone:
+		if era, err := strconv.ParseUint(res.Header.Get(eraHeader), 10, 64); err == nil && era > eraParam(q) {
+			return follower.Page{}, errRestored
+		}
 		return follower.Page{}, classifier.New(classifier.Conflict, "reader %s no longer keeps all changes of table %s after version %s", address, q.Get("table"), q.Get("after"))
 	case http.StatusServiceUnavailable:
 		return follower.Page{}, classifier.New(classifier.NotReady, "reader %s has no fresh copy of table %s", address, q.Get("table"))
@@ -303,5 +330,9 @@
 	if err := decode(res.Body, &decoded); err != nil {
 		return follower.Page{}, classifier.Wrap(classifier.PlatformUnavailable, err, "decode table %s from reader %s", q.Get("table"), address)
 	}
+	s.Exchange.receive(table, decoded)
+	if era := eraParam(q); decoded.Era < era {
+		return follower.Page{}, classifier.New(classifier.NotReady, "reader %s has table %s of era %d, before era %d of this VM", address, table, decoded.Era, era)
+	}
 	return decoded.followerPage(), nil
 }
