--- a/internal/group/claimer/claimer.go
+++ b/internal/group/claimer/claimer.go
@@ -8,6 +8,11 @@
 // claim learns the earlier choice, or the VM with the earlier claim does not request a promotion.
 //
 // Where the platform checks the fencing tokens, it refuses a promote request that arrives after one of a later claim.
+// When the store is restored from an older copy, claims and choices of the last seconds before are lost. A holder whose claim is of an
+// earlier era of the store gets a conflict and claims the group anew, which writes the choice that it knows again. Other VMs learn
+// that a choice may have been lost if they claim the group within restoreWindow, until one of them has waited for its promotion
+// and recorded its own choice.
+//
 // Elsewhere, a claim stays open from the record of the choice until each promote request was answered, and the next
 // term cannot be claimed before an open claim is so old that its requests cannot be carried out any more.
 package claimer
@@ -27,8 +32,11 @@
 	table = "claims"
 	// claimTTL is how long a claim excludes other VMs. A replacement usually takes less than a second.
 	claimTTL = 2 * time.Second
-	// maxSwapAttempts limits the conditional writes of one Claim.
-	maxSwapAttempts = 3
+	// maxSwapAttempts limits the conditional writes of one Claim. After a restore, the first one fails without the present row.
+	maxSwapAttempts = 4
+	// restoreWindow is how long after a restore a promote request of a lost claim may still be sent or carried out: a replacement
+	// and its requests end within 6 s, and on a platform that doesn't check tokens they are carried out for 10 s.
+	restoreWindow = 10 * time.Second
 	// UnfencedRequestLifetime is how long a promote request without an answer may still be carried out, where the platform
 	// does not check its token.
 	UnfencedRequestLifetime = 10 * time.Second
@@ -45,6 +53,9 @@
 type ClaimResult struct {
 	FencingToken   uint64
 	ChosenInstance string // instance for which an earlier attempt at this term may have sent a promote request; "" if none
+	// MayHaveLostChoice is set if the restored store may lack a claim on this term, with its choice. A promote request for that one may
+	// have been sent.
+	MayHaveLostChoice bool
 }
 
 // claim is the row of a group.
@@ -53,6 +64,7 @@
 	Term           uint64 `json:"term"`             // term whose primary is being replaced
 	ChosenInstance string `json:"choice,omitempty"` // instance to promote
 	IsOpen         bool   `json:"open,omitempty"`   // a promote request for it may have been sent and not been answered
+	Era            uint64 `json:"era,omitempty"`    // era of the store in which the holder knew that no earlier claim was missing
 
 	version uint64    // of the row
 	seenAt  time.Time // when this VM first saw or wrote this version
@@ -66,6 +78,10 @@
 
 	mu     sync.Mutex
 	latest map[string]claim // latest known claim, by group
+	era    uint64           // latest known era of the store
+
+	restoredEra uint64    // era of the latest restore since the start; zero: there was none
+	restoredAt  time.Time // when this VM learned of it
 }
 
 // New returns a Claimer for the VM with the ID self. The request lifetime is how long a promote request without an answer
@@ -74,6 +90,53 @@
 	return &Claimer{store: s, self: self, requestLifetime: requestLifetime, latest: map[string]claim{}}
 }
 
+// RecordRestore records that the store has been restored and is in an era.
+func (c *Claimer) RecordRestore(era uint64) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if era > c.restoredEra {
+		c.era, c.restoredEra, c.restoredAt = max(c.era, era), era, time.Now()
+	}
+}
+
+// recordVersion records the era of a version of the store. Unless it is the first version that this VM sees, a later era than the
+// known one is that of a restore.
+func (c *Claimer) recordVersion(version uint64) {
+	era := follower.EraOf(version)
+	c.mu.Lock()
+	isFirst, isLater := len(c.latest) == 0 && c.era == 0, era > c.era
+	c.era = max(c.era, era)
+	c.mu.Unlock()
+	if isLater && !isFirst {
+		c.RecordRestore(era)
+	}
+}
+
+// isRestoreRecent reports whether promote requests of lost claims may still be carried out.
+func (c *Claimer) isRestoreRecent() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return !c.restoredAt.IsZero() && time.Since(c.restoredAt) < max(restoreWindow, c.requestLifetime)
+}
+
+// eraOf returns the era of the version of a row, or the known era if there is no row.
+func (c *Claimer) eraOf(version uint64) uint64 {
+	if version != 0 {
+		return follower.EraOf(version)
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.era
+}
+
+// isLossPossible reports whether the store may have lost a claim that followed the latest known one.
+func (c *Claimer) isLossPossible(latest claim) bool {
+	c.mu.Lock()
+	isWrittenSince := latest.Holder != "" && latest.Era >= c.era
+	c.mu.Unlock()
+	return !isWrittenSince && c.isRestoreRecent()
+}
+
 // Claim returns the permission for replacing the primary of a term. It fails with kind conflict while another VM has
 // an unexpired claim on that term, after any claim on a later term, and while a promote request of an earlier term may
 // still be carried out.
@@ -85,14 +148,21 @@
 		if err := c.checkClaimable(group, latest, term); err != nil {
 			return ClaimResult{}, err
 		}
-		own := claim{Holder: c.self, Term: term}
+		isLossPossible := c.isLossPossible(latest)
+		if isLossPossible && c.requestLifetime > 0 {
+			return ClaimResult{}, classifier.New(classifier.Conflict, "group %s: the store was restored and may have lost a claim, whose promote request may still be carried out", group)
+		}
+		own := claim{Holder: c.self, Term: term, Era: latest.Era}
+		if !isLossPossible {
+			own.Era = c.eraOf(latest.version)
+		}
 		if latest.Term == term {
 			own.ChosenInstance, own.IsOpen = latest.ChosenInstance, latest.IsOpen
 		}
 		token, row, err := c.swap(ctx, group, own, latest.version)
 		switch {
 		case err == nil:
-			return ClaimResult{FencingToken: token, ChosenInstance: own.ChosenInstance}, nil
+			return ClaimResult{FencingToken: token, ChosenInstance: own.ChosenInstance, MayHaveLostChoice: isLossPossible || c.isLossPossible(latest)}, nil
 		case !classifier.Is(err, classifier.Conflict):
 			return ClaimResult{}, err
 		}
@@ -120,7 +190,7 @@
 // Record records the instance that will be promoted, and returns the fencing token for the promote request. It
 // fails with kind conflict if another VM has claimed the group since token was issued.
 func (c *Claimer) Record(ctx context.Context, group string, term, token uint64, chosenInstance string) (uint64, error) {
-	newToken, row, err := c.swap(ctx, group, claim{Holder: c.self, Term: term, ChosenInstance: chosenInstance, IsOpen: c.requestLifetime > 0}, token)
+	newToken, row, err := c.swap(ctx, group, claim{Holder: c.self, Term: term, ChosenInstance: chosenInstance, IsOpen: c.requestLifetime > 0, Era: follower.EraOf(token)}, token)
 	if classifier.Is(err, classifier.Conflict) {
 		c.cacheRow(group, row)
 	}
@@ -130,7 +200,7 @@
 // Withdraw records that the instance chosen with the given token will not be promoted, so that another attempt at the term
 // may choose otherwise. No promote request for it may be outstanding.
 func (c *Claimer) Withdraw(ctx context.Context, group string, term, token uint64) error {
-	_, _, err := c.swap(ctx, group, claim{Holder: c.self, Term: term}, token)
+	_, _, err := c.swap(ctx, group, claim{Holder: c.self, Term: term, Era: follower.EraOf(token)}, token)
 	return err
 }
 
@@ -140,7 +210,7 @@
 	if c.requestLifetime == 0 {
 		return nil
 	}
-	_, _, err := c.swap(ctx, group, claim{Holder: c.self, Term: term, ChosenInstance: chosenInstance}, token)
+	_, _, err := c.swap(ctx, group, claim{Holder: c.self, Term: term, ChosenInstance: chosenInstance, Era: follower.EraOf(token)}, token)
 	return err
 }
 
@@ -152,18 +222,32 @@
 	}
 	token, row, err := c.store.Swap(ctx, table, group, value, version)
 	if err == nil {
+		c.recordVersion(token)
 		next.version, next.seenAt = token, time.Now()
 		c.cache(group, next)
 	}
 	return token, row, err
 }
 
-// cacheRow decodes and caches the present row of a group.
+// cacheRow decodes and caches the present row of a group. If the store was restored, the row may be older than the claim that
+// the VM knows, which then stands, with the version of the row.
 func (c *Claimer) cacheRow(group string, row follower.Row) claim {
+	if row.Version != 0 {
+		c.recordVersion(row.Version)
+	}
 	next := claim{version: row.Version, seenAt: time.Now()}
 	if err := json.Unmarshal(row.Value, &next); err != nil {
 		next.Holder = "" // a row in another format, as of another software version, excludes nobody
 	}
+	c.mu.Lock()
+	old, era := c.latest[group], c.era
+	c.mu.Unlock()
+	isOlder := next.Term < old.Term || next.Term == old.Term && next.ChosenInstance == ""
+	isOlder = isOlder && old.Era < era && next.Era < era
+	if old.Holder != "" && (row.Version == 0 || isOlder) {
+		old.version = row.Version
+		next = old
+	}
 	return c.cache(group, next)
 }
 
--- a/internal/group/replacer/fence.go
+++ b/internal/group/replacer/fence.go
@@ -3,6 +3,9 @@
 import (
 	"context"
 	"time"
+
+	"parsleyscale/internal/clock/sleeper"
+	"parsleyscale/internal/group/registrar"
 )
 
 const (
@@ -10,19 +13,31 @@
 	lateRequestLifetime = 15 * time.Second
 	// fenceAttempts is how often the platform is shown a token in vain before an attempt fails.
 	fenceAttempts = 3
+	// lostChoiceWait is longer than a promotion takes from its request to its effect, which is up to 1 s.
+	lostChoiceWait = 1500 * time.Millisecond
+	// lostChoiceInterval is the time between two searches for the instance of a lost choice.
+	lostChoiceInterval = 100 * time.Millisecond
 )
 
 // fenceLateRequests shows the platform the token of an attempt before a primary that has led for a short time only is demoted. A
 // request for its own promotion may be carried out late, or be repeated by a VM that does not reach it, and make it lead again
 // after its demotion. The platform refuses these once it has seen the token. Without an answer, the primary is not demoted.
 func (r *Replacer) fenceLateRequests(ctx context.Context, e ending) error {
-	if r.cfg.Fence == nil || r.cfg.IsUnfenced || time.Since(e.old.Since) > lateRequestLifetime {
+	if r.cfg.IsUnfenced || time.Since(e.old.Since) > lateRequestLifetime {
+		return nil
+	}
+	return r.fence(ctx, e.group.Name(), e.token)
+}
+
+// fence shows the platform a token, so that it refuses lower ones.
+func (r *Replacer) fence(ctx context.Context, group string, token uint64) error {
+	if r.cfg.Fence == nil {
 		return nil
 	}
 	var err error
 	for range fenceAttempts {
 		callCtx, cancel := context.WithTimeout(ctx, promoteTimeout)
-		err = r.cfg.Fence(callCtx, e.group.Name(), e.token)
+		err = r.cfg.Fence(callCtx, group, token)
 		cancel()
 		if err == nil || ctx.Err() != nil {
 			break
@@ -30,3 +45,20 @@
 	}
 	return err
 }
+
+// awaitLostChoice lets a promotion take effect whose choice the restored store may have lost. Once the platform has seen the token,
+// it accepts no further request for it. It reports whether the group has a new primary.
+func (r *Replacer) awaitLostChoice(ctx context.Context, g *registrar.Group, old registrar.Primary, token uint64) (isReplaced bool, err error) {
+	if err := r.fence(ctx, g.Name(), token); err != nil {
+		return false, err
+	}
+	for end := time.Now().Add(lostChoiceWait); time.Now().Before(end); {
+		if !sleeper.Sleep(ctx, lostChoiceInterval) {
+			return false, ctx.Err()
+		}
+		if isReplaced, _ := r.probeOthers(g, old); isReplaced {
+			return true, nil
+		}
+	}
+	return false, nil
+}
--- a/internal/group/replacer/replacer.go
+++ b/internal/group/replacer/replacer.go
@@ -2,7 +2,7 @@
 // a number of replicas has received it, and whose new primary is appointed by a
 // single fenced promote request to the platform.
 //
-// Eight rules make the promotion safe.
+// Nine rules make the promotion safe.
 //   - An attempt takes its fencing token before it holds, demotes or compares any
 //     instance. An attempt that begins later has a higher token, and once the
 //     platform has seen that token, it refuses the lower one. A spare token is fetched
@@ -37,6 +37,8 @@
 //     one, and does not proceed without the chosen instance's answer. A hold is
 //     never undone: a promote request that got no answer may still be carried out
 //     later, and until then nothing may be acknowledged that the chosen replica lacks.
+//   - After a restore of the store, which may have lost a claim with its choice, the platform is shown the token of the new claim, and
+//     any promotion that it accepted before takes effect first.
 //   - The claim is renewed before each repeated promote request, so that none is sent after another VM has claimed the
 //     group: by then, the instance may have led and been demoted again. A primary that has led for a short time only is demoted after the
 //     platform has seen the token, so that it refuses late requests for it.
@@ -415,6 +417,11 @@
 	if err != nil {
 		return err
 	}
+	if claim.MayHaveLostChoice {
+		if isReplaced, err := r.awaitLostChoice(ctx, g, old, fencingToken(old.Term, claim.FencingToken, true)); isReplaced || err != nil {
+			return err
+		}
+	}
 	b := r.newBasis(isSpare, claim.ChosenInstance)
 	seal := registrar.Seal{Term: old.Term, Holder: r.cfg.Self, IsSpare: isSpare}
 	defer func() {
--- a/internal/group/replacer/replacer_test.go
+++ b/internal/group/replacer/replacer_test.go
@@ -117,6 +117,8 @@
 	choice     string   // of an earlier attempt, returned by Claim
 	recorded   []string // choices that were recorded
 	choiceTerm uint64   // the only term for which Claim returns the choice; zero: any
+
+	mayHaveLostChoice bool // returned by Claim
 }
 
 func (f *fakeTokens) Next(context.Context) (uint64, error) { f.last++; return f.last, nil }
@@ -126,7 +128,7 @@
 		return claimer.ClaimResult{}, f.err
 	}
 	f.last++
-	r := claimer.ClaimResult{FencingToken: f.last, ChosenInstance: f.choice}
+	r := claimer.ClaimResult{FencingToken: f.last, ChosenInstance: f.choice, MayHaveLostChoice: f.mayHaveLostChoice}
 	if f.choiceTerm > 0 && f.choiceTerm != term {
 		r.ChosenInstance = ""
 	}
