Keep the configuration and the registry in force over a restore, and write again what it lost

A VM took the entries of a restored table as they were: of instances that had left since, whose address may be another one's, and with an earlier state of others, which it took for a restart. Package reconciler doesn't use such an entry before its row changes. A VM that starts after a restore asks other VMs for the configuration in force. A VM that learns of a restore writes its own row and its audit entries again if they are of the last minute. Versions are shown as numbers of the store.

--- a/internal/daemon/assembler/assembler.go
+++ b/internal/daemon/assembler/assembler.go
@@ -7,6 +7,7 @@
 	"errors"
 	"net"
 	"net/http"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -20,6 +21,7 @@
 	"parsleyscale/internal/group/sealer"
 	"parsleyscale/internal/operator/auditor"
 	"parsleyscale/internal/platform/follower"
+	"parsleyscale/internal/platform/reconciler"
 	"parsleyscale/internal/platform/replicator"
 	"parsleyscale/internal/request/admitter"
 	"parsleyscale/internal/session/tokenizer"
@@ -61,7 +63,10 @@
 
 	// OnCall sets the function that is called after each call to the platform.
 	OnCall func(f func(call string, err error))
-	Clock  func() time.Duration // monotonic, and includes the time during which the VM was suspended
+	// OnRestore sets the function that is called with each new era of the store, which begins when it is restored from an older
+	// copy; nil if the store has none.
+	OnRestore func(f func(era uint64))
+	Clock     func() time.Duration // monotonic, and includes the time during which the VM was suspended
 }
 
 // absentInstance is the identity of no instance. The platform refuses to promote it, but has then seen the token.
@@ -77,34 +82,39 @@
 	// settings stay as they were at the start.
 	latestSettings atomic.Pointer[loader.LineSettings]
 	configuration  atomic.Pointer[cataloger.Configuration]
-	registry       cataloger.Registry // accessed only by the follower of the registry table
+	configuring    sync.Mutex          // held while a configuration is put into force
+	registry       reconciler.Registry // accessed only by the follower of the registry table
 	hasRegistry    atomic.Bool
 	registryLoaded chan struct{} // closed when hasRegistry becomes true
 	isStopping     atomic.Bool
 
-	groups           *registrar.Registrar
-	pool             *allotter.Allotter
-	gateways         *gatewayDialer
-	statementNames   namer.Namer
-	forwardServer    *forwarder.Server // nil if the settings have no link address
-	performer        *performer.Performer
-	replacer         *replacer.Replacer
-	members          *members
-	departures       *departures
-	auditor          *auditor.Auditor
-	sessionServer    *conductor.Server
-	tableCopies      map[string]*replicator.TableCopy // by table
-	tableSource      *replicator.Source
-	readyServer      *http.Server
-	peerServer       *http.Server
-	metricsServer    *http.Server // nil if the settings have no admin address
-	meter            *meter.LineMeter
-	followers        []*follower.Follower // of the configuration table and the registry table, in this order
-	summarizer       *summarizer
-	registryFollower atomic.Pointer[follower.Follower]
-	vmFollower       *follower.Follower // of the list of VMs; nil if this VM is no reader
-	puller           *replicator.Puller
-	refresher        atomic.Pointer[replicator.Refresher] // of the registry; nil until the followers have started
+	groups            *registrar.Registrar
+	pool              *allotter.Allotter
+	gateways          *gatewayDialer
+	statementNames    namer.Namer
+	forwardServer     *forwarder.Server // nil if the settings have no link address
+	performer         *performer.Performer
+	replacer          *replacer.Replacer
+	claims            *claimer.Claimer
+	storeEra          atomic.Int64 // 0 until the store is restored
+	outdatedEntries   atomic.Int64 // of the registry, which are not used
+	members           *members
+	departures        *departures
+	auditor           *auditor.Auditor
+	sessionServer     *conductor.Server
+	tableCopies       map[string]*replicator.TableCopy // by table
+	configurationCopy *replicator.TableCopy            // one of tableCopies
+	tableSource       *replicator.Source
+	readyServer       *http.Server
+	peerServer        *http.Server
+	metricsServer     *http.Server // nil if the settings have no admin address
+	meter             *meter.LineMeter
+	followers         []*follower.Follower // of the configuration table and the registry table, in this order
+	summarizer        *summarizer
+	registryFollower  atomic.Pointer[follower.Follower]
+	vmFollower        *follower.Follower // of the list of VMs; nil if this VM is no reader
+	puller            *replicator.Puller
+	refresher         atomic.Pointer[replicator.Refresher] // of the registry; nil until the followers have started
 }
 
 // Run runs a VM until ctx ends, then stops it gracefully.
@@ -126,7 +136,7 @@
 }
 
 func start(cfg loader.LineSettings, p Platform, log *logger.Logger) (*VM, error) {
-	v := &VM{cfg: cfg, platform: p, log: log, registry: cataloger.Registry{}, registryLoaded: make(chan struct{})}
+	v := &VM{cfg: cfg, platform: p, log: log, registryLoaded: make(chan struct{})}
 	v.latestSettings.Store(&cfg)
 	var err error
 	if v.meter, err = meter.NewLineMeter(v.gauges()...); err != nil {
@@ -142,6 +152,10 @@
 	v.departures = &departures{source: p.Store, table: p.RegistryTable, startedAt: time.Now()}
 	go v.members.refreshLoop(context.Background())
 	v.auditor = auditor.Start(p.Store, cfg.ID)
+	v.claims = claimer.New(p.Store, cfg.ID, v.promoteRequestLifetime())
+	if p.OnRestore != nil {
+		p.OnRestore(v.handleRestore)
+	}
 	v.pool = allotter.New(allotter.Config{Dialer: v.gateways, Limits: v.gateways.connectionLimits, Observe: v.recordDial})
 	controller := commander.Controller{Pool: v.pool, Parse: p.ParseCondition}
 	peers := commander.Peers{Dialer: p.Dialer, Addresses: v.gateways.linkAddresses, Parse: p.ParseCondition}
@@ -150,7 +164,7 @@
 		Groups: v.groups, Pool: v.pool, RetryBudget: admitter.NewRetryBudget(), Observe: v.logStatement, Unfenced: v.unfenced(controller),
 	})
 	v.replacer = replacer.Start(replacer.Config{
-		Groups: v.groups, Controller: controller, Tokens: v.members, Claims: claimer.New(p.Store, cfg.ID, v.promoteRequestLifetime()), IsUnfenced: !cfg.Fencing, Probe: v.performer.Probe, Sample: v.performer.SamplePrimaryPosition, Rank: v.members.rank, IsConfigured: v.isConfigured, MayHaveMissedDeparture: v.departures.mayBeMissed,
+		Groups: v.groups, Controller: controller, Tokens: v.members, Claims: v.claims, IsUnfenced: !cfg.Fencing, Probe: v.performer.Probe, Sample: v.performer.SamplePrimaryPosition, Rank: v.members.rank, IsConfigured: v.isConfigured, MayHaveMissedDeparture: v.departures.mayBeMissed,
 		Promote: func(ctx context.Context, group, instance string, token uint64) error {
 			return p.Promote(ctx, group, instance, cfg.ID, token)
 		},
@@ -251,6 +265,8 @@
 
 // applyConfiguration puts the configuration in rows into force if its version is higher than the current one.
 func (v *VM) applyConfiguration(rows []follower.Row, _ uint64) {
+	v.configuring.Lock()
+	defer v.configuring.Unlock()
 	for _, r := range rows {
 		if r.Key != v.platform.ConfigurationKey || r.IsRemoved {
 			continue
@@ -264,6 +280,7 @@
 			continue
 		}
 		v.configuration.Store(c)
+		v.configurationCopy.SetInForce(replicator.InForce{Key: r.Key, Value: r.Value, Version: c.Version})
 		v.auditConfiguration(c.Version)
 		v.log.Info(logger.SheetInForce, logger.Int("version", int64(c.Version)), logger.Int("routes", int64(len(c.Routes))))
 	}
@@ -271,32 +288,16 @@
 
 // replaceRegistry replaces the registry by all rows of its table.
 func (v *VM) replaceRegistry(rows []follower.Row, version uint64) {
-	v.registry = cataloger.Registry{}
 	v.departures.recordRead(version)
-	v.applyRegistryChanges(rows, version)
+	v.updateRegistry(v.registry.WithTable(v.entries(rows), version))
 	if !v.hasRegistry.Swap(true) {
 		close(v.registryLoaded)
 	}
 }
 
-// applyRegistryChanges applies changed rows to the registry. An entry that cannot be parsed counts as removed.
+// applyRegistryChanges applies changed rows to the registry.
 func (v *VM) applyRegistryChanges(rows []follower.Row, _ uint64) {
-	changes := map[string]*cataloger.Instance{}
-	for _, r := range rows {
-		if r.IsRemoved {
-			changes[r.Key] = nil
-			continue
-		}
-		i, err := v.platform.ParseEntry(r.Key, r.Value)
-		if err != nil {
-			changes[r.Key] = nil
-			v.log.Warn(logger.EntryFault, logger.String("instance", r.Key), logger.Err(err))
-			continue
-		}
-		changes[r.Key] = &i
-	}
-	v.registry = v.registry.With(changes)
-	v.groups.Update(v.registry)
+	v.updateRegistry(v.registry.WithChanges(v.entries(rows)))
 }
 
 // recordDial records what the result of a dial shows about the state of an instance.
--- a/internal/daemon/assembler/departures.go
+++ b/internal/daemon/assembler/departures.go
@@ -49,7 +49,7 @@
 	first := d.version.Load()
 	for _, n := range departureVersions {
 		callCtx, cancel := context.WithTimeout(ctx, departureTimeout)
-		p, err := d.source.Follow(callCtx, d.table, first-min(n, first), 0)
+		p, err := d.source.Follow(callCtx, d.table, follower.Before(first, n), 0)
 		cancel()
 		switch {
 		case err == nil:
--- a/internal/daemon/assembler/followers.go
+++ b/internal/daemon/assembler/followers.go
@@ -33,6 +33,7 @@
 	return &replicator.Source{
 		Store: v.platform.Store, Readers: v.readersByDistance, Client: replicator.NewClient(),
 		PreferReaders: prefersReaders, IsVMCountKnown: func() bool { return v.members.isCountKnown() }, IsLinkSlow: v.cfg.LinkMbps > 0 && v.cfg.LinkMbps < slowLinkMbps,
+		Exchange: v.exchange(),
 	}
 }
 
@@ -68,9 +69,12 @@
 
 // startFollowers follows the configuration and the registry, and pulls missing changes from other VMs.
 func (v *VM) startFollowers() {
-	v.tableCopies = map[string]*replicator.TableCopy{}
+	v.configurationCopy = replicator.NewTableCopy(replicator.DefaultFreshness)
+	v.tableCopies = map[string]*replicator.TableCopy{
+		v.platform.ConfigurationTable: v.configurationCopy, v.platform.RegistryTable: replicator.NewTableCopy(replicator.DefaultFreshness),
+	}
 	v.followers = []*follower.Follower{
-		v.startFollower(v.platform.ConfigurationTable, v.applyConfiguration, v.applyConfiguration),
+		v.startFollower(v.platform.ConfigurationTable, v.replaceConfiguration, v.applyConfiguration),
 		v.startFollower(v.platform.RegistryTable, v.replaceRegistry, v.applyRegistryChanges),
 	}
 	v.registryFollower.Store(v.followers[1])
@@ -83,7 +87,7 @@
 	}
 	v.puller = replicator.StartPuller(replicator.PullerConfig{
 		Followers: map[string]*follower.Follower{v.platform.ConfigurationTable: v.followers[0], v.platform.RegistryTable: v.followers[1]},
-		Peers:     v.peersToPull, Client: replicator.NewClient(), OnMerge: v.logMergedChange,
+		Peers:     v.peersToPull, Client: replicator.NewClient(), OnMerge: v.logMergedChange, Exchange: v.exchange(),
 	})
 }
 
@@ -139,8 +143,7 @@
 // startFollower follows a table. It applies each update to the copy that this VM serves to other VMs, and then calls
 // onTable for a whole table or onChanges for changed rows.
 func (v *VM) startFollower(table string, onTable, onChanges func([]follower.Row, uint64)) *follower.Follower {
-	c := replicator.NewTableCopy(replicator.DefaultFreshness)
-	v.tableCopies[table] = c
+	c := v.tableCopies[table]
 	return follower.Start(follower.Config{
 		Source: v.tableSource, Table: table, Wait: v.followWait,
 		OnTable: func(rows []follower.Row, version uint64) {
@@ -168,7 +171,7 @@
 // extendHistory adds the changes before a version to a reader's copy. It is not repeated if it fails: the VMs that have
 // read the table before this reader then call the store once.
 func (v *VM) extendHistory(table string, c *replicator.TableCopy, version uint64) {
-	after := version - min(version, earlierVersions)
+	after := follower.Before(version, earlierVersions)
 	ctx, cancel := context.WithTimeout(context.Background(), time.Second)
 	defer cancel()
 	if p, err := v.platform.Store.Follow(ctx, table, after, 0); err == nil {
--- a/internal/daemon/assembler/log.go
+++ b/internal/daemon/assembler/log.go
@@ -5,6 +5,7 @@
 	"parsleyscale/internal/failure/classifier"
 	"parsleyscale/internal/group/registrar"
 	"parsleyscale/internal/group/replacer"
+	"parsleyscale/internal/platform/follower"
 	"parsleyscale/internal/statement/carrier"
 	"parsleyscale/internal/statement/performer"
 	"parsleyscale/internal/telemetry/logger"
@@ -34,7 +35,7 @@
 }
 
 func (v *VM) logMergedChange(peer, table string, version uint64) {
-	v.log.Info(logger.ChangeFromPeer, logger.String("peer", peer), logger.String("table", table), logger.Int("version", int64(version)))
+	v.log.Info(logger.ChangeFromPeer, logger.String("peer", peer), logger.String("table", table), logger.Int("version", int64(follower.NumberOf(version))), logger.Int("era", int64(follower.EraOf(version))))
 }
 
 // statementEvents maps the performer's events to log events.
@@ -77,6 +78,8 @@
 		{Name: "parsleyscale.links.limit", Help: "limit of the connections to an instance in use", Read: v.loadGauge(func(l allotter.Load) int { return l.MaxInUse })},
 		{Name: "parsleyscale.links.opened", Help: "connections to an instance opened since the VM started", Read: v.statsGauge(func(s allotter.Stats) uint64 { return s.Opened })},
 		{Name: "parsleyscale.links.refused", Help: "connections that an instance refused since the VM started", Read: v.statsGauge(func(s allotter.Stats) uint64 { return s.Refused })},
+		{Name: "parsleyscale.store.era", Help: "era of the store, which rises with each restore from an older copy; 0: no restore since the VM started", Read: func(observe func(int64, string)) { observe(v.storeEra.Load(), "") }},
+		{Name: "parsleyscale.registry.outdated", Help: "registry entries of a restored store that are not used until the instance writes again", Read: func(observe func(int64, string)) { observe(v.outdatedEntries.Load(), "") }},
 		{Name: "parsleyscale.floor.age", Help: "milliseconds since the primary of a group last proved its role, by group", Read: v.readPrimaryProofAges},
 	}
 }
@@ -200,7 +203,7 @@
 		fields = append(fields, logger.String("earlierChoice", b.EarlierChoice))
 	}
 	if b.RegistryVersion != 0 {
-		fields = append(fields, logger.Int("registryVersion", int64(b.RegistryVersion)), logger.Millis("registryAge", b.RegistryAge))
+		fields = append(fields, logger.Int("registryVersion", int64(follower.NumberOf(b.RegistryVersion))), logger.Millis("registryAge", b.RegistryAge))
 	}
 	if b.HasDeparture {
 		floor := "unknown"
--- a/internal/daemon/assembler/members.go
+++ b/internal/daemon/assembler/members.go
@@ -46,6 +46,7 @@
 	settledAt    time.Time // until then, VMs that started together may be missing in the table
 	isSettled    bool      // the table has been read since settledAt
 	refreshedAt  time.Time // when the latest successful read began
+	writtenAt    time.Time // when this VM last wrote its row; zero: not since the start
 	gatewayLists map[gatewayQuery][]member
 	ranks        map[string]int // by group
 }
@@ -80,12 +81,26 @@
 	version, err := m.store.Put(ctx, inspector.VMTable, m.cfg.ID, b)
 	if err == nil {
 		m.mu.Lock()
-		m.isListed = true
+		m.isListed, m.writtenAt = true, time.Now()
 		m.mu.Unlock()
 	}
 	return version, err
 }
 
+// writeAgain writes the VM's own row again if the restored store may have lost it.
+func (m *members) writeAgain(ctx context.Context) error {
+	m.mu.Lock()
+	mayBeLost := !m.writtenAt.IsZero() && time.Since(m.writtenAt) < lossWindow
+	m.mu.Unlock()
+	if !mayBeLost {
+		return nil
+	}
+	ctx, cancel := context.WithTimeout(ctx, refreshTimeout)
+	defer cancel()
+	_, err := m.Next(ctx)
+	return err
+}
+
 // maxSpareTokenRank is the highest rank of a VM in a group for which it keeps a spare token.
 const maxSpareTokenRank = 7
 
--- a/internal/daemon/assembler/status.go
+++ b/internal/daemon/assembler/status.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"parsleyscale/internal/operator/inspector"
+	"parsleyscale/internal/platform/follower"
 )
 
 // status returns the VM's status for operators.
@@ -21,7 +22,7 @@
 		if at := f.AnsweredAt(); !at.IsZero() {
 			updateAge = time.Since(at).Milliseconds()
 		}
-		s.Tables = append(s.Tables, inspector.Table{Name: table, Version: f.Version(), LastUpdateAgeMillis: updateAge})
+		s.Tables = append(s.Tables, inspector.Table{Name: table, Version: follower.NumberOf(f.Version()), LastUpdateAgeMillis: updateAge})
 	}
 	for _, g := range v.groups.Groups() {
 		primary, confirmedAge := g.Primary(), int64(-1)
--- a/internal/operator/auditor/auditor.go
+++ b/internal/operator/auditor/auditor.go
@@ -73,7 +73,8 @@
 	wg     sync.WaitGroup
 
 	mu        sync.Mutex
-	discarded int // entries discarded since the last one that was queued
+	discarded int     // entries discarded since the last one that was queued
+	written   []Entry // latest entries that were written, oldest first, at most maxEntries
 }
 
 // Start starts an auditor for the VM with the identity vmID.
@@ -104,6 +105,33 @@
 	}
 }
 
+// WriteAgain queues the entries of the given time before now once more, since a restored store may lack them. Those that it has are
+// not written twice.
+func (a *Auditor) WriteAgain(age time.Duration) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	for _, e := range a.written {
+		if time.Since(e.At) > age {
+			continue
+		}
+		select {
+		case a.queue <- e:
+		default:
+			a.discarded++
+		}
+	}
+}
+
+// recordWritten keeps an entry for WriteAgain.
+func (a *Auditor) recordWritten(e Entry) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if !slices.ContainsFunc(a.written, func(o Entry) bool { return o.Subject == e.Subject && o.isSameChange(e) }) {
+		a.written = append(a.written, e)
+	}
+	a.written = a.written[max(0, len(a.written)-maxEntries):]
+}
+
 // run writes the queued entries in order and repeats each until it is written.
 func (a *Auditor) run(ctx context.Context) {
 	for {
@@ -116,6 +144,7 @@
 					return
 				}
 			}
+			a.recordWritten(e)
 		}
 	}
 }
--- a/internal/telemetry/logger/event.go
+++ b/internal/telemetry/logger/event.go
@@ -14,6 +14,8 @@
 	VMStopping       Event = "vmStopping"
 	VMStopped        Event = "vmStopped"
 	SheetInForce     Event = "sheetInForce"
+	StoreRestored    Event = "storeRestored"
+	EntriesOutdated  Event = "entriesOutdated"
 	SheetFault       Event = "sheetFault"
 	MemberChanged    Event = "memberChanged"
 	GatewayStarted   Event = "gatewayStarted"
@@ -69,6 +71,8 @@
 	{VMStopping, "a planned stop has begun"},
 	{VMStopped, "the process is about to exit"},
 	{SheetInForce, "a new version of the sheet is in force on this VM"},
+	{StoreRestored, "the store names a new era: it was restored from an older copy"},
+	{EntriesOutdated, "the number of registry entries that a restored store shows as they were before, which are not used, has changed"},
 	{SheetFault, "requests for the sheet to the store or to other VMs have begun to fail"},
 	{MemberChanged, "this VM's view of the state of another VM changed"},
 	{GatewayStarted, "this VM became a gateway of a database"},
