--- a/internal/daemon/assembler/members_test.go
+++ b/internal/daemon/assembler/members_test.go
@@ -122,3 +122,36 @@
 	}
 	return rows
 }
+
+// putCounter counts the writes of rows.
+type putCounter struct {
+	fixedStore
+	puts int
+}
+
+func (p *putCounter) Put(context.Context, string, string, []byte) (uint64, error) {
+	p.puts++
+	return uint64(p.puts), nil
+}
+
+// Guards against a VM that is missing in the list after the store was restored, and against a call of each VM although its row is
+// older than any copy.
+func TestOwnRowIsWrittenAgain(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		store := &putCounter{}
+		m := newMembers(loader.LineSettings{ID: "vm-1"}, store, store)
+		write := func(want int) {
+			t.Helper()
+			if err := m.writeAgain(t.Context()); err != nil || store.puts != want {
+				t.Errorf("%d writes, %v; want %d", store.puts, err, want)
+			}
+		}
+		write(0)
+		if _, err := m.Next(t.Context()); err != nil {
+			t.Fatal(err)
+		}
+		write(2)
+		time.Sleep(lossWindow)
+		write(2)
+	})
+}
--- a/internal/group/claimer/claimer.go
+++ b/internal/group/claimer/claimer.go
@@ -56,6 +56,7 @@
 	// MayHaveLostChoice is set if the restored store may lack a claim on this term, with its choice. A promote request for that one may
 	// have been sent.
 	MayHaveLostChoice bool
+	RestoredAt        time.Time // when this VM learned of the restore; valid if MayHaveLostChoice is set
 }
 
 // claim is the row of a group.
@@ -162,7 +163,11 @@
 		token, row, err := c.swap(ctx, group, own, latest.version)
 		switch {
 		case err == nil:
-			return ClaimResult{FencingToken: token, ChosenInstance: own.ChosenInstance, MayHaveLostChoice: isLossPossible || c.isLossPossible(latest)}, nil
+			r := ClaimResult{FencingToken: token, ChosenInstance: own.ChosenInstance, MayHaveLostChoice: isLossPossible || c.isLossPossible(latest)}
+			c.mu.Lock()
+			r.RestoredAt = c.restoredAt
+			c.mu.Unlock()
+			return r, nil
 		case !classifier.Is(err, classifier.Conflict):
 			return ClaimResult{}, err
 		}
--- a/internal/group/replacer/fence.go
+++ b/internal/group/replacer/fence.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"parsleyscale/internal/clock/sleeper"
+	"parsleyscale/internal/group/claimer"
 	"parsleyscale/internal/group/registrar"
 )
 
@@ -15,6 +16,8 @@
 	fenceAttempts = 3
 	// lostChoiceWait is longer than a promotion takes from its request to its effect, which is up to 1 s.
 	lostChoiceWait = 1500 * time.Millisecond
+	// entriesBackTime is the time after a restore until the instances have written their registry entries again, about 2 s.
+	entriesBackTime = 2200 * time.Millisecond
 	// lostChoiceInterval is the time between two searches for the instance of a lost choice.
 	lostChoiceInterval = 100 * time.Millisecond
 )
@@ -47,12 +50,17 @@
 }
 
 // awaitLostChoice lets a promotion take effect whose choice the restored store may have lost. Once the platform has seen the token,
-// it accepts no further request for it. It reports whether the group has a new primary.
-func (r *Replacer) awaitLostChoice(ctx context.Context, g *registrar.Group, old registrar.Primary, token uint64) (isReplaced bool, err error) {
-	if err := r.fence(ctx, g.Name(), token); err != nil {
+// it accepts no further request for it. The wait lasts at least until the registry lists all replicas again, which are compared
+// afterwards. It reports whether the group has a new primary.
+func (r *Replacer) awaitLostChoice(ctx context.Context, g *registrar.Group, old registrar.Primary, c claimer.ClaimResult) (isReplaced bool, err error) {
+	if err := r.fence(ctx, g.Name(), fencingToken(old.Term, c.FencingToken, true)); err != nil {
 		return false, err
 	}
-	for end := time.Now().Add(lostChoiceWait); time.Now().Before(end); {
+	end := time.Now().Add(lostChoiceWait)
+	if entriesBackAt := c.RestoredAt.Add(entriesBackTime); entriesBackAt.After(end) {
+		end = entriesBackAt
+	}
+	for time.Now().Before(end) {
 		if !sleeper.Sleep(ctx, lostChoiceInterval) {
 			return false, ctx.Err()
 		}
--- a/internal/group/replacer/replacer.go
+++ b/internal/group/replacer/replacer.go
@@ -38,7 +38,7 @@
 //     never undone: a promote request that got no answer may still be carried out
 //     later, and until then nothing may be acknowledged that the chosen replica lacks.
 //   - After a restore of the store, which may have lost a claim with its choice, the platform is shown the token of the new claim, and
-//     any promotion that it accepted before takes effect first.
+//     any promotion that it accepted before takes effect first. By then, the instances have written their registry entries again.
 //   - The claim is renewed before each repeated promote request, so that none is sent after another VM has claimed the
 //     group: by then, the instance may have led and been demoted again. A primary that has led for a short time only is demoted after the
 //     platform has seen the token, so that it refuses late requests for it.
@@ -418,7 +418,7 @@
 		return err
 	}
 	if claim.MayHaveLostChoice {
-		if isReplaced, err := r.awaitLostChoice(ctx, g, old, fencingToken(old.Term, claim.FencingToken, true)); isReplaced || err != nil {
+		if isReplaced, err := r.awaitLostChoice(ctx, g, old, claim); isReplaced || err != nil {
 			return err
 		}
 	}
--- a/internal/operator/auditor/auditor_test.go
+++ b/internal/operator/auditor/auditor_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"encoding/json"
 	"sync"
 	"testing"
 	"testing/synctest"
@@ -117,3 +118,34 @@
 		}
 	})
 }
+
+// Guards against entries that are missing after the store was restored from an older copy, and against entries that are written
+// twice because the copy has them.
+func TestWriteAgain(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := &fakeStore{rows: map[string]follower.Row{}}
+		a := Start(s, "vm-a")
+		defer a.Close()
+		for token := range uint64(3) {
+			a.Record(Entry{Subject: "g", Action: Promote, Instance: "i", Token: token + 1, Outcome: Done})
+			time.Sleep(time.Minute)
+		}
+		s.mu.Lock()
+		var first subjectRow
+		if err := json.Unmarshal(s.rows["g"].Value, &first); err != nil {
+			t.Fatal(err)
+		}
+		first.Entries = first.Entries[:1]
+		value, err := json.Marshal(first)
+		if err != nil {
+			t.Fatal(err)
+		}
+		s.rows["g"] = follower.Row{Key: "g", Value: value, Version: 1}
+		s.mu.Unlock()
+		a.WriteAgain(2*time.Minute + time.Second)
+		time.Sleep(time.Second)
+		if d := cmp.Diff([]uint64{1, 2, 3}, entryTokens(s.entries())); d != "" {
+			t.Errorf("tokens after the restore (-want +got):\n%s", d)
+		}
+	})
+}
