--- a/internal/daemon/assembler/assembler.go
+++ b/internal/daemon/assembler/assembler.go
@@ -96,8 +96,9 @@
 	performer         *performer.Performer
 	replacer          *replacer.Replacer
 	claims            *claimer.Claimer
-	storeEra          atomic.Int64 // 0 until the store is restored
-	outdatedEntries   atomic.Int64 // of the registry, which are not used
+	storeEra          atomic.Int64              // 0 until the store is restored
+	restoredAt        atomic.Pointer[time.Time] // when the VM learned of the latest restore of the store; nil: none
+	outdatedEntries   atomic.Int64              // of the registry, which are not used
 	members           *members
 	departures        *departures
 	auditor           *auditor.Auditor
--- a/internal/daemon/assembler/followers.go
+++ b/internal/daemon/assembler/followers.go
@@ -80,7 +80,7 @@
 	v.registryFollower.Store(v.followers[1])
 	v.refresher.Store(&replicator.Refresher{
 		Store: v.platform.Store, Table: v.platform.RegistryTable, Copy: v.tableCopies[v.platform.RegistryTable], Follower: v.followers[1],
-		Peers: v.peersToConfirm, ArePeersKnown: v.members.areAllRead, Client: replicator.NewClient(),
+		Peers: v.peersToConfirm, ArePeersKnown: v.members.areAllRead, IsComplete: v.isRegistryComplete, Client: replicator.NewClient(),
 	})
 	if v.isReader() {
 		v.followVMs()
--- a/internal/daemon/assembler/restore.go
+++ b/internal/daemon/assembler/restore.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"parsleyscale/internal/clock/sleeper"
+	"parsleyscale/internal/group/replacer"
 	"parsleyscale/internal/platform/follower"
 	"parsleyscale/internal/platform/reconciler"
 	"parsleyscale/internal/platform/replicator"
@@ -27,11 +28,19 @@
 // VMs; its entries of the audit trail. Readers write the summaries again when they see the restored list.
 func (v *VM) handleRestore(era uint64) {
 	v.storeEra.Store(int64(era))
+	now := time.Now()
+	v.restoredAt.Store(&now)
 	v.log.Warn(logger.StoreRestored, logger.Int("era", int64(era)))
 	v.claims.RecordRestore(era)
 	go v.writeAgain(context.Background())
 }
 
+// isRegistryComplete reports whether the instances have had the time to write their registry entries again since the store was restored.
+func (v *VM) isRegistryComplete() bool {
+	at := v.restoredAt.Load()
+	return at == nil || time.Since(*at) >= replacer.EntriesBackTime
+}
+
 // writeAgain writes again what the restored store may have lost.
 func (v *VM) writeAgain(ctx context.Context) {
 	if !sleeper.Sleep(ctx, rand.N(rewriteJitter)) {
--- a/internal/group/explorer/explorer_test.go
+++ b/internal/group/explorer/explorer_test.go
@@ -31,6 +31,17 @@
 
 // Guards against the promotion of an instance that lacks an acknowledged commit, whatever the order of faults.
 func TestRandomHistories(t *testing.T) {
+	explore(t, func(h history) history { return h })
+}
+
+// Guards against the same, and against a token of two VMs, while the store is restored from an older copy.
+func TestRandomHistoriesWithRestores(t *testing.T) {
+	explore(t, withRestores)
+}
+
+// explore plays the histories of the seeds, each as change returns it.
+func explore(t *testing.T, change func(history) history) {
+	t.Helper()
 	start := time.Now()
 	var mu sync.Mutex
 	promotions, commits, failures, otherLosses, lossless := 0, 0, 0, 0, 0
@@ -47,7 +58,7 @@
 					if seed >= *firstSeed+uint64(*seedCount) {
 						return
 					}
-					h := newHistory(seed, excludedKinds())
+					h := change(newHistory(seed, excludedKinds()))
 					h.opts.demotionEndsWithRestart = h.opts.demotionEndsWithRestart && !*lasting
 					o := play(t, h)
 					mu.Lock()
--- a/internal/group/explorer/model_test.go
+++ b/internal/group/explorer/model_test.go
@@ -69,6 +69,7 @@
 
 	entry    *cataloger.Instance // its entry in the registry; nil: it has none
 	silentAt time.Duration
+	writesAt time.Duration // when it writes its entry after a restore of the store; zero: it has
 }
 
 func (i *instance) describe() string {
@@ -126,7 +127,13 @@
 	late       map[string]int    // VMs whose calls to a service are carried out late, by pair
 	version    uint64
 	rows       map[string]follower.Row
+	registry   map[string]registryRow
 	removals   []uint64
+	era        uint64        // of the store
+	marked     uint64        // latest era in which a row was written conditionally
+	states     []storeState  // of the store, oldest first
+	away       int           // restores that are under way
+	restoredAt time.Duration // zero: never
 	subs       map[string]*node
 	waiters    []*waiter
 	timeline   []string
@@ -164,7 +171,7 @@
 }
 
 func newWorld(ctx context.Context, seed uint64, o options) *world {
-	w := &world{seed: seed, start: time.Now(), opts: o, ctx: ctx, counters: map[string]uint64{}, instances: map[string]*instance{}, holderOf: map[uint64]string{}, cuts: map[string]int{}, lossy: map[string]int{}, late: map[string]int{}, rows: map[string]follower.Row{}, subs: map[string]*node{}, term: 1}
+	w := &world{seed: seed, start: time.Now(), opts: o, ctx: ctx, counters: map[string]uint64{}, instances: map[string]*instance{}, holderOf: map[uint64]string{}, cuts: map[string]int{}, lossy: map[string]int{}, late: map[string]int{}, rows: map[string]follower.Row{}, registry: map[string]registryRow{}, subs: map[string]*node{}, term: 1}
 	for _, id := range []string{"a", "b", "c"} {
 		w.instances[id] = &instance{id: id, isUp: true, term: 1, delay: w.drawLocked("delay "+id, 0, 8*time.Millisecond)}
 	}
@@ -173,6 +180,7 @@
 	}
 	w.primary = "a"
 	w.instances["a"].isPrimary = true
+	w.keep()
 	w.expire()
 	return w
 }
@@ -242,7 +250,9 @@
 	return a + " " + b
 }
 
-func (w *world) isCut(a, b string) bool { return w.cuts[pair(a, b)] > 0 }
+func (w *world) isCut(a, b string) bool {
+	return w.cuts[pair(a, b)] > 0 || w.away > 0 && (a == storeService || b == storeService)
+}
 
 func (w *world) cut(a, b string) bool {
 	w.mu.Lock()
@@ -343,10 +353,17 @@
 			continue
 		}
 		i.silentAt = 0
-		if next := i.newEntry(); i.startedAt >= 0 && (i.entry == nil || *i.entry != next) {
+		if now < i.writesAt {
+			continue
+		}
+		if next := i.newEntry(); i.startedAt >= 0 && (i.writesAt > 0 || i.entry == nil || *i.entry != next) {
+			i.writesAt = 0
 			w.setEntry(i, &next)
 		}
 	}
+	if w.away == 0 {
+		w.expireLeft()
+	}
 }
 
 func (i *instance) newEntry() cataloger.Instance {
@@ -360,23 +377,18 @@
 		w.removals = append(w.removals, w.version)
 	}
 	i.entry = e
-	w.announce()
-}
-
-func (w *world) registry() cataloger.Registry {
-	reg := cataloger.Registry{}
-	for _, i := range w.instances {
-		if i.entry != nil {
-			reg[i.id] = *i.entry
-		}
+	delete(w.registry, i.id)
+	if e != nil {
+		w.registry[i.id] = registryRow{instance: *e, version: w.version}
 	}
-	return reg
+	w.keep()
+	w.announce()
 }
 
 // announce delivers the registry to each VM, some time later and in order.
 func (w *world) announce() {
 	for _, n := range w.subs {
-		n.deliver(w.version, w.registry(), w.drawLocked("feed "+n.id, time.Millisecond, w.opts.registryDelay))
+		n.deliver(w.reached(), w.entries(), w.drawLocked("feed "+n.id, time.Millisecond, w.opts.registryDelay))
 	}
 }
 
--- a/internal/group/explorer/node_test.go
+++ b/internal/group/explorer/node_test.go
@@ -12,8 +12,8 @@
 	"parsleyscale/internal/group/registrar"
 	"parsleyscale/internal/group/replacer"
 	"parsleyscale/internal/platform/follower"
+	"parsleyscale/internal/platform/reconciler"
 	"parsleyscale/internal/session/tokenizer"
-	"parsleyscale/internal/sheet/cataloger"
 	"parsleyscale/internal/statement/carrier"
 )
 
@@ -41,6 +41,7 @@
 	cancel    context.CancelFunc
 	groups    *registrar.Registrar
 	replacer  *replacer.Replacer
+	claims    *claimer.Claimer
 	startedAt time.Time
 
 	mu           sync.Mutex
@@ -48,13 +49,16 @@
 	feedWake     chan struct{}
 	firstVersion uint64
 	version      uint64 // of the registry
+	registry     reconciler.Registry
+	era          uint64 // latest known one of the store
+	restoredAt   time.Time
 	writes       int
 }
 
 type feedItem struct {
-	registry cataloger.Registry
-	at       time.Time
-	version  uint64
+	entries []reconciler.Entry
+	at      time.Time
+	version uint64
 }
 
 // startNode starts a VM that has read the registry.
@@ -62,13 +66,14 @@
 	ctx, cancel := context.WithCancel(w.ctx)
 	n := &node{id: id, rank: rank, w: w, ctx: ctx, cancel: cancel, startedAt: time.Now(), feedWake: make(chan struct{}, 1)}
 	n.groups = registrar.New(func() time.Duration { return time.Since(w.start) + time.Hour })
+	n.claims = claimer.New(table{n}, id, 0)
 	w.mu.Lock()
-	n.firstVersion = w.version
-	n.groups.Update(w.registry())
+	n.era, n.firstVersion = w.era, w.reached()
+	n.apply(w.reached(), w.entries())
 	w.subs[id] = n
 	w.mu.Unlock()
 	n.replacer = replacer.Start(replacer.Config{
-		Groups: n.groups, Controller: controller{n}, Tokens: tokens{n}, Claims: claimer.New(table{n}, id, 0), Promote: n.promote, Probe: n.probe,
+		Groups: n.groups, Controller: controller{n}, Tokens: tokens{n}, Claims: n.claims, Promote: n.promote, Fence: n.fence, Probe: n.probe,
 		Sample:                 func(ctx context.Context, g *registrar.Group) error { return n.sample(ctx, g) },
 		Peers:                  peers{n},
 		DemoteAt:               n.demoteAt,
@@ -94,10 +99,10 @@
 }
 
 // deliver queues a state of the registry. The caller holds the world's mutex.
-func (n *node) deliver(version uint64, reg cataloger.Registry, delay time.Duration) {
+func (n *node) deliver(version uint64, entries []reconciler.Entry, delay time.Duration) {
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	n.feed = append(n.feed, feedItem{registry: reg, version: version, at: time.Now().Add(delay)})
+	n.feed = append(n.feed, feedItem{entries: entries, version: version, at: time.Now().Add(delay)})
 	select {
 	case n.feedWake <- struct{}{}:
 	default:
@@ -132,56 +137,72 @@
 		n.mu.Lock()
 		n.feed = n.feed[1:]
 		n.mu.Unlock()
-		n.apply(next.version, next.registry)
+		n.apply(next.version, next.entries)
+		n.recordEra(follower.EraOf(next.version))
 	}
 }
 
 // apply applies a state of the registry unless the VM has a later one.
-func (n *node) apply(version uint64, reg cataloger.Registry) {
+func (n *node) apply(version uint64, entries []reconciler.Entry) {
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	if version < n.version {
 		return
 	}
-	n.version = version
-	n.groups.Update(reg)
+	n.version, n.registry = version, n.registry.WithTable(entries, version)
+	n.groups.Update(n.registry.Instances())
 }
 
 // readRegistry reads the registry from the store.
-func (n *node) readRegistry(ctx context.Context) (version uint64, reg cataloger.Registry, err error) {
+func (n *node) readRegistry(ctx context.Context) (version uint64, entries []reconciler.Entry, err error) {
 	ctx, cancel := context.WithTimeout(ctx, confirmTimeout)
 	defer cancel()
 	err = n.store(ctx, func() error {
-		version, reg = n.w.version, n.w.registry()
+		version, entries = n.w.reached(), n.w.entries()
 		return nil
 	})
-	return version, reg, err
+	if err == nil {
+		n.recordEra(follower.EraOf(version))
+	}
+	return version, entries, err
 }
 
+var errIncomplete = classifier.New(classifier.NotReady, "the store was restored")
+
 // refresh is Refresh of the replicator: it reads the registry, or lets other VMs read it, or concludes that the store is down for
 // all from the answers of most.
 func (n *node) refresh(ctx context.Context) error {
-	version, reg, err := n.readRegistry(ctx)
+	version, entries, err := n.readRegistry(ctx)
 	if err == nil {
-		n.apply(version, reg)
+		n.apply(version, entries)
+		if !n.isRegistryComplete() {
+			return errIncomplete
+		}
 		return nil
 	}
 	others := peers{n}.nodes()
-	silent := 1
+	silent, isIncomplete := 1, false
 	for _, o := range others {
 		if n.w.travel(ctx, n.id, o.id, "confirm") != nil {
 			continue
 		}
-		version, reg, err := o.readRegistry(ctx)
+		version, entries, err := o.readRegistry(ctx)
 		if n.w.travel(ctx, o.id, n.id, "confirm") != nil {
 			continue
 		}
 		if err == nil {
-			n.apply(version, reg)
+			if !o.isRegistryComplete() {
+				isIncomplete = true
+				continue
+			}
+			n.apply(version, entries)
 			return nil
 		}
 		silent++
 	}
+	if isIncomplete {
+		return errIncomplete
+	}
 	if 2*silent > len(others)+1 {
 		return nil
 	}
@@ -268,8 +289,11 @@
 	if n.w.isCut(n.id, storeService) {
 		return true
 	}
+	if follower.EraOf(n.firstVersion) != n.w.era {
+		return true // the history since the first read is gone
+	}
 	for _, v := range n.w.removals {
-		if v <= n.firstVersion {
+		if v <= follower.NumberOf(n.firstVersion) {
 			return true
 		}
 	}
@@ -475,11 +499,13 @@
 	var v uint64
 	if err := t.n.store(ctx, func() error {
 		t.n.w.version++
-		v = t.n.w.version
+		t.n.w.keep()
+		v = t.n.w.reached()
 		return nil
 	}); err != nil {
 		return 0, err
 	}
+	t.n.recordEra(follower.EraOf(v))
 	return v, nil
 }
 
@@ -502,9 +528,12 @@
 	w.wg.Go(func() {
 		if w.sleep(delay) {
 			w.mu.Lock()
-			err := execute()
-			w.mu.Unlock()
-			done <- err
+			defer w.mu.Unlock()
+			if w.away > 0 {
+				done <- classifier.New(classifier.PlatformUnavailable, "store is away")
+				return
+			}
+			done <- execute()
 		}
 	})
 	select {
@@ -520,28 +549,3 @@
 
 // table implements claimer.Store.
 type table struct{ n *node }
-
-func (t table) Swap(ctx context.Context, name, key string, value []byte, version uint64) (uint64, follower.Row, error) {
-	w := t.n.w
-	var newVersion uint64
-	var row follower.Row
-	err := t.n.store(ctx, func() error {
-		row = w.rows[name+"/"+key]
-		if row.Version != version {
-			return classifier.New(classifier.Conflict, "version is %d, want %d", row.Version, version)
-		}
-		w.version++
-		newVersion = w.version
-		w.rows[name+"/"+key] = follower.Row{Key: key, Value: value, Version: newVersion}
-		w.logLocked("%s: writes claim %s", t.n.id, value)
-		row = follower.Row{}
-		return nil
-	})
-	if err != nil && !classifier.Is(err, classifier.Conflict) {
-		return 0, follower.Row{}, err
-	}
-	if err != nil {
-		return 0, row, err
-	}
-	return newVersion, row, nil
-}
--- a/internal/group/explorer/player_test.go
+++ b/internal/group/explorer/player_test.go
@@ -83,6 +83,17 @@
 		p.during(e, w.late, pair(a, b))
 	case lossyAnswers:
 		p.during(e, w.lossy, pair(a, b))
+	case restore:
+		w.mu.Lock()
+		w.away++
+		from := w.now() - e.extra
+		w.mu.Unlock()
+		if w.sleep(e.lasts) {
+			w.restore(from)
+		}
+		w.mu.Lock()
+		w.away--
+		w.mu.Unlock()
 	case silence:
 		p.during(e, w.cuts, pair(a, storeService))
 	case isolate, outage:
--- a/internal/group/replacer/fence.go
+++ b/internal/group/replacer/fence.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"parsleyscale/internal/clock/sleeper"
+	"parsleyscale/internal/failure/classifier"
 	"parsleyscale/internal/group/claimer"
 	"parsleyscale/internal/group/registrar"
 )
@@ -16,8 +17,8 @@
 	fenceAttempts = 3
 	// lostChoiceWait is longer than a promotion takes from its request to its effect, which is up to 1 s.
 	lostChoiceWait = 1500 * time.Millisecond
-	// entriesBackTime is the time after a restore until the instances have written their registry entries again, about 2 s.
-	entriesBackTime = 2200 * time.Millisecond
+	// EntriesBackTime is the time after a restore until the instances have written their registry entries again, about 2 s.
+	EntriesBackTime = 2200 * time.Millisecond
 	// lostChoiceInterval is the time between two searches for the instance of a lost choice.
 	lostChoiceInterval = 100 * time.Millisecond
 )
@@ -49,24 +50,43 @@
 	return err
 }
 
+// awaitedRestore is a restore whose lost choices a VM has waited for, for the end of one term of a group.
+type awaitedRestore struct {
+	term       uint64
+	restoredAt time.Time
+}
+
+// errRestoreAwaited ends an attempt after its wait for a lost choice. By then, the primary may have recovered.
+var errRestoreAwaited = classifier.New(classifier.NotReady, "the store was restored; promotions from before have had time to take effect")
+
 // awaitLostChoice lets a promotion take effect whose choice the restored store may have lost. Once the platform has seen the token,
 // it accepts no further request for it. The wait lasts at least until the registry lists all replicas again, which are compared
-// afterwards. It reports whether the group has a new primary.
-func (r *Replacer) awaitLostChoice(ctx context.Context, g *registrar.Group, old registrar.Primary, c claimer.ClaimResult) (isReplaced bool, err error) {
+// afterwards. It takes place once for a term, and then returns errRestoreAwaited, or earlier once the group has a new primary.
+func (r *Replacer) awaitLostChoice(ctx context.Context, g *registrar.Group, old registrar.Primary, c claimer.ClaimResult) error {
+	restore := awaitedRestore{old.Term, c.RestoredAt}
+	r.mu.Lock()
+	isAwaited := r.awaited[g.Name()] == restore
+	r.mu.Unlock()
+	if isAwaited {
+		return nil
+	}
 	if err := r.fence(ctx, g.Name(), fencingToken(old.Term, c.FencingToken, true)); err != nil {
-		return false, err
+		return err
 	}
 	end := time.Now().Add(lostChoiceWait)
-	if entriesBackAt := c.RestoredAt.Add(entriesBackTime); entriesBackAt.After(end) {
+	if entriesBackAt := c.RestoredAt.Add(EntriesBackTime); entriesBackAt.After(end) {
 		end = entriesBackAt
 	}
 	for time.Now().Before(end) {
 		if !sleeper.Sleep(ctx, lostChoiceInterval) {
-			return false, ctx.Err()
+			return ctx.Err()
 		}
 		if isReplaced, _ := r.probeOthers(g, old); isReplaced {
-			return true, nil
+			return errRestoreAwaited
 		}
 	}
-	return false, nil
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.awaited[g.Name()] = restore
+	return errRestoreAwaited
 }
--- a/internal/group/replacer/replacer.go
+++ b/internal/group/replacer/replacer.go
@@ -52,6 +52,7 @@
 import (
 	"cmp"
 	"context"
+	"errors"
 	"math/rand/v2"
 	"slices"
 	"sync"
@@ -214,11 +215,12 @@
 	wg     sync.WaitGroup
 
 	mu          sync.Mutex
-	isReplacing map[string]bool      // by group
-	failures    map[string]int       // failed attempts since the group last had no reason for a replacement
-	lastProbe   map[string]time.Time // by instance
-	requested   map[string]uint64    // latest term for whose end a promote request was sent, by group
-	spareToken  uint64               // for a replacement while the store is unavailable; zero: none
+	isReplacing map[string]bool           // by group
+	failures    map[string]int            // failed attempts since the group last had no reason for a replacement
+	lastProbe   map[string]time.Time      // by instance
+	requested   map[string]uint64         // latest term for whose end a promote request was sent, by group
+	awaited     map[string]awaitedRestore // by group
+	spareToken  uint64                    // for a replacement while the store is unavailable; zero: none
 }
 
 // Start returns a running Replacer.
@@ -230,7 +232,7 @@
 		cfg.IsConfigured = func(string) bool { return true }
 	}
 	ctx, cancel := context.WithCancel(context.Background())
-	r := &Replacer{cfg: cfg, cancel: cancel, isReplacing: map[string]bool{}, failures: map[string]int{}, requested: map[string]uint64{}, lastProbe: map[string]time.Time{}}
+	r := &Replacer{cfg: cfg, cancel: cancel, isReplacing: map[string]bool{}, failures: map[string]int{}, requested: map[string]uint64{}, lastProbe: map[string]time.Time{}, awaited: map[string]awaitedRestore{}}
 	r.wg.Go(func() { r.run(ctx) })
 	r.wg.Go(func() { r.refillSpareToken(ctx) })
 	return r
@@ -361,7 +363,7 @@
 				a.Reason = PrimaryUnreachable // so that other VMs are asked for a path to it
 			}
 		}
-		if err := r.attempt(ctx, g, a, old); err != nil {
+		if err := r.attempt(ctx, g, a, old); err != nil && !errors.Is(err, errRestoreAwaited) {
 			r.cfg.Observe(Event{Name: EventFailed, Group: g.Name(), Instance: old.Instance, Reason: a.Reason, Term: old.Term, Err: err, Took: time.Since(start)})
 			r.backOff(ctx, g)
 		}
@@ -418,7 +420,7 @@
 		return err
 	}
 	if claim.MayHaveLostChoice {
-		if isReplaced, err := r.awaitLostChoice(ctx, g, old, claim); isReplaced || err != nil {
+		if err := r.awaitLostChoice(ctx, g, old, claim); err != nil {
 			return err
 		}
 	}
--- a/internal/platform/replicator/codec.go
+++ b/internal/platform/replicator/codec.go
@@ -22,7 +22,9 @@
 	Version uint64
 	// IsConfirmed is set for ConfirmPath only: the store has answered since the request.
 	IsConfirmed bool
-	IsWhole     bool // Rows is the whole table, because the missing changes are no longer kept; set for ChangesPath only
+	// IsIncomplete is set for ConfirmPath only: the store has answered, but was restored, and its table may lack rows.
+	IsIncomplete bool
+	IsWhole      bool // Rows is the whole table, because the missing changes are no longer kept; set for ChangesPath only
 	// Era is that of Version and of the versions of Rows, which are numbers of the store. VMs that don't know it have era 0.
 	Era     uint64
 	InForce []follower.Row // the row of InForce, if the requesting VM has an older one; it has no version of the store
--- a/internal/platform/replicator/refresher.go
+++ b/internal/platform/replicator/refresher.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"context"
+	"errors"
 	"fmt"
 	"net/http"
 	"net/url"
@@ -37,9 +38,15 @@
 	Peers    func() []string    // addresses of all other VMs
 	// ArePeersKnown reports whether Peers returns all of them. Shortly after the start, some may be missing.
 	ArePeersKnown func() bool
-	Client        *http.Client
+	// IsComplete reports whether the table in the store has all rows that its owners keep there; nil stands for always. After the store
+	// was restored from an older copy, some are missing until they were written again.
+	IsComplete func() bool
+	Client     *http.Client
 }
 
+// errIncomplete is the error of a refresh shortly after the store was restored.
+var errIncomplete = classifier.New(classifier.NotReady, "the store was restored, and rows of the table may not have been written again yet")
+
 // Refresh reads the table from the store and passes on what is new. Afterwards, the copy has each change that preceded the
 // call. If the store does not answer, the other VMs are asked to read it, and to send what they know. If the store
 // answers none of them either, it is assumed to be down for all, so that nothing has entered the table which none of the VMs
@@ -53,8 +60,8 @@
 	defer delay.Stop()
 	select {
 	case err := <-byStore:
-		if err == nil {
-			return nil
+		if err == nil || errors.Is(err, errIncomplete) {
+			return err
 		}
 		byStore <- err
 	case <-delay.C:
@@ -64,8 +71,8 @@
 	for range 2 {
 		select {
 		case err := <-byStore:
-			if err == nil {
-				return nil
+			if err == nil || errors.Is(err, errIncomplete) {
+				return err
 			}
 		case peers = <-byPeers:
 			if peers.isConfirmed {
@@ -73,6 +80,9 @@
 			}
 		}
 	}
+	if peers.isIncomplete {
+		return errIncomplete
+	}
 	if r.ArePeersKnown() && 2*(peers.silent+1) > peers.asked+1 {
 		return nil
 	}
@@ -84,14 +94,20 @@
 	asked       int
 	isConfirmed bool // the store has answered one of them
 	silent      int  // the store has not answered so many of them
+	// isIncomplete is set if the store has answered one of them, but was restored just before.
+	isIncomplete bool
 }
 
 func (r *Refresher) readStore(ctx context.Context) error {
 	p, err := r.Store.Read(ctx, r.Table)
-	if err == nil {
-		r.Follower.MergeTable(p, r.Copy.changesTo)
+	if err != nil {
+		return err
+	}
+	r.Follower.MergeTable(p, r.Copy.changesTo)
+	if r.IsComplete != nil && !r.IsComplete() {
+		return errIncomplete
 	}
-	return err
+	return nil
 }
 
 // askPeers asks all other VMs until the store has answered one of them, and merges what they know.
@@ -111,12 +127,15 @@
 			r.Follower.Merge(p.followerPage(), p.IsWhole)
 			mu.Lock()
 			defer mu.Unlock()
-			if !p.IsConfirmed {
+			switch {
+			case p.IsConfirmed:
+				sum.isConfirmed = true
+				cancel()
+			case p.IsIncomplete:
+				sum.isIncomplete = true
+			default:
 				sum.silent++
-				return
 			}
-			sum.isConfirmed = true
-			cancel()
 		})
 	}
 	wg.Wait()
@@ -162,7 +181,7 @@
 	if !ok {
 		p = newPage(follower.Page{Version: r.Follower.Version()})
 	}
-	p.IsConfirmed = err == nil
+	p.IsConfirmed, p.IsIncomplete = err == nil, errors.Is(err, errIncomplete)
 	b, err := encode(p)
 	if err != nil {
 		w.WriteHeader(http.StatusInternalServerError)
