--- a/internal/daemon/assembler/members.go
+++ b/internal/daemon/assembler/members.go
@@ -47,6 +47,7 @@
 	isSettled    bool      // the table has been read since settledAt
 	refreshedAt  time.Time // when the latest successful read began
 	writtenAt    time.Time // when this VM last wrote its row; zero: not since the start
+	keptUntil    time.Time // until then, VMs that are missing in the table stay in the list
 	gatewayLists map[gatewayQuery][]member
 	ranks        map[string]int // by group
 }
@@ -87,6 +88,13 @@
 	return version, err
 }
 
+// recordRestore records that the store was restored, so that rows of VMs may be missing until these have written them again.
+func (m *members) recordRestore() {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.keptUntil = time.Now().Add(3 * rewriteJitter)
+}
+
 // writeAgain writes the VM's own row again if the restored store may have lost it.
 func (m *members) writeAgain(ctx context.Context) error {
 	m.mu.Lock()
@@ -182,6 +190,13 @@
 	isListed := vms[m.cfg.ID] == m.self()
 	vms[m.cfg.ID] = m.self()
 	m.mu.Lock()
+	if time.Now().Before(m.keptUntil) {
+		for _, vm := range m.vms {
+			if _, ok := vms[vm.ID]; !ok {
+				vms[vm.ID] = vm
+			}
+		}
+	}
 	m.isListed, m.isSettled, m.refreshedAt = m.isListed || isListed, isSettled, startedAt
 	m.vms, m.gatewayLists, m.ranks = slices.Collect(maps.Values(vms)), map[gatewayQuery][]member{}, map[string]int{}
 	m.mu.Unlock()
--- a/internal/daemon/assembler/members_test.go
+++ b/internal/daemon/assembler/members_test.go
@@ -155,3 +155,25 @@
 		write(2)
 	})
 }
+
+// Guards against a VM that takes others for stopped, and its gateways for missing, because the restored store lacks their rows until
+// they have written them again.
+func TestListAfterRestore(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		store := &putCounter{fixedStore: memberRows(3)}
+		m := newMembers(loader.LineSettings{ID: "vm-1"}, store, store)
+		refresh := func(want int) {
+			t.Helper()
+			time.Sleep(minRefreshInterval)
+			if err := m.refresh(t.Context()); err != nil || len(m.vms) != want {
+				t.Errorf("%d VMs, %v; want %d", len(m.vms), err, want)
+			}
+		}
+		refresh(3)
+		m.recordRestore()
+		store.fixedStore = memberRows(1)
+		refresh(3)
+		time.Sleep(3 * rewriteJitter)
+		refresh(1)
+	})
+}
--- a/internal/daemon/assembler/restore.go
+++ b/internal/daemon/assembler/restore.go
@@ -32,6 +32,7 @@
 	v.restoredAt.Store(&now)
 	v.log.Warn(logger.StoreRestored, logger.Int("era", int64(era)))
 	v.claims.RecordRestore(era)
+	v.members.recordRestore()
 	go v.writeAgain(context.Background())
 }
 
--- a/internal/platform/replicator/refresher_test.go
+++ b/internal/platform/replicator/refresher_test.go
@@ -66,7 +66,7 @@
 // that it lacks.
 func TestRefreshThroughPeers(t *testing.T) {
 	const dead = "127.0.0.1:1"
-	reaching, knowing, silent := "reaching", "knowing", "silent"
+	reaching, knowing, silent, restored := "reaching", "knowing", "silent", "restored"
 	for _, c := range []struct {
 		name     string
 		peers    []string
@@ -78,6 +78,7 @@
 		{"the store answers nobody", []string{silent, silent, dead}, false, 1},
 		{"half of the VMs do not answer", []string{silent, dead, dead}, true, 1},
 		{"a VM alone", nil, false, 1},
+		{"the store answers another VM just after a restore", []string{silent, silent, restored}, true, 2},
 	} {
 		t.Run(c.name, func(t *testing.T) {
 			start := func(keys ...string) *Refresher {
@@ -91,10 +92,13 @@
 				r.Store = failingStore{}
 				return r
 			}
-			peers := map[string]*Refresher{silent: start("a"), knowing: start("a", "b"), reaching: start("a")}
-			store := &silentFeed{pages: make(chan follower.Page, 1)}
-			store.pages <- follower.Page{Rows: append(rows(5, "a"), rows(7, "b")...), Version: 7}
-			peers[reaching].Store = store
+			peers := map[string]*Refresher{silent: start("a"), knowing: start("a", "b"), reaching: start("a"), restored: start("a")}
+			for _, name := range []string{reaching, restored} {
+				store := &silentFeed{pages: make(chan follower.Page, 1)}
+				store.pages <- follower.Page{Rows: append(rows(5, "a"), rows(7, "b")...), Version: 7}
+				peers[name].Store = store
+			}
+			peers[restored].IsComplete = func() bool { return false }
 			r := start("a")
 			r.Peers = func() []string {
 				var addresses []string
