--- a/internal/group/explorer/restore_test.go
+++ b/internal/group/explorer/restore_test.go
@@ -175,15 +175,21 @@
 	return err
 }
 
-// withRestores returns the same history with one or two restores of the store around the first doubt about the primary.
+// withRestores returns the same history with one or two restores of the store, the first one shortly after another event, so that
+// it may take effect while a primary is being replaced.
 func withRestores(h history) history {
 	r := rand.New(rand.NewPCG(h.seed, 11))
 	events := slices.Clone(h.events)
-	for range 1 + r.IntN(2) {
-		events = append(events, event{
+	for n := range 1 + r.IntN(2) {
+		e := event{
 			at: between(r, 500*time.Millisecond, h.length-4*time.Second), kind: restore, a: storeService,
 			lasts: between(r, 20*time.Millisecond, time.Second), extra: between(r, 200*time.Millisecond, 4*time.Second),
-		})
+		}
+		if n == 0 {
+			e.at = pick(r, h.events...).at + between(r, 0, 1500*time.Millisecond)
+			e.lasts = between(r, 5*time.Millisecond, 200*time.Millisecond)
+		}
+		events = append(events, e)
 	}
 	slices.SortStableFunc(events, func(a, b event) int { return int(a.at - b.at) })
 	h.events = events
