Keep instances known for longer after a restore; don't extend a copy with changes of another era

A VM that learns of rewritten entries through another VM gets them up to 3 s after the restored table. A reader that learns earlier changes while the store is restored joined them to the new table.

--- a/internal/daemon/assembler/assembler.go
+++ b/internal/daemon/assembler/assembler.go
@@ -290,6 +290,9 @@
 // replaceRegistry replaces the registry by all rows of its table.
 func (v *VM) replaceRegistry(rows []follower.Row, version uint64) {
 	v.departures.recordRead(version)
+	if v.registry.IsRestoredAt(version) {
+		v.groups.RecordRestore()
+	}
 	v.updateRegistry(v.registry.WithTable(v.entries(rows), version))
 	if !v.hasRegistry.Swap(true) {
 		close(v.registryLoaded)
--- a/internal/group/explorer/node_test.go
+++ b/internal/group/explorer/node_test.go
@@ -149,6 +149,9 @@
 	if version < n.version {
 		return
 	}
+	if n.registry.IsRestoredAt(version) {
+		n.groups.RecordRestore()
+	}
 	n.version, n.registry = version, n.registry.WithTable(entries, version)
 	n.groups.Update(n.registry.Instances())
 }
--- a/internal/group/registrar/departure_test.go
+++ b/internal/group/registrar/departure_test.go
@@ -84,3 +84,21 @@
 		})
 	}
 }
+
+// Guards against the departure of a replica whose entry the restored store lacks until the replica writes it again.
+func TestMissingInRestoredStore(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		r, g, reg := newGroup()
+		r.RecordRestore()
+		r.Update(reg.With(map[string]*cataloger.Instance{"b": nil, "c": nil}))
+		time.Sleep(missingRetention)
+		r.Update(reg.With(map[string]*cataloger.Instance{"c": nil}))
+		if removed := g.RemoveMissing(); len(removed) > 0 {
+			t.Errorf("%v have left, want none yet", removed)
+		}
+		time.Sleep(restoredRetention - missingRetention)
+		if removed := g.RemoveMissing(); len(removed) != 1 || removed[0] != "c" {
+			t.Errorf("%v have left, want c, which has not written its entry again", removed)
+		}
+	})
+}
--- a/internal/group/registrar/group.go
+++ b/internal/group/registrar/group.go
@@ -33,6 +33,7 @@
 	noPrimarySince   time.Time             // when the last primary became unknown; zero: a primary is known or there was none yet
 	unansweredWrites int                   // unanswered writes since the last answered one, or since the primary or its term changed
 	stalledAt        time.Time             // when the first of them was recorded
+	restoredAt       time.Time             // when the VM read the registry of a restored store; zero: it didn't
 	changed          chan struct{}         // closed and replaced at each change of the instances or the primary
 }
 
@@ -223,6 +224,9 @@
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	var removed []string
+	if !g.restoredAt.IsZero() && time.Since(g.restoredAt) < restoredRetention {
+		return nil
+	}
 	for id, s := range g.instances {
 		if s.missingAt.IsZero() || time.Since(s.missingAt) < missingRetention {
 			continue
--- a/internal/group/registrar/registrar.go
+++ b/internal/group/registrar/registrar.go
@@ -24,6 +24,9 @@
 	// missingRetention is how long an instance without a registry entry stays known: entries
 	// that expired during an outage of the store return within 2 s of its recovery.
 	missingRetention = 2500 * time.Millisecond
+	// restoredRetention is the same from the first registry of a restored store on. A VM may learn of entries that are back through
+	// another VM, which takes up to a second more.
+	restoredRetention = 4 * time.Second
 	// sampleRetention is how long position samples are kept, longer than any staleness that a route accepts.
 	sampleRetention = 10 * time.Second
 )
@@ -96,6 +99,16 @@
 	}
 }
 
+// RecordRestore records that the next registry is that of a store which was restored from an older copy, so that entries may be missing
+// until the instances have written them again.
+func (r *Registrar) RecordRestore() {
+	for _, g := range r.Groups() {
+		g.mu.Lock()
+		g.restoredAt = time.Now()
+		g.mu.Unlock()
+	}
+}
+
 // NewTarget returns an instance as the target of connections.
 func NewTarget(i cataloger.Instance) carrier.Target {
 	return carrier.Target{Instance: i.ID, Group: i.Group, Address: i.Address}
--- a/internal/platform/reconciler/reconciler.go
+++ b/internal/platform/reconciler/reconciler.go
@@ -43,6 +43,11 @@
 // OutdatedCount returns the number of entries that are not used until their rows change.
 func (r Registry) OutdatedCount() int { return len(r.outdated) }
 
+// IsRestoredAt reports whether a version is of a later era than the registry: the store was restored in between.
+func (r Registry) IsRestoredAt(version uint64) bool {
+	return r.isRead && follower.EraOf(version) > r.era
+}
+
 func (r Registry) clone() Registry {
 	r.instances, r.departed, r.outdated = maps.Clone(r.instances), maps.Clone(r.departed), maps.Clone(r.outdated)
 	if r.instances == nil {
@@ -61,7 +66,7 @@
 // the first table of a later era has not left: its entry may have been lost.
 func (r Registry) WithTable(entries []Entry, version uint64) Registry {
 	era := follower.EraOf(version)
-	isRestored := r.isRead && era > r.era
+	isRestored := r.IsRestoredAt(version)
 	next := r.clone()
 	next.isRead, next.era = true, max(r.era, era)
 	next.instances, next.outdated = cataloger.Registry{}, map[string]uint64{}
--- a/internal/platform/replicator/replicator.go
+++ b/internal/platform/replicator/replicator.go
@@ -102,8 +102,8 @@
 func (c *TableCopy) ExtendHistory(after uint64, rows []follower.Row) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if after >= c.historyStart {
-		return
+	if after >= c.historyStart || follower.EraOf(after) != follower.EraOf(c.historyStart) {
+		return // in the second case, the store was restored during the call for these changes
 	}
 	earlier := slices.DeleteFunc(slices.Clone(rows), func(r follower.Row) bool { return r.Version > c.historyStart })
 	c.changes = append(earlier, c.changes...)
--- a/internal/platform/replicator/restore_test.go
+++ b/internal/platform/replicator/restore_test.go
@@ -42,6 +42,16 @@
 	}
 }
 
+// Guards against changes of the previous era that arrive after the copy was replaced and join the two eras.
+func TestHistoryOfPreviousEra(t *testing.T) {
+	c := NewTableCopy(DefaultFreshness)
+	c.Replace(restoredRows(4, "a"), follower.VersionAt(1, 4))
+	c.ExtendHistory(2, rows(7, "lost"))
+	if p, ok := c.delta(5); !ok || !p.IsWhole || len(p.Rows) != 1 {
+		t.Errorf("VM of the previous era gets %+v, want the whole table", p)
+	}
+}
+
 // earlierPage is the page of the software before eras.
 type earlierPage struct {
 	Rows        []follower.Row
