--- a/internal/daemon/assembler/members_test.go
+++ b/internal/daemon/assembler/members_test.go
@@ -122,3 +122,58 @@
 	}
 	return rows
 }
+
+// putCounter counts the writes of rows.
+type putCounter struct {
+	fixedStore
+	puts int
+}
+
+func (p *putCounter) Put(context.Context, string, string, []byte) (uint64, error) {
+	p.puts++
+	return uint64(p.puts), nil
+}
+
+// Guards against a VM that is missing in the list after the store was restored, and against a call of each VM although its row is
+// older than any copy.
+func TestOwnRowIsWrittenAgain(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		store := &putCounter{}
+		m := newMembers(loader.LineSettings{ID: "vm-1"}, store, store)
+		write := func(want int) {
+			t.Helper()
+			if err := m.writeAgain(t.Context()); err != nil || store.puts != want {
+				t.Errorf("%d writes, %v; want %d", store.puts, err, want)
+			}
+		}
+		write(0)
+		if _, err := m.Next(t.Context()); err != nil {
+			t.Fatal(err)
+		}
+		write(2)
+		time.Sleep(lossWindow)
+		write(2)
+	})
+}
+
+// Guards against a VM that takes others for stopped, and its gateways for missing, because the restored store lacks their rows until
+// they have written them again.
+func TestListAfterRestore(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		store := &putCounter{fixedStore: memberRows(3)}
+		m := newMembers(loader.LineSettings{ID: "vm-1"}, store, store)
+		refresh := func(want int) {
+			t.Helper()
+			time.Sleep(minRefreshInterval)
+			if err := m.refresh(t.Context()); err != nil || len(m.vms) != want {
+				t.Errorf("%d VMs, %v; want %d", len(m.vms), err, want)
+			}
+		}
+		refresh(3)
+		m.recordRestore()
+		store.fixedStore = memberRows(1)
+		refresh(3)
+		time.Sleep(3 * rewriteJitter)
+		refresh(1)
+	})
+}
--- a/internal/group/replacer/replacer.go
+++ b/internal/group/replacer/replacer.go
@@ -2,7 +2,7 @@
 // a number of replicas has received it, and whose new primary is appointed by a
 // single fenced promote request to the platform.
 //
-// Eight rules make the promotion safe.
+// Nine rules make the promotion safe.
 //   - An attempt takes its fencing token before it holds, demotes or compares any
 //     instance. An attempt that begins later has a higher token, and once the
 //     platform has seen that token, it refuses the lower one. A spare token is fetched
@@ -37,6 +37,8 @@
 //     one, and does not proceed without the chosen instance's answer. A hold is
 //     never undone: a promote request that got no answer may still be carried out
 //     later, and until then nothing may be acknowledged that the chosen replica lacks.
+//   - After a restore of the store, which may have lost a claim with its choice, the platform is shown the token of the new claim, and
+//     any promotion that it accepted before takes effect first. By then, the instances have written their registry entries again.
 //   - The claim is renewed before each repeated promote request, so that none is sent after another VM has claimed the
 //     group: by then, the instance may have led and been demoted again. A primary that has led for a short time only is demoted after the
 //     platform has seen the token, so that it refuses late requests for it.
@@ -50,6 +52,7 @@
 import (
 	"cmp"
 	"context"
+	"errors"
 	"math/rand/v2"
 	"slices"
 	"sync"
@@ -212,11 +215,12 @@
 	wg     sync.WaitGroup
 
 	mu          sync.Mutex
-	isReplacing map[string]bool      // by group
-	failures    map[string]int       // failed attempts since the group last had no reason for a replacement
-	lastProbe   map[string]time.Time // by instance
-	requested   map[string]uint64    // latest term for whose end a promote request was sent, by group
-	spareToken  uint64               // for a replacement while the store is unavailable; zero: none
+	isReplacing map[string]bool           // by group
+	failures    map[string]int            // failed attempts since the group last had no reason for a replacement
+	lastProbe   map[string]time.Time      // by instance
+	requested   map[string]uint64         // latest term for whose end a promote request was sent, by group
+	awaited     map[string]awaitedRestore // by group
+	spareToken  uint64                    // for a replacement while the store is unavailable; zero: none
 }
 
 // Start returns a running Replacer.
@@ -228,7 +232,7 @@
 		cfg.IsConfigured = func(string) bool { return true }
 	}
 	ctx, cancel := context.WithCancel(context.Background())
-	r := &Replacer{cfg: cfg, cancel: cancel, isReplacing: map[string]bool{}, failures: map[string]int{}, requested: map[string]uint64{}, lastProbe: map[string]time.Time{}}
+	r := &Replacer{cfg: cfg, cancel: cancel, isReplacing: map[string]bool{}, failures: map[string]int{}, requested: map[string]uint64{}, lastProbe: map[string]time.Time{}, awaited: map[string]awaitedRestore{}}
 	r.wg.Go(func() { r.run(ctx) })
 	r.wg.Go(func() { r.refillSpareToken(ctx) })
 	return r
@@ -359,7 +363,7 @@
 				a.Reason = PrimaryUnreachable // so that other VMs are asked for a path to it
 			}
 		}
-		if err := r.attempt(ctx, g, a, old); err != nil {
+		if err := r.attempt(ctx, g, a, old); err != nil && !errors.Is(err, errRestoreAwaited) {
 			r.cfg.Observe(Event{Name: EventFailed, Group: g.Name(), Instance: old.Instance, Reason: a.Reason, Term: old.Term, Err: err, Took: time.Since(start)})
 			r.backOff(ctx, g)
 		}
@@ -415,6 +419,11 @@
 	if err != nil {
 		return err
 	}
+	if claim.MayHaveLostChoice {
+		if err := r.awaitLostChoice(ctx, g, old, claim); err != nil {
+			return err
+		}
+	}
 	b := r.newBasis(isSpare, claim.ChosenInstance)
 	seal := registrar.Seal{Term: old.Term, Holder: r.cfg.Self, IsSpare: isSpare}
 	defer func() {
--- a/internal/team/holder/decide.go
+++ b/internal/team/holder/decide.go
@@ -42,8 +42,8 @@
 	Row
 	Version uint64        // 0: there is no row
 	SeenAt  time.Duration // when this VM first received or wrote this version
-	// IsOlder is set if this VM knew a later version of the row, as after the store was restored from a copy. Another VM may
-	// have a lease that the row does not show.
+	// IsOlder is set if the store may have lost a later version of the row, because this VM knew one or the store was restored
+	// from a copy since. Another VM may have a lease that the row does not show.
 	IsOlder bool
 }
 
@@ -134,7 +134,8 @@
 	case r.Version == row.Version:
 		return r
 	}
-	next := SeenRow{Version: row.Version, SeenAt: now, IsOlder: row.Version < r.Version}
+	isRestored := r.Version != 0 && follower.EraOf(row.Version) > follower.EraOf(r.Version)
+	next := SeenRow{Version: row.Version, SeenAt: now, IsOlder: row.Version < r.Version || isRestored}
 	if err := json.Unmarshal(row.Value, &next.Row); err != nil {
 		next.Row = Row{Holder: "unknown"} // in another format: it may be a lease, so that it is waited for
 	}
