--- a/internal/team/explorer/chaos_test.go
+++ b/internal/team/explorer/chaos_test.go
@@ -11,7 +11,7 @@
 
 // Runs the holders and limiters of a small fleet through random faults, at three times the limit of a team: messages and calls to
 // the store are lost, repeated and delayed; VMs are killed, join, stop and freeze; the fleet is split; the limit is reduced and
-// raised. Guards against a sum over all VMs above the bound.
+// raised; the store is restored from older copies. Guards against a sum over all VMs above the bound.
 func TestRandomFaults(t *testing.T) {
 	for _, seed := range seeds(t, "testdata/faults.txt") {
 		synctest.Test(t, func(t *testing.T) {
@@ -45,6 +45,9 @@
 				case k < 9:
 					v.thaw()
 					v.kill()
+				default:
+					rows := f.copyRows()
+					time.AfterFunc(time.Duration(r.ExpFloat64()*float64(5*time.Second)), func() { f.restore(rows) })
 				}
 			}
 			f.stopAll()
--- a/internal/team/explorer/fleet_test.go
+++ b/internal/team/explorer/fleet_test.go
@@ -116,6 +116,27 @@
 	change()
 }
 
+// copyRows returns a copy of the rows of the store.
+func (f *fleet) copyRows() map[string]follower.Row {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return maps.Clone(f.rows)
+}
+
+// restore begins a new era of the store with the rows of a copy.
+func (f *fleet) restore(rows map[string]follower.Row) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	era, last := follower.EraOf(f.version)+1, uint64(0)
+	f.rows = map[string]follower.Row{}
+	for k, r := range rows {
+		last = max(last, follower.NumberOf(r.Version))
+		r.Version = follower.VersionAt(era, follower.NumberOf(r.Version))
+		f.rows[k] = r
+	}
+	f.version = follower.VersionAt(era, last)
+}
+
 func (f *fleet) reaches(from, to int) bool {
 	f.mu.Lock()
 	defer f.mu.Unlock()
--- a/internal/team/explorer/load_test.go
+++ b/internal/team/explorer/load_test.go
@@ -274,3 +274,26 @@
 		}, large)
 	}
 }
+
+// Failure: a holder stops and hands its shards over, returns, and then the store is restored from a copy in which it still holds them.
+// Guards against two holders of a shard: the row names the VM that has returned.
+func TestRestoredStore(t *testing.T) {
+	run(t, 65, func(f *fleet) {
+		v := f.holding("large")
+		rows := f.copyRows()
+		v.process.Load().holder.Close(context.Background())
+		v.process.Store(nil)
+		go f.load("large", 300, time.Minute, 15, f.anyVM)
+		time.Sleep(3 * time.Second)
+		f.restore(rows)
+		v.start()
+		for k := 0; k < 600 && !t.Failed(); k++ {
+			time.Sleep(100 * time.Millisecond)
+			for shard, n := range f.heldBy() {
+				if n != 1 {
+					t.Errorf("shard %d has %d holders after the restore, want 1 all the time", shard, n)
+				}
+			}
+		}
+	}, large)
+}
--- a/internal/team/holder/decide.go
+++ b/internal/team/holder/decide.go
@@ -35,6 +35,9 @@
 	Holder  string `json:"holder"`  // VM; empty if the shard is free
 	Address string `json:"address"` // peer address of the holder
 	Start   string `json:"start"`   // identifies the process of the holder
+	// Era is the era of the store in which the row was written. If it is below that of the row's version, the store has been
+	// restored since from a copy that may lack a later lease.
+	Era uint64 `json:"era,omitempty"`
 }
 
 // SeenRow is a row as this VM knows it.
@@ -43,7 +46,7 @@
 	Version uint64        // 0: there is no row
 	SeenAt  time.Duration // when this VM first received or wrote this version
 	// IsOlder is set if the store may have lost a later version of the row, because this VM knew one or the store was restored
-	// from a copy since. Another VM may have a lease that the row does not show.
+	// from a copy and the row has not been written since. Another VM may have a lease that the row does not show.
 	IsOlder bool
 }
 
@@ -134,10 +137,10 @@
 	case r.Version == row.Version:
 		return r
 	}
-	isRestored := r.Version != 0 && follower.EraOf(row.Version) > follower.EraOf(r.Version)
-	next := SeenRow{Version: row.Version, SeenAt: now, IsOlder: row.Version < r.Version || isRestored}
+	next := SeenRow{Version: row.Version, SeenAt: now}
 	if err := json.Unmarshal(row.Value, &next.Row); err != nil {
 		next.Row = Row{Holder: "unknown"} // in another format: it may be a lease, so that it is waited for
 	}
+	next.IsOlder = row.Version < r.Version || next.Era < follower.EraOf(row.Version)
 	return next
 }
--- a/internal/team/holder/holder.go
+++ b/internal/team/holder/holder.go
@@ -76,6 +76,7 @@
 	heldSince  [sharder.Count]time.Duration
 	view       View // Now, Ranks, AreRanksKnown and HasLease are filled in for each decision
 	isRead     bool
+	era        uint64 // latest known era of the store
 	mustRead   bool
 	ranked     []sharder.VM // list that the ranks were computed from
 	first      [sharder.Count]sharder.VM
@@ -347,6 +348,7 @@
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	h.view.ReadAt, h.isRead, h.mustRead = startedAt, true, false
+	h.era = max(h.era, follower.EraOf(p.Version))
 	shards := make([]int, sharder.Count)
 	for k := range shards {
 		shards[k] = k
@@ -375,10 +377,10 @@
 		old := h.view.Rows[shard]
 		next := old.With(row, now)
 		isOwn := next.Holder == h.cfg.Self.ID && next.Start == h.cfg.Start
-		if hasLease := now < h.leaseUntil[shard]; row == nil && hasLease {
-			next.Row = old.Row // lost by the store; it is written again
-			isOwn = true
+		if hasLease := now < h.leaseUntil[shard]; hasLease && next.IsOlder {
+			next.Row, isOwn = old.Row, true // the store has lost the lease; the row is written again at once
 		}
+		h.era = max(h.era, follower.EraOf(next.Version))
 		if next.Version != old.Version && !isOwn {
 			h.silentSince[shard] = 0 // the new holder is asked first
 			h.drop(shard, "claimed by another VM")
@@ -438,9 +440,10 @@
 
 // rowsToWrite returns the rows of shards with their known versions and a new value.
 func (h *Holder) rowsToWrite(shards []int, value Row) []follower.Row {
-	b, _ := json.Marshal(value) // cannot fail for three strings
 	h.mu.Lock()
 	defer h.mu.Unlock()
+	value.Era = h.era
+	b, _ := json.Marshal(value) // cannot fail for strings and a number
 	rows := make([]follower.Row, len(shards))
 	for k, shard := range shards {
 		rows[k] = follower.Row{Key: strconv.Itoa(shard), Value: b, Version: h.view.Rows[shard].Version}
--- a/internal/team/holder/holder_test.go
+++ b/internal/team/holder/holder_test.go
@@ -145,17 +145,21 @@
 }
 
 // Guards against a claim of a row that regressed when the store was restored from an older copy: the row does not show the lease of
-// another VM. The holder of the lease writes the row again at once.
+// another VM. The VM knew a later row, or has started since.
 func TestRowRegresses(t *testing.T) {
 	older := &follower.Row{Key: strconv.Itoa(0), Version: 3, Value: []byte(`{"holder":"b","start":"1"}`)}
 	known := SeenRow{Row: Row{Holder: "a", Start: "1"}, Version: 7, SeenAt: time.Hour}
-	for _, row := range []*follower.Row{older, nil} {
+	restored := &follower.Row{Key: "0", Version: follower.VersionAt(1, 3), Value: older.Value}
+	for _, c := range []struct {
+		known SeenRow
+		row   *follower.Row
+	}{{known, older}, {known, nil}, {known, restored}, {SeenRow{}, restored}} {
 		v := View{Now: time.Hour + time.Minute, RenewedAt: time.Hour, AttemptedAt: time.Hour, Self: "b", Start: "2", AreRanksKnown: true}
 		for shard := range v.Ranks {
 			v.Ranks[shard] = -1
 		}
 		v.Ranks[0] = 0
-		v.Rows[0] = known.With(row, v.Now)
+		v.Rows[0] = c.known.With(c.row, v.Now)
 		if d := Decide(v); len(d.Claim) > 0 {
 			t.Errorf("row %+v is claimed at once", v.Rows[0])
 		}
