--- a/internal/daemon/assembler/assembler.go
+++ b/internal/daemon/assembler/assembler.go
@@ -98,6 +98,7 @@
 	claims            *claimer.Claimer
 	storeEra          atomic.Int64              // 0 until the store is restored
 	restoredAt        atomic.Pointer[time.Time] // when the VM learned of the latest restore of the store; nil: none
+	seenRestoreAt     atomic.Pointer[time.Time] // the same if the VM has seen it itself
 	outdatedEntries   atomic.Int64              // of the registry, which are not used
 	members           *members
 	departures        *departures
--- a/internal/daemon/assembler/followers.go
+++ b/internal/daemon/assembler/followers.go
@@ -213,7 +213,7 @@
 		return err
 	}
 	mux := http.NewServeMux()
-	h := &replicator.Handler{Copies: v.tableCopies}
+	h := &replicator.Handler{Copies: v.tableCopies, RecentRestore: v.recentRestore}
 	if v.isReader() {
 		mux.Handle(replicator.CopyPath, h)
 	}
--- a/internal/daemon/assembler/restore.go
+++ b/internal/daemon/assembler/restore.go
@@ -27,13 +27,31 @@
 // is written again in this order: its claims, as soon as a replacement needs them, before any promote request; its row in the list of
 // VMs; its entries of the audit trail. Readers write the summaries again when they see the restored list.
 func (v *VM) handleRestore(era uint64) {
+	v.recordRestore(era)
+	v.seenRestoreAt.Store(v.restoredAt.Load())
+	go v.writeAgain(context.Background())
+}
+
+// recordRestore records that the store was restored a short time ago.
+func (v *VM) recordRestore(era uint64) {
 	v.storeEra.Store(int64(era))
 	now := time.Now()
 	v.restoredAt.Store(&now)
 	v.log.Warn(logger.StoreRestored, logger.Int("era", int64(era)))
 	v.claims.RecordRestore(era)
 	v.members.recordRestore()
-	go v.writeAgain(context.Background())
+}
+
+// recentRestoreAge is how long after a restore other VMs that start are told of it. It covers the time in which a choice may be lost.
+const recentRestoreAge = 10 * time.Second
+
+// recentRestore returns the era of the store if this VM has seen a short time ago that it was restored, and 0 otherwise. What it was
+// told at its start doesn't count, so that VMs that start one after the other don't pass it on for ever.
+func (v *VM) recentRestore() uint64 {
+	if at := v.seenRestoreAt.Load(); at == nil || time.Since(*at) > recentRestoreAge {
+		return 0
+	}
+	return uint64(v.storeEra.Load())
 }
 
 // isRegistryComplete reports whether the instances have had the time to write their registry entries again since the store was restored.
@@ -72,6 +90,7 @@
 	if v.configuration.Load() == nil && follower.EraOf(version) > 0 {
 		e := v.exchange()
 		read := v.versionIn(rows)
+		e.OnRestore = v.recordRestore
 		e.Version = func() uint64 { return max(read, v.configurationVersion()) }
 		e.Ask(context.Background(), replicator.NewClient(), v.members.peerAddresses(), version, startAskTimeout)
 	}
--- a/internal/group/explorer/node_test.go
+++ b/internal/group/explorer/node_test.go
@@ -70,8 +70,18 @@
 	w.mu.Lock()
 	n.era, n.firstVersion = w.era, w.reached()
 	n.apply(w.reached(), w.entries())
+	restoredEra := uint64(0)
+	for _, o := range w.subs { // asked at the start
+		if !w.isCut(id, o.id) && o.hasRecentRestore() {
+			restoredEra = max(restoredEra, o.knownEra())
+		}
+	}
 	w.subs[id] = n
 	w.mu.Unlock()
+	if restoredEra > 0 {
+		n.claims.RecordRestore(restoredEra)
+		n.restoredAt = time.Now()
+	}
 	n.replacer = replacer.Start(replacer.Config{
 		Groups: n.groups, Controller: controller{n}, Tokens: tokens{n}, Claims: n.claims, Promote: n.promote, Fence: n.fence, Probe: n.probe,
 		Sample:                 func(ctx context.Context, g *registrar.Group) error { return n.sample(ctx, g) },
--- a/internal/group/explorer/restore_test.go
+++ b/internal/group/explorer/restore_test.go
@@ -120,6 +120,13 @@
 	return n.restoredAt.IsZero() || time.Since(n.restoredAt) >= replacer.EntriesBackTime
 }
 
+// hasRecentRestore is recentRestore of the assembler.
+func (n *node) hasRecentRestore() bool {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return !n.restoredAt.IsZero() && time.Since(n.restoredAt) < 10*time.Second
+}
+
 func (n *node) knownEra() uint64 {
 	n.mu.Lock()
 	defer n.mu.Unlock()
--- a/internal/platform/replicator/inforce.go
+++ b/internal/platform/replicator/inforce.go
@@ -64,6 +64,8 @@
 	Version func() uint64 // in force on this VM, by the operator
 	// OnRow is called with a row that another VM has in force.
 	OnRow func(follower.Row)
+	// OnRestore is called with the era of a store that was restored a short time ago, as a VM says that was asked at the start.
+	OnRestore func(era uint64)
 }
 
 // addTo adds the version in force to a query for the table.
@@ -92,24 +94,33 @@
 	ctx, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
 	peers = peers[:min(len(peers), maxAskedVMs)]
-	answers := make(chan map[string]page, len(peers))
+	type answer struct {
+		pages       map[string]page
+		restoredEra uint64
+		err         error
+	}
+	answers := make(chan answer, len(peers))
 	for _, address := range peers {
 		go func() {
 			q := url.Values{e.Table: {strconv.FormatUint(version, 10)}}
 			e.addTo(q, e.Table)
-			pages, _ := fetchChanges(ctx, client, address, q)
-			answers <- pages
+			var a answer
+			a.pages, a.restoredEra, a.err = fetchChanges(ctx, client, address, q)
+			answers <- a
 		}()
 	}
 	for range peers {
-		pages := <-answers
-		if p, ok := pages[e.Table]; ok {
+		a := <-answers
+		if a.restoredEra > 0 {
+			e.OnRestore(a.restoredEra)
+		}
+		if p, ok := a.pages[e.Table]; ok {
 			e.receive(e.Table, p)
 			for _, r := range p.Rows {
 				e.OnRow(r)
 			}
 		}
-		if pages != nil {
+		if a.err == nil {
 			return
 		}
 	}
--- a/internal/platform/replicator/puller.go
+++ b/internal/platform/replicator/puller.go
@@ -29,6 +29,11 @@
 
 // ServeChanges answers with the changes that the requesting VM lacks, even if the copies of this VM may be stale.
 func (h *Handler) ServeChanges(w http.ResponseWriter, r *http.Request) {
+	if h.RecentRestore != nil {
+		if era := h.RecentRestore(); era > 0 {
+			w.Header().Set(restoredHeader, strconv.FormatUint(era, 10))
+		}
+	}
 	pages := map[string]page{}
 	for table, values := range r.URL.Query() {
 		version, err := strconv.ParseUint(values[0], 10, 64)
@@ -57,6 +62,9 @@
 	_, _ = w.Write(b)
 }
 
+// restoredHeader names the era of a store that was restored a short time ago, in answers with changes.
+const restoredHeader = "Restored-Era"
+
 // PullerConfig holds the dependencies of a Puller.
 type PullerConfig struct {
 	Followers map[string]*follower.Follower // by table
@@ -109,8 +117,7 @@
 	wg.Wait()
 }
 
-// pull fetches the missing changes of all tables from one peer and merges them. It also returns an error for
-// status 204, with which a peer says that it has nothing newer.
+// pull fetches the missing changes of all tables from one peer and merges them.
 func (a *Puller) pull(ctx context.Context, address string) error {
 	ctx, cancel := context.WithTimeout(ctx, pullTimeout)
 	defer cancel()
@@ -119,7 +126,7 @@
 		q.Set(table, strconv.FormatUint(f.Version(), 10))
 		a.cfg.Exchange.addTo(q, table)
 	}
-	pages, err := fetchChanges(ctx, a.cfg.Client, address, q)
+	pages, _, err := fetchChanges(ctx, a.cfg.Client, address, q)
 	if err != nil {
 		return err
 	}
@@ -132,23 +139,28 @@
 	return nil
 }
 
-// fetchChanges requests the changes of tables from another VM.
-func fetchChanges(ctx context.Context, client *http.Client, address string, q url.Values) (map[string]page, error) {
+// fetchChanges requests the changes of tables from another VM. It returns none for status 204, with which the other VM says that it
+// has nothing newer. It also returns the era of a store that was restored a short time ago, as the other VM knows, or 0.
+func fetchChanges(ctx context.Context, client *http.Client, address string, q url.Values) (pages map[string]page, restoredEra uint64, err error) {
 	req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+address+ChangesPath+"?"+q.Encode(), nil)
 	if err != nil {
-		return nil, err
+		return nil, 0, err
 	}
 	res, err := client.Do(req)
 	if err != nil {
-		return nil, err
+		return nil, 0, err
 	}
 	defer func() { _ = res.Body.Close() }()
-	if res.StatusCode != http.StatusOK {
-		return nil, fmt.Errorf("pull changes from %s: HTTP status %d", address, res.StatusCode)
+	restoredEra, _ = strconv.ParseUint(res.Header.Get(restoredHeader), 10, 64) // usually missing
+	switch res.StatusCode {
+	case http.StatusOK:
+	case http.StatusNoContent:
+		return nil, restoredEra, nil
+	default:
+		return nil, 0, fmt.Errorf("pull changes from %s: HTTP status %d", address, res.StatusCode)
 	}
-	var pages map[string]page
 	if err := decode(res.Body, &pages); err != nil {
-		return nil, fmt.Errorf("pull changes from %s: %w", address, err)
+		return nil, 0, fmt.Errorf("pull changes from %s: %w", address, err)
 	}
-	return pages, nil
+	return pages, restoredEra, nil
 }
--- a/internal/platform/replicator/replicator.go
+++ b/internal/platform/replicator/replicator.go
@@ -238,6 +238,9 @@
 // Handler serves table copies to other VMs.
 type Handler struct {
 	Copies map[string]*TableCopy // by table
+	// RecentRestore returns the era of the store if this VM has learned a short time ago that it was restored, and 0 otherwise. It is
+	// served with changes; nil stands for 0.
+	RecentRestore func() uint64
 }
 
 // ServeHTTP implements http.Handler. The query parameters are table, after, era and waitMs. With after, the answer
--- a/internal/platform/replicator/restore_test.go
+++ b/internal/platform/replicator/restore_test.go
@@ -139,15 +139,15 @@
 	c.Replace(restoredRows(4, "older"), follower.VersionAt(1, 4))
 	c.SetInForce(InForce{Key: "config", Value: []byte("v7"), Version: 7})
 	mux := http.NewServeMux()
-	h := &Handler{Copies: map[string]*TableCopy{"t": c}}
+	h := &Handler{Copies: map[string]*TableCopy{"t": c}, RecentRestore: func() uint64 { return 1 }}
 	mux.Handle(CopyPath, h)
 	mux.HandleFunc(ChangesPath, h.ServeChanges)
 	server := httptest.NewServer(mux)
 	defer server.Close()
 	address := strings.TrimPrefix(server.URL, "http://")
-	received := ""
+	received, restoredEra := "", uint64(0)
 	known := uint64(6)
-	e := Exchange{Table: "t", Version: func() uint64 { return known }, OnRow: func(r follower.Row) { received += string(r.Value); known = 7 }}
+	e := Exchange{Table: "t", Version: func() uint64 { return known }, OnRow: func(r follower.Row) { received += string(r.Value); known = 7 }, OnRestore: func(era uint64) { restoredEra = era }}
 	expect := func(way, want string) {
 		t.Helper()
 		if received != want {
@@ -174,4 +174,7 @@
 	expect("answer at the start", "v7")
 	e.Ask(t.Context(), http.DefaultClient, []string{address}, follower.VersionAt(1, 4), time.Second)
 	expect("answer to a VM that has it", "")
+	if restoredEra != 1 {
+		t.Errorf("era of the recent restore is %d at the start of a VM, want 1", restoredEra)
+	}
 }
