End a planned switch whose primary has left before it was demoted

While a switch waits for a lost choice, the leaving primary may be gone. The attempts then failed for up to 6 s, and only then a replacement for the missing primary began.

--- a/internal/group/replacer/replacer.go
+++ b/internal/group/replacer/replacer.go
@@ -354,6 +354,9 @@
 		if current.Term > old.Term || a.Kind == Replace && Decide(Evidence{Health: g.Health(), Now: time.Now()}).Kind == None {
 			return // another VM has replaced the primary, or the primary has recovered
 		}
+		if _, ok := g.View(old.Instance); !ok && a.Kind == Switch {
+			return // the leaving primary has left before it was demoted: a replacement for that reason begins
+		}
 		if v, ok := g.View(old.Instance); ok && isRetry && (a.Reason == PrimaryUnreachable || a.Reason == WritesStalled) {
 			err := r.cfg.Probe(g, v)
 			switch {
--- a/internal/group/replacer/restore_test.go
+++ b/internal/group/replacer/restore_test.go
@@ -58,3 +58,29 @@
 		}
 	})
 }
+
+// Guards against a planned switch that goes on until its timeout after the primary has left, as during the wait for a lost choice, in
+// place of a replacement.
+func TestLeavingPrimaryLeavesBeforeSwitch(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := &fakeGroup{term: 3, received: map[string]uint64{"a": 7, "b": 7, "c": 7}, primary: "a", errs: map[string]error{"demote a": errNoAnswer}}
+		claims := &fakeTokens{last: 100, mayHaveLostChoice: true}
+		promotedInstancesWith(t, f, claims, nil, func(g *registrar.Group, r *registrar.Registrar, reg cataloger.Registry) {
+			markPrimaryLeaving(g, r, reg)
+			r.Update(reg.With(map[string]*cataloger.Instance{"a": nil}))
+			time.Sleep(2400 * time.Millisecond) // the entry is missing for 2.5 s before the instance counts as left
+		})
+		isBegun, failures := false, 0
+		for _, e := range f.events {
+			switch {
+			case e.Name == EventReplacementBegun && e.Reason == NoPrimary:
+				isBegun = true
+			case e.Name == EventFailed && e.Reason == PrimaryLeaving:
+				failures++
+			}
+		}
+		if !isBegun || failures > 0 {
+			t.Errorf("a replacement of the missing primary has begun: %t; %d failed attempts at the switch, want one and none", isBegun, failures)
+		}
+	})
+}
