Give the decisions on reads, connections and limits without effects

Rank, the requests for connections and the admission of operations are views of functions that also give their reasons and change nothing, so that an explanation of a request runs the same decisions.

--- a/internal/backend/allotter/allotter.go
+++ b/internal/backend/allotter/allotter.go
@@ -52,6 +52,8 @@
 	// It is called for waiting requests, too, so that they do not wait for a gateway that has failed. load is the
 	// mean number of connections that the team recently had in use at the instance.
 	Route func(t carrier.Target, load float64) carrier.Target
+	// PeekRoute is Route without any effect, for Forecast; nil: t itself. It must not block.
+	PeekRoute func(t carrier.Target, load float64) carrier.Target
 	// ObserveWait is called when a request of a team has waited for at least LongTeamWait; may be nil. It must not block.
 	ObserveWait func(t carrier.Target, waited time.Duration)
 
@@ -178,28 +180,17 @@
 	p := a.poolOf(t)
 	limits := a.cfg.Limits(p.target)
 	maxInUse := p.maxInUse(limits, a.cfg.LimitGrowInterval)
-	r := a.newRequest(p, t, u)
-	if p.inUse() < maxInUse && len(p.waiters) == 0 && !hasMaxLeased(p.teams, r, p.maxOpen(limits, a.cfg.LimitGrowInterval)) {
-		if k := p.findIdle(r); k >= 0 {
-			l := p.takeIdle(k, r)
-			a.mu.Unlock()
-			return l, nil
-		}
-	}
-	if now := time.Now(); p.isUnreachable(now) {
-		if p.dialing == 0 && now.Sub(p.lastDialFailedAt) >= unreachableRedialInterval {
-			a.startDial(p, a.route(p, t))
-		}
-		a.mu.Unlock()
-		return nil, withRetryAfter(unreachableRetryAfter, classifier.New(classifier.NoInstance, "%s is unreachable: all dials have failed for at least %s", t.Instance, unreachableAfter))
-	}
-	if err := p.admit(ctx, r, maxInUse); err != nil {
+	r := newRequest(scopeOf(a.route(p, t)), t, u)
+	answer := p.answer(r, maxInUse, p.maxOpen(limits, a.cfg.LimitGrowInterval), timeLeft(ctx))
+	if answer.idle >= 0 {
+		l := p.takeIdle(answer.idle, r)
 		a.mu.Unlock()
-		return nil, err
+		return l, nil
 	}
-	if p.openFor(r) == 0 && p.inDialBackoff() {
+	if answer.err != nil {
+		a.recordRejection(p, t, answer.err)
 		a.mu.Unlock()
-		return nil, classifier.New(classifier.TooManyConnections, "no open connection to %s, which recently refused one", t.Instance)
+		return nil, answer.err
 	}
 	w := p.enqueue(t, r)
 	a.serveWaiters(p)
@@ -207,9 +198,22 @@
 	return a.awaitGrant(ctx, p, w)
 }
 
-// newRequest returns the description of a request that arrives now. The caller holds a.mu.
-func (a *Allotter) newRequest(p *instancePool, t carrier.Target, u carrier.Urgency) request {
-	return request{team: t.Team, scope: scopeOf(a.route(p, t)), anyTeam: t.AnyTeam, isControl: u.Priority == ControlPriority, priority: u.Priority, effectiveArrival: effectiveArrival(u)}
+// recordRejection records that a request has been rejected at once with err. The caller holds a.mu.
+func (a *Allotter) recordRejection(p *instancePool, t carrier.Target, err error) {
+	now := time.Now()
+	switch {
+	case IsUnreachable(err):
+		if p.dialing == 0 && now.Sub(p.lastDialFailedAt) >= unreachableRedialInterval {
+			a.startDial(p, a.route(p, t))
+		}
+	case IsRejected(err):
+		p.recordOverload(now)
+	}
+}
+
+// newRequest returns the description of a request that arrives now and needs a connection of scope s.
+func newRequest(s scope, t carrier.Target, u carrier.Urgency) request {
+	return request{team: t.Team, scope: s, anyTeam: t.AnyTeam, isControl: u.Priority == ControlPriority, priority: u.Priority, effectiveArrival: effectiveArrival(u)}
 }
 
 // route returns the target with the gateway through which its requests pass at present.
@@ -217,11 +221,7 @@
 	if a.cfg.Route == nil {
 		return t
 	}
-	load := 0.0
-	if u := p.teams[t.Team]; u != nil {
-		load = u.meanInUse(time.Now())
-	}
-	return a.cfg.Route(t, load)
+	return a.cfg.Route(t, p.loadOf(t.Team))
 }
 
 // awaitGrant waits until the queued request gets its grant or ctx ends.
--- /dev/null
+++ b/internal/backend/allotter/forecast.go
@@ -0,0 +1,56 @@
+package allotter
+
+import (
+	"time"
+
+	"parsleyscale/internal/statement/carrier"
+)
+
+// Forecast is what a request for a connection would get if it arrived now.
+type Forecast struct {
+	Target carrier.Target // with the gateway through which the request would pass, if it is chosen before the dial
+	Load   Load
+	Open   int           // open connections that can serve the request, including those being dialed
+	Ahead  int           // waiting requests that would be served before it
+	Wait   time.Duration // expected, without the time for a dial
+	IsIdle bool          // an idle connection would serve it at once
+	Err    error         // with which it would be rejected at once; nil if it would be served or may wait
+}
+
+// Forecast returns what Acquire would do with a request that can wait for longest. It takes and records nothing: it decides on
+// a copy of the pool, because reading the limits may update the pool.
+func (a *Allotter) Forecast(t carrier.Target, priority int, longest time.Duration) Forecast {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	p := a.copyOf(t)
+	if a.cfg.PeekRoute != nil {
+		t = a.cfg.PeekRoute(t, p.loadOf(t.Team))
+	}
+	r := newRequest(scopeOf(t), t, carrier.Urgency{Priority: priority})
+	limits := a.cfg.Limits(p.target)
+	n := p.answer(r, p.maxInUse(limits, a.cfg.LimitGrowInterval), p.maxOpen(limits, a.cfg.LimitGrowInterval), longest)
+	return Forecast{Target: t, Load: a.loadLocked(p), Open: p.openFor(r), Ahead: n.ahead, Wait: n.wait, IsIdle: n.idle >= 0, Err: n.err}
+}
+
+// Peek is Load without any effect.
+func (a *Allotter) Peek(t carrier.Target) Load {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return a.loadLocked(a.copyOf(t))
+}
+
+// copyOf returns a copy of the pool of an instance as poolOf would leave it. It shares the elements of the pool, which the
+// caller must not change, but no buffers. The caller holds a.mu.
+func (a *Allotter) copyOf(t carrier.Target) *instancePool {
+	p, ok := a.pools[t.Instance]
+	if !ok {
+		return newInstancePool(t)
+	}
+	c := *p
+	c.requests, c.idleConns = nil, nil
+	if c.target.Address != t.Address {
+		c.open -= len(c.idle)
+		c.idle, c.target = nil, t.WithTeam("").WithGateway("")
+	}
+	return &c
+}
--- a/internal/backend/allotter/instance_pool.go
+++ b/internal/backend/allotter/instance_pool.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"maps"
+	"math"
 	"math/rand/v2"
 	"slices"
 	"time"
@@ -79,7 +80,7 @@
 func (a *Allotter) poolOf(t carrier.Target) *instancePool {
 	p, ok := a.pools[t.Instance]
 	if !ok {
-		p = &instancePool{target: t.WithTeam("").WithGateway(""), scopes: map[scope]*scopeUse{}, teams: map[string]*teamUse{}, meanHoldTime: initialHoldTime, congestionWindow: maxCongestionWindow}
+		p = newInstancePool(t)
 		a.pools[t.Instance] = p
 	}
 	if p.target.Address != t.Address {
@@ -89,6 +90,11 @@
 	return p
 }
 
+// newInstancePool returns a pool without connections.
+func newInstancePool(t carrier.Target) *instancePool {
+	return &instancePool{target: t.WithTeam("").WithGateway(""), scopes: map[scope]*scopeUse{}, teams: map[string]*teamUse{}, meanHoldTime: initialHoldTime, congestionWindow: maxCongestionWindow}
+}
+
 // inUse returns the number of leased connections that are not idle in a transaction.
 func (p *instancePool) inUse() int { return p.open - p.dialing - len(p.idle) - p.idleInTx }
 
@@ -207,19 +213,50 @@
 	return s
 }
 
-// admit returns an error when the estimated wait of a new request exceeds the time
-// until its deadline. maxInUse is the number of connections that may be in use at once.
-func (p *instancePool) admit(ctx context.Context, r request, maxInUse int) error {
+// answer is what a request for a connection gets at once.
+type answer struct {
+	idle  int           // index of the idle connection that it gets; -1: none
+	err   error         // with which it is rejected; nil if it gets a connection or may wait
+	ahead int           // waiting requests that would be served before it
+	wait  time.Duration // expected
+}
+
+// answer decides about a request that arrives now and can wait for left at most. It does not change the pool. maxInUse and maxOpen are the numbers of connections that may be in use and open.
+func (p *instancePool) answer(r request, maxInUse, maxOpen int, left time.Duration) answer {
+	if p.inUse() < maxInUse && len(p.waiters) == 0 && !hasMaxLeased(p.teams, r, maxOpen) {
+		if k := p.findIdle(r); k >= 0 {
+			return answer{idle: k}
+		}
+	}
+	if p.isUnreachable(time.Now()) {
+		return answer{idle: -1, err: withRetryAfter(unreachableRetryAfter, classifier.New(classifier.NoInstance, "%s is unreachable: all dials have failed for at least %s", p.target.Instance, unreachableAfter))}
+	}
+	n := answer{idle: -1, ahead: p.requestsAhead(r)}
+	n.wait = p.estimateWait(n.ahead, maxInUse)
+	switch {
+	case n.wait > left:
+		n.err = withRetryAfter(n.wait, classifier.New(classifier.Overloaded, "%s is overloaded: %d requests are ahead in the queue for %d usable connections", p.target.Instance, n.ahead, maxInUse))
+	case p.openFor(r) == 0 && p.inDialBackoff():
+		n.err = classifier.New(classifier.TooManyConnections, "no open connection to %s, which recently refused one", p.target.Instance)
+	}
+	return n
+}
+
+// timeLeft returns the time until the deadline of ctx, which is negative after it.
+func timeLeft(ctx context.Context) time.Duration {
 	d, ok := ctx.Deadline()
 	if !ok {
-		return nil
+		return math.MaxInt64
 	}
-	ahead := p.requestsAhead(r)
-	if wait := p.estimateWait(ahead, maxInUse); wait > time.Until(d) {
-		p.recordOverload(time.Now())
-		return withRetryAfter(wait, classifier.New(classifier.Overloaded, "%s is overloaded: %d requests are ahead in the queue for %d usable connections", p.target.Instance, ahead, maxInUse))
+	return time.Until(d)
+}
+
+// loadOf returns how many connections a team recently had in use on average.
+func (p *instancePool) loadOf(team string) float64 {
+	if u := p.teams[team]; u != nil {
+		return u.meanInUse(time.Now())
 	}
-	return nil
+	return 0
 }
 
 // requestsAhead returns how many waiting requests would be served before a new one.
--- a/internal/group/registrar/registrar.go
+++ b/internal/group/registrar/registrar.go
@@ -59,12 +59,26 @@
 func (r *Registrar) groupLocked(name string) *Group {
 	g, ok := r.groups[name]
 	if !ok {
-		g = &Group{name: name, clock: r.clock, observe: r.observe, instances: map[string]*instanceState{}, seals: map[string]activeSeal{}, changed: make(chan struct{}), Samples: witness.New(sampleRetention)}
+		g = r.newGroup(name)
 		r.groups[name] = g
 	}
 	return g
 }
 
+// Peek returns a group as Group does, but does not add one that is not known.
+func (r *Registrar) Peek(name string) *Group {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if g, ok := r.groups[name]; ok {
+		return g
+	}
+	return r.newGroup(name)
+}
+
+func (r *Registrar) newGroup(name string) *Group {
+	return &Group{name: name, clock: r.clock, observe: r.observe, instances: map[string]*instanceState{}, seals: map[string]activeSeal{}, changed: make(chan struct{}), Samples: witness.New(sampleRetention)}
+}
+
 // Groups returns all groups, sorted by name.
 func (r *Registrar) Groups() []*Group {
 	r.mu.Lock()
--- a/internal/request/ranker/ranker.go
+++ b/internal/request/ranker/ranker.go
@@ -58,77 +58,115 @@
 	Load allotter.Load
 }
 
-// rankedCandidate is a candidate with its sort keys.
-type rankedCandidate struct {
-	candidate Candidate
-	health    int
-	cost      time.Duration
+// Decision is a candidate with what decides about its place in the order.
+type Decision struct {
+	Candidate
+	Health    Health
+	Cost      time.Duration
+	Exclusion Exclusion // empty if the candidate may get the read
 }
 
-// Health classes of candidates; a lower one is tried first.
+// Health is the health class of a candidate; a lower one is tried first.
+type Health uint8
+
+// Health classes.
+const (
+	Healthy    Health = iota
+	Overloaded        // shed load within overloadCooldown
+	Failing           // failed within failureCooldown
+)
+
+// String returns the name of the class for operators.
+func (h Health) String() string { return [...]string{"healthy", "overloaded", "failing"}[h] }
+
+// Exclusion is the reason why a candidate does not get the read.
+type Exclusion string
+
+// The reasons.
 const (
-	healthy    = iota
-	overloaded // shed load within overloadCooldown
-	failing    // failed within failureCooldown
+	Tried        Exclusion = "tried"        // it has already refused this read
+	Leaving      Exclusion = "leaving"      // it is shutting down
+	DialBackoff  Exclusion = "dialBackoff"  // it refused a connection, and none is open
+	RefusedFloor Exclusion = "refusedFloor" // it recently refused the same or a lower floor
+	Lagging      Exclusion = "lagging"      // its lag exceeds the floor's age, and it got a read recently
 )
 
 // Rank returns the usable candidates in the order in which to try them. It omits
 // those that must not get the read and those that would most likely refuse it.
 func Rank(list []Candidate, q Query) []Candidate {
-	order := make([]rankedCandidate, 0, len(list))
-	for _, c := range list {
-		if c.Load.InDialBackoff || !isUsable(c.View, q) || LikelyRefusesFloor(c.View, q) {
-			continue
+	candidates := make([]Candidate, 0, len(list))
+	for _, d := range Decide(list, q) {
+		if d.Exclusion == "" {
+			candidates = append(candidates, d.Candidate)
 		}
-		order = append(order, rankedCandidate{candidate: c, health: healthOf(c.View, q), cost: costOf(c, q)})
-	}
-	slices.SortFunc(order, func(a, b rankedCandidate) int {
-		return cmp.Or(cmp.Compare(a.health, b.health), cmp.Compare(a.cost, b.cost), cmp.Compare(a.candidate.View.ID, b.candidate.View.ID))
-	})
-	candidates := make([]Candidate, len(order))
-	for k, r := range order {
-		candidates[k] = r.candidate
 	}
 	return candidates
 }
 
-// isUsable reports whether an instance may get the read: it has not refused it
-// and is not leaving, or it is the primary and has only just begun to leave.
-func isUsable(v registrar.View, q Query) bool {
-	if slices.Contains(q.Exclude, v.ID) {
-		return false
+// Decide returns all candidates: the usable ones in the order in which to try them, then the excluded ones.
+func Decide(list []Candidate, q Query) []Decision {
+	order := make([]Decision, len(list))
+	for k, c := range list {
+		order[k] = Decision{Candidate: c, Health: healthOf(c.View, q), Cost: costOf(c, q), Exclusion: exclusionOf(c, q)}
 	}
-	return !v.IsLeaving || v.ID == q.Primary && q.Now.Sub(v.LeavingAt) < leavingPrimaryGrace
+	slices.SortFunc(order, func(a, b Decision) int {
+		if isExcluded := a.Exclusion != ""; isExcluded != (b.Exclusion != "") {
+			if isExcluded {
+				return 1
+			}
+			return -1
+		}
+		return cmp.Or(cmp.Compare(a.Health, b.Health), cmp.Compare(a.Cost, b.Cost), cmp.Compare(a.View.ID, b.View.ID))
+	})
+	return order
+}
+
+// exclusionOf returns why an instance must not get the read or would most likely refuse it, or "" if it may get the read. A
+// primary that has only just begun to leave may.
+func exclusionOf(c Candidate, q Query) Exclusion {
+	v := c.View
+	switch {
+	case slices.Contains(q.Exclude, v.ID):
+		return Tried
+	case v.IsLeaving && !(v.ID == q.Primary && q.Now.Sub(v.LeavingAt) < leavingPrimaryGrace):
+		return Leaving
+	case c.Load.InDialBackoff:
+		return DialBackoff
+	}
+	return floorExclusionOf(v, q)
 }
 
 // healthOf returns the health class of an instance.
-func healthOf(v registrar.View, q Query) int {
+func healthOf(v registrar.View, q Query) Health {
 	switch {
 	case v.Failures > 0 && q.Now.Sub(v.LastFailedAt) < failureCooldown:
-		return failing
+		return Failing
 	case q.Now.Sub(v.OverloadedAt) < overloadCooldown:
-		return overloaded
+		return Overloaded
 	}
-	return healthy
+	return Healthy
 }
 
-// LikelyRefusesFloor reports whether an instance would most likely refuse the read because
+// floorExclusionOf returns why an instance would most likely refuse the read because
 // it has not applied the floor: it recently refused the same or a lower floor, or
 // it is a replica whose lag exceeds the floor's age and that got a read recently.
 // Once it has got no read for a while it is tried again, so that the next read
 // shows whether it has caught up.
-func LikelyRefusesFloor(v registrar.View, q Query) bool {
+func floorExclusionOf(v registrar.View, q Query) Exclusion {
 	if q.Floor.IsZero() || v.Position.Covers(q.Floor) {
-		return false
+		return ""
 	}
 	backoff := time.Duration(0)
 	if !v.BehindSince.IsZero() {
 		backoff = min(max(minBehindBackoff, v.RefusedAt.Sub(v.BehindSince)/2), maxBehindBackoff)
 	}
 	if q.Now.Sub(v.RefusedAt) < backoff && q.Floor.Covers(v.RefusedFloor) {
-		return true
+		return RefusedFloor
+	}
+	if v.ID != q.Primary && q.FloorAge < v.Lag && q.Now.Sub(v.ReadSentAt) < max(laggingProbeInterval, backoff) {
+		return Lagging
 	}
-	return v.ID != q.Primary && q.FloorAge < v.Lag && q.Now.Sub(v.ReadSentAt) < max(laggingProbeInterval, backoff)
+	return ""
 }
 
 // costOf returns the cost by which candidates of the same health are ordered: the
--- a/internal/request/ranker/ranker_test.go
+++ b/internal/request/ranker/ranker_test.go
@@ -89,6 +89,26 @@
 	}
 }
 
+// TestExclusions guards against an exclusion with a wrong reason, and against Rank and Decide that disagree.
+func TestExclusions(t *testing.T) {
+	q := Query{Floor: tokenizer.Position{Term: 1, Index: 5}, FloorAge: floorAge, DataCentre: "d1", RegionOf: func(string) string { return "" }, Primary: "p", Now: now, Exclude: []string{"a"}}
+	list := []Candidate{
+		candidate("a", "d1", nil), candidate("b", "d1", func(c *Candidate) { c.View.IsLeaving = true }), candidate("c", "d1", func(c *Candidate) { c.Load.InDialBackoff = true }),
+		candidate("d", "d1", refusedFloor(4, 20*time.Millisecond)), candidate("e", "d1", lagging(time.Second, 50*time.Millisecond)), candidate("p", "d2", nil),
+	}
+	got := map[string]Exclusion{}
+	decisions := Decide(list, q)
+	for _, d := range decisions {
+		got[d.View.ID] = d.Exclusion
+	}
+	if d := cmp.Diff(map[string]Exclusion{"a": Tried, "b": Leaving, "c": DialBackoff, "d": RefusedFloor, "e": Lagging, "p": ""}, got); d != "" {
+		t.Errorf("reasons differ (-want +got):\n%s", d)
+	}
+	if r := Rank(list, q); len(r) != 1 || r[0].View.ID != "p" || decisions[0].View.ID != "p" {
+		t.Errorf("Rank returns %d candidates, Decide begins with %s; want only p", len(r), decisions[0].View.ID)
+	}
+}
+
 // TestReadsBackOffFromLaggingReplica guards against VMs that keep sending reads to a
 // replica that is seconds behind and has to refuse them, and against a replica that
 // still gets no reads long after it has caught up. In one scenario, two replicas
--- a/internal/statement/conductor/session.go
+++ b/internal/statement/conductor/session.go
@@ -151,15 +151,24 @@
 
 // route returns the current route of the session's database, or the reply that refuses the statement.
 func (s *session) route() (cataloger.Route, carrier.Reply, bool) {
-	cfg := s.server.cfg.Configuration()
+	route, err := RouteOf(s.server.cfg.Configuration(), s.database)
+	if err != nil {
+		return route, carrier.ErrorReplyFor(err).WithState(s.state()), false
+	}
+	return route, carrier.Reply{}, true
+}
+
+// RouteOf returns the route of a database in a configuration, which is nil while there is none, or the error with which
+// statements are refused.
+func RouteOf(cfg *cataloger.Configuration, database string) (cataloger.Route, error) {
 	if cfg == nil {
-		return cataloger.Route{}, s.refuse(classifier.NotReady, "VM has no configuration yet"), false
+		return cataloger.Route{}, classifier.New(classifier.NotReady, "VM has no configuration yet")
 	}
-	route, ok := cfg.Route(s.database)
+	route, ok := cfg.Route(database)
 	if !ok {
-		return cataloger.Route{}, s.refuse(classifier.UnknownDatabase, fmt.Sprintf("unknown database %.40q", s.database)), false
+		return cataloger.Route{}, classifier.New(classifier.UnknownDatabase, "unknown database %.40q", database)
 	}
-	return route, carrier.Reply{}, true
+	return route, nil
 }
 
 // waitForStatement waits until the next statement begins to arrive. It returns the reason if the
--- a/internal/statement/performer/performer.go
+++ b/internal/statement/performer/performer.go
@@ -58,6 +58,15 @@
 	writeReplyGrace = 200 * time.Millisecond
 )
 
+// Texts of refusals.
+const (
+	textNoPrimary      = "no primary is available"
+	textNoFloor        = "staleness of the replicas is unknown: no primary could be asked for its log position"
+	textReadNotServed  = "no instance served the read in time"
+	textPrimaryReadNot = "primary did not serve the read in time"
+	textWriteNot       = "primary did not accept the write in time"
+)
+
 // Config holds the dependencies of a Performer and the location of its VM.
 type Config struct {
 	DataCentre  string
@@ -183,6 +192,13 @@
 // refuse ends a request that was not served in time. A failure that an instance
 // reported, or the reason why no connection was available, takes precedence over kind k.
 func (e *execution) refuse(k classifier.Kind, text string) carrier.Reply {
+	r := e.refusal(k, text)
+	e.report(EventRefused, "", r.Kind)
+	return r
+}
+
+// refusal returns the reply of refuse and reports nothing.
+func (e *execution) refusal(k classifier.Kind, text string) carrier.Reply {
 	r := carrier.ErrorReply(k, text).WithRetryAfter(noPrimaryRetryAfter)
 	switch {
 	case e.lastReply.Kind == classifier.StatementFailed || e.lastReply.Kind == classifier.StatementTimeout:
@@ -192,7 +208,6 @@
 	case k == classifier.Overloaded:
 		r.RetryAfter = maxRetryDelay
 	}
-	e.report(EventRefused, "", r.Kind)
 	return r
 }
 
@@ -238,7 +253,7 @@
 func (e *execution) awaitPrimary(ctx context.Context) (registrar.View, bool) {
 	for {
 		changed := e.group.Changed()
-		if v, ok := e.group.View(e.group.Primary().Instance); ok && acceptsRequests(v) {
+		if v, ok := e.primary(); ok {
 			return v, true
 		}
 		e.lastUnavailable = time.Now()
@@ -248,6 +263,12 @@
 	}
 }
 
+// primary returns the primary, or false if none is known that accepts requests.
+func (e *execution) primary() (registrar.View, bool) {
+	v, ok := e.group.View(e.group.Primary().Instance)
+	return v, ok && acceptsRequests(v)
+}
+
 // acceptsRequests reports whether a primary may still get requests, although it may be shutting down.
 func acceptsRequests(v registrar.View) bool {
 	return !v.IsLeaving || time.Since(v.LeavingAt) < leavingPrimaryGrace
@@ -256,13 +277,9 @@
 // setFloor determines the log position that a replica must have applied to serve the
 // request. It returns false if no primary could be asked for its position in time.
 func (e *execution) setFloor(ctx context.Context) bool {
-	since := e.request.ArrivedClock - e.request.Route.MaxStaleness
 	for {
-		if f, ok := e.group.Samples.Floor(since); ok {
+		if f, ok := e.knownFloor(); ok {
 			e.floor = f
-			if e.request.Route.ReadKind == cataloger.Session {
-				e.floor = f.Max(e.request.Floor)
-			}
 			return true
 		}
 		changed := e.group.Changed()
@@ -283,6 +300,16 @@
 	}
 }
 
+// knownFloor returns the log position that a replica must have applied to serve the request, or false if the primary has to be
+// asked for its position first.
+func (e *execution) knownFloor() (tokenizer.Position, bool) {
+	f, ok := e.group.Samples.Floor(e.request.ArrivedClock - e.request.Route.MaxStaleness)
+	if ok && e.request.Route.ReadKind == cataloger.Session {
+		f = f.Max(e.request.Floor)
+	}
+	return f, ok
+}
+
 // SamplePrimaryPosition asks the primary for its log position in a transaction that only a primary
 // opens and that occupies none of its execution slots. Concurrent calls for a group share one request.
 func (p *Performer) SamplePrimaryPosition(ctx context.Context, g *registrar.Group) error {
@@ -474,19 +501,24 @@
 // candidates returns the instances that may serve the read, the best one first, without
 // those tried in this round.
 func (e *execution) candidates() []ranker.Candidate {
+	ranked := ranker.Rank(e.rankerInput(e.performer.cfg.Pool.Load))
+	if e.candidateCount = len(ranked); e.candidateCount > 0 {
+		e.waiting = ranked[0].Load.Waiting
+	}
+	return ranked
+}
+
+// rankerInput returns the instances of the group with their loads, and the read as the ranker sees it.
+func (e *execution) rankerInput(load func(carrier.Target) allotter.Load) ([]ranker.Candidate, ranker.Query) {
 	views := e.group.Views()
 	list := make([]ranker.Candidate, len(views))
 	for i, v := range views {
-		list[i] = ranker.Candidate{View: v, Load: e.performer.cfg.Pool.Load(registrar.NewTarget(v.Instance))}
+		list[i] = ranker.Candidate{View: v, Load: load(registrar.NewTarget(v.Instance))}
 	}
-	ranked := ranker.Rank(list, ranker.Query{
+	return list, ranker.Query{
 		Floor: e.floor, FloorAge: e.group.FloorAge(e.floor), DataCentre: e.performer.cfg.DataCentre, Region: e.performer.cfg.Region, RegionOf: e.performer.cfg.RegionOf,
 		Primary: e.group.Primary().Instance, Now: time.Now(), Exclude: e.tried,
-	})
-	if e.candidateCount = len(ranked); e.candidateCount > 0 {
-		e.waiting = ranked[0].Load.Waiting
 	}
-	return ranked
 }
 
 // acquire waits for a connection to an instance. With a latency objective, it gives up when the
@@ -495,10 +527,7 @@
 func (e *execution) acquire(ctx context.Context, v registrar.View) (*allotter.Lease, error) {
 	target := registrar.NewTarget(v.Instance)
 	if objective := e.request.Route.LatencyObjective; objective > 0 {
-		wait := max(objective/minAcquireWaitDivisor, objective-v.Latency*5/4)
-		if e.performer.cfg.Pool.Load(target).HasSustainedOverload {
-			wait = objective / overloadAcquireWaitDivisor
-		}
+		wait := acquireWait(objective, v.Latency, e.performer.cfg.Pool.Load(target).HasSustainedOverload)
 		e.acquireDeadline = later(e.request.ArrivedAt, e.lastUnavailable).Add(wait)
 		var cancel context.CancelFunc
 		ctx, cancel = context.WithDeadline(ctx, e.acquireDeadline)
@@ -514,6 +543,14 @@
 	return lease, err
 }
 
+// acquireWait returns how long a request with a latency objective may wait for a connection to an instance with a mean latency.
+func acquireWait(objective, latency time.Duration, hasSustainedOverload bool) time.Duration {
+	if hasSustainedOverload {
+		return objective / overloadAcquireWaitDivisor
+	}
+	return max(objective/minAcquireWaitDivisor, objective-latency*5/4)
+}
+
 // urgency returns the urgency of the request for a gateway, which orders the requests of all VMs for the instance. It is zero
 // for a request without a latency objective, and on a connection that leads to the instance itself.
 func (e *execution) urgency(lease *allotter.Lease) carrier.Urgency {
--- a/internal/statement/performer/read.go
+++ b/internal/statement/performer/read.go
@@ -23,7 +23,7 @@
 		return e.readFromPrimary(ctx)
 	}
 	if !e.setFloor(ctx) {
-		return e.refuse(classifier.StaleBound, "staleness of the replicas is unknown: no primary could be asked for its log position")
+		return e.refuse(classifier.StaleBound, textNoFloor)
 	}
 	return e.readAtFloor(ctx)
 }
@@ -33,7 +33,7 @@
 	for {
 		v, ok := e.awaitPrimary(ctx)
 		if !ok {
-			return e.refuse(classifier.NoPrimary, "no primary is available")
+			return e.refuse(classifier.NoPrimary, textNoPrimary)
 		}
 		reply, isFinal := e.readFrom(ctx, v, true)
 		if isFinal {
@@ -41,7 +41,7 @@
 		}
 		e.lastReply = reply
 		if e.acquireErr != nil || !e.backOff(ctx) {
-			return e.refuse(classifier.Overloaded, "primary did not serve the read in time")
+			return e.refuse(classifier.Overloaded, textPrimaryReadNot)
 		}
 	}
 }
@@ -53,7 +53,7 @@
 		if len(list) == 0 {
 			e.tried = e.tried[:0]
 			if e.acquireErr != nil || !e.backOff(ctx) {
-				return e.refuse(classifier.Overloaded, "no instance served the read in time")
+				return e.refuse(classifier.Overloaded, textReadNotServed)
 			}
 			continue
 		}
@@ -65,7 +65,7 @@
 		e.lastReply = reply
 		e.tried = append(e.tried, v.ID)
 		if ctx.Err() != nil {
-			return e.refuse(classifier.Overloaded, "no instance served the read in time")
+			return e.refuse(classifier.Overloaded, textReadNotServed)
 		}
 	}
 }
--- a/internal/statement/performer/transaction.go
+++ b/internal/statement/performer/transaction.go
@@ -113,7 +113,7 @@
 	if !needsPrimary {
 		e.request.ArrivedClock = t.beginRequest.ArrivedClock
 		if !e.setFloor(ctx) {
-			return e.refuse(classifier.StaleBound, "staleness of the replicas is unknown: no primary could be asked for its log position")
+			return e.refuse(classifier.StaleBound, textNoFloor)
 		}
 	}
 	for {
--- a/internal/statement/performer/write.go
+++ b/internal/statement/performer/write.go
@@ -18,14 +18,14 @@
 	for {
 		v, ok := e.awaitPrimary(ctx)
 		if !ok {
-			return e.refuse(classifier.NoPrimary, "no primary is available")
+			return e.refuse(classifier.NoPrimary, textNoPrimary)
 		}
 		reply, isFinal := e.writeTo(ctx, v, deadline)
 		if isFinal {
 			return reply
 		}
 		if e.acquireErr != nil || !e.backOff(ctx) {
-			return e.refuse(classifier.Overloaded, "primary did not accept the write in time")
+			return e.refuse(classifier.Overloaded, textWriteNot)
 		}
 	}
 }
--- a/internal/team/authenticator/authenticator.go
+++ b/internal/team/authenticator/authenticator.go
@@ -63,6 +63,12 @@
 // A transaction keeps the team with which it began, also if the caller's key has moved to another team, but not if the key
 // has been removed: on a public route too, since its statements would go on for a team that the caller has left.
 func (r Rule) Decide(c Caller) Decision {
+	team, isKnown := c.Configuration.TeamOf(c.Key)
+	return r.DecideFor(c, team, isKnown)
+}
+
+// DecideFor is Decide for a caller whose key belongs to a team, or to none. It does not look at the key.
+func (r Rule) DecideFor(c Caller, team cataloger.Team, isKnown bool) Decision {
 	if !c.Configuration.HasTeams() {
 		if c.Transaction != nil {
 			return Decision{Team: *c.Transaction}
@@ -72,7 +78,6 @@
 	if r.IsCutOff(c.SilentFor) {
 		return Decision{Reason: WithoutSource}
 	}
-	team, isKnown := c.Configuration.TeamOf(c.Key)
 	switch {
 	case !isKnown && c.Transaction != nil && c.Transaction.Name != "":
 		return Decision{Reason: KeyRemoved}
--- a/internal/team/limiter/limiter.go
+++ b/internal/team/limiter/limiter.go
@@ -133,15 +133,15 @@
 	l.mu.Lock()
 	s := l.team(t)
 	s.countOperation(now)
-	if len(s.waiting) == 0 && s.take(now) {
+	isGranted, err := s.answer(now)
+	if isGranted && s.take(now) {
 		if s.inHand(now) < s.prefetch(now)/2 {
 			l.request(s, now)
 		}
 		l.mu.Unlock()
 		return nil
 	}
-	if now < s.retryAt {
-		err := refusal(t.Name, s.retryAt-now)
+	if err != nil {
 		l.mu.Unlock()
 		return err
 	}
@@ -160,6 +160,18 @@
 	}
 }
 
+// answer returns whether an operation that arrives now is admitted at once, or the error with which it is refused at once. If
+// neither, a holder is asked first.
+func (s *state) answer(now time.Duration) (isGranted bool, err error) {
+	switch {
+	case len(s.waiting) == 0 && s.inHand(now) > 0:
+		return true, nil
+	case now < s.retryAt:
+		return false, refusal(s.name, s.retryAt-now)
+	}
+	return false, nil
+}
+
 func refusal(team string, wait time.Duration) error {
 	return classifier.WithRetryAfter(classifier.New(classifier.Overloaded, "team %s is at its limit of operations", team), max(wait, minRetryAfter))
 }
@@ -394,11 +406,46 @@
 // Remaining returns the tokens of a team in hand on this VM, and the time until requests are made again, which is 0 unless all
 // holders have refused. It takes nothing.
 func (l *Limiter) Remaining(name string) (inHand int, wait time.Duration) {
+	v := l.Explain(cataloger.Team{Name: name})
+	return v.InHand, v.Wait
+}
+
+// View is what this VM knows of the limit of a team.
+type View struct {
+	InHand    int           // tokens that can be used now
+	Wait      time.Duration // until holders are asked again; 0 unless all have refused
+	IsGranted bool          // an operation that arrives now would be admitted at once
+	Err       error         // with which it would be refused at once; if it is nil and IsGranted is false, a holder would be asked
+	Holders   []HolderView  // by shard
+}
+
+// HolderView is what this VM knows of the holder of one shard of a limit.
+type HolderView struct {
+	Shard     int
+	Address   string        // as the holder itself has said; empty if it is not known
+	Wait      time.Duration // until the holder is asked again, because it had too few tokens; 0: it can be asked
+	HasFailed bool          // it did not answer recently
+}
+
+// Explain returns what is known of a team's limit. It takes no token and asks no holder.
+func (l *Limiter) Explain(t cataloger.Team) View {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	s, now := l.teams[name], l.cfg.Clock()
+	s, now := l.teams[t.Name], l.cfg.Clock()
 	if s == nil {
-		return 0, 0
+		s = &state{name: t.Name}
+	}
+	v := View{InHand: s.inHand(now), Wait: max(0, s.retryAt-now)}
+	v.IsGranted, v.Err = s.answer(now)
+	if t.Rate <= 0 {
+		return v
+	}
+	for _, shard := range l.cfg.Sharder.Divide(t).Shards {
+		h := HolderView{Shard: shard, Address: l.holders[shard]}
+		if h.Address != "" {
+			h.Wait, h.HasFailed = max(0, s.until[h.Address]-now), !l.isUsable(h.Address, now)
+		}
+		v.Holders = append(v.Holders, h)
 	}
-	return s.inHand(now), max(0, s.retryAt-now)
+	return v
 }
