Add parsleyctl line explain

A VM answers GET /explain on its peer address with the route, the team's limit, the candidates and the refusal of a request that is not sent. A panic ends only the explanation.

--- a/internal/daemon/assembler/followers.go
+++ b/internal/daemon/assembler/followers.go
@@ -231,6 +231,7 @@
 	mux.Handle(replicator.ConfirmPath, v.refresher.Load())
 	mux.Handle(messenger.Path, messenger.Handler(v.limits.holder.Serve))
 	mux.Handle(inspector.Path, inspector.Handler(v.status))
+	mux.Handle(inspector.ExplainPath, inspector.ExplainHandler{Explain: v.explain, OnPanic: v.logExplainPanic})
 	v.peerServer = &http.Server{Handler: mux, ReadHeaderTimeout: time.Second}
 	go func() { _ = v.peerServer.Serve(l) }()
 	return nil
--- a/internal/daemon/assembler/gateway.go
+++ b/internal/daemon/assembler/gateway.go
@@ -117,14 +117,7 @@
 	if t.Gateway != "" {
 		return d.dialGateway(ctx, t)
 	}
-	if t.Team != "" {
-		return d.vm.platform.Dialer.Dial(ctx, t)
-	}
-	list := d.gatewaysOf(t)
-	if len(list) == 0 || d.isSelf(list) {
-		return d.vm.platform.Dialer.Dial(ctx, t)
-	}
-	g, ok := d.pickGateway(list)
+	g, ok := d.gatewayAtDial(t)
 	if !ok {
 		return d.vm.platform.Dialer.Dial(ctx, t)
 	}
@@ -138,6 +131,18 @@
 	return conn, position, err
 }
 
+// gatewayAtDial returns the gateway that Dial chooses for a target without one, or false if it dials the instance itself.
+func (d *gatewayDialer) gatewayAtDial(t carrier.Target) (member, bool) {
+	if t.Team != "" {
+		return member{}, false
+	}
+	list := d.gatewaysOf(t)
+	if len(list) == 0 || d.isSelf(list) {
+		return member{}, false
+	}
+	return d.pickGateway(list)
+}
+
 func (d *gatewayDialer) recordFailedGateway(address string) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
--- a/internal/daemon/assembler/log.go
+++ b/internal/daemon/assembler/log.go
@@ -64,6 +64,8 @@
 	v.log.Sample(logger.TeamWaits, t.Team, logger.String("team", t.Team), logger.String("instance", t.Instance), logger.Millis("waited", waited))
 }
 
+func (v *VM) logExplainPanic(err error) { v.log.Warn(logger.ExplainPanicked, logger.Err(err)) }
+
 func (v *VM) logPanic(err error) { v.log.Warn(logger.SessionPanicked, logger.Err(err)) }
 
 func (v *VM) countCall(call string, err error) {
--- a/internal/daemon/assembler/teamgateway.go
+++ b/internal/daemon/assembler/teamgateway.go
@@ -15,6 +15,21 @@
 // route returns the target with the gateway that this VM uses for the statements of a team at present. Statements without
 // a team leave the choice to Dial, because VMs of a version without teams accept them, too.
 func (d *gatewayDialer) route(t carrier.Target, load float64) carrier.Target {
+	return d.routeWithout(t, load, d.hasFailed)
+}
+
+// peekRoute is route, but dials no failed gateway again.
+func (d *gatewayDialer) peekRoute(t carrier.Target, load float64) carrier.Target {
+	return d.routeWithout(t, load, func(_ carrier.Target, address string) bool {
+		d.mu.Lock()
+		defer d.mu.Unlock()
+		_, ok := d.failed[address]
+		return ok
+	})
+}
+
+// routeWithout returns the target with the gateway of a team, without those for which hasFailed returns true.
+func (d *gatewayDialer) routeWithout(t carrier.Target, load float64, hasFailed func(t carrier.Target, address string) bool) carrier.Target {
 	if t.Team == "" {
 		return t
 	}
@@ -24,7 +39,7 @@
 	}
 	i, _ := d.vm.groups.Group(t.Group).View(t.Instance)
 	n := gatewaysForLoad(load*float64(d.vm.members.count()), gatewayInUse(i.Slots))
-	g, ok := chooseTeamGateway(list, t.Team, d.vm.cfg.ID, n, func(g member) bool { return d.hasFailed(t, g.LinkAddress) })
+	g, ok := chooseTeamGateway(list, t.Team, d.vm.cfg.ID, n, func(g member) bool { return hasFailed(t, g.LinkAddress) })
 	if !ok {
 		return t
 	}
--- a/internal/operator/commander/main.go
+++ b/internal/operator/commander/main.go
@@ -49,6 +49,7 @@
 	{"sheet", "history", "list the versions of the sheet", func(inv *invocation) flags.Commander { return &historyCommand{inv: inv} }},
 	{"line", "status", "show the VMs, instances and primaries on the users' platform", func(inv *invocation) flags.Commander { return &lineStatusCommand{inv: inv} }},
 	{"line", "audit", "list configuration changes and promotions on the users' platform", func(inv *invocation) flags.Commander { return &lineAuditCommand{inv: inv} }},
+	{"line", "explain", "ask a VM where it would route a request now, without sending it", func(inv *invocation) flags.Commander { return &lineExplainCommand{inv: inv} }},
 	{"", "status", "query all VMs for their state", func(inv *invocation) flags.Commander { return &statusCommand{inv: inv} }},
 	{"", "audit", "list the changes of the sheet and who made them", func(inv *invocation) flags.Commander { return &auditCommand{inv: inv} }},
 	{"", "drain", "set the state of an instance to leaving", func(inv *invocation) flags.Commander { return &drainCommand{inv: inv} }},
--- a/internal/statement/conductor/identity.go
+++ b/internal/statement/conductor/identity.go
@@ -56,11 +56,7 @@
 	if s.server.cfg.Admitter == nil {
 		return carrier.Reply{}, true
 	}
-	timeout := r.Route.StatementTimeout
-	if timeout <= 0 {
-		timeout = performer.DefaultTimeout
-	}
-	ctx, cancel := context.WithDeadline(ctx, r.ArrivedAt.Add(timeout))
+	ctx, cancel := context.WithDeadline(ctx, r.ArrivedAt.Add(r.Timeout()))
 	defer cancel()
 	if err := s.server.cfg.Admitter.Admit(ctx, s.team); err != nil {
 		return carrier.ErrorReplyFor(err).WithState(s.state()), false
--- a/internal/statement/performer/explain.go
+++ b/internal/statement/performer/explain.go
@@ -76,7 +76,7 @@
 
 // longestWait returns how long the request may wait for a connection to an instance if it arrives now.
 func (e *execution) longestWait(v registrar.View, l allotter.Load) time.Duration {
-	timeout, objective := e.request.timeout(), e.request.Route.LatencyObjective
+	timeout, objective := e.request.Timeout(), e.request.Route.LatencyObjective
 	if objective <= 0 {
 		return timeout
 	}
@@ -97,7 +97,7 @@
 		}
 	}
 	if e.acquireErr == nil {
-		p.Longest = e.request.timeout()
+		p.Longest = e.request.Timeout()
 	}
 	r := e.refusal(p.finalRefusal(e, hasPrimary))
 	p.Refusal = &r
--- a/internal/statement/performer/performer.go
+++ b/internal/statement/performer/performer.go
@@ -158,7 +158,8 @@
 	return r.Statement.Verb == carrier.Write
 }
 
-func (r Request) timeout() time.Duration {
+// Timeout returns the time for the statement.
+func (r Request) Timeout() time.Duration {
 	if r.Route.StatementTimeout > 0 {
 		return r.Route.StatementTimeout
 	}
--- a/internal/statement/performer/read.go
+++ b/internal/statement/performer/read.go
@@ -15,7 +15,7 @@
 
 // Read executes a read outside a transaction.
 func (p *Performer) Read(ctx context.Context, r Request) carrier.Reply {
-	ctx, cancel := context.WithDeadline(ctx, r.ArrivedAt.Add(r.timeout()))
+	ctx, cancel := context.WithDeadline(ctx, r.ArrivedAt.Add(r.Timeout()))
 	defer cancel()
 	p.cfg.RetryBudget.RecordRequest()
 	e := p.newExecution(r)
--- a/internal/statement/performer/transaction.go
+++ b/internal/statement/performer/transaction.go
@@ -67,7 +67,7 @@
 	if t.hasFailed {
 		return carrier.ErrorReply(classifier.BadMessage, "transaction has failed, only its commit or rollback is accepted").WithState(carrier.Failed)
 	}
-	deadline := r.ArrivedAt.Add(r.timeout())
+	deadline := r.ArrivedAt.Add(r.Timeout())
 	ctx, cancel := context.WithDeadline(ctx, deadline)
 	defer cancel()
 	var reply carrier.Reply
@@ -267,7 +267,7 @@
 	if t.hasFailed {
 		return carrier.ErrorReply(classifier.NotRun, "transaction failed before the commit and has been rolled back"), tokenizer.Position{}
 	}
-	deadline := r.ArrivedAt.Add(r.timeout())
+	deadline := r.ArrivedAt.Add(r.Timeout())
 	ctx, cancel := context.WithDeadline(ctx, deadline)
 	defer cancel()
 	if t.lease == nil {
--- a/internal/statement/performer/write.go
+++ b/internal/statement/performer/write.go
@@ -11,7 +11,7 @@
 
 // Write executes a write outside a transaction on the primary.
 func (p *Performer) Write(ctx context.Context, r Request) carrier.Reply {
-	deadline := r.ArrivedAt.Add(r.timeout())
+	deadline := r.ArrivedAt.Add(r.Timeout())
 	ctx, cancel := context.WithDeadline(ctx, deadline)
 	defer cancel()
 	e := p.newExecution(r)
--- a/internal/telemetry/logger/event.go
+++ b/internal/telemetry/logger/event.go
@@ -43,6 +43,7 @@
 	StatementServed   Event = "statementServed"
 	SessionEnded      Event = "sessionEnded"
 	SessionPanicked   Event = "sessionPanicked"
+	ExplainPanicked   Event = "explainPanicked"
 	StatementRepeated Event = "statementRepeated"
 	StatementRefused  Event = "statementRefused"
 	OutcomeUnknown    Event = "outcomeUnknown"
@@ -103,6 +104,7 @@
 	{StatementServed, "an instance executed a statement; sampled"},
 	{SessionEnded, "a session ended, with the reason; sampled"},
 	{SessionPanicked, "a fault in this program ended the session or the connection of another VM that triggered it; the error has the stack"},
+	{ExplainPanicked, "a fault in this program ended the explanation of a request for an operator; no request is affected; the error has the stack"},
 	{StatementRepeated, "an instance rejected or did not answer a statement, which may be executed on another instance"},
 	{StatementRefused, "a statement was rejected"},
 	{OutcomeUnknown, "a write or a commit was sent to an instance but not answered"},
