Test that explanations take nothing and agree with the requests

1,000 explanations leave pools, limits and groups as they were. The explained instance, gateway and refusal are those of the next request. The URL of a failed query is left out of its error, because the name of a team may be a key by mistake.

--- /dev/null
+++ b/internal/backend/allotter/forecast_test.go
@@ -0,0 +1,131 @@
+package allotter
+
+import (
+	"context"
+	"maps"
+	"reflect"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"parsleyscale/internal/failure/classifier"
+	"parsleyscale/internal/session/tokenizer"
+	"parsleyscale/internal/statement/carrier"
+)
+
+// newForecastPool returns an allotter with limits and a dialer, in which two requests of team t use the only connections to
+// an instance and three wait.
+func newForecastPool(t *testing.T) (*Allotter, carrier.Target) {
+	a := New(Config{
+		Dialer: &fakeDialer{}, Limits: func(carrier.Target) Limits { return Limits{Open: 2} },
+		Observe: func(carrier.Target, tokenizer.Position, time.Duration, error) {},
+	})
+	target := carrier.Target{Instance: "i", Group: "g", Address: "i", Team: "t"}
+	for range 5 {
+		go func() {
+			if l, err := a.Acquire(t.Context(), target, 0); err == nil {
+				<-t.Context().Done()
+				l.Discard()
+			}
+		}()
+	}
+	time.Sleep(200 * time.Millisecond)
+	return a, target
+}
+
+// poolState is the content of a pool without the identity of its maps and buffers.
+type poolState struct {
+	pool   instancePool
+	scopes map[scope]scopeUse
+	teams  map[string]teamUse
+}
+
+func (a *Allotter) stateOf(instance string) (s poolState, count int) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	p := a.pools[instance]
+	s = poolState{pool: *p, scopes: map[scope]scopeUse{}, teams: map[string]teamUse{}}
+	for k := range maps.Keys(p.scopes) {
+		s.scopes[k] = *p.scopes[k]
+	}
+	for k := range maps.Keys(p.teams) {
+		s.teams[k] = *p.teams[k]
+	}
+	return s, len(a.pools)
+}
+
+// Guards against an explanation that takes a connection, a place in the queue or a record of overload, also where Acquire would
+// record one, and where a reduced limit has grown back, which reading the limit records.
+func TestForecastChangesNothing(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		a, target := newForecastPool(t)
+		defer a.Close()
+		a.mu.Lock()
+		a.pools["i"].refusedAt, a.pools["i"].reducedLimit = time.Now().Add(-time.Hour), 1
+		a.mu.Unlock()
+		before, pools := a.stateOf("i")
+		for k := range 1000 {
+			switch k % 4 {
+			case 0:
+				a.Forecast(target, 0, time.Second)
+			case 1: // would be rejected as overloaded
+				a.Forecast(target.WithTeam("u"), 5, time.Microsecond)
+			case 2: // another address
+				a.Forecast(carrier.Target{Instance: "i", Group: "g", Address: "j"}, 0, time.Second)
+			case 3:
+				a.Peek(carrier.Target{Instance: "unknown", Group: "g", Address: "u"})
+			}
+		}
+		after, poolsAfter := a.stateOf("i")
+		if !reflect.DeepEqual(before, after) || pools != poolsAfter {
+			t.Errorf("pool after 1,000 forecasts: %+v, want %+v; %d pools, want %d", after, before, poolsAfter, pools)
+		}
+	})
+}
+
+// Guards against a forecast that differs from what Acquire does with the same request.
+func TestForecastIsWhatAcquireDoes(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		a, target := newForecastPool(t)
+		defer a.Close()
+		for _, longest := range []time.Duration{time.Millisecond, 10 * time.Millisecond} {
+			f := a.Forecast(target, 0, longest)
+			ctx, cancel := context.WithTimeout(t.Context(), longest)
+			start := time.Now()
+			_, err := a.Acquire(ctx, target, 0)
+			cancel()
+			if isImmediate := time.Since(start) == 0; (f.Err != nil) != isImmediate || f.Err != nil && f.Err.Error() != err.Error() {
+				t.Errorf("wait of at most %s: forecast %v, Acquire returned %v after %s", longest, f.Err, err, time.Since(start))
+			}
+			if f.Ahead != 3 || f.Load.Waiting != 3 || f.Load.InUse != 2 {
+				t.Errorf("forecast %+v, want 3 requests ahead and 2 connections in use", f)
+			}
+		}
+	})
+}
+
+// Guards against a fault in an explanation that leaves the allotter locked, so that it would end all requests.
+func TestPanicInForecast(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		a := New(Config{
+			Dialer: &fakeDialer{}, Limits: func(carrier.Target) Limits { return Limits{Open: 2} },
+			Observe:   func(carrier.Target, tokenizer.Position, time.Duration, error) {},
+			PeekRoute: func(carrier.Target, float64) carrier.Target { panic("fault") },
+		})
+		defer a.Close()
+		target := carrier.Target{Instance: "i", Address: "i"}
+		func() {
+			defer func() {
+				if recover() == nil {
+					t.Error("no panic")
+				}
+			}()
+			a.Forecast(target, 0, time.Second)
+		}()
+		l, err := a.Acquire(t.Context(), target, 0)
+		if err != nil {
+			t.Fatalf("Acquire after the panic: %v, kind %s", err, classifier.KindOf(err))
+		}
+		l.Release()
+	})
+}
--- a/internal/daemon/assembler/teamgateway_test.go
+++ b/internal/daemon/assembler/teamgateway_test.go
@@ -9,7 +9,10 @@
 	"testing/synctest"
 	"time"
 
+	"parsleyscale/internal/config/loader"
+	"parsleyscale/internal/group/registrar"
 	"parsleyscale/internal/session/tokenizer"
+	"parsleyscale/internal/sheet/cataloger"
 	"parsleyscale/internal/statement/carrier"
 )
 
@@ -109,3 +112,33 @@
 		synctest.Wait()
 	})
 }
+
+// Guards against an explanation that dials a gateway which has failed.
+func TestPeekRouteDialsNothing(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := &gatewayPlatformDialer{}
+		cfg := loader.LineSettings{ID: "vm"}
+		m := newMembers(cfg, nil, nil)
+		m.vms, m.isSettled = []member{{ID: "vm"}, {ID: "g", LinkAddress: "x"}}, true
+		vm := &VM{cfg: cfg, platform: Platform{Dialer: f}, members: m, groups: registrar.New(func() time.Duration { return 0 })}
+		c := cataloger.Configuration{Groups: map[string]cataloger.Group{"grp": {MaxConnectionsPerInstance: 1}}}
+		vm.configuration.Store(c.WithTeams([]cataloger.Team{{Name: "t"}}))
+		vm.groups.Update(cataloger.Registry{"i": {ID: "i", Group: "grp"}})
+		d := &gatewayDialer{vm: vm, failed: map[string]time.Time{}, probing: map[string]bool{}}
+		target := carrier.Target{Instance: "i", Group: "grp", Team: "t"}
+		if got := d.peekRoute(target, 0); got.Gateway != "x" || got != d.route(target, 0) {
+			t.Fatalf("gateway %q, want x as for a request", got.Gateway)
+		}
+		d.recordFailedGateway("x")
+		time.Sleep(2 * failedGatewayBackoff)
+		for range 1000 {
+			if got := d.peekRoute(target, 0); got.Gateway != "" {
+				t.Fatalf("gateway %q, which has failed", got.Gateway)
+			}
+		}
+		synctest.Wait()
+		if f.dials != 0 || len(d.probing) != 0 {
+			t.Errorf("%d dials, want none", f.dials)
+		}
+	})
+}
--- a/internal/operator/commander/explain.go
+++ b/internal/operator/commander/explain.go
@@ -152,11 +152,11 @@
 		fmt.Fprintf(b, "; through %s %s", l.Gateway, l.GatewayAddress)
 	}
 	fmt.Fprintf(b, ", %d usable of %d open connections, %d of %d in use, %d waiting, %d ahead", l.Usable, l.Open, l.InUse, l.MaxInUse, l.Waiting, l.Ahead)
+	fmt.Fprintf(b, "; wait %s", duration(c.WaitMillis))
 	if c.Rejection != "" {
-		fmt.Fprintf(b, "; rejected: %s\n", c.Rejection)
-		return
+		fmt.Fprintf(b, "; rejected: %s", c.Rejection)
 	}
-	fmt.Fprintf(b, "; wait %s\n", duration(c.WaitMillis))
+	b.WriteString("\n")
 }
 
 // exclusionTexts are the texts for the reasons for which a candidate is not tried. Reasons of a later version of the VM are
--- a/internal/operator/commander/line_test.go
+++ b/internal/operator/commander/line_test.go
@@ -55,13 +55,15 @@
 }
 
 // startLineVM implements the script command linevm NAME FILE. It starts a VM of the users' platform that serves the file
-// as its status, and sets the environment variable NAME to its address.
+// as its status and as its explanation, and sets the environment variable NAME to its address.
 func startLineVM(ts *testscript.TestScript, _ bool, args []string) {
 	body := []byte(ts.ReadFile(args[1]))
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	ts.Check(err)
 	mux := http.NewServeMux()
-	mux.HandleFunc(inspector.Path, func(w http.ResponseWriter, _ *http.Request) { _, _ = w.Write(body) })
+	for _, path := range []string{inspector.Path, inspector.ExplainPath} {
+		mux.HandleFunc(path, func(w http.ResponseWriter, _ *http.Request) { _, _ = w.Write(body) })
+	}
 	server := &http.Server{Handler: mux}
 	go func() { _ = server.Serve(listener) }()
 	ts.Defer(func() { _ = server.Close() })
--- a/internal/operator/inspector/explain.go
+++ b/internal/operator/inspector/explain.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"errors"
 	"fmt"
 	"io"
 	"net/http"
@@ -205,11 +206,11 @@
 	var e Explanation
 	req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+address+ExplainPath+"?"+q.values().Encode(), http.NoBody)
 	if err != nil {
-		return e, classifier.Wrap(classifier.Invalid, err, "address of the VM")
+		return e, classifier.Wrap(classifier.Invalid, withoutURL(err), "address of the VM")
 	}
 	resp, err := c.Do(req)
 	if err != nil {
-		return e, classifier.Wrap(classifier.NotReady, err, "VM %s", address)
+		return e, classifier.Wrap(classifier.NotReady, withoutURL(err), "VM %s", address)
 	}
 	defer func() { _ = resp.Body.Close() }()
 	switch resp.StatusCode {
@@ -221,3 +222,12 @@
 	}
 	return e, classifier.New(classifier.Internal, "VM %s answered with HTTP status %d", address, resp.StatusCode)
 }
+
+// withoutURL returns the cause of a failed request without its URL, whose parameters may be a key by mistake.
+func withoutURL(err error) error {
+	var u *url.Error
+	if errors.As(err, &u) {
+		return u.Err
+	}
+	return err
+}
--- a/internal/statement/performer/explain.go
+++ b/internal/statement/performer/explain.go
@@ -1,6 +1,7 @@
 package performer
 
 import (
+	"slices"
 	"time"
 
 	"parsleyscale/internal/backend/allotter"
@@ -59,10 +60,22 @@
 		c.Forecast = p.cfg.Pool.Forecast(registrar.NewTarget(d.View.Instance).WithTeam(r.Team), r.Route.Priority, c.Longest)
 		plan.Candidates = append(plan.Candidates, c)
 	}
+	slices.SortStableFunc(plan.Candidates, func(a, b Candidate) int { return compareBool(a.Exclusion != "", b.Exclusion != "") })
 	plan.decide(e, hasPrimary)
 	return plan
 }
 
+// compareBool orders false before true.
+func compareBool(a, b bool) int {
+	switch {
+	case a == b:
+		return 0
+	case b:
+		return -1
+	}
+	return 1
+}
+
 // primaryExclusion returns why an instance does not get a request that only the primary serves, or "" if it does.
 func primaryExclusion(v registrar.View, primary string, isAccepting bool) string {
 	switch {
--- a/internal/team/limiter/limiter_test.go
+++ b/internal/team/limiter/limiter_test.go
@@ -102,3 +102,58 @@
 		}
 	})
 }
+
+// Guards against an explanation that takes a token, asks a holder or counts an operation, and against one that differs from
+// what Admit answers next.
+func TestExplainTakesNothing(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		var requests atomic.Int64
+		tokens := 1
+		l := newLimiter(5*time.Millisecond, func(q messenger.Request) messenger.Response {
+			requests.Add(1)
+			a := messenger.Response{Held: []int{0, 1, 2, 3, 4, 5, 6, 7}}
+			for range q.Asks {
+				a.Grants = append(a.Grants, messenger.Grant{Count: tokens, WaitMillis: 200})
+			}
+			return a
+		})
+		explain := func() View {
+			first, before := l.Explain(team), requests.Load()
+			rate := 0.0
+			if s := l.teams["t"]; s != nil {
+				rate = s.rate
+			}
+			for range 1000 {
+				if v := l.Explain(team); v.InHand != first.InHand || v.IsGranted != first.IsGranted || v.Wait != first.Wait {
+					t.Fatalf("explanation %+v, then %+v", first, v)
+				}
+			}
+			if s := l.teams["t"]; requests.Load() != before || s != nil && s.rate != rate {
+				t.Errorf("%d requests to holders, %v operations per second; want none and %v", requests.Load()-before, s.rate, rate)
+			}
+			return first
+		}
+		if v := explain(); len(l.teams) != 0 || v.IsGranted || v.Err != nil {
+			t.Errorf("team that has not been seen: %+v, %d teams are known; want a request to a holder and none", v, len(l.teams))
+		}
+		if err := l.Admit(t.Context(), team); err != nil {
+			t.Fatal(err)
+		}
+		l.mu.Lock()
+		s := l.teams["t"]
+		l.recordGrant(s, "vm", l.cfg.Clock(), messenger.Grant{Count: 2}, 2, nil)
+		l.mu.Unlock()
+		if v := explain(); v.InHand != 2 || !v.IsGranted {
+			t.Errorf("%+v, want 2 tokens in hand", v)
+		}
+		tokens = 0
+		time.Sleep(time.Second)
+		if err := l.Admit(t.Context(), team); !classifier.Is(err, classifier.Overloaded) {
+			t.Fatalf("%v, want overloaded", err)
+		}
+		v := explain()
+		if err := l.Admit(t.Context(), team); v.Err == nil || v.Err.Error() != err.Error() || classifier.RetryAfter(v.Err) != classifier.RetryAfter(err) || v.Holders[0].Address != "vm" || v.Holders[0].Wait == 0 {
+			t.Errorf("%+v, Admit refuses with %v; want the same, and a holder that is not asked", v, err)
+		}
+	})
+}
