--- a/internal/backend/allotter/allotter.go
+++ b/internal/backend/allotter/allotter.go
@@ -54,6 +54,8 @@
 	Route func(t carrier.Target, load float64) carrier.Target
 	// PeekRoute is Route without any effect, for Forecast; nil: t itself. It must not block.
 	PeekRoute func(t carrier.Target, load float64) carrier.Target
+	// PeekLimits is Limits without any effect, for Forecast; nil: Limits.
+	PeekLimits func(t carrier.Target) Limits
 	// ObserveWait is called when a request of a team has waited for at least LongTeamWait; may be nil. It must not block.
 	ObserveWait func(t carrier.Target, waited time.Duration)
 
@@ -123,7 +125,8 @@
 func (a *Allotter) Load(t carrier.Target) Load {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	return a.loadLocked(a.poolOf(t))
+	p := a.poolOf(t)
+	return p.load(a.maxInUse(p))
 }
 
 // Loads returns this VM's use of all instances, by instance name.
@@ -132,14 +135,14 @@
 	defer a.mu.Unlock()
 	m := make(map[string]Load, len(a.pools))
 	for id, p := range a.pools {
-		m[id] = a.loadLocked(p)
+		m[id] = p.load(a.maxInUse(p))
 	}
 	return m
 }
 
-// loadLocked returns the load of a pool. The caller holds a.mu.
-func (a *Allotter) loadLocked(p *instancePool) Load {
-	return Load{InUse: p.inUse(), Waiting: len(p.waiters), Idle: len(p.idle), Open: p.open, MaxInUse: a.maxInUse(p), InDialBackoff: p.open == 0 && p.inDialBackoff(), HasSustainedOverload: p.hasSustainedOverload(time.Now())}
+// load returns the load of the pool, of whose connections maxInUse may be in use.
+func (p *instancePool) load(maxInUse int) Load {
+	return Load{InUse: p.inUse(), Waiting: len(p.waiters), Idle: len(p.idle), Open: p.open, MaxInUse: maxInUse, InDialBackoff: p.open == 0 && p.inDialBackoff(), HasSustainedOverload: p.hasSustainedOverload(time.Now())}
 }
 
 // Acquire leases a connection to an instance; no transaction is open on it. It belongs to
@@ -448,7 +451,8 @@
 	return m
 }
 
-// closeIdleLoop closes connections at the end of their idle timeout, until Close.
+// closeIdleLoop closes connections at the end of their idle timeout, until Close. It also serves the queues: a request may
+// wait for the end of a pause between dials while all connections are idle in transactions, so that none is released.
 func (a *Allotter) closeIdleLoop() {
 	t := time.NewTicker(a.cfg.ExtraIdleTimeout / 2)
 	defer t.Stop()
@@ -463,6 +467,7 @@
 			p.closeIdleBefore(time.Now().Add(-a.cfg.IdleTimeout))
 			p.closeExtraIdle(time.Now().Add(-a.cfg.ExtraIdleTimeout))
 			p.dropUnused(time.Now())
+			a.serveWaiters(p)
 		}
 		a.mu.Unlock()
 	}
--- a/internal/backend/allotter/decision_test.go
+++ b/internal/backend/allotter/decision_test.go
@@ -39,6 +39,7 @@
 		{"all connections in transactions", snapshot{waiters: []request{want("c")}, open: 6}, action{}},
 		{"team with most connections in transactions", snapshot{idle: []idleConn{ago(0, "a"), ago(0, "b")}, teams: map[string]*teamUse{"a": {leased: 4}, "b": {}}, waiters: []request{want("a"), want("b")}, open: 6}, action{giveIdle, 1, 1}},
 		{"the only team, with most connections in transactions", snapshot{idle: []idleConn{ago(0, "a")}, teams: map[string]*teamUse{"a": {leased: 4}}, waiters: []request{want("a")}, open: 5}, action{giveIdle, 0, 0}},
+		{"the only team besides the VM itself", snapshot{idle: []idleConn{ago(0, "a")}, teams: map[string]*teamUse{"a": {leased: 4}, "": {isOwn: true}}, waiters: []request{want("a")}, open: 5}, action{giveIdle, 0, 0}},
 		{"team that held connections for less time", snapshot{idle: []idleConn{ago(0, "a"), ago(0, "b")}, teams: map[string]*teamUse{"a": {held: 1, heldAt: now}}, waiters: []request{want("a"), want("b")}, open: 2}, action{giveIdle, 1, 1}},
 		{"more urgent request of a team that held connections", snapshot{idle: []idleConn{ago(0, "a"), ago(0, "b")}, teams: map[string]*teamUse{"a": {held: 1, heldAt: now}}, waiters: []request{{team: "a", scope: scope{team: "a"}}, want("b")}, open: 2}, action{giveIdle, 0, 0}},
 	} {
@@ -184,3 +185,59 @@
 	c, err := f(t)
 	return c, tokenizer.Position{}, err
 }
+
+// A client keeps the only connection of its team in a transaction, so that no connection comes back. Guards against a request
+// of the team that waits until its deadline because nothing dials again after a failed or refused dial.
+func TestDialAgainWithoutReturns(t *testing.T) {
+	for _, kind := range []classifier.Kind{classifier.Timeout, classifier.TooManyConnections} {
+		synctest.Test(t, func(t *testing.T) {
+			dials := 0
+			a := New(Config{
+				Dialer: dialerFunc(func(carrier.Target) (carrier.Conn, error) {
+					time.Sleep(10 * time.Millisecond)
+					if dials++; dials == 2 {
+						return nil, classifier.New(kind, "no connection")
+					}
+					return &fakeConn{dialer: &fakeDialer{}}, nil
+				}),
+				Limits: func(carrier.Target) Limits { return Limits{Open: 9} }, Observe: func(carrier.Target, tokenizer.Position, time.Duration, error) {},
+			})
+			defer a.Close()
+			l, err := acquire(t, a, time.Second)
+			if err != nil {
+				t.Fatal(err)
+			}
+			defer l.Discard()
+			l.MarkIdleInTx()
+			start := time.Now()
+			second, err := acquire(t, a, 5*time.Second)
+			if err != nil || time.Since(start) > time.Second {
+				t.Fatalf("after a dial that failed with %s: %v after %s, want a connection within 1 s", kind, err, time.Since(start))
+			}
+			second.Release()
+		})
+	}
+}
+
+// Guards against a team that may use only a part of the connections because the VM itself sends commands to the instance.
+func TestOnlyTeamUsesAllConnections(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		a := newAllotter(&fakeDialer{}, 2)
+		defer a.Close()
+		command, err := a.Acquire(t.Context(), target.WithAnyTeam(), ControlPriority)
+		if err != nil {
+			t.Fatal(err)
+		}
+		time.Sleep(time.Second)
+		command.Release()
+		for n := range 2 {
+			ctx, cancel := context.WithTimeout(t.Context(), time.Second)
+			defer cancel()
+			l, err := a.Acquire(ctx, target.WithTeam("a"), 1)
+			if err != nil {
+				t.Fatalf("connection %d of 2: %v", n+1, err)
+			}
+			defer l.Discard()
+		}
+	})
+}
--- a/internal/backend/allotter/forecast.go
+++ b/internal/backend/allotter/forecast.go
@@ -27,16 +27,25 @@
 		t = a.cfg.PeekRoute(t, p.loadOf(t.Team))
 	}
 	r := newRequest(scopeOf(t), t, carrier.Urgency{Priority: priority})
-	limits := a.cfg.Limits(p.target)
-	n := p.answer(r, p.maxInUse(limits, a.cfg.LimitGrowInterval), p.maxOpen(limits, a.cfg.LimitGrowInterval), longest)
-	return Forecast{Target: t, Load: a.loadLocked(p), Open: p.openFor(r), Ahead: n.ahead, Wait: n.wait, IsIdle: n.idle >= 0, Err: n.err}
+	limits := a.peekLimits(p)
+	maxInUse := p.maxInUse(limits, a.cfg.LimitGrowInterval)
+	n := p.answer(r, maxInUse, p.maxOpen(limits, a.cfg.LimitGrowInterval), longest)
+	return Forecast{Target: t, Load: p.load(maxInUse), Open: p.openFor(r), Ahead: n.ahead, Wait: n.wait, IsIdle: n.idle >= 0, Err: n.err}
 }
 
 // Peek is Load without any effect.
 func (a *Allotter) Peek(t carrier.Target) Load {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	return a.loadLocked(a.copyOf(t))
+	p := a.copyOf(t)
+	return p.load(p.maxInUse(a.peekLimits(p), a.cfg.LimitGrowInterval))
+}
+
+func (a *Allotter) peekLimits(p *instancePool) Limits {
+	if a.cfg.PeekLimits != nil {
+		return a.cfg.PeekLimits(p.target)
+	}
+	return a.cfg.Limits(p.target)
 }
 
 // copyOf returns a copy of the pool of an instance as poolOf would leave it. It shares the elements of the pool, which the
--- a/internal/backend/allotter/forecast_test.go
+++ b/internal/backend/allotter/forecast_test.go
@@ -29,7 +29,7 @@
 			}
 		}()
 	}
-	time.Sleep(200 * time.Millisecond)
+	time.Sleep(DefaultExtraIdleTimeout/2 + 50*time.Millisecond) // between two rounds of closeIdleLoop, which serves the queue
 	return a, target
 }
 
--- a/internal/config/loader/line.go
+++ b/internal/config/loader/line.go
@@ -28,6 +28,9 @@
 	LimitWindow   Duration          `json:"limitWindow" doc:"window in which the operations of a team are counted against its limit; it must be the same on all VMs"`
 	LimitOverage  float64           `json:"limitOverage" doc:"fraction of a team's limit that may be exceeded in a window; it must be the same on all VMs"`
 	LimitSlack    float64           `json:"limitSlack" doc:"operations that a team may run above its limit in a window, in addition to the overage; it must be the same on all VMs"`
+	MemoryMB      int               `json:"memoryMB" doc:"memory of the VM in MB, from which the budgets for what clients occupy are derived; if 0, they are those of a large VM and the garbage collector has no limit"`
+
+	MaxDescriptors int `json:"maxDescriptors" doc:"file descriptors that the process may have open, from which the limit of connections is derived; if 0, that of a large VM applies"`
 }
 
 // DefaultLine returns the default values of the settings.
@@ -61,6 +64,8 @@
 		checkNotNegative("/limitOverage", s.LimitOverage),
 		checkNotNegative("/limitSlack", s.LimitSlack),
 		s.checkKeyRevocation(),
+		checkNotNegative("/memoryMB", float64(s.MemoryMB)),
+		checkNotNegative("/maxDescriptors", float64(s.MaxDescriptors)),
 		s.checkStop(),
 	} {
 		if f != nil {
--- a/internal/daemon/assembler/assembler.go
+++ b/internal/daemon/assembler/assembler.go
@@ -11,6 +11,7 @@
 	"time"
 
 	"parsleyscale/internal/backend/allotter"
+	"parsleyscale/internal/client/budgeter"
 	"parsleyscale/internal/config/loader"
 	"parsleyscale/internal/failure/classifier"
 	"parsleyscale/internal/group/claimer"
@@ -49,8 +50,8 @@
 	Store      Store
 	Limits     holder.Store // of the shards of the teams' limits
 	Dialer     carrier.Dialer
-	Accept     func(c net.Conn) conductor.ClientConn
-	AcceptPort func(c net.Conn) forwarder.Conn
+	Accept     func(c net.Conn, a *budgeter.Account) conductor.ClientConn
+	AcceptPort func(c net.Conn, a *budgeter.Account) forwarder.Conn
 	Promote    func(ctx context.Context, group, instance, holder string, token uint64) error
 
 	FormatError func(r carrier.Reply) string // returns the line by which a client is told of a refusal
@@ -63,6 +64,8 @@
 	RegistryTable      string
 	ParseEntry         func(id string, b []byte) (cataloger.Instance, error)
 
+	// UseBudget sets the budget that connections to instances account in; called before the first dial.
+	UseBudget func(b *budgeter.Budget)
 	// OnCall sets the function that is called after each call to the platform.
 	OnCall func(f func(call string, err error))
 	Clock  func() time.Duration // monotonic, and includes the time during which the VM was suspended
@@ -89,6 +92,7 @@
 	sourceAnswerAt atomic.Int64  // on Platform.Clock, when the store or another VM last answered; see silentFor
 
 	groups           *registrar.Registrar
+	budget           *budgeter.Budget // of what clients and other VMs' connections use
 	pool             *allotter.Allotter
 	gateways         *gatewayDialer
 	statementNames   namer.Namer
@@ -137,6 +141,8 @@
 	v := &VM{cfg: cfg, platform: p, log: log, registry: cataloger.Registry{}, registryLoaded: make(chan struct{}), teamsChanged: make(chan struct{}, 1)}
 	v.latestSettings.Store(&cfg)
 	v.recordSourceAnswer()
+	v.budget = budgeter.New(budgeter.LimitsFor(cfg.MemoryMB, cfg.MaxDescriptors), v.logBudget)
+	p.UseBudget(v.budget)
 	var err error
 	if v.meter, err = meter.NewLineMeter(v.gauges()...); err != nil {
 		return nil, err
@@ -151,7 +157,7 @@
 	v.departures = &departures{source: p.Store, table: p.RegistryTable, startedAt: time.Now()}
 	go v.members.refreshLoop(context.Background())
 	v.auditor = auditor.Start(p.Store, cfg.ID)
-	v.pool = allotter.New(allotter.Config{Dialer: v.gateways, Limits: v.gateways.connectionLimits, Observe: v.recordDial, Route: v.gateways.route, PeekRoute: v.gateways.peekRoute, ObserveWait: v.logTeamWait})
+	v.pool = allotter.New(allotter.Config{Dialer: v.gateways, Limits: v.gateways.connectionLimits, Observe: v.recordDial, Route: v.gateways.route, PeekRoute: v.gateways.peekRoute, PeekLimits: v.gateways.peekLimits, ObserveWait: v.logTeamWait})
 	controller := commander.Controller{Pool: v.pool, Parse: p.ParseCondition}
 	peers := commander.Peers{Dialer: p.Dialer, Addresses: v.gateways.linkAddresses, Parse: p.ParseCondition}
 	v.performer = performer.New(performer.Config{
@@ -187,7 +193,7 @@
 		return nil, err
 	}
 	v.sessionServer = conductor.NewServer(conductor.Config{
-		Listener: clientListener, Accept: p.Accept, Configuration: v.configuration.Load, Performer: v.performer, Clock: p.Clock, MaxSessions: cfg.Callers, Names: &v.statementNames, OnEnd: v.logSession, OnPanic: v.logPanic,
+		Listener: clientListener, Accept: p.Accept, Budget: v.budget, Configuration: v.configuration.Load, Performer: v.performer, Clock: p.Clock, MaxSessions: cfg.Callers, Names: &v.statementNames, OnEnd: v.logSession, OnPanic: v.logPanic,
 		Authentication: v.authentication(), SilentFor: v.silentFor, OnRefuse: v.recordTeamRefusal, Admitter: v.limits,
 	})
 	readyListener, err := net.Listen("tcp", cfg.ReadyAddress)
--- a/internal/daemon/assembler/gateway.go
+++ b/internal/daemon/assembler/gateway.go
@@ -79,9 +79,21 @@
 // replicas also hold connections. With a still higher limit, requests would queue at the instance instead of at the
 // gateways.
 func (d *gatewayDialer) connectionLimits(t carrier.Target) allotter.Limits {
+	return d.limitsWithout(t, d.hasFailed)
+}
+
+// peekLimits is connectionLimits, but dials no failed gateway again.
+func (d *gatewayDialer) peekLimits(t carrier.Target) allotter.Limits {
+	return d.limitsWithout(t, d.isMarkedFailed)
+}
+
+// limitsWithout returns the limits of connections to an instance whose gateways are usable unless hasFailed returns true.
+func (d *gatewayDialer) limitsWithout(t carrier.Target, hasFailed failedFunc) allotter.Limits {
 	list := d.gatewaysOf(t)
 	if len(list) > 0 && !d.isSelf(list) {
-		if !d.vm.hasTeams() {
+		// While all gateways have failed, the connections lead to the instance itself, which could not accept one for each team
+		// from each VM.
+		if !d.vm.hasTeams() || !hasUsable(t, list, hasFailed) {
 			return allotter.Limits{Open: maxConnectionsToGateways}
 		}
 		// Open links of each gateway, and of those without a team; no more in use than without teams.
@@ -209,7 +221,7 @@
 	if err != nil {
 		return err
 	}
-	v.forwardServer = forwarder.NewServer(forwarder.Config{Listener: ln, Accept: v.platform.AcceptPort, Pool: v.pool, Names: &v.statementNames, Find: v.findInstance, IsUnreachable: v.hasFailedAttempts, StopsAck: v.stopsAck, Now: v.platform.Clock, OnBegin: v.recordForwardedBegin, Sample: v.samplePosition, OnPanic: v.logPanic})
+	v.forwardServer = forwarder.NewServer(forwarder.Config{Listener: ln, Accept: v.platform.AcceptPort, Budget: v.budget, Pool: v.pool, Names: &v.statementNames, Find: v.findInstance, IsUnreachable: v.hasFailedAttempts, StopsAck: v.stopsAck, Now: v.platform.Clock, OnBegin: v.recordForwardedBegin, Sample: v.samplePosition, OnPanic: v.logPanic})
 	go v.forwardServer.Serve()
 	return nil
 }
--- a/internal/daemon/assembler/teamgateway.go
+++ b/internal/daemon/assembler/teamgateway.go
@@ -20,16 +20,22 @@
 
 // peekRoute is route, but dials no failed gateway again.
 func (d *gatewayDialer) peekRoute(t carrier.Target, load float64) carrier.Target {
-	return d.routeWithout(t, load, func(_ carrier.Target, address string) bool {
-		d.mu.Lock()
-		defer d.mu.Unlock()
-		_, ok := d.failed[address]
-		return ok
-	})
+	return d.routeWithout(t, load, d.isMarkedFailed)
+}
+
+// failedFunc reports whether a gateway of a target is to be skipped. It is hasFailed or isMarkedFailed.
+type failedFunc func(t carrier.Target, address string) bool
+
+// isMarkedFailed is hasFailed, but does not dial the gateway again.
+func (d *gatewayDialer) isMarkedFailed(_ carrier.Target, address string) bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	_, ok := d.failed[address]
+	return ok
 }
 
 // routeWithout returns the target with the gateway of a team, without those for which hasFailed returns true.
-func (d *gatewayDialer) routeWithout(t carrier.Target, load float64, hasFailed func(t carrier.Target, address string) bool) carrier.Target {
+func (d *gatewayDialer) routeWithout(t carrier.Target, load float64, hasFailed failedFunc) carrier.Target {
 	if t.Team == "" {
 		return t
 	}
@@ -96,6 +102,11 @@
 	return true
 }
 
+// hasUsable reports whether the latest dial of a gateway in list has not failed.
+func hasUsable(t carrier.Target, list []member, hasFailed failedFunc) bool {
+	return slices.ContainsFunc(list, func(g member) bool { return !hasFailed(t, g.LinkAddress) })
+}
+
 // probe dials a gateway that has failed.
 func (d *gatewayDialer) probe(t carrier.Target) {
 	ctx, cancel := context.WithTimeout(context.Background(), allotter.DefaultDialTimeout)
--- a/internal/daemon/assembler/teamgateway_test.go
+++ b/internal/daemon/assembler/teamgateway_test.go
@@ -135,6 +135,9 @@
 			if got := d.peekRoute(target, 0); got.Gateway != "" {
 				t.Fatalf("gateway %q, which has failed", got.Gateway)
 			}
+			if got := d.peekLimits(target); got.Open != maxConnectionsToGateways {
+				t.Fatalf("limits %+v without a usable gateway", got)
+			}
 		}
 		synctest.Wait()
 		if f.dials != 0 || len(d.probing) != 0 {
@@ -142,3 +145,36 @@
 		}
 	})
 }
+
+// Guards against VMs that open a connection to the instance itself for each of many teams while no gateway answers, so that it
+// refuses those of other VMs, and later those of its gateways.
+func TestLimitWithoutUsableGateway(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := &gatewayPlatformDialer{}
+		v := &VM{cfg: loader.LineSettings{ID: "vm0"}, platform: Platform{Dialer: f}, groups: registrar.New(func() time.Duration { return time.Second })}
+		v.members = newMembers(v.cfg, nil, nil)
+		v.members.isSettled = true
+		for k := range 60 {
+			v.members.vms = append(v.members.vms, member{ID: fmt.Sprintf("vm%d", k), DataCentre: "other", LinkAddress: fmt.Sprintf("link%d", k)})
+		}
+		v.members.vms[0].LinkAddress = "" // so that vm0 is not a gateway
+		c := cataloger.Configuration{Groups: map[string]cataloger.Group{"g": {MaxConnectionsPerInstance: 72}}}
+		v.configuration.Store(c.WithTeams([]cataloger.Team{{Name: "a"}, {Name: "b"}}))
+		v.groups.Update(cataloger.Registry{"i": {ID: "i", Group: "g", Address: "a", DataCentre: "d", Slots: 5}})
+		d := &gatewayDialer{vm: v, failed: map[string]time.Time{}, probing: map[string]bool{}}
+		target := carrier.Target{Instance: "i", Group: "g", Address: "a"}
+		list := d.gatewaysOf(target)
+		if l := d.connectionLimits(target); len(list) != maxGatewaysPerInstance || l.Open != maxConnectionsToGateways*(maxGatewaysPerInstance+1) {
+			t.Fatalf("%d gateways, limits %+v; want open links for each of %d gateways", len(list), l, maxGatewaysPerInstance)
+		}
+		for k, g := range list {
+			if l := d.connectionLimits(target); l.Open <= maxConnectionsToGateways {
+				t.Errorf("%d of %d gateways failed: limits %+v, want open links for each gateway", k, len(list), l)
+			}
+			d.recordFailedGateway(g.LinkAddress)
+		}
+		if l := d.connectionLimits(target); l.Open != maxConnectionsToGateways {
+			t.Errorf("all gateways failed: limits %+v, want at most %d connections", l, maxConnectionsToGateways)
+		}
+	})
+}
--- a/internal/statement/forwarder/server.go
+++ b/internal/statement/forwarder/server.go
@@ -7,10 +7,12 @@
 	"net"
 	"runtime/debug"
 	"strconv"
+	"strings"
 	"sync"
 	"time"
 
 	"parsleyscale/internal/backend/allotter"
+	"parsleyscale/internal/client/budgeter"
 	"parsleyscale/internal/failure/classifier"
 	"parsleyscale/internal/session/tokenizer"
 	"parsleyscale/internal/statement/carrier"
@@ -30,6 +32,10 @@
 	// overloadWaitDivisor divides the wait that another VM asks for under sustained overload of the instance. It leaves refused
 	// clients enough time to retry within their objective.
 	overloadWaitDivisor = 4
+	// maxUncountedReplyBytes is the size of replies up to which their memory is not accounted for.
+	maxUncountedReplyBytes = 4096
+	// replyCopies is how many times a reply is in memory: its rows, and the message with them.
+	replyCopies = 2
 	// statementPriority is the priority of statements without an urgency, except control commands.
 	statementPriority = 1
 )
@@ -48,7 +54,8 @@
 // Config holds the dependencies of a Server.
 type Config struct {
 	Listener net.Listener
-	Accept   func(c net.Conn) Conn
+	Accept   func(c net.Conn, a *budgeter.Account) Conn
+	Budget   *budgeter.Budget // of the process; nil for no limits
 	Pool     *allotter.Allotter
 	Names    *namer.Namer // names of prepared statements on all connections of the VM
 	// IsUnreachable reports whether the latest attempts of this VM to reach an instance failed.
@@ -97,7 +104,15 @@
 			time.Sleep(acceptRetryDelay)
 			continue
 		}
-		s.wg.Go(func() { s.run(s.cfg.Accept(conn)) })
+		account, err := s.cfg.Budget.OpenPeer(conn)
+		if err != nil {
+			_ = conn.Close()
+			continue
+		}
+		s.wg.Go(func() {
+			defer account.Close()
+			s.run(s.cfg.Accept(conn, account), account)
+		})
 	}
 }
 
@@ -116,7 +131,7 @@
 	s.wg.Wait()
 }
 
-func (s *Server) run(conn Conn) {
+func (s *Server) run(conn Conn, account *budgeter.Account) {
 	s.mu.Lock()
 	s.conns[conn] = true
 	s.mu.Unlock()
@@ -142,8 +157,10 @@
 	if conn.ReplyToStart(position, nil) != nil {
 		return
 	}
-	c := &proxyConn{server: s, conn: conn, target: target, values: map[string]string{}, prepared: map[string]carrier.Statement{}}
+	account.Started()
+	c := &proxyConn{server: s, conn: conn, account: account, target: target, values: map[string]string{}, prepared: map[string]carrier.Statement{}}
 	defer func() {
+		c.reset()
 		if c.lease != nil {
 			c.lease.Discard()
 		}
@@ -155,6 +172,7 @@
 type proxyConn struct {
 	server   *Server
 	conn     Conn
+	account  *budgeter.Account
 	target   carrier.Target
 	values   map[string]string            // session values
 	prepared map[string]carrier.Statement // by the other VM's name for the statement
@@ -165,16 +183,25 @@
 func (c *proxyConn) run() {
 	for {
 		cmd, err := c.conn.Receive()
-		if err != nil {
+		var reply carrier.Reply
+		switch {
+		case err == nil:
+			if reply, err = c.handle(cmd); err != nil {
+				return // closing the connection makes the other VM treat it as a lost connection to the instance
+			}
+		case classifier.Is(err, classifier.Overloaded):
+			reply = carrier.ErrorReplyFor(err).WithState(c.localReply().State)
+		default:
 			return
 		}
-		reply, err := c.handle(cmd)
-		if err != nil {
-			return // closing the connection makes the other VM treat it as a lost connection to the instance
+		if size := reply.Size(); size > maxUncountedReplyBytes && c.account.Reserve(budgeter.Answers, int64(replyCopies*size)) != nil {
+			return
 		}
 		if c.conn.Send(reply) != nil {
 			return
 		}
+		c.account.ReleaseAll(budgeter.Received)
+		c.account.ReleaseAll(budgeter.Answers)
 	}
 }
 
@@ -183,14 +210,11 @@
 func (c *proxyConn) handle(cmd carrier.Command) (carrier.Reply, error) {
 	switch cmd.Verb {
 	case carrier.Set:
-		c.values[cmd.Name] = cmd.Args
-		return c.localReply(), nil
+		return c.localReply(), c.setValue(cmd.Statement)
 	case carrier.Prepare:
-		c.prepared[cmd.Name] = cmd.WithName(c.server.cfg.Names.Name(cmd.Statement))
-		return c.localReply(), nil
+		return c.localReply(), c.prepare(cmd.Statement)
 	case carrier.Reset:
-		clear(c.values)
-		clear(c.prepared)
+		c.reset()
 		return c.localReply(), nil
 	case carrier.Rollback:
 		if c.lease == nil {
@@ -231,6 +255,45 @@
 	return carrier.Reply{Rows: []string{strconv.FormatInt(age.Milliseconds()+1, 10)}, Position: p}
 }
 
+// setValue sets a session value. It returns an error, which ends the connection, if there is no memory for it: the other VM
+// sends the statements that need it without waiting for the answer.
+func (c *proxyConn) setValue(st carrier.Statement) error {
+	if err := c.account.Keep(len(st.Name) + len(st.Args)); err != nil {
+		return err
+	}
+	if old, ok := c.values[st.Name]; ok {
+		c.account.Unkeep(len(st.Name) + len(old))
+	}
+	c.values[strings.Clone(st.Name)] = st.Args // a part of the name's text would keep all of the message
+	return nil
+}
+
+// prepare keeps a prepared statement. It returns an error like setValue.
+func (c *proxyConn) prepare(st carrier.Statement) error {
+	text, err := c.account.KeepText(st.Args)
+	if err != nil {
+		return err
+	}
+	if old, ok := c.prepared[st.Name]; ok {
+		c.account.UnkeepText(old.Args)
+	}
+	st.Args, st.ID = text, ""
+	c.prepared[strings.Clone(st.Name)] = st.WithName(c.server.cfg.Names.Name(st))
+	return nil
+}
+
+// reset gives up the session values and the prepared statements.
+func (c *proxyConn) reset() {
+	for name, value := range c.values {
+		c.account.Unkeep(len(name) + len(value))
+	}
+	for _, st := range c.prepared {
+		c.account.UnkeepText(st.Args)
+	}
+	clear(c.values)
+	clear(c.prepared)
+}
+
 // localReply returns the reply to a command that changes only the state of the connection.
 func (c *proxyConn) localReply() carrier.Reply {
 	if c.lease != nil {
@@ -253,17 +316,10 @@
 }
 
 func (c *proxyConn) acquire(cmd carrier.Command) (*allotter.Lease, error) {
-	timeout := acquireTimeout
-	if c.server.cfg.Pool.Load(c.target).HasSustainedOverload {
-		timeout = overloadAcquireTimeout
-	}
+	timeout := acquireWait(cmd.Urgency, c.server.cfg.Pool.Load(c.target).HasSustainedOverload)
 	u := carrier.Urgency{Priority: statementPriority}
 	if cmd.Urgency.Wait > 0 {
 		u = cmd.Urgency
-		isOverloaded := timeout == overloadAcquireTimeout
-		if timeout = min(u.Wait, maxAcquireTimeout); isOverloaded {
-			timeout = max(timeout/overloadWaitDivisor, overloadAcquireTimeout)
-		}
 	}
 	ctx, cancel := context.WithTimeout(c.server.ctx, timeout)
 	defer cancel()
@@ -273,6 +329,21 @@
 	return c.server.cfg.Pool.AcquireUrgent(ctx, c.target.WithTeam(cmd.Team), u)
 }
 
+// acquireWait returns how long a command may wait for a connection to the instance. Overload shortens the wait.
+func acquireWait(u carrier.Urgency, isOverloaded bool) time.Duration {
+	switch {
+	case u.Wait <= 0 && isOverloaded:
+		return overloadAcquireTimeout
+	case u.Wait <= 0:
+		return acquireTimeout
+	}
+	wait := min(u.Wait, maxAcquireTimeout)
+	if isOverloaded {
+		wait = min(wait, max(wait/overloadWaitDivisor, overloadAcquireTimeout))
+	}
+	return wait
+}
+
 // forward executes a command on the leased connection. It releases the connection once it is
 // outside a transaction, and discards it on an error.
 func (c *proxyConn) forward(cmd carrier.Command) (carrier.Reply, error) {
--- a/internal/telemetry/logger/event.go
+++ b/internal/telemetry/logger/event.go
@@ -61,6 +61,8 @@
 	TeamWaits         Event = "teamWaits"
 	TeamRefused       Event = "teamRefused"
 	TeamsInForce      Event = "teamsInForce"
+	ClientClosed      Event = "clientClosed"
+	ClientRefused     Event = "clientRefused"
 )
 
 // EventDescription describes one event.
@@ -122,6 +124,8 @@
 	{TeamWaits, "a request of a team has waited for at least 200 ms for a connection to an instance, with or without success; sampled for each team"},
 	{TeamRefused, "the operation of a caller was refused for its key, with the reason and the database; sampled"},
 	{TeamsInForce, "a configuration with teams is in force on this VM, with the numbers of teams and of keys"},
+	{ClientClosed, "the connection with the heaviest use and the slowest progress was chosen to be closed, because clients occupy more of a resource than the process may spend on them; sampled"},
+	{ClientRefused, "a connection or a request was refused, because clients occupy as much of a resource as the process may spend on them; sampled"},
 }
 
 // Table returns the descriptions of all events as a new slice.
