--- a/internal/backend/allotter/forecast.go
+++ b/internal/backend/allotter/forecast.go
@@ -13,7 +13,6 @@
 	Open   int           // open connections that can serve the request, including those being dialed
 	Ahead  int           // waiting requests that would be served before it
 	Wait   time.Duration // expected, without the time for a dial
-	IsIdle bool          // an idle connection would serve it at once
 	Err    error         // with which it would be rejected at once; nil if it would be served or may wait
 }
 
@@ -30,7 +29,7 @@
 	limits := a.peekLimits(p)
 	maxInUse := p.maxInUse(limits, a.cfg.LimitGrowInterval)
 	n := p.answer(r, maxInUse, p.maxOpen(limits, a.cfg.LimitGrowInterval), longest)
-	return Forecast{Target: t, Load: p.load(maxInUse), Open: p.openFor(r), Ahead: n.ahead, Wait: n.wait, IsIdle: n.idle >= 0, Err: n.err}
+	return Forecast{Target: t, Load: p.load(maxInUse), Open: p.openFor(r), Ahead: n.ahead, Wait: n.wait, Err: n.err}
 }
 
 // Peek is Load without any effect.
