--- a/internal/daemon/assembler/gateway.go
+++ b/internal/daemon/assembler/gateway.go
@@ -79,11 +79,21 @@
 // replicas also hold connections. With a still higher limit, requests would queue at the instance instead of at the
 // gateways.
 func (d *gatewayDialer) connectionLimits(t carrier.Target) allotter.Limits {
+	return d.limitsWithout(t, d.hasFailed)
+}
+
+// peekLimits is connectionLimits, but dials no failed gateway again.
+func (d *gatewayDialer) peekLimits(t carrier.Target) allotter.Limits {
+	return d.limitsWithout(t, d.isMarkedFailed)
+}
+
+// limitsWithout returns the limits of connections to an instance whose gateways are usable unless hasFailed returns true.
+func (d *gatewayDialer) limitsWithout(t carrier.Target, hasFailed failedFunc) allotter.Limits {
 	list := d.gatewaysOf(t)
 	if len(list) > 0 && !d.isSelf(list) {
 		// While all gateways have failed, the connections lead to the instance itself, which could not accept one for each team
 		// from each VM.
-		if !d.vm.hasTeams() || !d.hasUsable(t, list) {
+		if !d.vm.hasTeams() || !hasUsable(t, list, hasFailed) {
 			return allotter.Limits{Open: maxConnectionsToGateways}
 		}
 		// Open links of each gateway, and of those without a team; no more in use than without teams.
@@ -119,14 +129,7 @@
 	if t.Gateway != "" {
 		return d.dialGateway(ctx, t)
 	}
-	if t.Team != "" {
-		return d.vm.platform.Dialer.Dial(ctx, t)
-	}
-	list := d.gatewaysOf(t)
-	if len(list) == 0 || d.isSelf(list) {
-		return d.vm.platform.Dialer.Dial(ctx, t)
-	}
-	g, ok := d.pickGateway(list)
+	g, ok := d.gatewayAtDial(t)
 	if !ok {
 		return d.vm.platform.Dialer.Dial(ctx, t)
 	}
@@ -140,6 +143,18 @@
 	return conn, position, err
 }
 
+// gatewayAtDial returns the gateway that Dial chooses for a target without one, or false if it dials the instance itself.
+func (d *gatewayDialer) gatewayAtDial(t carrier.Target) (member, bool) {
+	if t.Team != "" {
+		return member{}, false
+	}
+	list := d.gatewaysOf(t)
+	if len(list) == 0 || d.isSelf(list) {
+		return member{}, false
+	}
+	return d.pickGateway(list)
+}
+
 func (d *gatewayDialer) recordFailedGateway(address string) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
--- a/internal/daemon/assembler/teamgateway.go
+++ b/internal/daemon/assembler/teamgateway.go
@@ -15,6 +15,27 @@
 // route returns the target with the gateway that this VM uses for the statements of a team at present. Statements without
 // a team leave the choice to Dial, because VMs of a version without teams accept them, too.
 func (d *gatewayDialer) route(t carrier.Target, load float64) carrier.Target {
+	return d.routeWithout(t, load, d.hasFailed)
+}
+
+// peekRoute is route, but dials no failed gateway again.
+func (d *gatewayDialer) peekRoute(t carrier.Target, load float64) carrier.Target {
+	return d.routeWithout(t, load, d.isMarkedFailed)
+}
+
+// failedFunc reports whether a gateway of a target is to be skipped. It is hasFailed or isMarkedFailed.
+type failedFunc func(t carrier.Target, address string) bool
+
+// isMarkedFailed is hasFailed, but does not dial the gateway again.
+func (d *gatewayDialer) isMarkedFailed(_ carrier.Target, address string) bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	_, ok := d.failed[address]
+	return ok
+}
+
+// routeWithout returns the target with the gateway of a team, without those for which hasFailed returns true.
+func (d *gatewayDialer) routeWithout(t carrier.Target, load float64, hasFailed failedFunc) carrier.Target {
 	if t.Team == "" {
 		return t
 	}
@@ -24,7 +45,7 @@
 	}
 	i, _ := d.vm.groups.Group(t.Group).View(t.Instance)
 	n := gatewaysForLoad(load*float64(d.vm.members.count()), gatewayInUse(i.Slots))
-	g, ok := chooseTeamGateway(list, t.Team, d.vm.cfg.ID, n, func(g member) bool { return d.hasFailed(t, g.LinkAddress) })
+	g, ok := chooseTeamGateway(list, t.Team, d.vm.cfg.ID, n, func(g member) bool { return hasFailed(t, g.LinkAddress) })
 	if !ok {
 		return t
 	}
@@ -82,8 +103,8 @@
 }
 
 // hasUsable reports whether the latest dial of a gateway in list has not failed.
-func (d *gatewayDialer) hasUsable(t carrier.Target, list []member) bool {
-	return slices.ContainsFunc(list, func(g member) bool { return !d.hasFailed(t, g.LinkAddress) })
+func hasUsable(t carrier.Target, list []member, hasFailed failedFunc) bool {
+	return slices.ContainsFunc(list, func(g member) bool { return !hasFailed(t, g.LinkAddress) })
 }
 
 // probe dials a gateway that has failed.
--- a/internal/statement/performer/write.go
+++ b/internal/statement/performer/write.go
@@ -11,21 +11,21 @@
 
 // Write executes a write outside a transaction on the primary.
 func (p *Performer) Write(ctx context.Context, r Request) carrier.Reply {
-	deadline := r.ArrivedAt.Add(r.timeout())
+	deadline := r.ArrivedAt.Add(r.Timeout())
 	ctx, cancel := context.WithDeadline(ctx, deadline)
 	defer cancel()
 	e := p.newExecution(r)
 	for {
 		v, ok := e.awaitPrimary(ctx)
 		if !ok {
-			return e.refuse(classifier.NoPrimary, "no primary is available")
+			return e.refuse(classifier.NoPrimary, textNoPrimary)
 		}
 		reply, isFinal := e.writeTo(ctx, v, deadline)
 		if isFinal {
 			return reply
 		}
 		if e.acquireErr != nil || !e.backOff(ctx) {
-			return e.refuse(classifier.Overloaded, "primary did not accept the write in time")
+			return e.refuse(classifier.Overloaded, textWriteNot)
 		}
 	}
 }
