Ask the first VM of a shard before the table of limits is read again

Each VM read the table at its start and once more for the shards that were free then; after its first claim in vain a VM waits until it knows the others.

--- a/internal/team/holder/holder.go
+++ b/internal/team/holder/holder.go
@@ -29,6 +29,8 @@
 	// checkInterval is the time between two requests by which a VM notices that the holder of a shard is gone. It grows with the
 	// rank of the VM for the shard, so that a shard costs only some requests a second in a large deployment.
 	checkInterval = 5 * time.Second
+	// freeCheckInterval is the time between two requests to the VM that ranks first for a shard whose row was free when it was read.
+	freeCheckInterval = time.Second
 	// readInterval is the time between two reads of the table while the holder of a shard does not answer.
 	readInterval = 10 * time.Second
 	// readRetryInterval is the time between two attempts to read the table for the first time.
@@ -276,13 +278,15 @@
 	if !isRead {
 		return
 	}
+	if areKnown {
+		h.check(ctx) // a shard that is held by now needs no read of the table
+	}
 	if d := h.decide(); len(d.Claim)+len(d.Renew) > 0 {
 		h.write(ctx, d)
 	} else if d.Read {
 		h.readAtMostEvery(ctx, time.Second)
 	}
 	if areKnown {
-		h.check(ctx)
 		h.handOver(ctx, first)
 	}
 	if now := h.cfg.Clock(); now-h.evictedAt > time.Minute {
@@ -307,11 +311,11 @@
 }
 
 // firstChoice returns the shard to claim while the other VMs are not known: one of the own region that is free, and after some time
-// any that is free. It returns -1 before this VM's turn. The caller holds h.mu.
+// any that is free. It returns -1 before this VM's turn, and after its first attempt. The caller holds h.mu.
 func (h *Holder) firstChoice(now time.Duration) int {
 	place := sharder.Fraction(h.cfg.Self.ID) * max(0, 1-h.cfg.Self.CoreShare/2)
 	turn := h.startedAt + time.Duration(float64(startJitter)*place)
-	if place >= earlyShare || now < turn || h.view.RenewedAt > 0 && now-h.view.RenewedAt < startJitter {
+	if place >= earlyShare || now < turn || h.view.AttemptedAt > 0 {
 		return -1
 	}
 	choice := -1
@@ -465,6 +469,10 @@
 	for shard, r := range h.view.Rows {
 		rank := time.Duration(max(h.view.Ranks[shard], 0))
 		isOwn := r.Holder == h.cfg.Self.ID && r.Start == h.cfg.Start
+		if r.isFree() && rank > 0 && now-h.checkedAt[shard] >= freeCheckInterval {
+			h.checkedAt[shard] = now
+			due[h.first[shard].Address] = append(due[h.first[shard].Address], shard)
+		}
 		if isOwn || r.Holder == "" {
 			continue
 		}
@@ -483,8 +491,12 @@
 		h.mu.Lock()
 		for _, shard := range shards {
 			switch isHeld := err == nil && slices.Contains(a.Held, shard); {
+			case isHeld && h.view.Rows[shard].isFree():
+				// The row has not been read since, which is not needed as long as the holder answers.
+				h.view.Rows[shard] = SeenRow{Row: Row{Holder: h.first[shard].ID, Address: address}, SeenAt: now}
 			case isHeld:
 				h.silentSince[shard] = 0
+			case h.view.Rows[shard].isFree():
 			case h.silentSince[shard] == 0:
 				h.silentSince[shard] = now
 			}
