--- a/internal/platform/replicator/replicator.go
+++ b/internal/platform/replicator/replicator.go
@@ -63,18 +63,54 @@
 	return &TableCopy{freshness: freshness, changed: make(chan struct{})}
 }
 
-// Replace replaces the copy by all rows of the table at a version, and drops the kept changes.
+// Replace replaces the copy by all rows of the table at a version. If the copy was of an earlier version of the same era, the
+// differences are kept as changes, so that the VMs that follow the copy need not read the table when the store forgets its
+// history.
 func (c *TableCopy) Replace(rows []follower.Row, version uint64) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	old := c.rows
 	c.rows = make(map[string]follower.Row, len(rows))
 	for _, r := range rows {
 		c.rows[r.Key] = r
 	}
-	c.changes, c.historyStart, c.version = nil, version, version
+	if old != nil && version >= c.version && follower.EraOf(version) == follower.EraOf(c.version) {
+		c.appendChanges(differences(old, c.rows, version))
+	} else {
+		c.changes, c.historyStart = nil, version
+	}
+	c.version = version
 	c.notify()
 }
 
+// differences returns the changes that lead from one state of a table to another at a version, oldest first.
+func differences(old, present map[string]follower.Row, version uint64) []follower.Row {
+	var changes []follower.Row
+	for key, r := range present {
+		if before, ok := old[key]; !ok || before.Version != r.Version {
+			changes = append(changes, r)
+		}
+	}
+	for key := range old {
+		if _, ok := present[key]; !ok {
+			changes = append(changes, follower.Row{Key: key, Version: version, IsRemoved: true})
+		}
+	}
+	slices.SortFunc(changes, func(a, b follower.Row) int {
+		return cmp.Or(cmp.Compare(a.Version, b.Version), cmp.Compare(a.Key, b.Key))
+	})
+	return changes
+}
+
+// appendChanges adds the latest changes to the kept ones. The caller holds c.mu.
+func (c *TableCopy) appendChanges(rows []follower.Row) {
+	c.changes = append(c.changes, rows...)
+	if excess := len(c.changes) - maxKeptChanges; excess > 0 {
+		c.historyStart = c.changes[excess-1].Version
+		c.changes = append([]follower.Row(nil), c.changes[excess:]...)
+	}
+}
+
 // Apply applies changes that bring the table to a version. Replace must have been called before.
 func (c *TableCopy) Apply(rows []follower.Row, version uint64) {
 	c.mu.Lock()
@@ -86,11 +122,7 @@
 			c.rows[r.Key] = r
 		}
 	}
-	c.changes = append(c.changes, rows...)
-	if excess := len(c.changes) - maxKeptChanges; excess > 0 {
-		c.historyStart = c.changes[excess-1].Version
-		c.changes = append([]follower.Row(nil), c.changes[excess:]...)
-	}
+	c.appendChanges(rows)
 	c.version = max(c.version, version)
 	if len(rows) > 0 {
 		c.notify()
--- a/internal/platform/replicator/replicator_test.go
+++ b/internal/platform/replicator/replicator_test.go
@@ -14,7 +14,9 @@
 	"testing"
 	"time"
 
+	"github.com/google/go-cmp/cmp"
 	"parsleyscale/internal/clock/sleeper"
+
 	"parsleyscale/internal/failure/classifier"
 	"parsleyscale/internal/platform/follower"
 )
@@ -435,3 +437,22 @@
 		t.Errorf("%d calls to the store, want none", store.calls)
 	}
 }
+
+// Guards against a read of the whole table by every VM after the store has forgotten its history and the readers have read the
+// table again.
+func TestChangesAfterTableIsReadAgain(t *testing.T) {
+	c := NewTableCopy(DefaultFreshness)
+	c.Replace([]follower.Row{{Key: "a", Version: 3}, {Key: "b", Version: 4}, {Key: "c", Version: 5}}, 5)
+	c.ConfirmFresh()
+	c.Replace([]follower.Row{{Key: "a", Version: 3}, {Key: "b", Version: 8}, {Key: "d", Version: 7}}, 9)
+	p, _, err := c.freshChanges(5)
+	want := []follower.Row{{Key: "d", Version: 7}, {Key: "b", Version: 8}, {Key: "c", Version: 9, IsRemoved: true}}
+	if diff := cmp.Diff(want, p.Rows); err != nil || diff != "" || p.Version != 9 {
+		t.Errorf("changes after version 5: %v, version %d, error %v", p.Rows, p.Version, err)
+	}
+	later := follower.VersionAt(1, 2)
+	c.Replace([]follower.Row{{Key: "a", Version: later}}, later)
+	if _, _, err := c.freshChanges(9); err == nil {
+		t.Error("the changes of a restored store continue those of the store before")
+	}
+}
