--- a/cmd/parsleyline/main.go
+++ b/cmd/parsleyline/main.go
@@ -43,6 +43,10 @@
 	}
 }
 
+// gcPercent is the growth of the heap between two collections on a VM whose memory is known. The live heap is a few MB, so that more
+// frequent collections cost little: at 40 instead of 100, a fifth less memory for 7% more processor time (lonestar quiet-1, 89 VMs).
+const gcPercent = 40
+
 func run(o options) error {
 	cfg, err := loader.LoadLine(o.Settings)
 	if err != nil || o.Check {
@@ -50,6 +54,7 @@
 	}
 	if cfg.MemoryMB > 0 {
 		debug.SetMemoryLimit(budgeter.MemoryLimit(cfg.MemoryMB))
+		debug.SetGCPercent(gcPercent)
 	}
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
 	defer stop()
