--- a/internal/team/limiter/limiter.go
+++ b/internal/team/limiter/limiter.go
@@ -101,6 +101,7 @@
 
 // waiter is an operation that waits for a token.
 type waiter struct {
+	since  time.Duration // when it began to wait
 	result chan error
 }
 
@@ -147,7 +148,7 @@
 		l.mu.Unlock()
 		return err
 	}
-	w := &waiter{result: make(chan error, 1)}
+	w := &waiter{since: now, result: make(chan error, 1)}
 	s.waiting = append(s.waiting, w)
 	l.request(s, now)
 	l.mu.Unlock()
@@ -275,14 +276,21 @@
 	}
 }
 
-// recordGrant takes in the answer of a holder to a request for count tokens and returns how many it granted. The caller holds l.mu.
+// recordGrant takes in the answer of a holder to a request for count tokens and returns how many it granted. An answer that arrives
+// after the lifetime of its tokens, but within the delay that operations may have, serves only those that waited when the request
+// was sent. The caller holds l.mu.
 func (l *Limiter) recordGrant(s *state, address string, sentAt time.Duration, g messenger.Grant, count int, err error) int {
 	now := l.cfg.Clock()
-	if err != nil || now >= sentAt+l.cfg.TokenLifetime {
+	if err != nil || now >= sentAt+max(l.cfg.TokenLifetime, sharder.MaxArrivalDelay) {
 		return 0 // tokens that arrive too late are lost
 	}
 	granted := min(max(g.Count, 0), count)
-	if granted > 0 {
+	if now >= sentAt+l.cfg.TokenLifetime {
+		for k := 0; k < granted && len(s.waiting) > 0 && s.waiting[0].since <= sentAt; k++ {
+			s.waiting[0].result <- nil
+			s.waiting = s.waiting[1:]
+		}
+	} else if granted > 0 {
 		s.hand = append(s.hand, tokens{count: granted, expiresAt: sentAt + l.cfg.TokenLifetime})
 		for len(s.waiting) > 0 && s.take(now) {
 			s.waiting[0].result <- nil
--- a/internal/team/messenger/messenger.go
+++ b/internal/team/messenger/messenger.go
@@ -18,7 +18,7 @@
 const (
 	// Timeout bounds a request. A VM that does not answer is likely to be down, and the next holder must be asked while the
 	// client still waits.
-	Timeout = 100 * time.Millisecond
+	Timeout = 150 * time.Millisecond
 	// maxBodyBytes bounds a message. A request names each team of a VM at most once.
 	maxBodyBytes = 256 << 10
 )
