Pace instances that start or recover, and avoid faulty ones by window

The limit of connections in use at an instance begins at this pool's share of the slots after a start, a restart, a promotion or a recovery, and grows with responses while these do not show a queue. Outside of such a ramp, the limit is the usual one, lowered by refusals as before.

An instance is judged by its recent outcomes compared with its peers, and by its silence, instead of by one failure. Gateways, through which the statements of all VMs pass, refuse reads that another instance can serve, except for one probe at a time; no read older than 60 ms is refused, and none at a primary.

--- a/internal/backend/allotter/allotter.go
+++ b/internal/backend/allotter/allotter.go
@@ -20,6 +20,7 @@
 	"sync"
 	"time"
 
+	"parsleyscale/internal/backend/pacer"
 	"parsleyscale/internal/failure/classifier"
 	"parsleyscale/internal/session/tokenizer"
 	"parsleyscale/internal/statement/carrier"
@@ -54,6 +55,9 @@
 	Route func(t carrier.Target, load float64) carrier.Target
 	// ObserveWait is called when a request of a team has waited for at least LongTeamWait; may be nil. It must not block.
 	ObserveWait func(t carrier.Target, waited time.Duration)
+	// ObserveRamp is called when the limit of an instance has been lowered because it started or recovered; may be nil. It must
+	// not block, and must not call the allotter.
+	ObserveRamp func(t carrier.Target, reason pacer.Reason)
 
 	DialTimeout       time.Duration
 	IdleTimeout       time.Duration // a connection that is idle for longer is closed
@@ -67,6 +71,16 @@
 	Open    int // open connections
 	InUse   int // connections in use, without those idle in a transaction; 0: Open
 	Dialing int // maximum concurrent dials; 0: only the built-in limit (the number of established connections, at least 1)
+
+	Instance pacer.Instance // for the pace at which an instance that has started gets load; zero: no pace
+}
+
+// usual returns how many connections statements may have in use at once when maxOpen may be open, unless the instance is paced.
+func (l Limits) usual(maxOpen int) int {
+	if l.InUse > 0 {
+		return min(maxOpen, l.InUse)
+	}
+	return maxOpen
 }
 
 // Allotter is the pool of a VM's connections to all instances.
@@ -112,6 +126,11 @@
 
 	InDialBackoff        bool // no connection is open, and dials are suspended because the instance refused one
 	HasSustainedOverload bool // the instance has been overloaded for some time
+
+	Ramp    pacer.Reason  // why MaxInUse is lowered after a start or a recovery; empty: it is not
+	Silence time.Duration // for which no connection in use has been answered; 0: none is in use, or they lead to a gateway
+
+	MeanHoldTime time.Duration // mean time for which a request keeps a connection
 }
 
 // IsFree reports whether a request would get a connection without waiting behind others.
@@ -137,7 +156,7 @@
 
 // loadLocked returns the load of a pool. The caller holds a.mu.
 func (a *Allotter) loadLocked(p *instancePool) Load {
-	return Load{InUse: p.inUse(), Waiting: len(p.waiters), Idle: len(p.idle), Open: p.open, MaxInUse: a.maxInUse(p), InDialBackoff: p.open == 0 && p.inDialBackoff(), HasSustainedOverload: p.hasSustainedOverload(time.Now())}
+	return Load{Ramp: p.pace.Ramp(), Silence: p.silence(time.Now()), MeanHoldTime: p.meanHoldTime, InUse: p.inUse(), Waiting: len(p.waiters), Idle: len(p.idle), Open: p.open, MaxInUse: a.maxInUse(p), InDialBackoff: p.open == 0 && p.inDialBackoff(), HasSustainedOverload: p.hasSustainedOverload(time.Now())}
 }
 
 // Acquire leases a connection to an instance; no transaction is open on it. It belongs to
@@ -177,6 +196,7 @@
 	}
 	p := a.poolOf(t)
 	limits := a.cfg.Limits(p.target)
+	a.updatePace(p, limits)
 	maxInUse := p.maxInUse(limits, a.cfg.LimitGrowInterval)
 	r := a.newRequest(p, t, u)
 	if p.inUse() < maxInUse && len(p.waiters) == 0 && !hasMaxLeased(p.teams, r, p.maxOpen(limits, a.cfg.LimitGrowInterval)) {
@@ -260,6 +280,7 @@
 	}
 	a.routeWaiters(p)
 	limits := a.cfg.Limits(p.target)
+	a.updatePace(p, limits)
 	for len(p.waiters) > 0 {
 		switch d := decide(p.snapshot(limits, a.cfg.LimitGrowInterval, !a.closed)); d.kind {
 		case giveIdle:
@@ -338,7 +359,11 @@
 		return
 	}
 	p.stats.Opened++
-	p.dialBackoff, p.dialsFailingSince = 0, time.Time{}
+	if !p.dialsFailingSince.IsZero() {
+		a.startRamp(p)
+	}
+	p.pace = p.pace.WithConnection(p.usual)
+	p.dialBackoff, p.dialsFailingSince, p.answeredAt = 0, time.Time{}, time.Now()
 	// After an accepted connection, the instance may have room for another one.
 	p.reducedLimit = max(p.reducedLimit, p.open+1)
 	l := &Lease{allotter: a, pool: p, target: t, scope: scopeOf(t), conn: conn, sessionValues: map[string]string{}, prepared: map[string]bool{}, lastUsedAt: time.Now()}
@@ -392,26 +417,39 @@
 }
 
 // RecordOverload records that an instance rejected a statement because of overload, and
-// shrinks the congestion window of the instance.
+// lowers the limit of the connections in use at the instance.
 func (a *Allotter) RecordOverload(t carrier.Target) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	p := a.poolOf(t)
 	p.recordOverload(time.Now())
-	p.congestionWindow = max(minCongestionWindow, min(p.congestionWindow, float64(a.maxOpen(p)))*congestionWindowDecrease)
+	p.pace = p.pace.WithRefusal(time.Now(), a.maxOpen(p))
 }
 
-// The congestion window limits the connections to an instance that are in use at once. It
-// shrinks by a factor with each rejected statement, and grows slowly with each request served.
-const (
-	minCongestionWindow = 2.0    // connections
-	maxCongestionWindow = 1000.0 // connections; also the initial window
-	// congestionWindowDecrease is the factor that is applied for a rejected statement.
-	congestionWindowDecrease = 0.7
-	// congestionWindowGrowth is the growth, in connections, over as many served
-	// requests as the window is wide.
-	congestionWindowGrowth = 0.2
-)
+// startRamp begins the ramp of an instance that has failed and answers again. The caller holds a.mu.
+func (a *Allotter) startRamp(p *instancePool) {
+	p.pace = p.pace.WithRamp(time.Now(), pacer.Recovered, p.usual)
+	p.beginRamp()
+	a.observeRamp(p)
+}
+
+// observeRamp reports that a ramp has begun. The caller holds a.mu.
+func (a *Allotter) observeRamp(p *instancePool) {
+	if r := p.pace.Ramp(); r != "" && a.cfg.ObserveRamp != nil {
+		a.cfg.ObserveRamp(p.target, r)
+	}
+}
+
+// updatePace applies the latest description of the instance. The caller holds a.mu.
+func (a *Allotter) updatePace(p *instancePool, l Limits) {
+	before := p.pace
+	p.usual = l.usual(p.maxOpen(l, a.cfg.LimitGrowInterval))
+	p.pace = before.WithInstance(time.Now(), l.Instance, p.usual)
+	if p.pace.BeganRampSince(before) {
+		p.beginRamp()
+		a.observeRamp(p)
+	}
+}
 
 // maxOpen returns how many connections may be open under the current limits. The caller holds a.mu.
 func (a *Allotter) maxOpen(p *instancePool) int {
--- a/internal/backend/allotter/instance_pool.go
+++ b/internal/backend/allotter/instance_pool.go
@@ -7,6 +7,7 @@
 	"slices"
 	"time"
 
+	"parsleyscale/internal/backend/pacer"
 	"parsleyscale/internal/failure/classifier"
 	"parsleyscale/internal/statement/carrier"
 )
@@ -29,7 +30,12 @@
 	idleInTx          int           // leased and idle in a transaction
 	waiters           []*waiter     // ordered by effectiveArrival
 	meanHoldTime      time.Duration // moving average of the time for which a request keeps a connection
-	congestionWindow  float64       // connections that may be in use at once, adapted to overload replies
+	pace              pacer.Pace    // limits the connections in use after a start, a recovery or an overload reply
+	rampNumber        int           // number of ramps so far
+	staleInUse        int           // connections in use since before the latest ramp
+	usual             int           // limit of the connections in use without the pace, when it was last computed
+	answeredAt        time.Time     // when the instance last answered a request or a dial
+	busySince         time.Time     // when a connection was last taken while none was in use
 	noDialUntil       time.Time     // end of the back-off after a refused connection
 	dialBackoff       time.Duration // back-off after the latest refusal; zero after a successful dial
 	reducedLimit      int           // limit that the latest refusal set, raised by connections accepted since
@@ -79,7 +85,7 @@
 func (a *Allotter) poolOf(t carrier.Target) *instancePool {
 	p, ok := a.pools[t.Instance]
 	if !ok {
-		p = &instancePool{target: t.WithTeam("").WithGateway(""), scopes: map[scope]*scopeUse{}, teams: map[string]*teamUse{}, meanHoldTime: initialHoldTime, congestionWindow: maxCongestionWindow}
+		p = &instancePool{target: t.WithTeam("").WithGateway(""), scopes: map[scope]*scopeUse{}, teams: map[string]*teamUse{}, meanHoldTime: initialHoldTime}
 		a.pools[t.Instance] = p
 	}
 	if p.target.Address != t.Address {
@@ -105,8 +111,9 @@
 // takeIdle takes idle connection k out of the pool for a request.
 func (p *instancePool) takeIdle(k int, r request) *Lease {
 	l := p.idle[k]
+	p.recordUse(time.Now())
 	p.idle = slices.Delete(p.idle, k, k+1)
-	l.team, l.teamConn, l.holdStart = r.team, teamConn{l.conn, r.team}, time.Now()
+	l.team, l.teamConn, l.holdStart, l.rampNumber = r.team, teamConn{l.conn, r.team}, time.Now(), p.rampNumber
 	p.scopeUse(l.scope).recordReturn(l.holdStart)
 	u := p.teamUse(r.team)
 	u.inUse++
@@ -142,6 +149,9 @@
 
 // endUse records that a connection is no longer in use for its team.
 func (p *instancePool) endUse(l *Lease) {
+	if l.rampNumber != p.rampNumber && p.staleInUse > 0 {
+		p.staleInUse--
+	}
 	u := p.teamUse(l.team)
 	u.inUse--
 	u.recordHold(time.Now(), time.Since(l.holdStart))
@@ -215,6 +225,9 @@
 		return nil
 	}
 	ahead := p.requestsAhead(r)
+	if p.pace.Ramp() != "" {
+		maxInUse = max(maxInUse, p.pace.ExpectedLimit(p.usual))
+	}
 	if wait := p.estimateWait(ahead, maxInUse); wait > time.Until(d) {
 		p.recordOverload(time.Now())
 		return withRetryAfter(wait, classifier.New(classifier.Overloaded, "%s is overloaded: %d requests are ahead in the queue for %d usable connections", p.target.Instance, ahead, maxInUse))
@@ -287,14 +300,12 @@
 }
 
 // maxInUseByStatements returns how many connections statements may use at once. This is
-// less than maxOpen after the instance rejected statements for overload, or when
-// Limits.InUse is lower, as further statements would only queue at the instance.
+// less than maxOpen after the instance rejected statements for overload, started or recovered, or
+// when Limits.InUse is lower, as further statements would only queue at the instance.
 func (p *instancePool) maxInUseByStatements(l Limits, growInterval time.Duration) int {
-	n := p.maxOpen(l, growInterval)
-	if l.InUse > 0 {
-		n = min(n, l.InUse)
-	}
-	return max(1, min(n, int(p.congestionWindow)))
+	usual := l.usual(p.maxOpen(l, growInterval))
+	// Connections in use since before the ramp may get no answer any more, and must not keep others from being opened.
+	return min(usual, p.pace.Limit(usual)+p.staleInUse)
 }
 
 // withRetryAfter adds to err the time after which to repeat the request. IsRejected and IsUnreachable
@@ -435,8 +446,38 @@
 	p.noDialUntil = time.Now().Add(p.dialBackoff/2 + rand.N(p.dialBackoff))
 }
 
-// recordHoldTime records for how long a request kept a connection, and widens the congestion window.
+// recordHoldTime records for how long a request kept a connection, which has been answered.
 func (p *instancePool) recordHoldTime(d time.Duration) {
 	p.meanHoldTime += time.Duration(holdTimeWeight * float64(d-p.meanHoldTime))
-	p.congestionWindow = min(maxCongestionWindow, p.congestionWindow+congestionWindowGrowth/max(1, p.congestionWindow))
+	p.answeredAt = time.Now()
+	p.pace = p.pace.WithResponse(p.answeredAt, d, p.inUse(), p.usual)
+}
+
+// beginRamp applies the beginning of a ramp to the connections in use, and lowers the mean hold time. While statements queue at an
+// instance, the hold time grows with the number of connections in use; the mean of the time before would make requests be refused
+// that can be served.
+func (p *instancePool) beginRamp() {
+	p.rampNumber++
+	p.staleInUse = p.inUse()
+	scaled := p.meanHoldTime * time.Duration(p.pace.ExpectedLimit(p.usual)) / time.Duration(max(1, p.usual))
+	p.meanHoldTime = max(min(p.meanHoldTime, initialHoldTime), scaled)
+}
+
+// recordUse records that a connection is about to be in use.
+func (p *instancePool) recordUse(now time.Time) {
+	if p.inUse() == 0 {
+		p.busySince = now
+	}
+}
+
+// silence returns for how long no connection in use has been answered. It is 0 if none is in use, or if they lead to a gateway,
+// where statements may wait for a connection.
+func (p *instancePool) silence(now time.Time) time.Duration {
+	if p.inUse() == 0 || !p.pace.IsDirect() {
+		return 0
+	}
+	if p.busySince.After(p.answeredAt) {
+		return now.Sub(p.busySince)
+	}
+	return now.Sub(p.answeredAt)
 }
--- a/internal/backend/allotter/lease.go
+++ b/internal/backend/allotter/lease.go
@@ -29,6 +29,8 @@
 	sessionValues map[string]string // session values set on this connection
 	prepared      map[string]bool   // names of the statements prepared on this connection
 
+	rampNumber int // instancePool.rampNumber when the connection was last taken, or resumed its transaction
+
 	isIdleInTx bool // guarded by Allotter.mu
 }
 
@@ -93,8 +95,12 @@
 func (l *Lease) MarkActive() {
 	l.allotter.mu.Lock()
 	defer l.allotter.mu.Unlock()
+	if l.isIdleInTx {
+		l.pool.recordUse(time.Now())
+	}
 	if l.pool.endIdleInTx(l) {
 		l.pool.teamUse(l.team).inUse++
+		l.rampNumber = l.pool.rampNumber
 	}
 	l.holdStart = time.Now()
 }
@@ -118,6 +124,9 @@
 func (l *Lease) discardWithIdle() {
 	l.allotter.mu.Lock()
 	now := time.Now()
+	if l.conn.IsBroken() {
+		l.allotter.startRamp(l.pool)
+	}
 	l.pool.closeIdleIf(func(idle *Lease) bool {
 		return idle.scope.gateway == l.scope.gateway && idle.lastUsedAt.Before(now)
 	})
--- a/internal/daemon/assembler/assembler.go
+++ b/internal/daemon/assembler/assembler.go
@@ -149,7 +149,7 @@
 	v.departures = &departures{source: p.Store, table: p.RegistryTable, startedAt: time.Now()}
 	go v.members.refreshLoop(context.Background())
 	v.auditor = auditor.Start(p.Store, cfg.ID)
-	v.pool = allotter.New(allotter.Config{Dialer: v.gateways, Limits: v.gateways.connectionLimits, Observe: v.recordDial, Route: v.gateways.route, ObserveWait: v.logTeamWait})
+	v.pool = allotter.New(allotter.Config{Dialer: v.gateways, Limits: v.gateways.connectionLimits, Observe: v.recordDial, Route: v.gateways.route, ObserveWait: v.logTeamWait, ObserveRamp: v.logRamp})
 	controller := commander.Controller{Pool: v.pool, Parse: p.ParseCondition}
 	peers := commander.Peers{Dialer: p.Dialer, Addresses: v.gateways.linkAddresses, Parse: p.ParseCondition}
 	v.performer = performer.New(performer.Config{
--- a/internal/daemon/assembler/gateway.go
+++ b/internal/daemon/assembler/gateway.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"parsleyscale/internal/backend/allotter"
+	"parsleyscale/internal/backend/pacer"
 	"parsleyscale/internal/failure/classifier"
 	"parsleyscale/internal/group/registrar"
 	"parsleyscale/internal/session/tokenizer"
@@ -93,6 +94,7 @@
 	}
 	i, _ := d.vm.groups.Group(t.Group).View(t.Instance)
 	l := allotter.Limits{Open: max(1, d.vm.maxConnections(t.Group)/n)}
+	l.Instance = pacer.Instance{Slots: i.Slots, Pools: n, IsPrimary: i.ID != "" && d.vm.groups.Group(t.Group).Primary().Instance == i.ID, StartedAtMs: i.StartedAtMs, WarmUp: i.WarmUpRemaining}
 	if i.Slots > 0 {
 		l.Dialing = max(1, i.Slots/n)
 	}
@@ -204,7 +206,7 @@
 	if err != nil {
 		return err
 	}
-	v.forwardServer = forwarder.NewServer(forwarder.Config{Listener: ln, Accept: v.platform.AcceptPort, Pool: v.pool, Names: &v.statementNames, Find: v.findInstance, IsUnreachable: v.hasFailedAttempts, StopsAck: v.stopsAck, Now: v.platform.Clock, OnBegin: v.recordForwardedBegin, Sample: v.samplePosition, OnPanic: v.logPanic})
+	v.forwardServer = forwarder.NewServer(forwarder.Config{Listener: ln, Accept: v.platform.AcceptPort, Pool: v.pool, Names: &v.statementNames, Find: v.findInstance, IsUnreachable: v.hasFailedAttempts, StopsAck: v.stopsAck, Now: v.platform.Clock, OnBegin: v.recordForwardedBegin, Sample: v.samplePosition, Avoid: v.avoid, OnOutcome: v.recordForwardedOutcome, OnPanic: v.logPanic})
 	go v.forwardServer.Serve()
 	return nil
 }
--- a/internal/daemon/assembler/log.go
+++ b/internal/daemon/assembler/log.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"parsleyscale/internal/backend/allotter"
+	"parsleyscale/internal/backend/pacer"
 	"parsleyscale/internal/failure/classifier"
 	"parsleyscale/internal/group/registrar"
 	"parsleyscale/internal/group/replacer"
@@ -86,6 +87,10 @@
 		{Name: "parsleyscale.links.closed_for_team", Help: "idle connections to an instance closed to open one for another team since the VM started", Read: v.statsGauge(func(s allotter.Stats) uint64 { return s.ClosedForOthers })},
 		{Name: "parsleyscale.links.opened", Help: "connections to an instance opened since the VM started", Read: v.statsGauge(func(s allotter.Stats) uint64 { return s.Opened })},
 		{Name: "parsleyscale.links.refused", Help: "connections that an instance refused since the VM started", Read: v.statsGauge(func(s allotter.Stats) uint64 { return s.Refused })},
+		{Name: "parsleyscale.pace.limit", Help: "limit of the connections in use at an instance that has started or recovered, while it is ramped up", Read: v.readPaceLimits},
+		{Name: "parsleyscale.instances.silent", Help: "1 for an instance that this VM excludes because it does not answer the statements that it has", Read: v.excludedGauge(pacer.Silent)},
+		{Name: "parsleyscale.instances.unanswered", Help: "1 for an instance that this VM excludes because it has not answered since a failure", Read: v.excludedGauge(pacer.Unanswered)},
+		{Name: "parsleyscale.instances.failing", Help: "1 for an instance that this VM excludes because it fails more statements than its peers", Read: v.excludedGauge(pacer.Failing)},
 		{Name: "parsleyscale.team.shards_held", Help: "shards of the teams' limits that this VM holds", Read: v.readShardsHeld},
 		{Name: "parsleyscale.floor.age", Help: "milliseconds since the primary of a group last proved its role, by group", Read: v.readPrimaryProofAges},
 	}
--- a/internal/group/registrar/group.go
+++ b/internal/group/registrar/group.go
@@ -4,6 +4,7 @@
 	"sync"
 	"time"
 
+	"parsleyscale/internal/backend/pacer"
 	"parsleyscale/internal/failure/classifier"
 	"parsleyscale/internal/group/witness"
 	"parsleyscale/internal/session/tokenizer"
@@ -65,6 +66,9 @@
 	RefusedAt    time.Time          // time of the latest such refusal
 	BehindSince  time.Time          // time of the first such refusal; zero: none, or it has reached RefusedFloor since
 	OverloadedAt time.Time          // when it last refused a request because of overload
+
+	Outcomes pacer.Window // recent outcomes of statements, with those that this VM passed on for others as a gateway
+	ProbedAt time.Time    // when a gateway last let a read of another VM pass although it avoids the instance
 }
 
 // Name returns the group's name.
@@ -459,6 +463,30 @@
 		s.FailedAt = s.LastFailedAt
 	}
 	s.Failures++
+	s.Outcomes = s.Outcomes.WithOutcome(s.LastFailedAt, false)
+}
+
+// RecordOutcome records whether an instance executed a statement that it answered. It is used only to compare the instances
+// of the group, not to replace a primary.
+func (g *Group) RecordOutcome(id string, ok bool) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if s, known := g.instances[id]; known {
+		s.Outcomes = s.Outcomes.WithOutcome(time.Now(), ok)
+	}
+}
+
+// RecordProbe records that a read of another VM is let pass to an instance that is avoided. It returns false if another one was
+// let pass less than interval ago.
+func (g *Group) RecordProbe(id string, interval time.Duration) bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	s, known := g.instances[id]
+	if !known || time.Since(s.ProbedAt) < interval {
+		return false
+	}
+	s.ProbedAt = time.Now()
+	return true
 }
 
 // RecordRefusal records that an instance refused a request with an error of kind k. Only the kinds replicaBehind, for
--- a/internal/request/ranker/ranker.go
+++ b/internal/request/ranker/ranker.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"parsleyscale/internal/backend/allotter"
+	"parsleyscale/internal/backend/pacer"
 	"parsleyscale/internal/group/registrar"
 	"parsleyscale/internal/session/tokenizer"
 )
@@ -27,8 +28,6 @@
 
 	// laggingProbeInterval is the minimum time between reads to an instance whose lag exceeds the floor's age.
 	laggingProbeInterval = 200 * time.Millisecond
-	// failureCooldown is how long an instance ranks last after its latest failure.
-	failureCooldown = 500 * time.Millisecond
 	// overloadCooldown is how long an instance that shed load ranks behind the healthy ones.
 	overloadCooldown = 50 * time.Millisecond
 
@@ -69,18 +68,19 @@
 const (
 	healthy    = iota
 	overloaded // shed load within overloadCooldown
-	failing    // failed within failureCooldown
+	faulty     // has a fault by comparison with its peers, and no probe is due
 )
 
 // Rank returns the usable candidates in the order in which to try them. It omits
 // those that must not get the read and those that would most likely refuse it.
 func Rank(list []Candidate, q Query) []Candidate {
 	order := make([]rankedCandidate, 0, len(list))
-	for _, c := range list {
+	verdicts := pacer.Judge(Observations(list), q.Now)
+	for k, c := range list {
 		if c.Load.InDialBackoff || !isUsable(c.View, q) || LikelyRefusesFloor(c.View, q) {
 			continue
 		}
-		order = append(order, rankedCandidate{candidate: c, health: healthOf(c.View, q), cost: costOf(c, q)})
+		order = append(order, rankedCandidate{candidate: c, health: healthOf(c.View, verdicts[k], q), cost: costOf(c, q)})
 	}
 	slices.SortFunc(order, func(a, b rankedCandidate) int {
 		return cmp.Or(cmp.Compare(a.health, b.health), cmp.Compare(a.cost, b.cost), cmp.Compare(a.candidate.View.ID, b.candidate.View.ID))
@@ -92,6 +92,18 @@
 	return candidates
 }
 
+// Observations returns what is known about the instances of a group, for pacer.Judge.
+func Observations(list []Candidate) []pacer.Observation {
+	observations := make([]pacer.Observation, len(list))
+	for k, c := range list {
+		observations[k] = pacer.Observation{
+			ID: c.View.ID, Window: c.View.Outcomes, Latency: max(c.View.Latency, c.Load.MeanHoldTime), Silence: c.Load.Silence,
+			Failures: c.View.Failures, LastFailedAt: c.View.LastFailedAt, ProbedAt: c.View.ReadSentAt,
+		}
+	}
+	return observations
+}
+
 // isUsable reports whether an instance may get the read: it has not refused it
 // and is not leaving, or it is the primary and has only just begun to leave.
 func isUsable(v registrar.View, q Query) bool {
@@ -102,10 +114,10 @@
 }
 
 // healthOf returns the health class of an instance.
-func healthOf(v registrar.View, q Query) int {
+func healthOf(v registrar.View, verdict pacer.Verdict, q Query) int {
 	switch {
-	case v.Failures > 0 && q.Now.Sub(v.LastFailedAt) < failureCooldown:
-		return failing
+	case verdict.Fault != "" && !verdict.MayProbe:
+		return faulty
 	case q.Now.Sub(v.OverloadedAt) < overloadCooldown:
 		return overloaded
 	}
--- a/internal/statement/forwarder/server.go
+++ b/internal/statement/forwarder/server.go
@@ -64,6 +64,12 @@
 	// it was sent and the position in the reply; may be nil.
 	OnBegin func(t carrier.Target, sentAt time.Duration, p tokenizer.Position)
 	Now     func() time.Duration // on a clock that counts suspension
+	// Avoid returns nil, or the error with which a read of another VM is refused because this instance has a fault, so that it runs
+	// on another instance of the group; may be nil. It is called only for reads that any instance may serve and that are younger than
+	// maxAvoidedAge.
+	Avoid func(t carrier.Target) error
+	// OnOutcome is called with each reply to a statement of another VM, and with an error if there was none; may be nil.
+	OnOutcome func(t carrier.Target, r carrier.Reply, err error)
 	// OnPanic is called with the value and the stack of a panic that has ended a connection; may be nil.
 	OnPanic func(err error)
 }
@@ -203,6 +209,9 @@
 		return carrier.ErrorReply(classifier.BadMessage, "statement of another team than the open transaction").WithState(carrier.InTransaction), nil
 	}
 	if c.lease == nil {
+		if err := c.avoid(cmd); err != nil {
+			return carrier.ErrorReplyFor(err), nil
+		}
 		lease, err := c.acquire(cmd)
 		if err != nil {
 			return c.refuse(err), nil
@@ -239,6 +248,19 @@
 	return carrier.Reply{}
 }
 
+// maxAvoidedAge is the age of a read from which it is not refused for a fault of the instance. A read that gets older was
+// refused elsewhere, too, or has waited: no read is refused by the gateways of all instances for longer than this.
+const maxAvoidedAge = 60 * time.Millisecond
+
+// avoid returns the error with which a command is refused for a fault of the instance, or nil. A command without a position that the
+// instance must have applied may need the primary.
+func (c *proxyConn) avoid(cmd carrier.Command) error {
+	if c.server.cfg.Avoid == nil || cmd.After.IsZero() || cmd.Urgency.Wait == 0 || cmd.Urgency.Age >= maxAvoidedAge {
+		return nil
+	}
+	return c.server.cfg.Avoid(c.target)
+}
+
 // refuse returns the refusal of a command for which no connection to the instance was available. Its
 // kind makes the other VM retry elsewhere or later, or tells it that the instance is unreachable.
 func (c *proxyConn) refuse(err error) carrier.Reply {
@@ -294,6 +316,7 @@
 		sentAt = c.server.cfg.Now()
 	}
 	replies, err := lease.Exchange(cmds...)
+	c.recordOutcome(cmd, replies, err)
 	if err != nil {
 		lease.Discard()
 		c.lease = nil
@@ -312,6 +335,24 @@
 	return reply, nil
 }
 
+// recordOutcome reports the outcome of a command that runs a statement on the instance.
+func (c *proxyConn) recordOutcome(cmd carrier.Command, replies []carrier.Reply, err error) {
+	if c.server.cfg.OnOutcome == nil || cmd.IsControl() {
+		return
+	}
+	switch cmd.Verb {
+	case carrier.Begin, carrier.BeginRead, carrier.Rollback:
+		if err == nil {
+			return
+		}
+	}
+	var last carrier.Reply
+	if len(replies) > 0 {
+		last = replies[len(replies)-1]
+	}
+	c.server.cfg.OnOutcome(c.target, last, err)
+}
+
 // withSeal returns the reply for the other VM, to which the acknowledgement of a sealed term is not passed on.
 func (c *proxyConn) withSeal(cmd carrier.Command, prepared *carrier.Statement, r carrier.Reply) carrier.Reply {
 	isCommit := cmd.Verb == carrier.Commit || cmd.Verb == carrier.Write || prepared != nil && prepared.PreparedVerb == carrier.Write
--- a/internal/statement/performer/performer.go
+++ b/internal/statement/performer/performer.go
@@ -453,6 +453,15 @@
 		return
 	}
 	g.RecordAnswer(id, r.Position, latency)
+	if latency > 0 {
+		g.RecordOutcome(id, IsExecuted(r))
+	}
+}
+
+// IsExecuted reports whether the instance executed the statement that it answered, or refused it by a rule of the protocol. It
+// may have failed the statement for a fault of its own otherwise.
+func IsExecuted(r carrier.Reply) bool {
+	return r.Kind != classifier.StatementFailed && r.Kind != classifier.StatementTimeout
 }
 
 // releaseOrDiscard ends a lease after its last reply. It discards a connection that is inside a
--- a/internal/statement/performer/transaction.go
+++ b/internal/statement/performer/transaction.go
@@ -194,7 +194,7 @@
 		t.performer.rollback(e.group, lease)
 		return carrier.Reply{}, false
 	}
-	e.group.RecordAnswer(v.ID, replies[0].Position, time.Since(start))
+	recordReply(e.group, v.ID, replies[0], time.Since(start))
 	e.report(EventServed, v.ID, replies[0].Kind)
 	t.lease = lease
 	lease.MarkIdleInTx()
