--- a/internal/backend/allotter/allotter.go
+++ b/internal/backend/allotter/allotter.go
@@ -366,7 +366,7 @@
 	p.dialBackoff, p.dialsFailingSince, p.answeredAt = 0, time.Time{}, time.Now()
 	// After an accepted connection, the instance may have room for another one.
 	p.reducedLimit = max(p.reducedLimit, p.open+1)
-	l := &Lease{allotter: a, pool: p, target: t, scope: scopeOf(t), conn: conn, sessionValues: map[string]string{}, prepared: map[string]bool{}, lastUsedAt: time.Now()}
+	l := &Lease{allotter: a, pool: p, target: t, scope: scopeOf(t), conn: conn, sessionValues: map[string]string{}, prepared: map[string]bool{}, lastUsedAt: time.Now(), openedRamp: p.rampNumber}
 	a.putLocked(l)
 }
 
--- a/internal/backend/allotter/allotter_test.go
+++ b/internal/backend/allotter/allotter_test.go
@@ -9,6 +9,7 @@
 	"testing/synctest"
 	"time"
 
+	"parsleyscale/internal/backend/pacer"
 	"parsleyscale/internal/failure/classifier"
 	"parsleyscale/internal/session/tokenizer"
 	"parsleyscale/internal/statement/carrier"
@@ -354,3 +355,62 @@
 		}
 	})
 }
+
+// An instance that is used by four gateways closes its connections and returns. Guards against a gateway that opens and uses all of its
+// connections at once, against connections without an answer that keep it from opening any, against control commands (which replace a
+// primary) that wait for the ramp, and against a limit that stays low afterwards.
+func TestRampAfterReturn(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f, ramps := &fakeDialer{}, []pacer.Reason{}
+		a := New(Config{
+			Dialer: f, Limits: func(carrier.Target) Limits {
+				return Limits{Open: 12, InUse: 10, Instance: pacer.Instance{Slots: 5, Pools: 4}}
+			},
+			Observe:     func(carrier.Target, tokenizer.Position, time.Duration, error) {},
+			ObserveRamp: func(_ carrier.Target, r pacer.Reason) { ramps = append(ramps, r) },
+		})
+		defer a.Close()
+		serveAll(t, a, 20, time.Millisecond)
+		time.Sleep(time.Minute)
+		serveAll(t, a, 40, 10*time.Millisecond)
+		if l := a.Load(target); l.MaxInUse != 10 || l.Ramp != "" {
+			t.Errorf("in calm operation %d connections may be in use, ramp %q; want the usual 10 and none", l.MaxInUse, l.Ramp)
+		}
+		var silent []*Lease
+		for range 3 {
+			l, err := acquire(t, a, time.Second)
+			if err != nil {
+				t.Fatal(err)
+			}
+			silent = append(silent, l)
+		}
+		a.mu.Lock()
+		for _, l := range a.pools[target.Instance].idle {
+			l.conn.(*fakeConn).isBroken = true
+		}
+		a.mu.Unlock()
+		var wg sync.WaitGroup
+		wg.Go(func() { serveAll(t, a, 8, 100*time.Millisecond) })
+		time.Sleep(50 * time.Millisecond)
+		if n := a.Load(target).InUse - len(silent); n != 2 {
+			t.Errorf("%d connections in use 50 ms after the return, besides those without an answer; want 2, the gateway's share of 5 slots", n)
+		}
+		ctx, cancel := context.WithTimeout(t.Context(), 50*time.Millisecond)
+		defer cancel()
+		control, err := a.Acquire(ctx, target, ControlPriority)
+		if err != nil {
+			t.Errorf("control command during the ramp: %v", err)
+		} else {
+			control.Release()
+		}
+		wg.Wait()
+		for _, l := range silent {
+			l.Discard()
+		}
+		time.Sleep(2 * time.Second)
+		serveAll(t, a, 1, time.Millisecond)
+		if l := a.Load(target); l.MaxInUse != 10 || !slices.Equal(ramps, []pacer.Reason{pacer.Discovered, pacer.Recovered}) {
+			t.Errorf("%d connections may be in use after the ramps %q, want 10 after one at the start and one at the return", l.MaxInUse, ramps)
+		}
+	})
+}
--- a/internal/backend/allotter/lease.go
+++ b/internal/backend/allotter/lease.go
@@ -29,6 +29,7 @@
 	sessionValues map[string]string // session values set on this connection
 	prepared      map[string]bool   // names of the statements prepared on this connection
 
+	openedRamp int // instancePool.rampNumber when the connection was opened
 	rampNumber int // instancePool.rampNumber when the connection was last taken, or resumed its transaction
 
 	isIdleInTx bool // guarded by Allotter.mu
@@ -124,8 +125,8 @@
 func (l *Lease) discardWithIdle() {
 	l.allotter.mu.Lock()
 	now := time.Now()
-	if l.conn.IsBroken() {
-		l.allotter.startRamp(l.pool)
+	if l.conn.IsBroken() && l.openedRamp == l.pool.rampNumber {
+		l.allotter.startRamp(l.pool) // not for the other connections that the instance closed at that time
 	}
 	l.pool.closeIdleIf(func(idle *Lease) bool {
 		return idle.scope.gateway == l.scope.gateway && idle.lastUsedAt.Before(now)
--- a/internal/backend/pacer/pace.go
+++ b/internal/backend/pacer/pace.go
@@ -33,15 +33,20 @@
 	maxRamp = 20 * time.Second
 	// quietBeforeEnd is how long before the end of a ramp the instance must not have refused a statement.
 	quietBeforeEnd = 500 * time.Millisecond
-	// maxLatencyRatio is the ratio of the mean response time to the shortest recent one above which the limit does not grow
-	// during a ramp. A higher ratio shows that statements queue at the instance, so that more of them gain nothing. Responses
-	// of a cold instance are slow from the first one on, which does not raise the ratio.
-	maxLatencyRatio = 2.0
+	// maxLatencyRatio is the ratio of the mean response time to its lowest value during the ramp above which the limit does not
+	// grow. A higher ratio shows that statements queue at the instance, so that more of them gain nothing. Responses of a cold
+	// instance are slow from the first one on, which does not raise the ratio.
+	maxLatencyRatio = 1.5
+	// shrinkLatencyRatio is the ratio above which the limit shrinks, but not below the initial one. Without it, the limit would
+	// creep up with the variation of the response times.
+	shrinkLatencyRatio = 1.8
 	// latencyWeight is the weight of the latest response time in the mean.
-	latencyWeight = 0.2
-	// baselineRise is the share of the difference to the mean by which the shortest response time rises with each response, so
-	// that it follows an instance whose statements have become longer.
-	baselineRise = 0.02
+	latencyWeight = 0.1
+	// baselineRise is the share of the difference to the mean by which the lowest mean rises with each response, so that it
+	// follows an instance whose statements have become longer. It is small: a queue must not raise it within a second.
+	baselineRise = 0.0005
+	// assumedQueue is the number of statements that an instance is assumed to keep waiting before it refuses one.
+	assumedQueue = 40
 	// assumedSlots is used for an instance whose number of slots is not known.
 	assumedSlots = 2
 
@@ -73,7 +78,7 @@
 	refusedAt time.Time
 
 	meanTook     time.Duration // during the ramp
-	baselineTook time.Duration // shortest recent response time of the ramp
+	baselineTook time.Duration // lowest value of meanTook
 }
 
 // Ramp returns the reason of the present ramp, or "" if there is none.
@@ -106,7 +111,7 @@
 		p.isProven, p.limit = true, p.initialLimit(usual) // it has answered as a replica
 		return p
 	}
-	return p.withEnd(now)
+	return p.withEnd(now, usual)
 }
 
 // WithRamp returns the state after the beginning of a ramp. It has no effect for an instance that is reached through a gateway.
@@ -144,13 +149,18 @@
 		return p
 	}
 	p = p.WithConnection(usual).withTook(took)
-	isUsed := float64(inUse) >= p.limit-1
-	isQueueing := float64(p.meanTook) > maxLatencyRatio*float64(p.baselineTook)
-	// Commits wait for replicas without a slot, so that the response times of a primary do not show a queue.
-	if isUsed && (!isQueueing || p.instance.IsPrimary) {
-		p.limit = min(float64(usual), p.limit+rampGrowth/max(1, p.limit))
+	ratio := float64(p.meanTook) / float64(max(1, p.baselineTook))
+	if p.instance.IsPrimary {
+		ratio = 1 // commits wait for replicas without a slot, so that the response times of a primary do not show a queue
+	}
+	step := rampGrowth / max(1, p.limit)
+	switch {
+	case ratio > shrinkLatencyRatio:
+		p.limit = max(min(p.limit, p.initialLimit(usual)), p.limit-step)
+	case ratio <= maxLatencyRatio && float64(inUse) >= p.limit-1:
+		p.limit = min(float64(usual), p.limit+step)
 	}
-	return p.withEnd(now)
+	return p.withEnd(now, usual)
 }
 
 // withTook returns the state with the response times after one more response.
@@ -161,7 +171,7 @@
 	}
 	p.meanTook += time.Duration(latencyWeight * float64(took-p.meanTook))
 	p.baselineTook += time.Duration(baselineRise * float64(p.meanTook-p.baselineTook))
-	p.baselineTook = min(p.baselineTook, took)
+	p.baselineTook = min(p.baselineTook, p.meanTook)
 	return p
 }
 
@@ -180,12 +190,16 @@
 	return p
 }
 
-// withEnd returns the state with the ramp ended if it is over.
-func (p Pace) withEnd(now time.Time) Pace {
+// withEnd returns the state with the ramp ended if it is over. The usual limit then applies, or this pool's share of the slots and the
+// queue of the instance if that is lower: it grows from there as after a refusal.
+func (p Pace) withEnd(now time.Time, usual int) Pace {
 	if p.ramp == "" || now.Before(p.rampUntil) || !p.isProven || now.Sub(p.refusedAt) < quietBeforeEnd {
 		return p
 	}
 	p.ramp, p.isLimited = "", false
+	if share := float64(p.instance.Slots+assumedQueue) / float64(p.instance.Pools); p.instance.Slots > 0 && share < float64(usual) {
+		p.isLimited, p.limit = true, max(1, share)
+	}
 	return p
 }
 
--- a/internal/request/ranker/ranker_test.go
+++ b/internal/request/ranker/ranker_test.go
@@ -80,6 +80,19 @@
 		{"a failing replica ranks last", []Candidate{
 			candidate("a", "d1", func(c *Candidate) { c.View.Failures, c.View.LastFailedAt = 1, now.Add(-50*time.Millisecond) }), candidate("b", "d3", nil),
 		}, 5, []string{"b", "a"}},
+		{"a failing replica is probed by one read after the probe interval", []Candidate{
+			candidate("a", "d1", func(c *Candidate) { c.View.Failures, c.View.LastFailedAt = 1, now.Add(-time.Second) }), candidate("b", "d3", nil),
+		}, 5, []string{"a", "b"}},
+		{"a failing replica gets no second read while the probe is not answered", []Candidate{
+			candidate("a", "d1", func(c *Candidate) {
+				c.View.Failures, c.View.LastFailedAt, c.View.ReadSentAt = 1, now.Add(-time.Second), now.Add(-20*time.Millisecond)
+			}), candidate("b", "d3", nil),
+		}, 5, []string{"b", "a"}},
+		{"a replica that does not answer what it has ranks last", []Candidate{
+			candidate("a", "d1", func(c *Candidate) {
+				c.Load.InUse, c.Load.Silence, c.View.ReadSentAt = 1, 200*time.Millisecond, now.Add(-200*time.Millisecond)
+			}), candidate("b", "d3", nil),
+		}, 5, []string{"b", "a"}},
 		{"a leaving replica is omitted", []Candidate{candidate("a", "d1", func(c *Candidate) { c.View.IsLeaving = true }), candidate("b", "d3", nil)}, 5, []string{"b"}},
 		{"an instance that refuses connections is omitted", []Candidate{candidate("a", "d1", func(c *Candidate) { c.Load.InDialBackoff = true })}, 5, nil},
 	} {
--- a/internal/statement/forwarder/server_test.go
+++ b/internal/statement/forwarder/server_test.go
@@ -5,7 +5,9 @@
 	"net"
 	"testing"
 	"testing/synctest"
+	"time"
 
+	"parsleyscale/internal/failure/classifier"
 	"parsleyscale/internal/session/tokenizer"
 	"parsleyscale/internal/statement/carrier"
 )
@@ -66,3 +68,22 @@
 		}
 	})
 }
+
+// Guards against a gateway that refuses, for a fault of the instance, a statement that only this instance can serve, or one that the
+// other gateways of the group may have refused, too.
+func TestAvoidedReads(t *testing.T) {
+	read := carrier.Command{After: tokenizer.Position{Term: 1, Index: 1}, Urgency: carrier.Urgency{Wait: time.Second}}
+	noFloor, noUrgency, old := read, read, read
+	noFloor.After = tokenizer.Position{}
+	noUrgency.Urgency = carrier.Urgency{}
+	old.Urgency.Age = maxAvoidedAge
+	c := &proxyConn{server: NewServer(Config{Avoid: func(carrier.Target) error { return classifier.New(classifier.Overloaded, "fault") }})}
+	if c.avoid(read) == nil {
+		t.Error("a read that another instance can serve waits for the instance")
+	}
+	for name, cmd := range map[string]carrier.Command{"may need the primary": noFloor, "of an earlier version": noUrgency, "has been tried elsewhere": old} {
+		if err := c.avoid(cmd); err != nil {
+			t.Errorf("a statement that %s is refused: %v", name, err)
+		}
+	}
+}
