Judge an instance by answers to other VMs, too, and test what gateways avoid

A silent instance gets no probes: the statements that it has show whether it answers. UNREACHABLE is sent only if the gateway has no connection, as before.

--- a/internal/backend/pacer/judge.go
+++ b/internal/backend/pacer/judge.go
@@ -13,6 +13,7 @@
 type Window struct {
 	answered, failed float64
 	at               time.Time
+	answeredAt       time.Time // when the latest statement was answered
 }
 
 // WithOutcome returns the window after one more statement.
@@ -20,6 +21,7 @@
 	w.answered, w.failed = w.At(now)
 	w.at = now
 	if ok {
+		w.answeredAt = now
 		w.answered++
 	} else {
 		w.failed++
@@ -43,7 +45,7 @@
 	Latency time.Duration // mean; 0: not known
 	Silence time.Duration // for which it has answered none of the statements that it has; 0: it has none
 
-	Failures     int       // failed dials and unanswered statements since its last answer
+	Failures     int       // failed dials and unanswered statements since its last answer to a statement of this VM's clients
 	LastFailedAt time.Time // the latest of them
 	ProbedAt     time.Time // when the latest read was sent to it
 }
@@ -99,7 +101,8 @@
 	for k, o := range group {
 		verdicts[k] = Verdict{ID: o.ID, Fault: faultOf(o, group, now)}
 		if verdicts[k].Fault != "" {
-			verdicts[k].MayProbe = isProbeDue(o, now)
+			// The statements that a silent instance has are its probes.
+			verdicts[k].MayProbe = verdicts[k].Fault != Silent && isProbeDue(o, now)
 			faulty = append(faulty, k)
 		}
 	}
@@ -125,7 +128,7 @@
 	switch {
 	case IsSilent(o.Silence, o.Latency):
 		return Silent
-	case o.Failures > 0:
+	case o.Failures > 0 && !o.Window.answeredAt.After(o.LastFailedAt):
 		return Unanswered
 	}
 	answered, failed := o.Window.At(now)
--- a/internal/backend/pacer/script_test.go
+++ b/internal/backend/pacer/script_test.go
@@ -94,12 +94,12 @@
 			for _, f := range s.lines {
 				n := func(k int) int { return number(t, f[k]) }
 				o := Observation{ID: f[0], Silence: ms(n(3)), Latency: ms(n(4)), Failures: n(5), LastFailedAt: now.Add(-ms(n(6))), ProbedAt: now.Add(-ms(n(7)))}
-				for range n(1) {
-					o.Window = o.Window.WithOutcome(now, true)
-				}
 				for range n(2) {
 					o.Window = o.Window.WithOutcome(now, false)
 				}
+				for range n(1) {
+					o.Window = o.Window.WithOutcome(now, true)
+				}
 				group = append(group, o)
 			}
 			for k, v := range Judge(group, now) {
--- a/internal/daemon/assembler/pace.go
+++ b/internal/daemon/assembler/pace.go
@@ -14,8 +14,8 @@
 )
 
 // avoidedProbeInterval is the time between two reads that a gateway lets pass to an instance that it avoids, to find out whether
-// the fault has passed.
-const avoidedProbeInterval = 250 * time.Millisecond
+// the fault has passed. A silent instance gets none: the statements that it has show whether it answers.
+const avoidedProbeInterval = 500 * time.Millisecond
 
 // avoid returns the error with which this VM, as a gateway, refuses a read of another VM for a fault of the instance, or nil. The
 // statements of all VMs pass through the gateways, so that these notice a fault after a few statements, and the other VMs need not
@@ -23,17 +23,18 @@
 func (v *VM) avoid(t carrier.Target) error {
 	g := v.groups.Group(t.Group)
 	view, ok := g.View(t.Instance)
-	if !ok || g.Primary().Instance == t.Instance || !hasFault(view, v.pool.Load(t)) {
+	l := v.pool.Load(t)
+	if !ok || g.Primary().Instance == t.Instance || !hasFault(view, l) {
 		return nil
 	}
 	verdict := v.judge(g)[t.Instance]
-	if !verdict.IsExcluded || g.RecordProbe(t.Instance, avoidedProbeInterval) {
+	if !verdict.IsExcluded || verdict.Fault != pacer.Silent && g.RecordProbe(t.Instance, avoidedProbeInterval) {
 		return nil
 	}
 	v.log.Sample(logger.InstanceAvoided, t.Instance, logger.String("group", t.Group), logger.String("instance", t.Instance), logger.String("reason", string(verdict.Fault)))
 	kind := classifier.Overloaded
-	if verdict.Fault == pacer.Unanswered {
-		kind = classifier.NoInstance // the other VM then does not try it for a while
+	if verdict.Fault == pacer.Unanswered && l.Idle+l.InUse == 0 {
+		kind = classifier.NoInstance // as when no connection could be opened; the other VM does not try the instance for a while
 	}
 	return classifier.New(kind, "%s is avoided for a fault: %s", t.Instance, verdict.Fault)
 }
