Send single statements beside unanswered ones to an instance that hangs

All connections in use of a gateway could wait for an instance that hangs, for up to 10 s each, so that nothing was sent to it after it worked again.

--- a/internal/backend/allotter/allotter.go
+++ b/internal/backend/allotter/allotter.go
@@ -360,10 +360,10 @@
 	}
 	p.stats.Opened++
 	if !p.dialsFailingSince.IsZero() {
-		a.startRamp(p)
+		a.startRamp(p, pacer.Recovered)
 	}
 	p.pace = p.pace.WithConnection(p.usual)
-	p.dialBackoff, p.dialsFailingSince, p.answeredAt = 0, time.Time{}, time.Now()
+	p.dialBackoff, p.dialsFailingSince = 0, time.Time{}
 	// After an accepted connection, the instance may have room for another one.
 	p.reducedLimit = max(p.reducedLimit, p.open+1)
 	l := &Lease{allotter: a, pool: p, target: t, scope: scopeOf(t), conn: conn, sessionValues: map[string]string{}, prepared: map[string]bool{}, lastUsedAt: time.Now(), openedRamp: p.rampNumber}
@@ -426,9 +426,12 @@
 	p.pace = p.pace.WithRefusal(time.Now(), a.maxOpen(p))
 }
 
-// startRamp begins the ramp of an instance that has failed and answers again. The caller holds a.mu.
-func (a *Allotter) startRamp(p *instancePool) {
-	p.pace = p.pace.WithRamp(time.Now(), pacer.Recovered, p.usual)
+// startRamp begins the ramp of an instance that has failed, if this VM connects to the instance itself. The caller holds a.mu.
+func (a *Allotter) startRamp(p *instancePool, reason pacer.Reason) {
+	if !p.pace.IsDirect() {
+		return
+	}
+	p.pace = p.pace.WithRamp(time.Now(), reason, p.usual)
 	p.beginRamp()
 	a.observeRamp(p)
 }
@@ -445,9 +448,12 @@
 	before := p.pace
 	p.usual = l.usual(p.maxOpen(l, a.cfg.LimitGrowInterval))
 	p.pace = before.WithInstance(time.Now(), l.Instance, p.usual)
-	if p.pace.BeganRampSince(before) {
+	switch now := time.Now(); {
+	case p.pace.BeganRampSince(before):
 		p.beginRamp()
 		a.observeRamp(p)
+	case p.pace.IsStalled(now, p.silence(now)):
+		a.startRamp(p, pacer.Stalled)
 	}
 }
 
--- a/internal/backend/allotter/allotter_test.go
+++ b/internal/backend/allotter/allotter_test.go
@@ -414,3 +414,43 @@
 		}
 	})
 }
+
+// An instance hangs and leaves the statements that it has unanswered for good. Guards against a gateway whose connections in use are all
+// taken by these, so that it sends nothing to the instance until they time out, and against one that sends more than one statement a
+// second before an answer.
+func TestStalledInstance(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		a := New(Config{
+			Dialer: &fakeDialer{}, Limits: func(carrier.Target) Limits {
+				return Limits{Open: 13, InUse: 10, Instance: pacer.Instance{Slots: 5, Pools: 4}}
+			},
+			Observe: func(carrier.Target, tokenizer.Position, time.Duration, error) {},
+		})
+		defer a.Close()
+		serveAll(t, a, 60, 50*time.Millisecond)
+		time.Sleep(2 * time.Second)
+		var leases []*Lease
+		for range 10 {
+			l, err := acquire(t, a, time.Second)
+			if err != nil {
+				t.Fatal(err)
+			}
+			leases = append(leases, l)
+		}
+		for start := time.Now(); time.Since(start) < 2500*time.Millisecond; {
+			if l, err := acquire(t, a, 50*time.Millisecond); err == nil {
+				leases = append(leases, l)
+			}
+		}
+		if n := len(leases) - 10; n != 2 {
+			t.Errorf("%d statements sent within 2.5 s after the instance hung, want one after each second", n)
+		}
+		leases[len(leases)-1].Release()
+		if _, err := acquire(t, a, 50*time.Millisecond); err != nil {
+			t.Errorf("the instance answers again, but gets no statement: %v", err)
+		}
+		for _, l := range leases[:len(leases)-1] {
+			l.Discard()
+		}
+	})
+}
--- a/internal/backend/allotter/instance_pool.go
+++ b/internal/backend/allotter/instance_pool.go
@@ -34,7 +34,7 @@
 	rampNumber        int           // number of ramps so far
 	staleInUse        int           // connections in use since before the latest ramp
 	usual             int           // limit of the connections in use without the pace, when it was last computed
-	answeredAt        time.Time     // when the instance last answered a request or a dial
+	answeredAt        time.Time     // when the instance last answered a request
 	busySince         time.Time     // when a connection was last taken while none was in use
 	noDialUntil       time.Time     // end of the back-off after a refused connection
 	dialBackoff       time.Duration // back-off after the latest refusal; zero after a successful dial
@@ -303,9 +303,9 @@
 // less than maxOpen after the instance rejected statements for overload, started or recovered, or
 // when Limits.InUse is lower, as further statements would only queue at the instance.
 func (p *instancePool) maxInUseByStatements(l Limits, growInterval time.Duration) int {
-	usual := l.usual(p.maxOpen(l, growInterval))
+	maxOpen := p.maxOpen(l, growInterval)
 	// Connections in use since before the ramp may get no answer any more, and must not keep others from being opened.
-	return min(usual, p.pace.Limit(usual)+p.staleInUse)
+	return min(maxOpen, p.pace.Limit(l.usual(maxOpen))+p.staleInUse)
 }
 
 // withRetryAfter adds to err the time after which to repeat the request. IsRejected and IsUnreachable
--- a/internal/backend/allotter/lease.go
+++ b/internal/backend/allotter/lease.go
@@ -4,6 +4,7 @@
 	"context"
 	"time"
 
+	"parsleyscale/internal/backend/pacer"
 	"parsleyscale/internal/statement/carrier"
 )
 
@@ -126,7 +127,7 @@
 	l.allotter.mu.Lock()
 	now := time.Now()
 	if l.conn.IsBroken() && l.openedRamp == l.pool.rampNumber {
-		l.allotter.startRamp(l.pool) // not for the other connections that the instance closed at that time
+		l.allotter.startRamp(l.pool, pacer.Recovered) // not for the other connections that the instance closed at that time
 	}
 	l.pool.closeIdleIf(func(idle *Lease) bool {
 		return idle.scope.gateway == l.scope.gateway && idle.lastUsedAt.Before(now)
--- a/internal/backend/pacer/judge.go
+++ b/internal/backend/pacer/judge.go
@@ -60,12 +60,14 @@
 	Failing    Fault = "failing"    // it fails more of its statements than its peers
 )
 
+// StaleSilence is the silence from which the statements that an instance has may never be answered. It is a fault also at an
+// instance with a high latency.
+const StaleSilence = time.Second
+
 const (
 	// minSilence is the shortest silence of a fault. It is well above the pauses of a small VM, and below the reply timeout of
 	// a read (250 ms), which each statement at a silent instance has to wait for.
 	minSilence = 120 * time.Millisecond
-	// maxSilence is a silence that is a fault also at an instance with a high latency.
-	maxSilence = time.Second
 	// silenceFactor is the silence that is a fault, as a multiple of the instance's mean latency.
 	silenceFactor = 6
 	// minFailed is the weight of failed statements below which an instance is not judged to be failing: at least two of them.
@@ -101,8 +103,8 @@
 	for k, o := range group {
 		verdicts[k] = Verdict{ID: o.ID, Fault: faultOf(o, group, now)}
 		if verdicts[k].Fault != "" {
-			// The statements that a silent instance has are its probes.
-			verdicts[k].MayProbe = verdicts[k].Fault != Silent && isProbeDue(o, now)
+			// The statements that a silent instance has are its probes for a while.
+			verdicts[k].MayProbe = (verdicts[k].Fault != Silent || o.Silence >= StaleSilence) && isProbeDue(o, now)
 			faulty = append(faulty, k)
 		}
 	}
@@ -150,7 +152,7 @@
 
 // IsSilent reports whether an instance with a mean latency that has answered none of its statements for a time is faulty.
 func IsSilent(silence, latency time.Duration) bool {
-	return silence >= min(max(minSilence, silenceFactor*latency), maxSilence)
+	return silence >= min(max(minSilence, silenceFactor*latency), StaleSilence)
 }
 
 // isProbeDue reports whether a read may be sent to an instance with a fault.
--- a/internal/backend/pacer/pace.go
+++ b/internal/backend/pacer/pace.go
@@ -24,6 +24,7 @@
 	Restarted  Reason = "restarted"  // its start time changed
 	Promoted   Reason = "promoted"   // it became the primary
 	Recovered  Reason = "recovered"  // it answers again, or it closed its connections
+	Stalled    Reason = "stalled"    // it has not answered any statement for StaleSilence
 )
 
 const (
@@ -87,6 +88,12 @@
 // IsDirect reports whether the pool connects to the instance itself.
 func (p Pace) IsDirect() bool { return p.instance.Pools > 0 }
 
+// IsStalled reports whether a ramp is to begin because the instance has not answered any of its statements for a time. It may never
+// answer them, so that others have to show whether it works again, one at a time.
+func (p Pace) IsStalled(now time.Time, silence time.Duration) bool {
+	return p.IsDirect() && silence >= StaleSilence && (p.ramp == "" || now.Sub(p.rampBegan) >= StaleSilence)
+}
+
 // BeganRampSince reports whether a ramp has begun after the state before.
 func (p Pace) BeganRampSince(before Pace) bool {
 	return p.ramp != "" && (p.ramp != before.ramp || !p.rampBegan.Equal(before.rampBegan))
@@ -129,8 +136,17 @@
 	return p
 }
 
-// WithConnection returns the state after the instance has accepted a connection, which proves that it answers.
+// WithConnection returns the state after the instance has accepted a connection, which proves that it answers unless it has left
+// statements unanswered.
 func (p Pace) WithConnection(usual int) Pace {
+	if p.ramp == Stalled {
+		return p
+	}
+	return p.withProof(usual)
+}
+
+// withProof returns the state after the instance has answered.
+func (p Pace) withProof(usual int) Pace {
 	if p.ramp != "" && !p.isProven {
 		p.isProven, p.limit = true, max(p.limit, p.initialLimit(usual))
 	}
@@ -148,7 +164,7 @@
 		}
 		return p
 	}
-	p = p.WithConnection(usual).withTook(took)
+	p = p.withProof(usual).withTook(took)
 	ratio := float64(p.meanTook) / float64(max(1, p.baselineTook))
 	if p.instance.IsPrimary {
 		ratio = 1 // commits wait for replicas without a slot, so that the response times of a primary do not show a queue
--- a/internal/daemon/assembler/pace.go
+++ b/internal/daemon/assembler/pace.go
@@ -14,7 +14,7 @@
 )
 
 // avoidedProbeInterval is the time between two reads that a gateway lets pass to an instance that it avoids, to find out whether
-// the fault has passed. A silent instance gets none: the statements that it has show whether it answers.
+// the fault has passed. A silent instance gets none for a while: the statements that it has show whether it answers.
 const avoidedProbeInterval = 500 * time.Millisecond
 
 // avoid returns the error with which this VM, as a gateway, refuses a read of another VM for a fault of the instance, or nil. The
@@ -28,7 +28,8 @@
 		return nil
 	}
 	verdict := v.judge(g)[t.Instance]
-	if !verdict.IsExcluded || verdict.Fault != pacer.Silent && g.RecordProbe(t.Instance, avoidedProbeInterval) {
+	mayProbe := verdict.Fault != pacer.Silent || l.Silence >= pacer.StaleSilence
+	if !verdict.IsExcluded || mayProbe && g.RecordProbe(t.Instance, avoidedProbeInterval) {
 		return nil
 	}
 	v.log.Sample(logger.InstanceAvoided, t.Instance, logger.String("group", t.Group), logger.String("instance", t.Instance), logger.String("reason", string(verdict.Fault)))
--- a/internal/telemetry/logger/event.go
+++ b/internal/telemetry/logger/event.go
@@ -119,7 +119,7 @@
 	{ShardHeld, "this VM has begun to grant a part of the teams' limits"},
 	{ShardReleased, "this VM has ended granting a part of the teams' limits, with the reason"},
 	{TeamOverLimit, "an operation was refused because its team has used its limit; sampled"},
-	{RampBegun, "an instance has started, restarted, recovered or become the primary, and gets a share of its load for now, with the reason; sampled for each instance"},
+	{RampBegun, "an instance has started, restarted, recovered, become the primary or not answered for a second, and gets a share of its load for now, with the reason; sampled for each instance"},
 	{InstanceAvoided, "this gateway has refused a read of another VM because of a fault of the instance, so that it runs on another instance, with the reason; sampled for each instance"},
 	{TeamWaits, "a request of a team has waited for at least 200 ms for a connection to an instance, with or without success; sampled for each team"},
 	{TeamRefused, "the operation of a caller was refused for its key, with the reason and the database; sampled"},
