Count few of the failures of one crash, and end ramps without requests

A crash fails all statements under way; with all counted, an instance would be avoided for up to 6 s after its return. A stalled instance with a queue gets its next statement also if no request arrives.

--- a/internal/backend/allotter/allotter.go
+++ b/internal/backend/allotter/allotter.go
@@ -492,7 +492,8 @@
 	return m
 }
 
-// closeIdleLoop closes connections at the end of their idle timeout, until Close.
+// closeIdleLoop closes connections at the end of their idle timeout, until Close. It also ends ramps, and begins those of stalled
+// instances, without a request that arrives.
 func (a *Allotter) closeIdleLoop() {
 	t := time.NewTicker(a.cfg.ExtraIdleTimeout / 2)
 	defer t.Stop()
@@ -507,6 +508,10 @@
 			p.closeIdleBefore(time.Now().Add(-a.cfg.IdleTimeout))
 			p.closeExtraIdle(time.Now().Add(-a.cfg.ExtraIdleTimeout))
 			p.dropUnused(time.Now())
+			if p.pace.Ramp() != "" || p.pace.IsStalled(time.Now(), p.silence(time.Now())) {
+				a.updatePace(p, a.cfg.Limits(p.target))
+				a.serveWaiters(p)
+			}
 		}
 		a.mu.Unlock()
 	}
--- a/internal/backend/pacer/judge.go
+++ b/internal/backend/pacer/judge.go
@@ -14,16 +14,22 @@
 	answered, failed float64
 	at               time.Time
 	answeredAt       time.Time // when the latest statement was answered
+	failedInRow      int       // failed statements since then, at most maxFailedInRow
 }
 
+// maxFailedInRow is the number of statements that failed without an answer between them up to which they count. A crash fails all
+// statements that are under way; with all of them counted, the instance would be avoided for seconds after its return.
+const maxFailedInRow = 3
+
 // WithOutcome returns the window after one more statement.
 func (w Window) WithOutcome(now time.Time, ok bool) Window {
 	w.answered, w.failed = w.At(now)
 	w.at = now
 	if ok {
-		w.answeredAt = now
+		w.answeredAt, w.failedInRow = now, 0
 		w.answered++
-	} else {
+	} else if w.failedInRow < maxFailedInRow {
+		w.failedInRow++
 		w.failed++
 	}
 	return w
