--- a/internal/backend/allotter/forecast_test.go
+++ b/internal/backend/allotter/forecast_test.go
@@ -8,6 +8,7 @@
 	"testing/synctest"
 	"time"
 
+	"parsleyscale/internal/backend/pacer"
 	"parsleyscale/internal/failure/classifier"
 	"parsleyscale/internal/session/tokenizer"
 	"parsleyscale/internal/statement/carrier"
@@ -129,3 +130,56 @@
 		l.Release()
 	})
 }
+
+// Guards against a forecast with another pace than the one that Acquire applies to the same request, and against one that begins
+// or reports a ramp: at an instance that is not known yet, that has restarted, and that has left its statements unanswered.
+func TestForecastOfPace(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		instance := pacer.Instance{Slots: 5, Pools: 4, StartedAtMs: 1}
+		var ramps []pacer.Reason
+		a := New(Config{
+			Dialer: &fakeDialer{}, Limits: func(carrier.Target) Limits { return Limits{Open: 12, InUse: 10, Instance: instance} },
+			Observe:     func(carrier.Target, tokenizer.Position, time.Duration, error) {},
+			ObserveRamp: func(_ carrier.Target, r pacer.Reason) { ramps = append(ramps, r) },
+		})
+		defer a.Close()
+		target := carrier.Target{Instance: "i", Group: "g", Address: "i"}
+		check := func(want Pace) {
+			t.Helper()
+			known := len(ramps)
+			f := a.Forecast(target, 0, time.Second)
+			if f.Pace != want || len(ramps) != known {
+				t.Errorf("pace %+v, ramps %v; want %+v and %d ramps", f.Pace, ramps, want, known)
+			}
+			if again := a.Forecast(target, 0, time.Second); !reflect.DeepEqual(again, f) {
+				t.Errorf("second forecast %+v, want %+v", again, f)
+			}
+			a.mu.Lock()
+			p := a.poolOf(target)
+			a.updatePace(p, a.cfg.Limits(target))
+			got := Pace{Limit: p.pace.Limit(p.usual), Usual: p.usual, Ramp: p.pace.Ramp()}
+			a.mu.Unlock()
+			if got != want || ramps[len(ramps)-1] != want.Ramp {
+				t.Errorf("pace of a request %+v, ramps %v; want %+v", got, ramps, want)
+			}
+		}
+		check(Pace{Limit: 1, Usual: 10, Ramp: pacer.Discovered})
+		l, err := a.Acquire(t.Context(), target, 0)
+		if err != nil {
+			t.Fatal(err)
+		}
+		l.Release()
+		check(Pace{Limit: 2, Usual: 10, Ramp: pacer.Discovered})
+		instance.StartedAtMs = 2
+		check(Pace{Limit: 1, Usual: 10, Ramp: pacer.Restarted})
+		if l, err = a.Acquire(t.Context(), target, 0); err != nil {
+			t.Fatal(err)
+		}
+		a.mu.Lock()
+		a.pools["i"].answeredAt, a.pools["i"].busySince = time.Now().Add(-2*pacer.StaleSilence), time.Now().Add(-pacer.StaleSilence)
+		a.pools["i"].pace = a.pools["i"].pace.WithRamp(time.Now().Add(-pacer.StaleSilence), pacer.Restarted, 10)
+		a.mu.Unlock()
+		check(Pace{Limit: 1, Usual: 10, Ramp: pacer.Stalled})
+		l.Discard()
+	})
+}
--- a/internal/backend/allotter/instance_pool.go
+++ b/internal/backend/allotter/instance_pool.go
@@ -8,6 +8,7 @@
 	"slices"
 	"time"
 
+	"parsleyscale/internal/backend/pacer"
 	"parsleyscale/internal/failure/classifier"
 	"parsleyscale/internal/statement/carrier"
 )
@@ -30,7 +31,12 @@
 	idleInTx          int           // leased and idle in a transaction
 	waiters           []*waiter     // ordered by effectiveArrival
 	meanHoldTime      time.Duration // moving average of the time for which a request keeps a connection
-	congestionWindow  float64       // connections that may be in use at once, adapted to overload replies
+	pace              pacer.Pace    // limits the connections in use after a start, a recovery or an overload reply
+	rampNumber        int           // number of ramps so far
+	staleInUse        int           // connections in use since before the latest ramp
+	usual             int           // limit of the connections in use without the pace, when it was last computed
+	answeredAt        time.Time     // when the instance last answered a request
+	busySince         time.Time     // when a connection was last taken while none was in use
 	noDialUntil       time.Time     // end of the back-off after a refused connection
 	dialBackoff       time.Duration // back-off after the latest refusal; zero after a successful dial
 	reducedLimit      int           // limit that the latest refusal set, raised by connections accepted since
@@ -92,7 +98,7 @@
 
 // newInstancePool returns a pool without connections.
 func newInstancePool(t carrier.Target) *instancePool {
-	return &instancePool{target: t.WithTeam("").WithGateway(""), scopes: map[scope]*scopeUse{}, teams: map[string]*teamUse{}, meanHoldTime: initialHoldTime, congestionWindow: maxCongestionWindow}
+	return &instancePool{target: t.WithTeam("").WithGateway(""), scopes: map[scope]*scopeUse{}, teams: map[string]*teamUse{}, meanHoldTime: initialHoldTime}
 }
 
 // inUse returns the number of leased connections that are not idle in a transaction.
@@ -111,8 +117,9 @@
 // takeIdle takes idle connection k out of the pool for a request.
 func (p *instancePool) takeIdle(k int, r request) *Lease {
 	l := p.idle[k]
+	p.recordUse(time.Now())
 	p.idle = slices.Delete(p.idle, k, k+1)
-	l.team, l.teamConn, l.holdStart = r.team, teamConn{l.conn, r.team}, time.Now()
+	l.team, l.teamConn, l.holdStart, l.rampNumber = r.team, teamConn{l.conn, r.team}, time.Now(), p.rampNumber
 	p.scopeUse(l.scope).recordReturn(l.holdStart)
 	_, isKnown := p.teams[r.team]
 	u := p.teamUse(r.team)
@@ -150,6 +157,9 @@
 
 // endUse records that a connection is no longer in use for its team.
 func (p *instancePool) endUse(l *Lease) {
+	if l.rampNumber != p.rampNumber && p.staleInUse > 0 {
+		p.staleInUse--
+	}
 	u := p.teamUse(l.team)
 	u.inUse--
 	u.recordHold(time.Now(), time.Since(l.holdStart))
@@ -233,6 +243,9 @@
 	if p.isUnreachable(time.Now()) {
 		return answer{idle: -1, err: withRetryAfter(unreachableRetryAfter, classifier.New(classifier.NoInstance, "%s is unreachable: all dials have failed for at least %s", p.target.Instance, unreachableAfter))}
 	}
+	if p.pace.Ramp() != "" {
+		maxInUse = max(maxInUse, p.pace.ExpectedLimit(p.usual))
+	}
 	n := answer{idle: -1, ahead: p.requestsAhead(r)}
 	n.wait = p.estimateWait(n.ahead, maxInUse)
 	switch {
@@ -326,14 +339,12 @@
 }
 
 // maxInUseByStatements returns how many connections statements may use at once. This is
-// less than maxOpen after the instance rejected statements for overload, or when
-// Limits.InUse is lower, as further statements would only queue at the instance.
+// less than maxOpen after the instance rejected statements for overload, started or recovered, or
+// when Limits.InUse is lower, as further statements would only queue at the instance.
 func (p *instancePool) maxInUseByStatements(l Limits, growInterval time.Duration) int {
-	n := p.maxOpen(l, growInterval)
-	if l.InUse > 0 {
-		n = min(n, l.InUse)
-	}
-	return max(1, min(n, int(p.congestionWindow)))
+	maxOpen := p.maxOpen(l, growInterval)
+	// Connections in use since before the ramp may get no answer any more, and must not keep others from being opened.
+	return min(maxOpen, p.pace.Limit(l.usual(maxOpen))+p.staleInUse)
 }
 
 // withRetryAfter adds to err the time after which to repeat the request. IsRejected and IsUnreachable
@@ -474,8 +485,64 @@
 	p.noDialUntil = time.Now().Add(p.dialBackoff/2 + rand.N(p.dialBackoff))
 }
 
-// recordHoldTime records for how long a request kept a connection, and widens the congestion window.
+// recordHoldTime records for how long a request kept a connection, which has been answered.
 func (p *instancePool) recordHoldTime(d time.Duration) {
 	p.meanHoldTime += time.Duration(holdTimeWeight * float64(d-p.meanHoldTime))
-	p.congestionWindow = min(maxCongestionWindow, p.congestionWindow+congestionWindowGrowth/max(1, p.congestionWindow))
+	p.answeredAt = time.Now()
+	p.pace = p.pace.WithResponse(p.answeredAt, d, p.inUse(), p.usual)
+}
+
+// beginRamp applies the beginning of a ramp to the connections in use, and lowers the mean hold time. While statements queue at an
+// instance, the hold time grows with the number of connections in use; the mean of the time before would make requests be refused
+// that can be served.
+func (p *instancePool) beginRamp() {
+	p.rampNumber++
+	p.staleInUse = p.inUse()
+	scaled := p.meanHoldTime * time.Duration(p.pace.ExpectedLimit(p.usual)) / time.Duration(max(1, p.usual))
+	p.meanHoldTime = max(min(p.meanHoldTime, initialHoldTime), scaled)
+}
+
+// startRamp begins the ramp of an instance that has failed. It returns false without effect if this VM does not connect to the
+// instance itself.
+func (p *instancePool) startRamp(now time.Time, reason pacer.Reason) bool {
+	if !p.pace.IsDirect() {
+		return false
+	}
+	p.pace = p.pace.WithRamp(now, reason, p.usual)
+	p.beginRamp()
+	return true
+}
+
+// updatePace applies the latest description of the instance, and reports whether a ramp has begun.
+func (p *instancePool) updatePace(now time.Time, l Limits, growInterval time.Duration) bool {
+	before := p.pace
+	p.usual = l.usual(p.maxOpen(l, growInterval))
+	p.pace = before.WithInstance(now, l.Instance, p.usual)
+	switch {
+	case p.pace.BeganRampSince(before):
+		p.beginRamp()
+		return true
+	case p.pace.IsStalled(now, p.silence(now)):
+		return p.startRamp(now, pacer.Stalled)
+	}
+	return false
+}
+
+// recordUse records that a connection is about to be in use.
+func (p *instancePool) recordUse(now time.Time) {
+	if p.inUse() == 0 {
+		p.busySince = now
+	}
+}
+
+// silence returns for how long no connection in use has been answered. It is 0 if none is in use, or if they lead to a gateway,
+// where statements may wait for a connection.
+func (p *instancePool) silence(now time.Time) time.Duration {
+	if p.inUse() == 0 || !p.pace.IsDirect() {
+		return 0
+	}
+	if p.busySince.After(p.answeredAt) {
+		return now.Sub(p.busySince)
+	}
+	return now.Sub(p.answeredAt)
 }
--- a/internal/operator/inspector/explain.go
+++ b/internal/operator/inspector/explain.go
@@ -125,12 +125,15 @@
 	Exclusion     string  `json:"excluded,omitempty"`  // reason why it is not tried now
 	Rejection     string  `json:"rejection,omitempty"` // why this VM would refuse the request a connection to it
 	Health        string  `json:"health"`
+	Fault         string  `json:"fault,omitempty"`    // by comparison with the other instances
+	IsProbeDue    bool    `json:"probeDue,omitempty"` // the fault does not lower Health now, so that a read shows whether it has passed
 	CostMillis    float64 `json:"costMillis"`
 	LatencyMillis float64 `json:"latencyMillis"` // mean; 0 if not known
 	LagMillis     float64 `json:"lagMillis"`
 	Position      string  `json:"position"` // newest that it has reported
 	Failures      int     `json:"failures,omitempty"`
 	Link          Link    `json:"link"`
+	Pace          Pace    `json:"pace"`
 	WaitMillis    float64 `json:"waitMillis"`
 	LongestMillis float64 `json:"longestMillis"`
 }
@@ -148,6 +151,13 @@
 	Ahead          int    `json:"ahead"`   // those that would be served before the request
 }
 
+// Pace is the limit of this VM's connections in use at an instance.
+type Pace struct {
+	Limit int    `json:"limit"`          // after a start, a recovery or overload; at most Usual
+	Usual int    `json:"usual"`          // limit that applies otherwise
+	Ramp  string `json:"ramp,omitempty"` // reason of the ramp that is under way
+}
+
 // ExplainedRefusal is the refusal that the client would receive.
 type ExplainedRefusal struct {
 	By               string  `json:"by"` // configuration, identity, limit or instances
