--- a/internal/backend/allotter/lease.go
+++ b/internal/backend/allotter/lease.go
@@ -6,6 +6,7 @@
 	"hash/maphash"
 	"time"
 
+	"parsleyscale/internal/backend/pacer"
 	"parsleyscale/internal/statement/carrier"
 )
 
@@ -31,6 +32,9 @@
 	sessionValues map[string]string // session values set on this connection
 	prepared      map[string]bool   // names of the statements prepared on this connection
 
+	openedRamp int // instancePool.rampNumber when the connection was opened
+	rampNumber int // instancePool.rampNumber when the connection was last taken, or resumed its transaction
+
 	isIdleInTx bool // guarded by Allotter.mu
 }
 
@@ -95,8 +99,12 @@
 func (l *Lease) MarkActive() {
 	l.allotter.mu.Lock()
 	defer l.allotter.mu.Unlock()
+	if l.isIdleInTx {
+		l.pool.recordUse(time.Now())
+	}
 	if l.pool.endIdleInTx(l) {
 		l.pool.teamUse(l.team).inUse++
+		l.rampNumber = l.pool.rampNumber
 	}
 	l.holdStart = time.Now()
 }
@@ -120,6 +128,9 @@
 func (l *Lease) discardWithIdle() {
 	l.allotter.mu.Lock()
 	now := time.Now()
+	if l.conn.IsBroken() && l.openedRamp == l.pool.rampNumber {
+		l.allotter.startRamp(l.pool, pacer.Recovered) // not for the other connections that the instance closed at that time
+	}
 	l.pool.closeIdleIf(func(idle *Lease) bool {
 		return idle.scope.gateway == l.scope.gateway && idle.lastUsedAt.Before(now)
 	})
--- a/internal/daemon/assembler/assembler.go
+++ b/internal/daemon/assembler/assembler.go
@@ -173,7 +173,7 @@
 	if p.OnRestore != nil {
 		p.OnRestore(v.handleRestore)
 	}
-	v.pool = allotter.New(allotter.Config{Dialer: v.gateways, Limits: v.gateways.connectionLimits, Observe: v.recordDial, Route: v.gateways.route, PeekRoute: v.gateways.peekRoute, PeekLimits: v.gateways.peekLimits, ObserveWait: v.logTeamWait})
+	v.pool = allotter.New(allotter.Config{Dialer: v.gateways, Limits: v.gateways.connectionLimits, Observe: v.recordDial, Route: v.gateways.route, PeekRoute: v.gateways.peekRoute, PeekLimits: v.gateways.peekLimits, ObserveWait: v.logTeamWait, ObserveRamp: v.logRamp})
 	controller := commander.Controller{Pool: v.pool, Parse: p.ParseCondition}
 	peers := commander.Peers{Dialer: p.Dialer, Addresses: v.gateways.linkAddresses, Parse: p.ParseCondition}
 	v.performer = performer.New(performer.Config{
--- a/internal/daemon/assembler/explain.go
+++ b/internal/daemon/assembler/explain.go
@@ -129,10 +129,11 @@
 func (v *VM) explainedCandidate(c performer.Candidate) inspector.ExplainedCandidate {
 	f := c.Forecast
 	x := inspector.ExplainedCandidate{
-		ID: c.View.ID, DataCentre: c.View.DataCentre, Exclusion: c.Exclusion, Health: c.Health.String(), CostMillis: inspector.Millis(c.Cost),
+		ID: c.View.ID, DataCentre: c.View.DataCentre, Exclusion: c.Exclusion, Health: c.Health.String(), Fault: string(c.Verdict.Fault), IsProbeDue: c.Verdict.MayProbe, CostMillis: inspector.Millis(c.Cost),
 		LatencyMillis: inspector.Millis(c.View.Latency), LagMillis: inspector.Millis(c.View.Lag), Position: c.View.Position.String(), Failures: c.View.Failures,
 		WaitMillis: inspector.Millis(f.Wait), LongestMillis: inspector.Millis(c.Longest),
 		Link: inspector.Link{Usable: f.Open, Open: f.Load.Open, Idle: f.Load.Idle, InUse: f.Load.InUse, MaxInUse: f.Load.MaxInUse, Waiting: f.Load.Waiting, Ahead: f.Ahead},
+		Pace: inspector.Pace{Limit: f.Pace.Limit, Usual: f.Pace.Usual, Ramp: string(f.Pace.Ramp)},
 	}
 	if f.Err != nil {
 		x.Rejection = classifier.Message(f.Err)
--- a/internal/operator/commander/explain.go
+++ b/internal/operator/commander/explain.go
@@ -141,7 +141,14 @@
 	} else {
 		fmt.Fprintf(b, "%d %s %s: ", k+1, c.ID, c.DataCentre)
 	}
-	fmt.Fprintf(b, "%s, cost %s, lag %s, position %s", c.Health, duration(c.CostMillis), duration(c.LagMillis), c.Position)
+	b.WriteString(c.Health)
+	switch {
+	case c.IsProbeDue:
+		fmt.Fprintf(b, " (%s, probe due)", c.Fault)
+	case c.Fault != "":
+		fmt.Fprintf(b, " (%s)", c.Fault)
+	}
+	fmt.Fprintf(b, ", cost %s, lag %s, position %s", duration(c.CostMillis), duration(c.LagMillis), c.Position)
 	if c.Failures > 0 {
 		fmt.Fprintf(b, ", %d failures", c.Failures)
 	}
@@ -152,6 +159,12 @@
 		fmt.Fprintf(b, "; through %s %s", l.Gateway, l.GatewayAddress)
 	}
 	fmt.Fprintf(b, ", %d usable of %d open connections, %d of %d in use, %d waiting, %d ahead", l.Usable, l.Open, l.InUse, l.MaxInUse, l.Waiting, l.Ahead)
+	switch p := c.Pace; {
+	case p.Ramp != "":
+		fmt.Fprintf(b, "; paced to %d of %d, ramp: %s", p.Limit, p.Usual, p.Ramp)
+	case p.Limit < p.Usual:
+		fmt.Fprintf(b, "; paced to %d of %d", p.Limit, p.Usual)
+	}
 	fmt.Fprintf(b, "; wait %s", duration(c.WaitMillis))
 	if c.Rejection != "" {
 		fmt.Fprintf(b, "; rejected: %s", c.Rejection)
--- a/internal/request/ranker/ranker.go
+++ b/internal/request/ranker/ranker.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"parsleyscale/internal/backend/allotter"
+	"parsleyscale/internal/backend/pacer"
 	"parsleyscale/internal/group/registrar"
 	"parsleyscale/internal/session/tokenizer"
 )
@@ -27,8 +28,6 @@
 
 	// laggingProbeInterval is the minimum time between reads to an instance whose lag exceeds the floor's age.
 	laggingProbeInterval = 200 * time.Millisecond
-	// failureCooldown is how long an instance ranks last after its latest failure.
-	failureCooldown = 500 * time.Millisecond
 	// overloadCooldown is how long an instance that shed load ranks behind the healthy ones.
 	overloadCooldown = 50 * time.Millisecond
 
@@ -61,6 +60,7 @@
 // Decision is a candidate with what decides about its place in the order.
 type Decision struct {
 	Candidate
+	Verdict   pacer.Verdict // by comparison with the other candidates
 	Health    Health
 	Cost      time.Duration
 	Exclusion Exclusion // empty if the candidate may get the read
@@ -73,11 +73,11 @@
 const (
 	Healthy    Health = iota
 	Overloaded        // shed load within overloadCooldown
-	Failing           // failed within failureCooldown
+	Faulty            // has a fault by comparison with its peers, and no probe is due
 )
 
 // String returns the name of the class for operators.
-func (h Health) String() string { return [...]string{"healthy", "overloaded", "failing"}[h] }
+func (h Health) String() string { return [...]string{"healthy", "overloaded", "faulty"}[h] }
 
 // Exclusion is the reason why a candidate does not get the read.
 type Exclusion string
@@ -105,9 +105,10 @@
 
 // Decide returns all candidates: the usable ones in the order in which to try them, then the excluded ones.
 func Decide(list []Candidate, q Query) []Decision {
+	verdicts := pacer.Judge(Observations(list), q.Now)
 	order := make([]Decision, len(list))
 	for k, c := range list {
-		order[k] = Decision{Candidate: c, Health: healthOf(c.View, q), Cost: costOf(c, q), Exclusion: exclusionOf(c, q)}
+		order[k] = Decision{Candidate: c, Verdict: verdicts[k], Health: healthOf(c.View, verdicts[k], q), Cost: costOf(c, q), Exclusion: exclusionOf(c, q)}
 	}
 	slices.SortFunc(order, func(a, b Decision) int {
 		if isExcluded := a.Exclusion != ""; isExcluded != (b.Exclusion != "") {
@@ -121,6 +122,18 @@
 	return order
 }
 
+// Observations returns what is known about the instances of a group, for pacer.Judge.
+func Observations(list []Candidate) []pacer.Observation {
+	observations := make([]pacer.Observation, len(list))
+	for k, c := range list {
+		observations[k] = pacer.Observation{
+			ID: c.View.ID, Window: c.View.Outcomes, Latency: max(c.View.Latency, c.Load.MeanHoldTime), Silence: c.Load.Silence,
+			Failures: c.View.Failures, LastFailedAt: c.View.LastFailedAt, ProbedAt: c.View.ReadSentAt,
+		}
+	}
+	return observations
+}
+
 // exclusionOf returns why an instance must not get the read or would most likely refuse it, or "" if it may get the read. A
 // primary that has only just begun to leave may.
 func exclusionOf(c Candidate, q Query) Exclusion {
@@ -137,10 +150,10 @@
 }
 
 // healthOf returns the health class of an instance.
-func healthOf(v registrar.View, q Query) Health {
+func healthOf(v registrar.View, verdict pacer.Verdict, q Query) Health {
 	switch {
-	case v.Failures > 0 && q.Now.Sub(v.LastFailedAt) < failureCooldown:
-		return Failing
+	case verdict.Fault != "" && !verdict.MayProbe:
+		return Faulty
 	case q.Now.Sub(v.OverloadedAt) < overloadCooldown:
 		return Overloaded
 	}
--- a/internal/request/ranker/ranker_test.go
+++ b/internal/request/ranker/ranker_test.go
@@ -8,6 +8,7 @@
 	"github.com/google/go-cmp/cmp"
 
 	"parsleyscale/internal/backend/allotter"
+	"parsleyscale/internal/backend/pacer"
 	"parsleyscale/internal/failure/classifier"
 	"parsleyscale/internal/group/registrar"
 	"parsleyscale/internal/session/tokenizer"
@@ -80,6 +81,19 @@
 		{"a failing replica ranks last", []Candidate{
 			candidate("a", "d1", func(c *Candidate) { c.View.Failures, c.View.LastFailedAt = 1, now.Add(-50*time.Millisecond) }), candidate("b", "d3", nil),
 		}, 5, []string{"b", "a"}},
+		{"a failing replica is probed by one read after the probe interval", []Candidate{
+			candidate("a", "d1", func(c *Candidate) { c.View.Failures, c.View.LastFailedAt = 1, now.Add(-time.Second) }), candidate("b", "d3", nil),
+		}, 5, []string{"a", "b"}},
+		{"a failing replica gets no second read while the probe is not answered", []Candidate{
+			candidate("a", "d1", func(c *Candidate) {
+				c.View.Failures, c.View.LastFailedAt, c.View.ReadSentAt = 1, now.Add(-time.Second), now.Add(-20*time.Millisecond)
+			}), candidate("b", "d3", nil),
+		}, 5, []string{"b", "a"}},
+		{"a replica that does not answer what it has ranks last", []Candidate{
+			candidate("a", "d1", func(c *Candidate) {
+				c.Load.InUse, c.Load.Silence, c.View.ReadSentAt = 1, 200*time.Millisecond, now.Add(-200*time.Millisecond)
+			}), candidate("b", "d3", nil),
+		}, 5, []string{"b", "a"}},
 		{"a leaving replica is omitted", []Candidate{candidate("a", "d1", func(c *Candidate) { c.View.IsLeaving = true }), candidate("b", "d3", nil)}, 5, []string{"b"}},
 		{"an instance that refuses connections is omitted", []Candidate{candidate("a", "d1", func(c *Candidate) { c.Load.InDialBackoff = true })}, 5, nil},
 	} {
@@ -109,6 +123,37 @@
 	}
 }
 
+// TestHealth guards against a decision whose health class or verdict is not the one by which Rank orders the candidates.
+func TestHealth(t *testing.T) {
+	q := Query{DataCentre: "d1", RegionOf: func(string) string { return "" }, Primary: "p", Now: now}
+	failedAt := func(age time.Duration) func(*Candidate) {
+		return func(c *Candidate) { c.View.Failures, c.View.LastFailedAt = 1, now.Add(-age) }
+	}
+	list := []Candidate{
+		candidate("a", "d1", failedAt(50*time.Millisecond)), candidate("b", "d1", failedAt(time.Second)),
+		candidate("c", "d1", func(c *Candidate) { c.View.OverloadedAt = now }), candidate("p", "d1", nil),
+	}
+	type health struct {
+		ID    string
+		Class string
+		Fault pacer.Fault
+		Probe bool
+	}
+	var got []health
+	for _, d := range Decide(list, q) {
+		got = append(got, health{d.View.ID, d.Health.String(), d.Verdict.Fault, d.Verdict.MayProbe})
+	}
+	want := []health{{"b", "healthy", pacer.Unanswered, true}, {"p", "healthy", "", false}, {"c", "overloaded", "", false}, {"a", "faulty", pacer.Unanswered, false}}
+	if d := cmp.Diff(want, got); d != "" {
+		t.Errorf("decisions differ (-want +got):\n%s", d)
+	}
+	for k, c := range Rank(list, q) {
+		if c.View.ID != want[k].ID {
+			t.Errorf("Rank returns %s at place %d, want %s", c.View.ID, k, want[k].ID)
+		}
+	}
+}
+
 // TestReadsBackOffFromLaggingReplica guards against VMs that keep sending reads to a
 // replica that is seconds behind and has to refuse them, and against a replica that
 // still gets no reads long after it has caught up. In one scenario, two replicas
