--- a/review/harness-2/config.go
+++ b/review/harness-2/config.go
@@ -38,3 +38,17 @@
 		record("operator: version %d is acknowledged: route %s (%s, timeout_ms %d) leads to %s", o.version, r.host, r.kind, r.timeoutMs, r.service)
 	}
 }
+
+// startStore starts the store for a deployment whose instances are those of this program, and the platform's other calls.
+// onOrder is called for each of them.
+func startStore(onOrder func(what string)) *emulator.Store {
+	store, err := emulator.StartStore()
+	if err != nil {
+		giveUp(err.Error())
+	}
+	if dep.orders, err = startOrders(onOrder); err != nil {
+		giveUp(err.Error())
+	}
+	dep.store = store.Address()
+	return store
+}
--- a/review/harness-2/link.go
+++ b/review/harness-2/link.go
@@ -6,8 +6,6 @@
 	"sync"
 	"sync/atomic"
 	"time"
-
-	"parsleyscale/platform/emulator"
 )
 
 const (
@@ -24,7 +22,8 @@
 
 // playLink plays sessions with a value each, on a VM that reaches the primary through other VMs. Other clients of these VMs send
 // large messages. It reports whether a statement ran with other values than those acknowledged to its client.
-func playLink(store *emulator.Store, hasTrouble bool) bool {
+func playLink(hasTrouble bool) bool {
+	store := startStore(giveUp)
 	zones := []string{"castilla-burgos", "cantabria-santander", "castilla-palencia"}
 	var mu sync.Mutex
 	wanted, ran, wrong := map[string]setValue{}, 0, 0
--- a/review/harness-2/main.go
+++ b/review/harness-2/main.go
@@ -6,8 +6,6 @@
 	"runtime"
 	"sync"
 	"time"
-
-	"parsleyscale/platform/emulator"
 )
 
 // Exit codes of a case.
@@ -63,21 +61,13 @@
 		giveUp(err.Error())
 	}
 	time.AfterFunc(110*time.Second, func() { giveUp("the case took too long") })
-	store, err := emulator.StartStore()
-	if err != nil {
-		giveUp(err.Error())
-	}
-	if dep.orders, err = startOrders(); err != nil {
-		giveUp(err.Error())
-	}
-	dep.store = store.Address()
 	hasTrouble := os.Getenv("TROUBLE") != "0"
-	cases := map[string]func(*emulator.Store, bool) bool{"route": playRoute, "link": playLink}
+	cases := map[string]func(bool) bool{"route": playRoute, "link": playLink, "departure": playDeparture, "leaving": playLeaving}
 	play, ok := cases[os.Args[1]]
 	if !ok {
 		giveUp("unknown case")
 	}
-	if play(store, hasTrouble) {
+	if play(hasTrouble) {
 		record("result: the rule was broken")
 		end(exitBroken)
 	}
--- a/review/harness-2/vm.go
+++ b/review/harness-2/vm.go
@@ -3,6 +3,7 @@
 import (
 	"encoding/json"
 	"fmt"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"os"
@@ -17,6 +18,7 @@
 type vm struct {
 	id, zone         string
 	caller, readyURL string
+	settings         string // file
 	cmd              *exec.Cmd
 }
 
@@ -29,14 +31,25 @@
 
 var regionOf = map[string]string{"castilla-burgos": "castilla", "castilla-palencia": "castilla", "cantabria-santander": "cantabria"}
 
-// freeAddress returns a loopback address with a free port.
+// usedPorts are the ports that freeAddress has returned.
+var usedPorts = map[int]bool{}
+
+// freeAddress returns a loopback address with a free port. The port lies below those that the system assigns to outgoing
+// connections, one of which could take it before the VM starts, or starts again.
 func freeAddress() string {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		giveUp(err.Error())
+	const first, count = 12_000, 18_000
+	for {
+		port := first + rand.IntN(count)
+		if usedPorts[port] {
+			continue
+		}
+		usedPorts[port] = true
+		address := fmt.Sprintf("127.0.0.1:%d", port)
+		if l, err := net.Listen("tcp", address); err == nil {
+			_ = l.Close()
+			return address
+		}
 	}
-	defer func() { _ = l.Close() }()
-	return l.Addr().String()
 }
 
 // startVMs starts a VM in each of the zones, with the command of the deploy file and the settings that its template yields.
@@ -65,21 +78,33 @@
 		if err != nil {
 			giveUp(err.Error())
 		}
-		log, err := os.Create(filepath.Join(d.dir, id+".log"))
-		if err != nil {
-			giveUp(err.Error())
-		}
-		v := &vm{id: id, zone: zone, caller: a.caller, readyURL: "http://" + a.ready + "/ready"}
-		v.cmd = exec.Command("target/parsleyline", "--settings", file)
-		v.cmd.Stdout, v.cmd.Stderr = log, log
-		v.cmd.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL} // if the case itself is killed
-		if err := v.cmd.Start(); err != nil {
-			giveUp(err.Error())
-		}
+		v := &vm{id: id, zone: zone, caller: a.caller, readyURL: "http://" + a.ready + "/ready", settings: file}
+		v.start()
 		d.vms = append(d.vms, v)
 	}
 }
 
+// start starts the process of a VM with the command of the deploy file.
+func (v *vm) start() {
+	log, err := os.OpenFile(strings.TrimSuffix(v.settings, ".json")+".log", os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
+	if err != nil {
+		giveUp(err.Error())
+	}
+	defer func() { _ = log.Close() }()
+	v.cmd = exec.Command("target/parsleyline", "--settings", v.settings)
+	v.cmd.Stdout, v.cmd.Stderr = log, log
+	v.cmd.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL} // if the case itself is killed
+	if err := v.cmd.Start(); err != nil {
+		giveUp(err.Error())
+	}
+}
+
+// kill kills the process of a VM.
+func (v *vm) kill() {
+	_ = v.cmd.Process.Kill()
+	_ = v.cmd.Wait()
+}
+
 // awaitReady waits until all VMs are ready.
 func (d *deployment) awaitReady() {
 	deadline := time.Now().Add(20 * time.Second)
@@ -103,8 +128,7 @@
 // stop ends all processes that were started.
 func (d *deployment) stop() {
 	for _, v := range d.vms {
-		_ = v.cmd.Process.Kill()
-		_ = v.cmd.Wait()
+		v.kill()
 	}
 }
 
