--- a/review/harness-2/config.go
+++ b/review/harness-2/config.go
@@ -40,13 +40,12 @@
 }
 
 // startStore starts the store for a deployment whose instances are those of this program, and the platform's other calls.
-// onOrder is called for each of them.
-func startStore(onOrder func(what string)) *emulator.Store {
+func startStore() *emulator.Store {
 	store, err := emulator.StartStore()
 	if err != nil {
 		giveUp(err.Error())
 	}
-	if dep.orders, err = startOrders(onOrder); err != nil {
+	if dep.orders, err = startOrders(); err != nil {
 		giveUp(err.Error())
 	}
 	dep.store = store.Address()
--- a/review/harness-2/instance.go
+++ b/review/harness-2/instance.go
@@ -36,7 +36,6 @@
 	work           time.Duration // of a read, a write or a commit
 	lag            time.Duration // until a replica applies what it received
 	onRun          func(run)
-	onOrder        func(what string) // called for a command that ends a term
 
 	mu        sync.Mutex
 	term      uint64
@@ -50,9 +49,7 @@
 	listener net.Listener
 	born     int64
 
-	log      []entry // guarded by g.mu, like the fields below
-	leaving  bool
-	open     map[net.Conn]bool
+	log      []entry // guarded by g.mu
 	conns    int
 	admitted int
 	slot     chan struct{}
@@ -61,17 +58,14 @@
 
 func startGroup(g *group, zones []string) error {
 	g.term = 1
-	if g.onOrder == nil {
-		g.onOrder = giveUp
-	}
 	for k, z := range zones {
 		l, err := net.Listen("tcp", "127.0.0.1:0")
 		if err != nil {
 			return err
 		}
-		i := &instance{g: g, id: fmt.Sprintf("i-%s-%d", g.name, k+1), zone: z, listener: l, born: time.Now().UnixMilli(), open: map[net.Conn]bool{}, slot: make(chan struct{}, g.slots)}
+		i := &instance{g: g, id: fmt.Sprintf("i-%s-%d", g.name, k+1), zone: z, listener: l, born: time.Now().UnixMilli(), slot: make(chan struct{}, g.slots)}
 		g.instances = append(g.instances, i)
-		go i.accept(l)
+		go i.accept()
 	}
 	g.primary = g.instances[0]
 	return nil
@@ -81,16 +75,13 @@
 func (i *instance) entryOf(sequence int) any {
 	i.g.mu.Lock()
 	defer i.g.mu.Unlock()
-	role, state := "replica", "ready"
+	role := "replica"
 	if i.leads() {
 		role = "primary"
 	}
-	if i.leaving {
-		state = "draining"
-	}
 	return map[string]any{
 		"service": i.g.name, "address": i.listener.Addr().String(), "zone": i.zone, "version": "v1", "capacity": i.g.slots,
-		"state": state, "warmup_left_ms": 0, "sequence": sequence, "born": i.born, "db_role": role,
+		"state": "ready", "warmup_left_ms": 0, "sequence": sequence, "born": i.born, "db_role": role,
 	}
 }
 
@@ -104,31 +95,12 @@
 	}
 }
 
-// crash closes the connections of an instance and refuses others until restart. Its log is kept.
-func (i *instance) crash() {
-	_ = i.listener.Close()
-	i.g.mu.Lock()
-	defer i.g.mu.Unlock()
-	for c := range i.open {
-		_ = c.Close()
-	}
-}
-
-func (i *instance) restart() {
-	l, err := net.Listen("tcp", i.listener.Addr().String())
-	if err != nil {
-		giveUp(err.Error())
-	}
-	i.listener = l
-	go i.accept(l)
-}
-
 // leads reports whether the instance is the primary. The caller holds g.mu.
 func (i *instance) leads() bool { return i.g.primary == i }
 
-func (i *instance) accept(l net.Listener) {
+func (i *instance) accept() {
 	for {
-		c, err := l.Accept()
+		c, err := i.listener.Accept()
 		if err != nil {
 			return
 		}
@@ -197,17 +169,11 @@
 		return
 	}
 	i.g.mu.Lock()
-	i.open[c] = true
 	full := i.conns >= i.g.maxConnections
 	if !full {
 		i.conns++
 	}
 	i.g.mu.Unlock()
-	defer func() {
-		i.g.mu.Lock()
-		delete(i.open, c)
-		i.g.mu.Unlock()
-	}()
 	if full {
 		_, _ = fmt.Fprintf(c, "ERR TOOMANY %s\r\n", i.id)
 		return
@@ -454,11 +420,12 @@
 	s.done(s.sign())
 }
 
-// control answers a control command. No case goes on after a hold or a demotion, which onOrder handles.
+// control answers a control command. The cases need no replacement of a primary, so that a hold or a demotion has no effect
+// beyond its answer; the run is then given up.
 func (s *conn) control(word, _ string) {
 	g, i := s.i.g, s.i
 	if word != "STATUS" {
-		g.onOrder("an instance got " + word)
+		giveUp("an instance got " + word)
 	}
 	g.mu.Lock()
 	defer g.mu.Unlock()
@@ -470,15 +437,15 @@
 	s.done("-")
 }
 
-// startOrders starts the platform's call that promotes an instance. It refuses all of them: no case goes on after onOrder.
-func startOrders(onOrder func(what string)) (address string, err error) {
+// startOrders starts the platform's call that promotes an instance.
+func startOrders() (address string, err error) {
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		return "", err
 	}
 	go func() {
 		_ = http.Serve(l, http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
-			onOrder("a promotion was requested")
+			giveUp("a promotion was requested")
 			w.WriteHeader(http.StatusConflict)
 		}))
 	}()
--- a/review/harness-2/link.go
+++ b/review/harness-2/link.go
@@ -23,7 +23,7 @@
 // playLink plays sessions with a value each, on a VM that reaches the primary through other VMs. Other clients of these VMs send
 // large messages. It reports whether a statement ran with other values than those acknowledged to its client.
 func playLink(hasTrouble bool) bool {
-	store := startStore(giveUp)
+	store := startStore()
 	zones := []string{"castilla-burgos", "cantabria-santander", "castilla-palencia"}
 	var mu sync.Mutex
 	wanted, ran, wrong := map[string]setValue{}, 0, 0
--- a/review/harness-2/main.go
+++ b/review/harness-2/main.go
@@ -62,7 +62,7 @@
 	}
 	time.AfterFunc(110*time.Second, func() { giveUp("the case took too long") })
 	hasTrouble := os.Getenv("TROUBLE") != "0"
-	cases := map[string]func(bool) bool{"route": playRoute, "link": playLink, "departure": playDeparture, "leaving": playLeaving}
+	cases := map[string]func(bool) bool{"route": playRoute, "link": playLink, "departure": playDeparture, "empty": playEmpty}
 	play, ok := cases[os.Args[1]]
 	if !ok {
 		giveUp("unknown case")
--- a/review/harness-2/route.go
+++ b/review/harness-2/route.go
@@ -10,7 +10,7 @@
 // playRoute plays a session that commits, while its route moves to another service and back. The replicas of the service lag
 // meanwhile. It reports whether a read of the session ran on a log without the session's own commit.
 func playRoute(hasTrouble bool) bool {
-	store := startStore(giveUp)
+	store := startStore()
 	const usualLag, troubleLag = 8 * time.Millisecond, 1200 * time.Millisecond // 150 times as late: the largest replica_lag of the site
 	const changeGap = 100 * time.Millisecond                                   // more than the least gap_s of a config_storm on the site, 0.06
 	// TROUBLE=lag and TROUBLE=moves play one half of the disruption.
