Keep the floor of each group that a session has committed in

Its route had led to another service and back meanwhile.

Cause: the session kept the position of its latest commit for one group only. A commit in the other group replaced it, and reads in the first one went to a replica without a position of the session.

--- a/internal/statement/conductor/session.go
+++ b/internal/statement/conductor/session.go
@@ -56,8 +56,7 @@
 
 	values      map[string]string
 	prepared    map[string]carrier.Statement // by the client's name for the statement
-	floorGroup  string                       // database group that floor refers to
-	floor       tokenizer.Position           // log position of the session's latest commit
+	floors      floors                       // log positions of the session's latest commits
 	tx          *performer.Transaction       // nil outside a transaction
 	team        cataloger.Team               // that the current statement runs for; the zero value if the client has none
 	txTeam      *cataloger.Team              // with which the transaction began; nil before its first statement
@@ -363,8 +362,9 @@
 		}
 		r.Route = route
 	}
-	if r.Route.Group == s.floorGroup {
-		r.Floor = s.floor
+	var isKnown bool
+	if r.Floor, isKnown = s.floors.Of(r.Route.Group); !isKnown && r.Route.ReadKind == cataloger.Session {
+		r.Route.ReadKind = cataloger.Current // only the primary is sure to hold the session's commits
 	}
 	if st.Verb != carrier.Execute {
 		return r, carrier.Reply{}, true
@@ -424,13 +424,9 @@
 
 // raiseFloor records the log position of the session's latest commit. A zero position is ignored.
 func (s *session) raiseFloor(group string, p tokenizer.Position) {
-	if p.IsZero() {
-		return
+	if !p.IsZero() {
+		s.floors = s.floors.With(group, p)
 	}
-	if s.floorGroup != group {
-		s.floorGroup, s.floor = group, tokenizer.Position{}
-	}
-	s.floor = s.floor.Max(p)
 }
 
 func (s *session) setValue(st carrier.Statement) carrier.Reply {
