Record in the store which instances may alone hold commits

Cause: departures are kept in the memory of a VM. One that started asked the store for the changes of the registry in the last 600 versions, then 200, 60 and 20, until the store still had them, and took no removal among them for no departure. 20 versions pass in 1.2 s, and the store keeps 20 s of history at most, while a departure matters as long as the other replicas lag.

The new package enroller keeps a roster of each group in the store: the instances that may hold commits which no other one holds, and a floor that covers all other acknowledged commits. VMs assume a departure before their start: only an instance with the first position that a primary has proved to the VM is promoted. If that is in the way, the VM reads the roster. If its instances are all in the registry, and none has restarted, its floor takes the place of the assumption. Where the store does not tell, the assumption stands.

TestMissedDeparture of the replacer keeps its four cases and has seven more: the roster shows no departure, a departure, a restart, a floor, nothing, or cannot be read. The case "a replica may have left" of the bases of a choice expects the same floor in the field of assumed departures.

ReadFirst of the store is ReadFrom now and begins at a key.

--- a/internal/daemon/assembler/assembler.go
+++ b/internal/daemon/assembler/assembler.go
@@ -17,6 +17,7 @@
 	"parsleyscale/internal/failure/classifier"
 	"parsleyscale/internal/group/claimer"
 	"parsleyscale/internal/group/commander"
+	"parsleyscale/internal/group/enroller"
 	"parsleyscale/internal/group/registrar"
 	"parsleyscale/internal/group/replacer"
 	"parsleyscale/internal/group/sealer"
@@ -41,8 +42,8 @@
 type Store interface {
 	follower.Source
 	claimer.Store
-	// ReadFirst returns the first rows of a table by key, at most limit, and reports whether these are all.
-	ReadFirst(ctx context.Context, table string, limit int) (follower.Page, bool, error)
+	// ReadFrom returns the rows of a table by key from one on, at most limit, and reports whether these are all.
+	ReadFrom(ctx context.Context, table, key string, limit int) (follower.Page, bool, error)
 	// Put writes a row and returns the version of that write, which is unique and higher than all before.
 	Put(ctx context.Context, table, key string, value []byte) (uint64, error)
 }
@@ -111,7 +112,8 @@
 	seenRestoreAt     atomic.Pointer[time.Time] // the same if the VM has seen it itself
 	outdatedEntries   atomic.Int64              // of the registry, which are not used
 	members           *members
-	departures        *departures
+	enroller          *enroller.Enroller
+	startedAt         time.Time
 	limits            *limits
 	auditor           *auditor.Auditor
 	sessionServer     *conductor.Server
@@ -150,7 +152,7 @@
 }
 
 func start(cfg loader.LineSettings, p Platform, log *logger.Logger) (*VM, error) {
-	v := &VM{cfg: cfg, platform: p, log: log, registryLoaded: make(chan struct{}), teamsChanged: make(chan struct{}, 1)}
+	v := &VM{cfg: cfg, platform: p, log: log, startedAt: time.Now(), registryLoaded: make(chan struct{}), teamsChanged: make(chan struct{}, 1)}
 	v.latestSettings.Store(&cfg)
 	v.recordSourceAnswer()
 	v.budget = budgeter.New(budgeter.LimitsFor(cfg.MemoryMB, cfg.MaxDescriptors), v.logBudget)
@@ -162,11 +164,11 @@
 	p.OnCall(v.countCall)
 	v.groups = registrar.New(p.Clock)
 	v.groups.Observe(v.logPrimaryChange)
+	v.groups.AssumeDepartures()
 	v.gateways = &gatewayDialer{vm: v, failed: map[string]time.Time{}, probing: map[string]bool{}}
 	v.tableSource = v.newSource()
 	v.members = newMembers(cfg, p.Store, v.tableSource)
 	v.summarizer = newSummarizer(p.Store, v.isLarge)
-	v.departures = &departures{source: p.Store, table: p.RegistryTable, startedAt: time.Now()}
 	go v.members.refreshLoop(context.Background())
 	v.auditor = auditor.Start(p.Store, cfg.ID)
 	v.claims = claimer.New(p.Store, cfg.ID, v.promoteRequestLifetime())
@@ -181,7 +183,7 @@
 		Groups: v.groups, Pool: v.pool, RetryBudget: admitter.NewRetryBudget(), Observe: v.logStatement, Unfenced: v.unfenced(controller),
 	})
 	v.replacer = replacer.Start(replacer.Config{
-		Groups: v.groups, Controller: controller, Tokens: v.members, Claims: v.claims, IsUnfenced: !cfg.Fencing, Probe: v.performer.Probe, Sample: v.performer.SamplePrimaryPosition, Rank: v.members.rank, IsConfigured: v.isConfigured, MayHaveMissedDeparture: v.departures.mayBeMissed,
+		Groups: v.groups, Controller: controller, Tokens: v.members, Claims: v.claims, IsUnfenced: !cfg.Fencing, Probe: v.performer.Probe, Sample: v.performer.SamplePrimaryPosition, Rank: v.members.rank, IsConfigured: v.isConfigured, Roster: v.roster,
 		Promote: func(ctx context.Context, group, instance string, token uint64) error {
 			return p.Promote(ctx, group, instance, cfg.ID, token)
 		},
@@ -203,6 +205,7 @@
 		RegistryState:     v.registryState,
 	})
 	v.startFollowers()
+	v.startEnroller()
 	v.startLimits()
 	clientListener, err := net.Listen("tcp", cfg.CallerAddress)
 	if err != nil {
@@ -253,6 +256,7 @@
 	v.sessionServer.Stop(settings.StopNotice.Std(), settings.StopGrace.Std()*5/6)
 	v.limits.close()
 	v.replacer.Close()
+	v.enroller.Close()
 	v.auditor.Close()
 	v.log.Info(logger.VMStopped)
 }
@@ -310,7 +314,6 @@
 
 // replaceRegistry replaces the registry by all rows of its table.
 func (v *VM) replaceRegistry(rows []follower.Row, version uint64) {
-	v.departures.recordRead(version)
 	if v.registry.IsRestoredAt(version) {
 		v.groups.RecordRestore()
 	}
--- a/internal/daemon/assembler/followers.go
+++ b/internal/daemon/assembler/followers.go
@@ -102,7 +102,7 @@
 	}
 	answeredAt := f.AnsweredAt()
 	if answeredAt.IsZero() {
-		answeredAt = v.departures.startedAt
+		answeredAt = v.startedAt
 	}
 	return f.Version(), time.Since(answeredAt)
 }
--- a/internal/daemon/assembler/log.go
+++ b/internal/daemon/assembler/log.go
@@ -229,6 +229,9 @@
 		}
 		fields = append(fields, logger.String("departureFloor", floor), logger.Int("silentReplicas", int64(b.SilentReplicas)))
 	}
+	if b.IsDepartureAssumed {
+		fields = append(fields, logger.String("assumedFloor", b.AssumedFloor.String()))
+	}
 	return fields
 }
 
@@ -266,6 +269,7 @@
 	replacer.EventDemoted:          logger.PrimaryDemoted,
 	replacer.EventNotInEffect:      logger.NotInEffect,
 	replacer.EventTermSealed:       logger.TermSealed,
+	replacer.EventRosterApplied:    logger.RosterApplied,
 	replacer.EventPromoteRequested: logger.PromoteOrdered,
 	replacer.EventReplaced:         logger.PrimaryReplaced,
 	replacer.EventFailed:           logger.PromotionFailed,
--- a/internal/daemon/assembler/members.go
+++ b/internal/daemon/assembler/members.go
@@ -208,7 +208,7 @@
 func (m *members) readFirst(ctx context.Context) (map[string]member, error) {
 	storeCtx, cancel := context.WithTimeout(ctx, refreshTimeout/2)
 	defer cancel()
-	p, isComplete, err := m.store.ReadFirst(storeCtx, inspector.VMTable, firstRows)
+	p, isComplete, err := m.store.ReadFrom(storeCtx, inspector.VMTable, "", firstRows)
 	switch {
 	case err != nil:
 		return readVMs(m.source.ReadAgain(ctx, inspector.VMTable))
--- a/internal/daemon/assembler/members_test.go
+++ b/internal/daemon/assembler/members_test.go
@@ -105,7 +105,7 @@
 	return follower.Page{}, nil
 }
 
-func (s fixedStore) ReadFirst(_ context.Context, _ string, limit int) (follower.Page, bool, error) {
+func (s fixedStore) ReadFrom(_ context.Context, _, _ string, limit int) (follower.Page, bool, error) {
 	return follower.Page{Rows: s[:min(limit, len(s))]}, len(s) <= limit, nil
 }
 
--- a/internal/daemon/assembler/summarizer_test.go
+++ b/internal/daemon/assembler/summarizer_test.go
@@ -47,7 +47,7 @@
 	return s.page(len(s.rows)), nil
 }
 
-func (s *tableStore) ReadFirst(_ context.Context, _ string, limit int) (follower.Page, bool, error) {
+func (s *tableStore) ReadFrom(_ context.Context, _, _ string, limit int) (follower.Page, bool, error) {
 	return s.page(limit), len(s.rows) <= limit, nil
 }
 
@@ -118,7 +118,7 @@
 // refusingStore refuses each read, as the store does with some VMs.
 type refusingStore struct{ fixedStore }
 
-func (refusingStore) ReadFirst(context.Context, string, int) (follower.Page, bool, error) {
+func (refusingStore) ReadFrom(context.Context, string, string, int) (follower.Page, bool, error) {
 	return follower.Page{}, false, classifier.New(classifier.PlatformUnavailable, "the store refuses this VM")
 }
 
--- a/internal/group/explorer/model_test.go
+++ b/internal/group/explorer/model_test.go
@@ -128,7 +128,6 @@
 	version    uint64
 	rows       map[string]follower.Row
 	registry   map[string]registryRow
-	removals   []uint64
 	era        uint64        // of the store
 	marked     uint64        // latest era in which a row was written conditionally
 	states     []storeState  // of the store, oldest first
@@ -374,7 +373,6 @@
 func (w *world) setEntry(i *instance, e *cataloger.Instance) {
 	w.version++
 	if i.entry != nil && e == nil {
-		w.removals = append(w.removals, w.version)
 	}
 	i.entry = e
 	delete(w.registry, i.id)
--- a/internal/group/explorer/node_test.go
+++ b/internal/group/explorer/node_test.go
@@ -9,6 +9,7 @@
 
 	"parsleyscale/internal/failure/classifier"
 	"parsleyscale/internal/group/claimer"
+	"parsleyscale/internal/group/enroller"
 	"parsleyscale/internal/group/registrar"
 	"parsleyscale/internal/group/replacer"
 	"parsleyscale/internal/platform/follower"
@@ -34,25 +35,24 @@
 
 // node is a VM: the product's replacer, registrar and claimer, and writers that stand for its callers.
 type node struct {
-	id        string
-	rank      int
-	w         *world
-	ctx       context.Context
-	cancel    context.CancelFunc
-	groups    *registrar.Registrar
-	replacer  *replacer.Replacer
-	claims    *claimer.Claimer
-	startedAt time.Time
-
-	mu           sync.Mutex
-	feed         []feedItem
-	feedWake     chan struct{}
-	firstVersion uint64
-	version      uint64 // of the registry
-	registry     reconciler.Registry
-	era          uint64 // latest known one of the store
-	restoredAt   time.Time
-	writes       int
+	id       string
+	rank     int
+	w        *world
+	ctx      context.Context
+	cancel   context.CancelFunc
+	groups   *registrar.Registrar
+	replacer *replacer.Replacer
+	enroller *enroller.Enroller
+	claims   *claimer.Claimer
+
+	mu         sync.Mutex
+	feed       []feedItem
+	feedWake   chan struct{}
+	version    uint64 // of the registry
+	registry   reconciler.Registry
+	era        uint64 // latest known one of the store
+	restoredAt time.Time
+	writes     int
 }
 
 type feedItem struct {
@@ -64,11 +64,12 @@
 // startNode starts a VM that has read the registry.
 func startNode(w *world, id string, rank int) *node {
 	ctx, cancel := context.WithCancel(w.ctx)
-	n := &node{id: id, rank: rank, w: w, ctx: ctx, cancel: cancel, startedAt: time.Now(), feedWake: make(chan struct{}, 1)}
+	n := &node{id: id, rank: rank, w: w, ctx: ctx, cancel: cancel, feedWake: make(chan struct{}, 1)}
 	n.groups = registrar.New(func() time.Duration { return time.Since(w.start) + time.Hour })
+	n.groups.AssumeDepartures()
 	n.claims = claimer.New(table{n}, id, 0)
 	w.mu.Lock()
-	n.era, n.firstVersion = w.era, w.reached()
+	n.era = w.era
 	n.apply(w.reached(), w.entries())
 	restoredEra := uint64(0)
 	for _, o := range w.subs { // asked at the start
@@ -84,16 +85,22 @@
 	}
 	n.replacer = replacer.Start(replacer.Config{
 		Groups: n.groups, Controller: controller{n}, Tokens: tokens{n}, Claims: n.claims, Promote: n.promote, Fence: n.fence, Probe: n.probe,
-		Sample:                 func(ctx context.Context, g *registrar.Group) error { return n.sample(ctx, g) },
-		Peers:                  peers{n},
-		DemoteAt:               n.demoteAt,
-		Self:                   id,
-		Sealer:                 sealer{n},
-		RefreshInstances:       n.refresh,
-		Rank:                   func(string) int { return rank },
-		MayHaveMissedDeparture: n.mayHaveMissedDeparture,
-		OnInstanceRemoved:      func(string) {},
-		Observe:                n.observe,
+		Sample:           func(ctx context.Context, g *registrar.Group) error { return n.sample(ctx, g) },
+		Peers:            peers{n},
+		DemoteAt:         n.demoteAt,
+		Self:             id,
+		Sealer:           sealer{n},
+		RefreshInstances: n.refresh,
+		Rank:             func(string) int { return rank },
+		Roster: func(ctx context.Context, group string) (registrar.Roster, error) {
+			return enroller.Read(ctx, table{n}, group)
+		},
+		OnInstanceRemoved: func(string) {},
+		Observe:           n.observe,
+	})
+	n.enroller = enroller.Start(enroller.Config{
+		Groups: n.groups, Store: table{n}, Rank: func(string) int { return rank }, IsReady: n.isRegistryComplete, IsConfigured: func(string) bool { return true },
+		RegistryVersion: n.registryVersion, Sample: n.sample,
 	})
 	w.wg.Go(n.follow)
 	w.wg.Go(n.write)
@@ -106,6 +113,7 @@
 	n.w.mu.Unlock()
 	n.cancel()
 	n.replacer.Close()
+	n.enroller.Close()
 }
 
 // deliver queues a state of the registry. The caller holds the world's mutex.
@@ -166,6 +174,12 @@
 	n.groups.Update(n.registry.Instances())
 }
 
+func (n *node) registryVersion() uint64 {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.version
+}
+
 // readRegistry reads the registry from the store.
 func (n *node) readRegistry(ctx context.Context) (version uint64, entries []reconciler.Entry, err error) {
 	ctx, cancel := context.WithTimeout(ctx, confirmTimeout)
@@ -292,27 +306,6 @@
 	}
 }
 
-// mayHaveMissedDeparture is departures.mayBeMissed of the assembler with a store that keeps all of its history.
-func (n *node) mayHaveMissedDeparture(context.Context) bool {
-	if time.Since(n.startedAt) > time.Minute {
-		return false
-	}
-	n.w.mu.Lock()
-	defer n.w.mu.Unlock()
-	if n.w.isCut(n.id, storeService) {
-		return true
-	}
-	if follower.EraOf(n.firstVersion) != n.w.era {
-		return true // the history since the first read is gone
-	}
-	for _, v := range n.w.removals {
-		if v <= follower.NumberOf(n.firstVersion) {
-			return true
-		}
-	}
-	return false
-}
-
 // probe is Probe of the performer.
 func (n *node) probe(g *registrar.Group, v registrar.View) error {
 	ctx, cancel := context.WithTimeout(n.ctx, probeTimeout)
--- a/internal/group/explorer/restore_test.go
+++ b/internal/group/explorer/restore_test.go
@@ -33,13 +33,12 @@
 	version  uint64
 	rows     map[string]follower.Row
 	registry map[string]registryRow
-	removals []uint64
 	marked   uint64
 }
 
 // keep records the present state of the store. The caller holds w.mu.
 func (w *world) keep() {
-	w.states = append(w.states, storeState{at: w.now(), version: w.version, rows: maps.Clone(w.rows), registry: maps.Clone(w.registry), removals: slices.Clone(w.removals), marked: w.marked})
+	w.states = append(w.states, storeState{at: w.now(), version: w.version, rows: maps.Clone(w.rows), registry: maps.Clone(w.registry), marked: w.marked})
 }
 
 // restore replaces the state of the store by that of an earlier time, in the next era. The instances write their entries again some
@@ -55,7 +54,7 @@
 	w.states = w.states[:k+1]
 	w.logLocked("store: returns from the copy of %.3f in era %d: version %d instead of %d", s.at.Seconds(), w.era+1, s.version, w.version)
 	w.era++
-	w.version, w.rows, w.registry, w.removals, w.marked = s.version, maps.Clone(s.rows), maps.Clone(s.registry), slices.Clone(s.removals), s.marked
+	w.version, w.rows, w.registry, w.marked = s.version, maps.Clone(s.rows), maps.Clone(s.registry), s.marked
 	w.restoredAt = w.now()
 	for _, i := range w.sortedInstances() {
 		i.entry = nil
@@ -79,7 +78,6 @@
 		if _, ok := w.instances[id]; !ok {
 			w.logLocked("store: entry of %s, which has left, expires", id)
 			w.version++
-			w.removals = append(w.removals, w.version)
 			delete(w.registry, id)
 			w.announce()
 		}
@@ -156,7 +154,7 @@
 		w.rows[name+"/"+key] = follower.Row{Key: key, Value: value, Version: w.version}
 		w.marked = max(w.marked, sentEra)
 		w.keep()
-		w.logLocked("%s: writes claim %s", t.n.id, value)
+		w.logLocked("%s: writes %s %s", t.n.id, name, value)
 		row = follower.Row{}
 		return nil
 	})
@@ -173,6 +171,22 @@
 	return newVersion, row, nil
 }
 
+// ReadFrom implements enroller.Store for a table with one row.
+func (t table) ReadFrom(ctx context.Context, name, key string, _ int) (p follower.Page, isAll bool, err error) {
+	var row follower.Row
+	err = t.n.store(ctx, func() error {
+		if row = t.n.w.rows[name+"/"+key]; row.Version != 0 {
+			row.Version = follower.VersionAt(t.n.w.era, row.Version)
+		}
+		return nil
+	})
+	if err == nil && row.Version != 0 {
+		t.n.recordEra(follower.EraOf(row.Version))
+		p.Rows = append(p.Rows, row)
+	}
+	return p, true, err
+}
+
 // fence is Fence of the assembler: a promote request for no instance.
 func (n *node) fence(ctx context.Context, group string, token uint64) error {
 	err := n.promote(ctx, group, "-", token)
--- a/internal/group/registrar/departure.go
+++ b/internal/group/registrar/departure.go
@@ -78,6 +78,7 @@
 // recordAcknowledged records the position of the primary at the acknowledgement of a commit that is passed on. The caller holds
 // g.mu.
 func (g *Group) recordAcknowledged(p tokenizer.Position) {
+	g.recordAssumedFloor(p)
 	if d := &g.departure; d.mayReceive() && !d.floor.IsZero() {
 		d.floor = d.floor.Max(p)
 	}
@@ -93,22 +94,13 @@
 	return false
 }
 
-// RecordMissedDeparture records that a replica may have left before this VM knew the group. The floor is the first
-// position that a primary has proved to this VM.
-func (g *Group) RecordMissedDeparture() {
-	g.mu.Lock()
-	defer g.mu.Unlock()
-	if !g.departure.isSet {
-		g.departure = departure{isSet: true, floor: g.firstProof}
-	}
-}
-
 // IsCoveredDespiteDepartures reports whether a replica that has received the log up to p holds every commit for which the
 // primary may have counted a replica that has left since.
 func (g *Group) IsCoveredDespiteDepartures(p tokenizer.Position) bool {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	return !g.departure.isSet || !g.departure.floor.IsZero() && p.Covers(g.departure.floor)
+	isDepartureMet := !g.departure.isSet || !g.departure.floor.IsZero() && p.Covers(g.departure.floor)
+	return isDepartureMet && g.isAssumptionMet(p)
 }
 
 // Departure reports whether a replica has left, and returns the floor of the latest departure, zero while it is not known,
--- a/internal/group/registrar/group.go
+++ b/internal/group/registrar/group.go
@@ -29,6 +29,8 @@
 	latestPrimary    string                // the known primary, or else the one that was known last
 	latestTerm       uint64                // highest term in which latestPrimary proved to be the primary; zero: it did not, or restarted since
 	departure        departure             // the latest departure of a replica
+	assumesDeparture bool                  // a replica may have left before this VM knew the group
+	assumedFloor     tokenizer.Position    // covers every commit for which a replica counted that has left by then; zero: not known
 	seals            map[string]activeSeal // the latest of each VM
 	firstProof       tokenizer.Position    // the first position that a primary has proved; zero: none yet
 	registryPrimary  string                // instance that the registry names instead of the known primary; "": none
@@ -280,20 +282,25 @@
 		return false
 	}
 	if g.firstProof.IsZero() {
-		g.firstProof = p.Position
+		g.recordFirstProof(p.Position)
 	}
 	g.recordDepartureSample(p)
 	g.Samples.Add(p.SentAt, g.clock(), p.Position)
 	return true
 }
 
+func (g *Group) recordFirstProof(p tokenizer.Position) {
+	g.firstProof = p
+	g.recordAssumedFloor(p)
+}
+
 // RecordSample records a position that another VM has a proof for: the primary held it at sentAt, on the registrar's clock, or
 // later.
 func (g *Group) RecordSample(sentAt time.Duration, p tokenizer.Position) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	if g.firstProof.IsZero() && sentAt >= g.firstUpdateAt {
-		g.firstProof = p
+		g.recordFirstProof(p)
 	}
 	g.recordDepartureSample(Proof{SentAt: sentAt, Position: p})
 	g.Samples.Add(sentAt, g.clock(), p)
--- a/internal/group/registrar/registrar.go
+++ b/internal/group/registrar/registrar.go
@@ -39,8 +39,9 @@
 	clock   Clock
 	observe func(PrimaryChange)
 
-	mu     sync.Mutex
-	groups map[string]*Group
+	mu                sync.Mutex
+	groups            map[string]*Group
+	assumesDepartures bool
 }
 
 // New returns an empty registrar.
@@ -79,7 +80,7 @@
 }
 
 func (r *Registrar) newGroup(name string) *Group {
-	return &Group{name: name, clock: r.clock, observe: r.observe, instances: map[string]*instanceState{}, seals: map[string]activeSeal{}, changed: make(chan struct{}), Samples: witness.New(sampleRetention)}
+	return &Group{name: name, clock: r.clock, observe: r.observe, instances: map[string]*instanceState{}, seals: map[string]activeSeal{}, assumesDeparture: r.assumesDepartures, changed: make(chan struct{}), Samples: witness.New(sampleRetention)}
 }
 
 // Groups returns all groups, sorted by name.
--- /dev/null
+++ b/internal/group/registrar/roster_test.go
@@ -0,0 +1,90 @@
+package registrar
+
+import (
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"parsleyscale/internal/session/tokenizer"
+	"parsleyscale/internal/sheet/cataloger"
+)
+
+// newStartedGroup returns a group of a VM that has just started, and knows the instances a, b and c in term 2.
+func newStartedGroup() (*Registrar, *Group) {
+	start := time.Now()
+	r := New(func() time.Duration { return time.Hour + time.Since(start) })
+	r.AssumeDepartures()
+	reg := cataloger.Registry{}
+	for _, id := range []string{"a", "b", "c"} {
+		reg[id] = cataloger.Instance{ID: id, Group: "g", Address: id, StartedAtMs: 5}
+	}
+	r.Update(reg)
+	g := r.Group("g")
+	g.RecordTerm(2)
+	return r, g
+}
+
+// Guards against a roster that hides a departure before the VM's start, and against one that keeps a primary from being replaced
+// although nobody has left.
+func TestApplyRoster(t *testing.T) {
+	at := func(id string, startedAtMs int64) Member { return Member{ID: id, StartedAtMs: startedAtMs} }
+	all := []Member{at("a", 5), at("b", 5), at("c", 5)}
+	for _, c := range []struct {
+		name    string
+		roster  Roster
+		wantErr bool
+	}{
+		{"all are there", Roster{Instances: all}, false},
+		{"one has joined since", Roster{Instances: all[:2]}, false},
+		{"one has left", Roster{Instances: append(all, at("d", 5)), Primary: "a", Term: 2}, true},
+		{"one has restarted", Roster{Instances: append(all[:2:2], at("c", 4)), Primary: "a", Term: 2}, true},
+		{"the primary has left", Roster{Instances: append(all, at("d", 5)), Primary: "d", Term: 2}, false},
+		{"the primary of an earlier term has left", Roster{Instances: append(all, at("d", 5)), Primary: "d", Term: 1}, true},
+		{"none", Roster{}, true},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			_, g := newStartedGroup()
+			c.roster.Floor = tokenizer.Position{Term: 1, Index: 7}
+			if err := g.ApplyRoster(c.roster); (err != nil) != c.wantErr {
+				t.Errorf("error %v, want one: %t", err, c.wantErr)
+			}
+			if got := g.IsCoveredDespiteDepartures(tokenizer.Position{Term: 1, Index: 6}); got {
+				t.Error("covered by a replica that lacks the floor")
+			}
+			if got := g.IsCoveredDespiteDepartures(tokenizer.Position{Term: 1, Index: 7}); got == c.wantErr {
+				t.Errorf("covered by a replica that holds the floor: %t, want %t", got, !c.wantErr)
+			}
+		})
+	}
+}
+
+// Guards against the loss of commits that only a replica holds which had left the registry before the VM started, and went on
+// receiving.
+func TestAssumedDepartureGoesOnReceiving(t *testing.T) {
+	for _, c := range []struct {
+		name        string
+		after       time.Duration // from the start to the commit
+		wantCovered bool          // whether a replica without the commit may be promoted
+	}{
+		{"soon after the start", maxStopTime / 2, false},
+		{"long after the start", 2 * maxStopTime, true},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				_, g := newStartedGroup()
+				if g.IsCoveredDespiteDepartures(tokenizer.Position{Term: 2, Index: 9}) {
+					t.Error("covered before a primary has proved its position")
+				}
+				prove(g, "a", 2, 5)
+				time.Sleep(c.after)
+				g.Acknowledge(tokenizer.Position{Term: 2, Index: 6})
+				if got := g.IsCoveredDespiteDepartures(tokenizer.Position{Term: 2, Index: 5}); got != c.wantCovered {
+					t.Errorf("covered by a replica that lacks the commit: %t, want %t", got, c.wantCovered)
+				}
+				if !g.IsCoveredDespiteDepartures(tokenizer.Position{Term: 2, Index: 6}) {
+					t.Error("not covered by a replica that holds the commit")
+				}
+			})
+		})
+	}
+}
--- a/internal/group/replacer/basis.go
+++ b/internal/group/replacer/basis.go
@@ -37,6 +37,9 @@
 	HasDeparture   bool
 	DepartureFloor tokenizer.Position // zero: not known
 	SilentReplicas int                // replicas that have gone missing without a notice
+
+	IsDepartureAssumed bool               // a replica may have left before this VM knew the group
+	AssumedFloor       tokenizer.Position // that the chosen instance had to reach because of departures before; zero: none
 }
 
 // newBasis returns the part of a basis that is known before the term ends. The instances may be those of a later version
@@ -53,6 +56,7 @@
 func (b *Basis) recordChoice(g *registrar.Group, candidates []candidate, chosen string) {
 	b.Candidates = len(candidates)
 	b.DepartureFloor, b.SilentReplicas, b.HasDeparture = g.Departure()
+	b.AssumedFloor, b.IsDepartureAssumed = g.AssumedDeparture()
 	for _, c := range candidates {
 		if c.id == chosen {
 			b.Received = c.received
--- a/internal/group/replacer/basis_test.go
+++ b/internal/group/replacer/basis_test.go
@@ -53,8 +53,8 @@
 			Basis{EndedBy: EndedByFormerPrimary, Known: 3, Candidates: 2, Received: nine},
 		},
 		{
-			"a replica may have left", &fakeGroup{received: received, missesDeparture: true, errs: map[string]error{"demote a": errNoAnswer}}, &fakeTokens{last: 100}, unreachable,
-			Basis{EndedBy: EndedByHold, Known: 3, Candidates: 2, Received: nine, HasDeparture: true, DepartureFloor: seven},
+			"a replica may have left", &fakeGroup{received: received, assumesDeparture: true, errs: map[string]error{"demote a": errNoAnswer}}, &fakeTokens{last: 100}, unreachable,
+			Basis{EndedBy: EndedByHold, Known: 3, Candidates: 2, Received: nine, IsDepartureAssumed: true, AssumedFloor: seven},
 		},
 	} {
 		t.Run(c.name, func(t *testing.T) {
--- a/internal/group/replacer/endterm.go
+++ b/internal/group/replacer/endterm.go
@@ -120,7 +120,7 @@
 			furthest = furthest.Max(s.Received)
 		}
 	}
-	if len(failed) == 0 && g.IsCoveredDespiteDepartures(furthest) {
+	if len(failed) == 0 && r.isCovered(ctx, g, furthest) {
 		return nil
 	}
 	return classifier.Wrap(classifier.NoInstance, errors.Join(slices.Collect(maps.Values(failed))...), "a replacement cannot end the stall of primary %s: a replica does not answer or has left, and no other one holds all entries of the primary", primary)
@@ -322,8 +322,8 @@
 		b.EndedBy = EndedByFormerPrimary
 		return covering(candidates, formerPosition), nil
 	}
-	if replicaErr == nil && !g.IsCoveredDespiteDepartures(furthestReceived(candidates)) {
-		replicaErr = classifier.New(classifier.NoInstance, "a replica of group %s has left, and the others may lack entries that it had received", g.Name())
+	if replicaErr == nil && !r.isCovered(ctx, g, furthestReceived(candidates)) {
+		replicaErr = classifier.New(classifier.NoInstance, "a replica of group %s has left, or may have left before this VM started, and the others may lack entries that it had received", g.Name())
 	}
 	awaitsOldPrimary := isStalled || former != old.Instance // it may turn out to be a replica
 	if replicaErr == nil && (!awaitsOldPrimary || replicas == len(views)) {
@@ -351,6 +351,25 @@
 	return covering(append(candidates, a.candidate), a.received), nil
 }
 
+// isCovered reports whether a replica that has received the log up to p holds every commit for which the primary may have counted a
+// replica that has left. If that fails because of the assumption that one left before this VM knew the group, it reads the roster.
+func (r *Replacer) isCovered(ctx context.Context, g *registrar.Group, p tokenizer.Position) bool {
+	if g.IsCoveredDespiteDepartures(p) {
+		return true
+	}
+	if r.cfg.Roster == nil || !g.AssumesDeparture() {
+		return false
+	}
+	ctx, cancel := context.WithTimeout(ctx, rosterTimeout)
+	defer cancel()
+	roster, err := r.cfg.Roster(ctx, g.Name())
+	if err == nil {
+		err = g.ApplyRoster(roster)
+	}
+	r.cfg.Observe(Event{Name: EventRosterApplied, Group: g.Name(), Err: err})
+	return err == nil && g.IsCoveredDespiteDepartures(p)
+}
+
 // furthestReceived returns the newest position among candidates, or the zero position if there are none.
 func furthestReceived(candidates []candidate) tokenizer.Position {
 	var p tokenizer.Position
--- a/internal/group/replacer/replacer.go
+++ b/internal/group/replacer/replacer.go
@@ -30,7 +30,8 @@
 //     one with an acknowledged commit. The demoted old primary can stand in for a
 //     missing replica, because its log holds every commit that it acknowledged. A
 //     replica that has left the group, or lost its log, counts as missing until another one
-//     holds everything that was acknowledged before this was noticed.
+//     holds everything that was acknowledged before this was noticed. A VM assumes that one left before
+//     the VM started, unless the store's roster of the group shows the opposite.
 //   - The chosen instance is recorded with the claim before the promote request is
 //     sent. A later attempt at the same term, which may have reached other
 //     instances, keeps that choice as long as no instance holds more than the chosen
@@ -71,6 +72,8 @@
 	checkInterval = 50 * time.Millisecond
 	// commandTimeout bounds one control command (status, hold or demote) to an instance.
 	commandTimeout = 400 * time.Millisecond
+	// rosterTimeout bounds the read of a roster.
+	rosterTimeout = 300 * time.Millisecond
 	// claimTimeout bounds a claim; after it the spare token is used.
 	claimTimeout = 400 * time.Millisecond
 	// promoteTimeout bounds the wait for the answer to a promote request.
@@ -158,8 +161,9 @@
 	// a direct connection. It is nil if there are no gateways.
 	AnswersDirectly func(ctx context.Context, v registrar.View) bool
 	Rank            func(group string) int // of this VM for the group; the VM of rank 0 acts first
-	// MayHaveMissedDeparture reports whether an instance may have left shortly before this VM started; nil stands for never.
-	MayHaveMissedDeparture func(ctx context.Context) bool
+	// Roster returns the roster of a group from the store. It is read if the group assumes that a replica left before this VM knew
+	// it, and the replicas lack entries because of that; nil if there are no rosters.
+	Roster func(ctx context.Context, group string) (registrar.Roster, error)
 	// IsConfigured reports whether the configuration has a group. Instances of other groups are not probed, since nobody
 	// asks for them; nil stands for all groups.
 	IsConfigured func(group string) bool
@@ -204,6 +208,7 @@
 	EventNotInEffect      = "commandNotInEffect" // the answer to a command shows that it has not ended the term
 	EventPromoteRequested = "promoteOrdered"     // named promoteOrdered outside the process
 	EventPromoteSettled   = "promoteSettled"     // the attempt sends no more promote requests
+	EventRosterApplied    = "rosterApplied"      // the roster shows that no replica left before this VM knew the group, or Err tells why not
 	EventReplaced         = "primaryReplaced"
 	EventFailed           = "replacementFailed"
 )
@@ -476,9 +481,6 @@
 			return false, classifier.New(classifier.NoPrimary, "cannot replace the primary of group %s: no instance has reported a term", g.Name())
 		}
 	}
-	if r.cfg.MayHaveMissedDeparture != nil && r.cfg.MayHaveMissedDeparture(ctx) {
-		g.RecordMissedDeparture()
-	}
 	if a.Reason == WritesStalled {
 		return false, r.checkStallCanEnd(ctx, g, old.Instance)
 	}
--- a/internal/group/replacer/replacer_test.go
+++ b/internal/group/replacer/replacer_test.go
@@ -30,7 +30,10 @@
 	tokens           []uint64          // of the promote requests
 	dropsPromote     bool              // promote requests have no effect and get no answer
 	isUnfenced       bool              // Config.IsUnfenced
-	missesDeparture  bool              // the result of Config.MayHaveMissedDeparture
+	assumesDeparture bool              // the group assumes that a replica left before
+	isUnproven       bool              // no primary has proved its position to the VM
+	roster           registrar.Roster  // returned by Config.Roster
+	rosterErr        error             // returned by Config.Roster
 	hasPeers         bool              // Config.Peers is set
 	heldTerm         uint64            // term below which the replicas receive nothing; zero: they receive
 	holds            map[string]uint64 // the same for single replicas, by instance
@@ -170,13 +173,18 @@
 	t.Helper()
 	start := time.Now()
 	r := registrar.New(func() time.Duration { return time.Since(start) })
+	if f.assumesDeparture {
+		r.AssumeDepartures()
+	}
 	reg := cataloger.Registry{}
 	for _, id := range []string{"a", "b", "c"} {
 		reg[id] = cataloger.Instance{ID: id, Group: "g", Address: id, IsPrimary: id == "a"}
 	}
 	r.Update(reg)
 	g := r.Group("g")
-	g.RecordProof(registrar.Proof{Instance: "a", SentAt: 1, Position: tokenizer.Position{Term: 3, Index: 7}})
+	if !f.isUnproven {
+		g.RecordProof(registrar.Proof{Instance: "a", SentAt: 1, Position: tokenizer.Position{Term: 3, Index: 7}})
+	}
 	setUp(g, r, reg)
 	var peers PeerCommander
 	if f.hasPeers {
@@ -199,8 +207,8 @@
 		DemoteAt: func(_ context.Context, t carrier.Target, term uint64) (carrier.InstanceStatus, error) {
 			return f.command("demoteAt", t.Address, term)
 		},
-		Sample:                 func(context.Context, *registrar.Group) error { return nil },
-		MayHaveMissedDeparture: func(context.Context) bool { return f.missesDeparture },
+		Sample: func(context.Context, *registrar.Group) error { return nil },
+		Roster: func(context.Context, string) (registrar.Roster, error) { return f.roster, f.rosterErr },
 		RefreshInstances: func(context.Context) error {
 			if f.refresh != nil {
 				f.refresh()
@@ -645,24 +653,44 @@
 		g.RecordUnansweredWrite()
 		g.RecordUnansweredWrite()
 	}
-	fail := func(g *registrar.Group, _ *registrar.Registrar, _ cataloger.Registry) { failPrimary(g) }
+	roster := func(floor uint64, others ...registrar.Member) registrar.Roster {
+		return registrar.Roster{Instances: append(others, registrar.Member{ID: "a"}, registrar.Member{ID: "b"}, registrar.Member{ID: "c"}), Primary: "a", Term: 3, Floor: tokenizer.Position{Term: 3, Index: floor}}
+	}
+	complete, withDeparted := roster(6), roster(6, registrar.Member{ID: "d"})
 	for _, c := range []struct {
-		name  string
-		f     *fakeGroup
-		setUp func(*registrar.Group, *registrar.Registrar, cataloger.Registry)
-		want  string // promoted instance; "": none
+		name      string
+		isStalled bool      // writes stall; otherwise, the primary has failed
+		received  [3]uint64 // by a, b and c
+		isProved  bool      // the primary has proved that it holds the entry 7
+		roster    registrar.Roster
+		rosterErr error
+		want      string // promoted instance; "": none
 	}{
-		{"writes stall, and only the primary has what a departed replica received", &fakeGroup{received: map[string]uint64{"a": 9, "b": 6, "c": 6}, errs: map[string]error{"probe a": nil}}, stall, ""},
-		{"writes stall, and a replica has caught up", &fakeGroup{received: map[string]uint64{"a": 9, "b": 9, "c": 6}, errs: map[string]error{"probe a": nil}}, stall, "b"},
-		{"the primary has failed, and no replica holds what it proved first", &fakeGroup{received: map[string]uint64{"a": 9, "b": 6, "c": 6}, errs: map[string]error{"demote a": errNoAnswer}}, fail, ""},
-		{"the primary has failed, and a replica holds what it proved first", &fakeGroup{received: map[string]uint64{"a": 9, "b": 6, "c": 7}, errs: map[string]error{"demote a": errNoAnswer}}, fail, "c"},
+		{"writes stall, and only the primary has what a departed replica received", true, [3]uint64{9, 6, 6}, true, withDeparted, nil, ""},
+		{"writes stall, and a replica has caught up", true, [3]uint64{9, 9, 6}, true, withDeparted, nil, "b"},
+		{"no replica holds what the failed primary proved first", false, [3]uint64{9, 6, 6}, true, withDeparted, nil, ""},
+		{"a replica holds what the failed primary proved first", false, [3]uint64{9, 6, 7}, true, withDeparted, nil, "c"},
+		{"no replica holds what was proved first, and nobody has left", false, [3]uint64{9, 6, 6}, true, complete, nil, "b"},
+		{"no replica holds the floor of those that have left", false, [3]uint64{9, 6, 6}, true, roster(7), nil, ""},
+		{"nothing is proved, and nobody has left", false, [3]uint64{9, 6, 5}, false, complete, nil, "b"},
+		{"nothing is proved, and an instance has left", false, [3]uint64{9, 9, 9}, false, withDeparted, nil, ""},
+		{"nothing is proved, and an instance has restarted", false, [3]uint64{9, 9, 9}, false, roster(6, registrar.Member{ID: "c", StartedAtMs: 1}), nil, ""},
+		{"nothing is proved, and there is no roster", false, [3]uint64{9, 9, 9}, false, registrar.Roster{}, nil, ""},
+		{"nothing is proved, and the store does not answer", false, [3]uint64{9, 9, 9}, false, complete, errNoAnswer, ""},
 	} {
 		t.Run(c.name, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
-				c.f.primary, c.f.term, c.f.missesDeparture = "a", 3, true
-				got := promotedInstances(t, c.f, c.setUp)
+				setUp := func(g *registrar.Group, _ *registrar.Registrar, _ cataloger.Registry) { failPrimary(g) }
+				f := &fakeGroup{
+					primary: "a", term: 3, received: map[string]uint64{"a": c.received[0], "b": c.received[1], "c": c.received[2]}, errs: map[string]error{"demote a": errNoAnswer},
+					assumesDeparture: true, isUnproven: !c.isProved, roster: c.roster, rosterErr: c.rosterErr,
+				}
+				if c.isStalled {
+					f.errs, setUp = map[string]error{"probe a": nil}, stall
+				}
+				got := promotedInstances(t, f, setUp)
 				if c.want == "" && len(got) > 0 || c.want != "" && (len(got) != 1 || got[0] != c.want) {
-					t.Errorf("%v promoted, want %q; commands %v", got, c.want, c.f.commands)
+					t.Errorf("%v promoted, want %q; commands %v", got, c.want, f.commands)
 				}
 			})
 		})
--- a/internal/telemetry/logger/event.go
+++ b/internal/telemetry/logger/event.go
@@ -55,6 +55,8 @@
 	PromoteOrdered    Event = "promoteOrdered"
 	NotInEffect       Event = "commandNotInEffect"
 	TermSealed        Event = "termSealed"
+	RosterWritten     Event = "rosterWritten"
+	RosterApplied     Event = "rosterApplied"
 	PrimaryKnown      Event = "primaryKnown"
 	PrimaryUnknown    Event = "primaryUnknown"
 	ShardHeld         Event = "shardHeld"
@@ -122,6 +124,8 @@
 	{PromoteOrdered, "the platform was instructed to make an instance the primary of the next term"},
 	{TermSealed, "the other VMs were asked to pass on no more acknowledgements of a term that a promotion is to end; those that did not answer are named"},
 	{NotInEffect, "an instance answered a hold or a demotion, but its state shows that the term goes on there"},
+	{RosterWritten, "this VM has tried to write which instances of a group may hold commits that no other one holds, for VMs that start"},
+	{RosterApplied, "a replacement read the roster of a group: it shows that no replica left before this VM started, or the error tells why it does not"},
 	{PrimaryKnown, "an instance has become known to this VM as the primary of a term by its own answer"},
 	{PrimaryUnknown, "this VM no longer takes an instance for the primary, with the reason"},
 	{ShardHeld, "this VM has begun to grant a part of the teams' limits"},
