Take statements at a planned stop only if they can be answered

Cause: sessions took statements until five sixths of the grace period, and the process ended 0.3 s after that, while a statement may take its route's timeout.

The times of a stop now follow from the grace period and the longest statement of the configuration. A statement that may end too late is refused at once, and its transaction is rolled back; while idle sessions are still being closed, its timeout is shortened instead. BEGIN is refused once open transactions must have ended. The process waits for the statements that it has taken.

TestStopAnswersStatements failed before for three of its four timeouts.

--- a/internal/daemon/assembler/assembler.go
+++ b/internal/daemon/assembler/assembler.go
@@ -253,7 +253,7 @@
 	v.isStopping.Store(true)
 	v.log.Info(logger.VMStopping, logger.Int("sessions", int64(v.sessionServer.SessionCount())))
 	settings := v.latestSettings.Load()
-	v.sessionServer.Stop(settings.StopNotice.Std(), settings.StopGrace.Std()*5/6)
+	v.sessionServer.Stop(settings.StopNotice.Std(), settings.StopGrace.Std())
 	v.limits.close()
 	v.replacer.Close()
 	v.enroller.Close()
--- a/internal/statement/conductor/server.go
+++ b/internal/statement/conductor/server.go
@@ -4,7 +4,6 @@
 	"context"
 	"errors"
 	"fmt"
-	"math/rand/v2"
 	"net"
 	"runtime/debug"
 	"sync"
@@ -14,6 +13,7 @@
 	"parsleyscale/internal/client/budgeter"
 	"parsleyscale/internal/sheet/cataloger"
 	"parsleyscale/internal/statement/namer"
+	"parsleyscale/internal/statement/performer"
 	"parsleyscale/internal/team/authenticator"
 )
 
@@ -43,9 +43,7 @@
 	mu       sync.Mutex
 	sessions map[*session]net.Conn
 	// Times of a planned stop. They are zero as long as Stop has not been called.
-	noticeEnd time.Time // from then on idle sessions are closed
-	stopEnd   time.Time // by then all sessions are closed
-	txEnd     time.Time // by then open transactions must have ended
+	stop stopTimes
 
 	open   atomic.Int64
 	wg     sync.WaitGroup
@@ -95,8 +93,8 @@
 	sess := &session{server: s, client: s.cfg.Accept(conn, account), account: account}
 	s.mu.Lock()
 	s.sessions[sess] = conn
-	if !s.noticeEnd.IsZero() {
-		sess.stopAt = s.stopEnd // a client that has just connected is disconnected last
+	if s.stop.isSet() {
+		sess.stopAt = s.stop.idleEnd // a client that has just connected is disconnected last
 	}
 	s.mu.Unlock()
 	reason := s.serve(sess)
@@ -130,25 +128,25 @@
 // SessionCount returns the number of open sessions.
 func (s *Server) SessionCount() int { return int(s.open.Load()) }
 
-// Stop ends all sessions within total. Until notice has passed, it closes no idle session; then it closes
-// them at random times within the first three quarters of the remaining time. Open transactions may go on for 60% of total, and
-// at least until notice. A statement that has begun to arrive is answered. Stop returns when
-// all sessions have ended, but not before notice, or shortly after total.
-func (s *Server) Stop(notice, total time.Duration) {
+// Stop ends all sessions, so that the process can end within grace. From notice on, it closes idle sessions, at random times. A statement
+// is answered, or refused at once if it could take too long. Stop returns when all sessions have ended, but not before notice,
+// and in any case while there is time to end the process.
+func (s *Server) Stop(notice, grace time.Duration) {
 	now := time.Now()
 	s.mu.Lock()
-	s.noticeEnd, s.stopEnd, s.txEnd = now.Add(notice), now.Add(total), now.Add(max(notice, total*6/10))
+	s.stop = newStopTimes(now, notice, grace, s.longestStatement())
 	for sess, conn := range s.sessions {
-		sess.stopAt = s.randomStopTime()
+		sess.stopAt = s.stop.randomIdleEnd()
 		_ = conn.SetReadDeadline(now) // wakes the session, which then waits until its new deadline
 	}
+	stop := s.stop
 	s.mu.Unlock()
 	done := make(chan struct{})
 	go func() {
-		for s.SessionCount() > 0 || time.Now().Before(s.noticeEnd) {
+		for s.SessionCount() > 0 || time.Now().Before(stop.noticeEnd) {
 			time.Sleep(stopPollInterval)
 			s.wakeDueSessions()
-			if time.Now().After(s.txEnd) {
+			if now := time.Now(); now.After(stop.txEnd) || now.After(stop.idleEnd) {
 				_ = s.cfg.Listener.Close() // too little time is left for the statements of new clients
 			}
 		}
@@ -156,12 +154,30 @@
 	}()
 	select {
 	case <-done:
-	case <-time.After(total + stopGrace):
+	case <-time.After(time.Until(stop.closeEnd)):
 	}
 	_ = s.cfg.Listener.Close()
 	s.cancel()
 }
 
+// longestStatement returns how long a statement may take on any route of the configuration.
+func (s *Server) longestStatement() time.Duration {
+	longest := performer.MaxDuration(performer.Request{})
+	if cfg := s.cfg.Configuration(); cfg != nil {
+		for _, route := range cfg.Routes {
+			longest = max(longest, performer.MaxDuration(performer.Request{Route: route}))
+		}
+	}
+	return longest
+}
+
+// admit returns the request of a statement that arrives now, or false if a planned stop refuses it.
+func (s *Server) admit(r performer.Request) (performer.Request, bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.stop.admit(time.Now(), r)
+}
+
 // wakeDueSessions wakes the sessions that wait for their clients although their stop time, or the
 // end of transactions, has passed.
 func (s *Server) wakeDueSessions() {
@@ -169,25 +185,14 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	for sess, conn := range s.sessions {
-		if now.After(sess.stopAt) || now.After(s.txEnd) {
+		if now.After(sess.stopAt) || now.After(s.stop.txEnd) {
 			_ = conn.SetReadDeadline(now)
 		}
 	}
 }
 
-const (
-	// stopPollInterval is how often a planned stop checks for sessions that are due to be closed.
-	stopPollInterval = 20 * time.Millisecond
-	// stopGrace is how long a planned stop waits beyond its total time for sessions to end.
-	stopGrace = 300 * time.Millisecond
-)
-
-// randomStopTime returns the stop time of an idle session. The times are spread, so that clients
-// do not reconnect all at once. The caller must hold s.mu.
-func (s *Server) randomStopTime() time.Time {
-	window := s.stopEnd.Sub(s.noticeEnd) * 3 / 4
-	return s.noticeEnd.Add(time.Duration(rand.Int64N(int64(max(window, 1)))))
-}
+// stopPollInterval is how often a planned stop checks for sessions that are due to be closed.
+const stopPollInterval = 20 * time.Millisecond
 
 func (s *Server) stopTimeOf(sess *session) time.Time {
 	s.mu.Lock()
@@ -198,5 +203,5 @@
 func (s *Server) transactionsEnd() time.Time {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return s.txEnd
+	return s.stop.txEnd
 }
--- a/internal/statement/conductor/session.go
+++ b/internal/statement/conductor/session.go
@@ -346,9 +346,26 @@
 	if !ok {
 		return refusal
 	}
+	if r, ok = s.server.admit(r); !ok {
+		return s.refuseForStop(st.Verb)
+	}
 	return s.execute(ctx, r)
 }
 
+// refuseForStop refuses a statement that might not be answered before a planned stop ends the process. It rolls back the transaction.
+func (s *session) refuseForStop(v carrier.Verb) carrier.Reply {
+	refusal := carrier.ErrorReply(classifier.Overloaded, "VM is about to stop")
+	if s.tx == nil {
+		return refusal
+	}
+	s.tx.Rollback()
+	if v == carrier.Commit {
+		s.endTransaction()
+		return refusal
+	}
+	return s.tx.Refuse(refusal)
+}
+
 // newRequest returns the request for a statement, or the reply that refuses it. Statements of a
 // transaction keep the route with which the transaction began.
 func (s *session) newRequest(st carrier.Statement, arrivedAt time.Time, arrivedClock time.Duration) (performer.Request, carrier.Reply, bool) {
--- a/internal/statement/performer/performer.go
+++ b/internal/statement/performer/performer.go
@@ -166,6 +166,9 @@
 	return DefaultTimeout
 }
 
+// MaxDuration returns how long a statement may take until it is answered.
+func MaxDuration(r Request) time.Duration { return r.Timeout() + writeReplyGrace }
+
 // execution is the state of one request across its attempts. An attempt sends the
 // request to one instance; a round tries each candidate instance at most once.
 type execution struct {
