Say that nothing has run if what goes ahead of a statement got no answer

A write or a commit is sent to an instance only behind the session values that it needs. If these got no answer, it was answered as of unknown outcome, although it had not been sent. A write is now tried again, and a commit is answered as not run.

--- a/internal/backend/allotter/lease.go
+++ b/internal/backend/allotter/lease.go
@@ -187,7 +187,7 @@
 // ExchangeInSession is Exchange for commands of a session, which run with its values and a prepared statement, nil for none. What is
 // missing of these on the connection is sent ahead. An instance is sent the commands only once it has accepted that; a gateway refuses
 // them itself otherwise. If something is refused, so are the commands, and nothing of them has run. With an error, outstanding
-// is the number of replies that may still arrive.
+// is the number of replies that may still arrive; if HasUnknownState is true then, the commands were not sent.
 func (l *Lease) ExchangeInSession(values map[string]string, prepared *carrier.Statement, cmds ...carrier.Command) (replies []carrier.Reply, outstanding int, err error) {
 	ahead := l.SessionCommands(values, prepared)
 	if len(ahead) > 0 && !carrier.IsLink(l.conn) {
--- a/internal/statement/performer/fake_test.go
+++ b/internal/statement/performer/fake_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"sync"
 	"time"
 
@@ -30,6 +31,7 @@
 	replies       map[classifier.Kind]int // number of replies by error kind
 	dials         int
 	verbs         []carrier.Verb // of all commands, in the order in which they were carried out
+	loses         carrier.Verb   // of the commands whose replies are lost
 	gatewaySample uint64         // newest entries that the gateways' sample, which is 100 ms old, lacks; 0: the instances are reached without gateways
 }
 
@@ -92,6 +94,9 @@
 	r := c.execute(cmd)
 	c.group.mu.Lock()
 	defer c.group.mu.Unlock()
+	if c.group.loses != carrier.Unknown && c.group.loses == cmd.Verb {
+		return r, errors.New("connection reset")
+	}
 	c.group.replies[r.Kind]++
 	r.Position = c.group.position(c.instance)
 	if cmd.Verb == carrier.Sample {
--- a/internal/statement/performer/read.go
+++ b/internal/statement/performer/read.go
@@ -83,13 +83,11 @@
 	if needsPrimary {
 		lead = e.performer.startLeadCheck(e.group, v.ID)
 	}
-	var cmds []carrier.Command
 	sentAt, readIndex, u := e.group.Now(), 0, e.urgency(lease)
+	cmds := []carrier.Command{{Statement: e.request.Statement, Urgency: u, After: e.floor}}
 	if needsPrimary {
-		cmds = append(cmds, carrier.Command{Statement: carrier.Internal(carrier.Begin), Urgency: u}, carrier.Command{Statement: e.request.Statement}, carrier.Command{Statement: carrier.Internal(carrier.Rollback)})
-		readIndex++
-	} else {
-		cmds = append(cmds, carrier.Command{Statement: e.request.Statement, Urgency: u, After: e.floor})
+		cmds = []carrier.Command{{Statement: carrier.Internal(carrier.Begin), Urgency: u}, {Statement: e.request.Statement}, {Statement: carrier.Internal(carrier.Rollback)}}
+		readIndex = 1
 	}
 	start := time.Now()
 	lease.Conn().SetDeadline(start.Add(replyTimeout(v) + u.Wait))
--- a/internal/statement/performer/transaction.go
+++ b/internal/statement/performer/transaction.go
@@ -279,6 +279,9 @@
 	replies, _, err := lease.ExchangeInSession(r.SessionValues, nil, carrier.Command{Statement: r.Statement})
 	if err != nil {
 		t.performer.discardFailed(t.group, lease)
+		if lease.HasUnknownState() {
+			return carrier.ErrorReply(classifier.NotRun, "no reply to what goes ahead of the commit from "+id), tokenizer.Position{}
+		}
 		return t.handleLostCommit(r, id), tokenizer.Position{}
 	}
 	releaseOrDiscard(lease, replies[0])
--- a/internal/statement/performer/write.go
+++ b/internal/statement/performer/write.go
@@ -46,6 +46,9 @@
 	replies, _, err := lease.ExchangeInSession(e.request.SessionValues, e.request.Prepared, cmd)
 	if err != nil {
 		e.performer.discardFailed(e.group, lease)
+		if lease.HasUnknownState() {
+			return carrier.ErrorReply(classifier.Overloaded, "no reply to what goes ahead of the write from "+v.ID), false
+		}
 		e.group.RecordUnansweredWrite()
 		e.report(EventUnknown, v.ID, classifier.OutcomeUnknown)
 		return carrier.ErrorReply(classifier.OutcomeUnknown, "no reply to the write from "+v.ID), true
