--- a/internal/statement/performer/fake_test.go
+++ b/internal/statement/performer/fake_test.go
@@ -32,6 +32,7 @@
 	dials         int
 	verbs         []carrier.Verb // of all commands, in the order in which they were carried out
 	loses         carrier.Verb   // of the commands whose replies are lost
+	refuses       carrier.Verb   // of the commands that the instances refuse
 	gatewaySample uint64         // newest entries that the gateways' sample, which is 100 ms old, lacks; 0: the instances are reached without gateways
 }
 
@@ -115,6 +116,8 @@
 	isPrimary := c.instance == c.group.primary
 	c.group.mu.Unlock()
 	switch {
+	case cmd.Verb == c.group.refuses && cmd.Verb != carrier.Unknown:
+		return carrier.ErrorReply(classifier.StatementFailed, "")
 	case isBehind:
 		return carrier.ErrorReply(classifier.ReplicaBehind, "")
 	case cmd.Verb == carrier.Begin && !isPrimary:
