--- a/internal/group/enroller/decide.go
+++ b/internal/group/enroller/decide.go
@@ -11,7 +11,7 @@
 )
 
 // absenceRetention is how long an instance stays on the roster after its registry entry has gone missing, or after it has restarted.
-// It may go on receiving entries meanwhile.
+// It may go on receiving entries meanwhile. No protocol bounds that time; the registrar expects the same of a replica that has left.
 const absenceRetention = 30 * time.Second
 
 // Decision is what to do about the roster of a group.
--- a/internal/group/enroller/enroller.go
+++ b/internal/group/enroller/enroller.go
@@ -4,10 +4,11 @@
 // registry with the roster instead. The history of the registry's table would not do, as the store keeps it for a time only.
 //
 // The roster is a superset, so nothing has to be written before an instance leaves. An instance that joins is added within
-// checkInterval and the time of a write; one that joins and leaves in between is not on it. An absent instance is taken off some time later, see Decide.
+// checkInterval and the time of a write; one that joins and leaves in between is not on it. An absent instance is taken off some
+// time later, see Decide.
 //
-// The VMs of the lowest ranks for a group write its roster, the others only after a delay. All of them write on the condition that
-// the row has not changed.
+// The VM of rank 0 for a group writes its roster, and the VM of rank 1 if the first one has not done so after a delay. Both write
+// on the condition that the row has not changed.
 package enroller
 
 import (
--- a/internal/statement/conductor/server.go
+++ b/internal/statement/conductor/server.go
@@ -42,8 +42,7 @@
 
 	mu       sync.Mutex
 	sessions map[*session]net.Conn
-	// Times of a planned stop. They are zero as long as Stop has not been called.
-	stop stopTimes
+	stop     stopTimes // of a planned stop; the zero value before
 
 	open   atomic.Int64
 	wg     sync.WaitGroup
