--- a/review/standins3/main.go
+++ b/review/standins3/main.go
@@ -25,6 +25,7 @@
 	"behind":   playBehind,
 	"cutoff":   playCutOff,
 	"versions": playVersions,
+	"expired":  playExpired,
 	"rosters":  playRosters,
 }
 
