Cover what other VMs passed on while a departed replica may receive

Cause: the floor of a departure, the position that a chosen instance must hold, was raised only by the commits that the VM itself passed on. Other VMs pass on commits with the help of a replica that has no registry entry but receives.

In the model, VMs whose callers only read lose commits both if they start while the entry is missing and if they have removed the replica themselves.

Change: a VM answers a seal with a position that covers what it has passed on, and the VM that replaces the primary raises the floors to these. In its first 30 s, a VM accepts the floor of the assumed departure only if all VMs have answered; later, if a primary has proved it after these 30 s. A floor that the primary of a later term lacks is lowered, as no instance can reach it.

It works since a VM passes on nothing of a sealed term: what the VMs tell then is all that they will have passed on.

Changed tests: IsCoveredDespiteDepartures has a second argument; the existing cases pass true, which stands for a VM that has heard from all others.

--- a/internal/daemon/assembler/log.go
+++ b/internal/daemon/assembler/log.go
@@ -1,6 +1,7 @@
 package assembler
 
 import (
+	"strconv"
 	"time"
 
 	"parsleyscale/internal/backend/allotter"
@@ -179,6 +180,9 @@
 	if e.Basis != nil {
 		fields = append(fields, basisFields(*e.Basis)...)
 	}
+	if !e.PassedOn.Position.IsZero() {
+		fields = append(fields, logger.String("passedOn", e.PassedOn.Position.String()), logger.String("areAllTold", strconv.FormatBool(e.PassedOn.IsComplete)))
+	}
 	if e.Took != 0 {
 		fields = append(fields, logger.Millis("took", e.Took))
 	}
--- a/internal/group/explorer/explorer_test.go
+++ b/internal/group/explorer/explorer_test.go
@@ -39,6 +39,11 @@
 	explore(t, withRestores)
 }
 
+// Guards against the same if callers of a VM only read, and a replica without a registry entry receives.
+func TestRandomHistoriesWithReader(t *testing.T) {
+	explore(t, withReader)
+}
+
 // explore plays the histories of the seeds, each as change returns it.
 func explore(t *testing.T, change func(history) history) {
 	t.Helper()
--- a/internal/group/explorer/history_test.go
+++ b/internal/group/explorer/history_test.go
@@ -64,6 +64,9 @@
 	if o.slowReplica != "" {
 		fmt.Fprintf(&b, "slowReplica %s %s\n", o.slowReplica, o.slowBy)
 	}
+	if o.reader != "" {
+		fmt.Fprintf(&b, "reader %s\n", o.reader)
+	}
 	for _, e := range h.events {
 		fmt.Fprintln(&b, e)
 	}
@@ -99,6 +102,8 @@
 		case "slowReplica":
 			h.opts.slowReplica = fields[1]
 			h.opts.slowBy, err = time.ParseDuration(fields[2])
+		case "reader":
+			h.opts.reader = fields[1]
 		case "event":
 			var e event
 			e, err = parseEvent(fields[1:])
@@ -240,6 +245,33 @@
 	return h
 }
 
+// withReader returns the same history, some seconds later, with a VM whose callers only read and a replica that is cut off from the store
+// for so long before and during the other events that its registry entry expires. The VM may start anew meanwhile, and the other replica
+// may receive nothing for a time.
+func withReader(h history) history {
+	r := rand.New(rand.NewPCG(h.seed, 13))
+	const later = 6 * time.Second
+	silent, other := "R1", "R2"
+	if r.IntN(2) == 0 {
+		silent, other = other, silent
+	}
+	events := []event{{at: between(r, 300*time.Millisecond, time.Second), kind: silence, a: silent, lasts: between(r, later, 2*later)}}
+	h.opts.reader = fmt.Sprintf("vm%d", r.IntN(h.vms))
+	if r.IntN(2) == 0 {
+		events = append(events, event{at: between(r, later-time.Second, later), kind: restartVM, a: h.opts.reader, lasts: between(r, 10*time.Millisecond, 500*time.Millisecond)})
+	}
+	if r.IntN(4) > 0 {
+		events = append(events, event{at: between(r, later, later+2*time.Second), kind: deaf, a: other, lasts: between(r, time.Second, later)})
+	}
+	for _, e := range h.events {
+		e.at += later
+		events = append(events, e)
+	}
+	slices.SortStableFunc(events, func(a, b event) int { return cmp.Compare(a.at, b.at) })
+	h.events, h.length = events, h.length+later
+	return h
+}
+
 // outcome is the result of a history.
 type outcome struct {
 	timeline   string
--- a/internal/group/explorer/model_test.go
+++ b/internal/group/explorer/model_test.go
@@ -106,6 +106,7 @@
 	slowBy                  time.Duration
 	learnDelay              time.Duration // at most, until a replica knows its new primary
 	registryDelay           time.Duration // at most, until a VM knows a new entry
+	reader                  string        // VM whose callers only read; "": none
 }
 
 // world is the state of the platform and the group.
--- a/internal/group/explorer/node_test.go
+++ b/internal/group/explorer/node_test.go
@@ -103,7 +103,11 @@
 		RegistryVersion: n.registryVersion, Sample: n.sample,
 	})
 	w.wg.Go(n.follow)
-	w.wg.Go(n.write)
+	if id == w.opts.reader {
+		w.wg.Go(n.read)
+	} else {
+		w.wg.Go(n.write)
+	}
 	return n
 }
 
@@ -244,40 +248,58 @@
 // sealer implements replacer.Sealer.
 type sealer struct{ n *node }
 
-func (s sealer) Seal(ctx context.Context, group string, seal registrar.Seal) error {
-	return s.each(ctx, func(o *node) error { return o.groups.Group(group).Seal(seal) })
+func (s sealer) Seal(ctx context.Context, group string, seal registrar.Seal) (registrar.PassedOn, error) {
+	return s.each(ctx, func(o *node) (registrar.PassedOn, error) {
+		g := o.groups.Group(group)
+		if err := g.Seal(seal); err != nil {
+			return registrar.PassedOn{}, err
+		}
+		return g.PassedOn(), nil
+	})
 }
 
 func (s sealer) Unseal(ctx context.Context, group string, seal registrar.Seal) {
-	_ = s.each(ctx, func(o *node) error { o.groups.Group(group).Unseal(seal); return nil })
+	_, _ = s.each(ctx, func(o *node) (registrar.PassedOn, error) {
+		o.groups.Group(group).Unseal(seal)
+		return registrar.PassedOn{}, nil
+	})
+}
+
+// sealAnswer is that of a VM to a request to seal a term.
+type sealAnswer struct {
+	passedOn registrar.PassedOn
+	err      error
 }
 
-// each calls f on all VMs that can be reached, and returns an error of kind conflict if there is one.
-func (s sealer) each(ctx context.Context, f func(o *node) error) error {
+// each calls f on all VMs that can be reached. It returns the sum of the answers, and an error of kind conflict if there is one.
+func (s sealer) each(ctx context.Context, f func(o *node) (registrar.PassedOn, error)) (registrar.PassedOn, error) {
 	ctx, cancel := context.WithTimeout(ctx, sealTimeout)
 	defer cancel()
 	others := peers{s.n}.nodes()
-	answers := make(chan error, len(others))
+	answers := make(chan sealAnswer, len(others))
 	for _, o := range others {
 		s.n.w.wg.Go(func() {
 			if err := s.n.w.travel(ctx, s.n.id, o.id, "seal"); err != nil {
-				answers <- err
+				answers <- sealAnswer{err: err}
 				return
 			}
-			err := f(o)
+			passedOn, err := f(o)
 			if travelErr := s.n.w.travel(ctx, o.id, s.n.id, "seal"); travelErr != nil {
-				err = travelErr
+				passedOn, err = registrar.PassedOn{}, travelErr
 			}
-			answers <- err
+			answers <- sealAnswer{passedOn, err}
 		})
 	}
+	sum := registrar.PassedOn{IsComplete: true}
 	var result error
 	for range others {
-		if err := <-answers; err != nil && !classifier.Is(result, classifier.Conflict) {
-			result = err
+		a := <-answers
+		sum = sum.With(a.passedOn)
+		if a.err != nil && !classifier.Is(result, classifier.Conflict) {
+			result = a.err
 		}
 	}
-	return result
+	return sum, result
 }
 
 func sleep(ctx context.Context, d time.Duration) bool {
@@ -357,6 +379,16 @@
 	}
 }
 
+// read reads at the known primary, which proves that it leads.
+func (n *node) read() {
+	g := n.groups.Group(groupName)
+	for sleep(n.ctx, n.w.draw("read "+n.id, writeInterval/2, writeInterval*3/2)) {
+		if v, ok := g.View(g.Primary().Instance); ok {
+			_ = n.probe(g, v)
+		}
+	}
+}
+
 func (n *node) writeTo(g *registrar.Group, id string) {
 	ctx, cancel := context.WithTimeout(n.ctx, writeTimeout)
 	defer cancel()
--- a/internal/group/registrar/departure.go
+++ b/internal/group/registrar/departure.go
@@ -75,10 +75,10 @@
 	}
 }
 
-// recordAcknowledged records the position of the primary at the acknowledgement of a commit that is passed on. The caller holds
-// g.mu.
-func (g *Group) recordAcknowledged(p tokenizer.Position) {
-	g.recordAssumedFloor(p)
+// raiseFloors raises the floors of departures after which a replica may go on receiving entries to the position of the primary at the
+// acknowledgement of a commit. The caller holds g.mu.
+func (g *Group) raiseFloors(p tokenizer.Position) {
+	g.raiseAssumedFloor(p)
 	if d := &g.departure; d.mayReceive() && !d.floor.IsZero() {
 		d.floor = d.floor.Max(p)
 	}
@@ -95,12 +95,12 @@
 }
 
 // IsCoveredDespiteDepartures reports whether a replica that has received the log up to p holds every commit for which the
-// primary may have counted a replica that has left since.
-func (g *Group) IsCoveredDespiteDepartures(p tokenizer.Position) bool {
+// primary may have counted a replica that has left since. areAllTold states that RecordPassedOn was called with what all VMs have passed on.
+func (g *Group) IsCoveredDespiteDepartures(p tokenizer.Position, areAllTold bool) bool {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	isDepartureMet := !g.departure.isSet || !g.departure.floor.IsZero() && p.Covers(g.departure.floor)
-	return isDepartureMet && g.isAssumptionMet(p)
+	return isDepartureMet && g.isAssumptionMet(p, areAllTold)
 }
 
 // Departure reports whether a replica has left, and returns the floor of the latest departure, zero while it is not known,
@@ -111,9 +111,10 @@
 	return g.departure.floor, len(g.departure.silent), g.departure.isSet
 }
 
-// NeedsDepartureSample reports whether a replica has left since the primary last proved its position.
+// NeedsDepartureSample reports whether the primary has to prove its position to complete the floor of a departure.
 func (g *Group) NeedsDepartureSample() bool {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	return g.departure.isSet && g.departure.floor.IsZero()
+	needsFinalFloor := g.assumesDeparture && !g.isFloorFinal && g.clock() >= g.silentUntil()
+	return g.departure.isSet && g.departure.floor.IsZero() || needsFinalFloor
 }
--- a/internal/group/registrar/departure_test.go
+++ b/internal/group/registrar/departure_test.go
@@ -7,6 +7,7 @@
 
 	"parsleyscale/internal/session/tokenizer"
 	"parsleyscale/internal/sheet/cataloger"
+	"parsleyscale/internal/statement/carrier"
 )
 
 // Guards against the loss of commits that only a leaving replica holds: it went on receiving after its registry entry had
@@ -36,10 +37,10 @@
 				prove(g, "a", 1, 5)
 				time.Sleep(c.after)
 				g.Acknowledge(tokenizer.Position{Term: 1, Index: 6})
-				if got := g.IsCoveredDespiteDepartures(tokenizer.Position{Term: 1, Index: 5}); got != c.wantCovered {
+				if got := g.IsCoveredDespiteDepartures(tokenizer.Position{Term: 1, Index: 5}, true); got != c.wantCovered {
 					t.Errorf("covered by a replica that lacks the commit: %t, want %t", got, c.wantCovered)
 				}
-				if !g.IsCoveredDespiteDepartures(tokenizer.Position{Term: 1, Index: 6}) {
+				if !g.IsCoveredDespiteDepartures(tokenizer.Position{Term: 1, Index: 6}, true) {
 					t.Error("not covered by a replica that holds the commit")
 				}
 			})
@@ -47,6 +48,45 @@
 	}
 }
 
+// Guards against the loss of commits that only a silent replica holds, and that other VMs passed on.
+func TestOtherVMsPassOnAfterDeparture(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		r, g, reg := newGroup()
+		r.Update(reg.With(map[string]*cataloger.Instance{"b": nil}))
+		time.Sleep(3 * time.Second)
+		g.RemoveMissing()
+		prove(g, "a", 1, 5)
+		g.RecordPassedOn(PassedOn{Position: tokenizer.Position{Term: 1, Index: 6}})
+		if g.IsCoveredDespiteDepartures(tokenizer.Position{Term: 1, Index: 5}, false) {
+			t.Error("covered by a replica that lacks a commit")
+		}
+		if !g.IsCoveredDespiteDepartures(tokenizer.Position{Term: 1, Index: 6}, false) {
+			t.Error("not covered by a replica that holds all commits")
+		}
+	})
+}
+
+// Guards against a group that stays without a primary: the position at an acknowledgement may lie beyond the commit, and what lies beyond
+// it is rolled back if the primary is replaced, so that no instance ever reaches the floor.
+func TestPromotionLowersFloors(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		r, g, reg := newGroup()
+		r.Update(reg.With(map[string]*cataloger.Instance{"b": nil}))
+		time.Sleep(3 * time.Second)
+		g.RemoveMissing()
+		prove(g, "a", 1, 5)
+		g.Acknowledge(tokenizer.Position{Term: 1, Index: 9})
+		promoted := tokenizer.Position{Term: 1, Index: 8}
+		g.RecordStatus("c", carrier.InstanceStatus{IsPrimary: true, Term: 2, Received: promoted})
+		if !g.IsCoveredDespiteDepartures(promoted, false) {
+			t.Error("not covered by the position of the new primary")
+		}
+		if got := g.PassedOn().Position; got != promoted {
+			t.Errorf("other VMs are told of acknowledgements at %s, want %s", got, promoted)
+		}
+	})
+}
+
 // Guards against the loss of commits that only a replica held which has restarted without its log: its answer counted, although
 // its registry entry did not show the restart yet.
 func TestReplicaReportsLess(t *testing.T) {
@@ -77,7 +117,7 @@
 				}
 				g.RecordReceived("b", c.received, 3)
 				prove(g, "a", 3, 8)
-				if g.NeedsDepartureSample() || !g.IsCoveredDespiteDepartures(at(3, 8)) {
+				if g.NeedsDepartureSample() || !g.IsCoveredDespiteDepartures(at(3, 8), true) {
 					t.Error("counts as departed after the primary has proved its position, and another replica holds that")
 				}
 			})
--- a/internal/group/registrar/group.go
+++ b/internal/group/registrar/group.go
@@ -30,7 +30,9 @@
 	latestTerm       uint64                // highest term in which latestPrimary proved to be the primary; zero: it did not, or restarted since
 	departure        departure             // the latest departure of a replica
 	assumesDeparture bool                  // a replica may have left before this VM knew the group
-	assumedFloor     tokenizer.Position    // covers every commit for which a replica counted that has left by then; zero: not known
+	assumedFloor     tokenizer.Position    // covers the commits that this VM knows to be acknowledged, for which such a replica may have counted; zero: not known
+	isFloorFinal     bool                  // assumedFloor covers all of them, also those that other VMs passed on
+	passedOn         tokenizer.Position    // newest one of the primary at an acknowledgement that this VM passed on; zero: none
 	seals            map[string]activeSeal // the latest of each VM
 	firstProof       tokenizer.Position    // the first position that a primary has proved; zero: none yet
 	registryPrimary  string                // instance that the registry names instead of the known primary; "": none
@@ -281,26 +283,19 @@
 	if !g.recordRole(p) {
 		return false
 	}
-	if g.firstProof.IsZero() {
-		g.recordFirstProof(p.Position)
-	}
+	g.recordAssumedSample(p)
 	g.recordDepartureSample(p)
 	g.Samples.Add(p.SentAt, g.clock(), p.Position)
 	return true
 }
 
-func (g *Group) recordFirstProof(p tokenizer.Position) {
-	g.firstProof = p
-	g.recordAssumedFloor(p)
-}
-
 // RecordSample records a position that another VM has a proof for: the primary held it at sentAt, on the registrar's clock, or
 // later.
 func (g *Group) RecordSample(sentAt time.Duration, p tokenizer.Position) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	if g.firstProof.IsZero() && sentAt >= g.firstUpdateAt {
-		g.recordFirstProof(p)
+	if sentAt >= g.firstUpdateAt {
+		g.recordAssumedSample(Proof{SentAt: sentAt, Position: p})
 	}
 	g.recordDepartureSample(Proof{SentAt: sentAt, Position: p})
 	g.Samples.Add(sentAt, g.clock(), p)
@@ -339,6 +334,9 @@
 	g.primary.Term = term
 	s.Position = s.Position.Max(p.Position)
 	isNew := g.primary.Instance != p.Instance || g.latestTerm != term
+	if isNew {
+		g.lowerFloors(term, p.Position)
+	}
 	if g.primary.Instance != p.Instance {
 		g.setPrimary(p.Instance)
 	}
@@ -349,6 +347,16 @@
 	return true
 }
 
+// lowerFloors lowers the floors that the primary of a later term does not hold to its position. The promotion has rolled back what is
+// beyond that, so that no instance will reach them.
+func (g *Group) lowerFloors(term uint64, p tokenizer.Position) {
+	for _, floor := range []*tokenizer.Position{&g.firstProof, &g.assumedFloor, &g.departure.floor, &g.passedOn} {
+		if floor.Term < term && !p.IsZero() && !p.Covers(*floor) {
+			*floor = p
+		}
+	}
+}
+
 // SuggestPrimary makes an instance the known primary while none is known. Like that of the registry, the suggestion proves
 // nothing.
 func (g *Group) SuggestPrimary(id string) {
--- a/internal/group/registrar/roster.go
+++ b/internal/group/registrar/roster.go
@@ -91,19 +91,40 @@
 	return g.assumedFloor, g.assumesDeparture
 }
 
-// recordAssumedFloor raises the floor of the assumed departure. A replica that has left may go on receiving entries for maxStopTime.
-// The caller holds g.mu.
-func (g *Group) recordAssumedFloor(p tokenizer.Position) {
-	isFirst := g.assumedFloor.IsZero()
-	if g.assumesDeparture && (isFirst || g.clock()-g.firstUpdateAt < maxStopTime) {
+// silentUntil returns the time, on the registrar's clock, from which on a replica that left before this VM knew the group receives
+// nothing. The caller holds g.mu.
+func (g *Group) silentUntil() time.Duration { return g.firstUpdateAt + maxStopTime }
+
+// recordAssumedSample records a proven position of the primary for the floor of the assumed departure. The first one covers the commits
+// that were acknowledged before this VM knew the group. As the replica may go on receiving, only one that was proved after silentUntil
+// covers all commits that other VMs may have passed on with its help. The caller holds g.mu.
+func (g *Group) recordAssumedSample(p Proof) {
+	isFirst := g.firstProof.IsZero()
+	if isFirst {
+		g.firstProof = p.Position
+	}
+	if !g.assumesDeparture || g.isFloorFinal {
+		return
+	}
+	g.isFloorFinal = p.SentAt >= g.silentUntil()
+	if isFirst || g.isFloorFinal {
+		g.assumedFloor = g.assumedFloor.Max(p.Position)
+	}
+}
+
+// raiseAssumedFloor raises the floor of the assumed departure to a position at the acknowledgement of a commit. The caller holds g.mu.
+func (g *Group) raiseAssumedFloor(p tokenizer.Position) {
+	if g.assumesDeparture && !g.isFloorFinal && g.clock() < g.silentUntil() {
 		g.assumedFloor = g.assumedFloor.Max(p)
 	}
 }
 
 // isAssumptionMet reports whether a replica that has received the log up to p holds every commit for which a replica counted that
-// left before this VM knew the group. The caller holds g.mu.
-func (g *Group) isAssumptionMet(p tokenizer.Position) bool {
-	return !(g.assumesDeparture && g.assumedFloor.IsZero()) && p.Covers(g.assumedFloor)
+// left before this VM knew the group. Until the floor is final, it covers only the commits that are known to have been passed on, so
+// that all other VMs must have told theirs. The caller holds g.mu.
+func (g *Group) isAssumptionMet(p tokenizer.Position, areAllTold bool) bool {
+	isKnown := !g.assumesDeparture || g.isFloorFinal || areAllTold && !g.firstProof.IsZero()
+	return isKnown && p.Covers(g.assumedFloor)
 }
 
 // RosterView is what a VM knows of a group for its roster.
--- a/internal/group/registrar/roster_test.go
+++ b/internal/group/registrar/roster_test.go
@@ -48,16 +48,73 @@
 			if err := g.ApplyRoster(c.roster); (err != nil) != c.wantErr {
 				t.Errorf("error %v, want one: %t", err, c.wantErr)
 			}
-			if got := g.IsCoveredDespiteDepartures(tokenizer.Position{Term: 1, Index: 6}); got {
+			if got := g.IsCoveredDespiteDepartures(tokenizer.Position{Term: 1, Index: 6}, true); got {
 				t.Error("covered by a replica that lacks the floor")
 			}
-			if got := g.IsCoveredDespiteDepartures(tokenizer.Position{Term: 1, Index: 7}); got == c.wantErr {
+			if got := g.IsCoveredDespiteDepartures(tokenizer.Position{Term: 1, Index: 7}, true); got == c.wantErr {
 				t.Errorf("covered by a replica that holds the floor: %t, want %t", got, !c.wantErr)
 			}
 		})
 	}
 }
 
+// Guards against the loss of commits that only a replica holds which had left the registry before the VM started, and went on
+// receiving, while other VMs passed the commits on.
+func TestOtherVMsPassOnAfterStart(t *testing.T) {
+	five, six := tokenizer.Position{Term: 2, Index: 5}, tokenizer.Position{Term: 2, Index: 6}
+	for _, c := range []struct {
+		name        string
+		passedOn    PassedOn      // by other VMs
+		provedAfter time.Duration // from the start to a second proof, of position 6; zero: none
+		p           tokenizer.Position
+		wantCovered bool
+	}{
+		{"all have told, and the replica lacks one", PassedOn{Position: six, IsComplete: true}, 0, five, false},
+		{"all have told, and the replica lacks none", PassedOn{Position: six, IsComplete: true}, 0, six, true},
+		{"all have told, and there are none", PassedOn{IsComplete: true}, 0, five, true},
+		{"not all have told", PassedOn{Position: five}, 0, six, false},
+		{"not all have told, and a proof may precede the departure", PassedOn{}, maxStopTime / 2, six, false},
+		{"not all have told, and the replica lacks a proof after the departure", PassedOn{}, maxStopTime, five, false},
+		{"not all have told, and the replica holds a proof after the departure", PassedOn{Position: five}, maxStopTime, six, true},
+		{"a proof after the departure covers what was told", PassedOn{Position: tokenizer.Position{Term: 2, Index: 7}}, maxStopTime, six, true},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				_, g := newStartedGroup()
+				prove(g, "a", 2, 5)
+				if c.provedAfter > 0 {
+					time.Sleep(c.provedAfter)
+					prove(g, "a", 2, 6)
+				}
+				g.RecordPassedOn(c.passedOn)
+				if got := g.IsCoveredDespiteDepartures(c.p, c.passedOn.IsComplete); got != c.wantCovered {
+					t.Errorf("covered by a replica at %s: %t, want %t", c.p, got, c.wantCovered)
+				}
+			})
+		})
+	}
+}
+
+// Guards against a VM that never learns a position of the primary from after the time in which a departed replica may receive, since no
+// caller of it needs one.
+func TestAssumedDepartureNeedsLateSample(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		_, g := newStartedGroup()
+		prove(g, "a", 2, 5)
+		if g.NeedsDepartureSample() {
+			t.Error("needs a sample while a departed replica may receive")
+		}
+		time.Sleep(maxStopTime)
+		if !g.NeedsDepartureSample() {
+			t.Error("needs no sample after that")
+		}
+		prove(g, "a", 2, 6)
+		if g.NeedsDepartureSample() {
+			t.Error("needs another sample")
+		}
+	})
+}
+
 // Guards against the loss of commits that only a replica holds which had left the registry before the VM started, and went on
 // receiving.
 func TestAssumedDepartureGoesOnReceiving(t *testing.T) {
@@ -72,16 +129,16 @@
 		t.Run(c.name, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
 				_, g := newStartedGroup()
-				if g.IsCoveredDespiteDepartures(tokenizer.Position{Term: 2, Index: 9}) {
+				if g.IsCoveredDespiteDepartures(tokenizer.Position{Term: 2, Index: 9}, true) {
 					t.Error("covered before a primary has proved its position")
 				}
 				prove(g, "a", 2, 5)
 				time.Sleep(c.after)
 				g.Acknowledge(tokenizer.Position{Term: 2, Index: 6})
-				if got := g.IsCoveredDespiteDepartures(tokenizer.Position{Term: 2, Index: 5}); got != c.wantCovered {
+				if got := g.IsCoveredDespiteDepartures(tokenizer.Position{Term: 2, Index: 5}, true); got != c.wantCovered {
 					t.Errorf("covered by a replica that lacks the commit: %t, want %t", got, c.wantCovered)
 				}
-				if !g.IsCoveredDespiteDepartures(tokenizer.Position{Term: 2, Index: 6}) {
+				if !g.IsCoveredDespiteDepartures(tokenizer.Position{Term: 2, Index: 6}, true) {
 					t.Error("not covered by a replica that holds the commit")
 				}
 			})
--- a/internal/group/replacer/endterm.go
+++ b/internal/group/replacer/endterm.go
@@ -31,9 +31,13 @@
 	old           registrar.Primary
 	path          <-chan carrier.Target // gets the path to an unreachable primary, if there is one
 	earlierChoice string
-	token         uint64 // of the promote request, or a lower one of the same attempt
+	token         uint64   // of the promote request, or a lower one of the same attempt
+	sealing       *sealing // nil: the acknowledgements of the term are not stopped before the replicas are compared
 }
 
+// isStalled reports whether the primary is replaced because its writes have stalled.
+func (e ending) isStalled() bool { return e.action.Reason == WritesStalled }
+
 // endTerm ends the old term and returns the candidates for the new one. A planned switchover
 // demotes the primary first and then lets a replica catch up with it. So does the replacement of a
 // primary that only other VMs reach. Otherwise, the replicas are held.
@@ -54,20 +58,20 @@
 		}
 	}
 	if isReached {
-		if err := r.sealTerm(ctx, e.group, *seal); err != nil {
+		if _, err := r.sealTerm(ctx, e.group, *seal); err != nil {
 			return nil, false, err
 		}
 		candidates, err = r.demoteAndCatchUp(ctx, e, b, status, demote)
 		return candidates, false, err
 	}
 	// A stalled primary is reachable, so holdAll awaits the answer to its demotion.
-	if e.action.Reason == WritesStalled {
+	if e.isStalled() {
 		if err := r.fenceLateRequests(ctx, e); err != nil {
 			return nil, true, err
 		}
 	}
 	b.EndedBy, seal.StopsAcks = EndedByHold, true
-	candidates, err = r.holdAllRegistered(ctx, e.group, e.old, e.action.Reason == WritesStalled, *seal, b)
+	candidates, err = r.holdAllRegistered(ctx, e, *seal, b)
 	return candidates, true, err
 }
 
@@ -120,7 +124,7 @@
 			furthest = furthest.Max(s.Received)
 		}
 	}
-	if len(failed) == 0 && r.isCovered(ctx, g, furthest) {
+	if len(failed) == 0 && r.isCovered(ctx, g, furthest, registrar.PassedOn{}) {
 		return nil
 	}
 	return classifier.Wrap(classifier.NoInstance, errors.Join(slices.Collect(maps.Values(failed))...), "a replacement cannot end the stall of primary %s: a replica does not answer or has left, and no other one holds all entries of the primary", primary)
@@ -210,7 +214,7 @@
 		return nil, err
 	}
 	if _, known := g.FormerPrimary(old.Term); !demoted.Received.Covers(known) {
-		return r.holdAll(ctx, g, views, old, false, b) // it has lost its log
+		return r.holdAll(ctx, e, views, b) // it has lost its log
 	}
 	b.Demoted = demoted.Received
 	hasCaughtUp := func(s carrier.InstanceStatus) bool { return s.Received.Covers(demoted.Received) }
@@ -274,8 +278,8 @@
 // for the old primary's answer if that of a replica is missing or if its writes have stalled. With a
 // replica missing, or after one has left with entries that the others may lack, only the instances that
 // hold all entries of the old primary are candidates.
-func (r *Replacer) holdAll(ctx context.Context, g *registrar.Group, views []registrar.View, old registrar.Primary, isStalled bool, b *Basis) ([]candidate, error) {
-	nextTerm := old.Term + 1
+func (r *Replacer) holdAll(ctx context.Context, e ending, views []registrar.View, b *Basis) ([]candidate, error) {
+	g, old, nextTerm := e.group, e.old, e.old.Term+1
 	b.Known, b.Unanswered, b.Demoted = len(views), 0, tokenizer.Position{}
 	replicaAnswers, primaryAnswer := make(chan haltAnswer, len(views)), make(chan haltAnswer, 1)
 	replicas := 0
@@ -322,10 +326,10 @@
 		b.EndedBy = EndedByFormerPrimary
 		return covering(candidates, formerPosition), nil
 	}
-	if replicaErr == nil && !r.isCovered(ctx, g, furthestReceived(candidates)) {
+	if replicaErr == nil && !r.isCovered(ctx, g, furthestReceived(candidates), e.sealing.await()) {
 		replicaErr = classifier.New(classifier.NoInstance, "a replica of group %s has left, or may have left before this VM started, and the others may lack entries that it had received", g.Name())
 	}
-	awaitsOldPrimary := isStalled || former != old.Instance // it may turn out to be a replica
+	awaitsOldPrimary := e.isStalled() || former != old.Instance // it may turn out to be a replica
 	if replicaErr == nil && (!awaitsOldPrimary || replicas == len(views)) {
 		return candidates, nil
 	}
@@ -338,7 +342,7 @@
 		return nil, a.err
 	case a.err == nil && isInLaterTerm(a.status, nextTerm):
 		return nil, r.recordLaterTerm(ctx, g, a.id, a.status)
-	case replicaErr == nil && (a.err == nil || !isStalled):
+	case replicaErr == nil && (a.err == nil || !e.isStalled()):
 		b.Demoted = a.received
 		return candidates, nil
 	case a.err != nil: // a stalled primary that does not answer may be reached through another VM
@@ -353,8 +357,10 @@
 
 // isCovered reports whether a replica that has received the log up to p holds every commit for which the primary may have counted a
 // replica that has left. If that fails because of the assumption that one left before this VM knew the group, it reads the roster.
-func (r *Replacer) isCovered(ctx context.Context, g *registrar.Group, p tokenizer.Position) bool {
-	if g.IsCoveredDespiteDepartures(p) {
+// VMs have passed on the acknowledgements in passedOn, and pass on no more.
+func (r *Replacer) isCovered(ctx context.Context, g *registrar.Group, p tokenizer.Position, passedOn registrar.PassedOn) bool {
+	g.RecordPassedOn(passedOn)
+	if g.IsCoveredDespiteDepartures(p, passedOn.IsComplete) {
 		return true
 	}
 	if r.cfg.Roster == nil || !g.AssumesDeparture() {
@@ -367,7 +373,7 @@
 		err = g.ApplyRoster(roster)
 	}
 	r.cfg.Observe(Event{Name: EventRosterApplied, Group: g.Name(), Err: err})
-	return err == nil && g.IsCoveredDespiteDepartures(p)
+	return err == nil && g.IsCoveredDespiteDepartures(p, passedOn.IsComplete)
 }
 
 // furthestReceived returns the newest position among candidates, or the zero position if there are none.
--- a/internal/group/replacer/refresh.go
+++ b/internal/group/replacer/refresh.go
@@ -7,19 +7,37 @@
 	"parsleyscale/internal/group/registrar"
 )
 
+// sealing is the seal of a term and the refresh of the instances that follows it, both of which run beside other steps.
+type sealing struct {
+	sealed    chan struct{} // closed once the VMs that answer have sealed the term
+	passedOn  registrar.PassedOn
+	refreshed chan error // gets the result of both
+}
+
 // startSealAndRefresh seals a term and then brings the instances of all groups up to date, beside the first steps of the end of
 // the term. So each instance with whose help a commit was acknowledged and passed on is known afterwards, if it registered in
-// time. The channel gets the result.
-func (r *Replacer) startSealAndRefresh(ctx context.Context, g *registrar.Group, seal registrar.Seal) <-chan error {
-	result := make(chan error, 1)
+// time.
+func (r *Replacer) startSealAndRefresh(ctx context.Context, g *registrar.Group, seal registrar.Seal) *sealing {
+	s := &sealing{sealed: make(chan struct{}), refreshed: make(chan error, 1)}
 	r.wg.Go(func() {
-		err := r.sealTerm(ctx, g, seal)
+		var err error
+		s.passedOn, err = r.sealTerm(ctx, g, seal)
+		close(s.sealed)
 		if err == nil {
 			err = r.refreshInstances(ctx)
 		}
-		result <- err
+		s.refreshed <- err
 	})
-	return result
+	return s
+}
+
+// await waits until the term is sealed, and returns what the VMs have passed on. The zero value returns at once.
+func (s *sealing) await() registrar.PassedOn {
+	if s == nil {
+		return registrar.PassedOn{}
+	}
+	<-s.sealed
+	return s.passedOn
 }
 
 func (r *Replacer) refreshInstances(ctx context.Context) error {
@@ -32,29 +50,30 @@
 // holdAllRegistered is holdAll for the instances that were registered when the refresh began. It holds those that it knows
 // during the refresh, except in two cases: a primary that is reachable is not demoted in vain, and without a claim, the VM may be
 // cut off, and would only stop the writes of the others.
-func (r *Replacer) holdAllRegistered(ctx context.Context, g *registrar.Group, old registrar.Primary, isStalled bool, seal registrar.Seal, b *Basis) ([]candidate, error) {
-	refreshed := r.startSealAndRefresh(ctx, g, seal)
-	if isStalled || b.IsSpare {
-		if err := <-refreshed; err != nil {
+func (r *Replacer) holdAllRegistered(ctx context.Context, e ending, seal registrar.Seal, b *Basis) ([]candidate, error) {
+	g := e.group
+	e.sealing = r.startSealAndRefresh(ctx, g, seal)
+	if e.isStalled() || b.IsSpare {
+		if err := <-e.sealing.refreshed; err != nil {
 			return nil, err
 		}
-		if isStalled {
-			return r.holdAllStalled(ctx, g, old, seal, b)
+		if e.isStalled() {
+			return r.holdAllStalled(ctx, e, seal, b)
 		}
-		return r.holdAll(ctx, g, g.Views(), old, false, b)
+		return r.holdAll(ctx, e, g.Views(), b)
 	}
 	known := g.Views()
-	candidates, err := r.holdAll(ctx, g, known, old, false, b)
+	candidates, err := r.holdAll(ctx, e, known, b)
 	if err != nil {
 		return nil, err
 	}
-	if err := <-refreshed; err != nil {
+	if err := <-e.sealing.refreshed; err != nil {
 		return nil, err
 	}
 	if isSameInstances(known, g.Views()) {
 		return candidates, nil
 	}
-	return r.holdAll(ctx, g, g.Views(), old, false, b)
+	return r.holdAll(ctx, e, g.Views(), b)
 }
 
 // isSameInstances reports whether two lists hold the same instances, none of which has restarted or moved in between.
--- a/internal/group/replacer/seal.go
+++ b/internal/group/replacer/seal.go
@@ -15,36 +15,44 @@
 
 // Sealer tells other VMs that this VM is about to end a term of a group.
 type Sealer interface {
-	// Seal fails with kind conflict while another VM ends the term, and with another kind if a VM does not answer.
-	Seal(ctx context.Context, group string, s registrar.Seal) error
+	// Seal returns what the other VMs have passed on. It fails with kind conflict while another VM ends the term, and with another kind if
+	// a VM does not answer.
+	Seal(ctx context.Context, group string, s registrar.Seal) (registrar.PassedOn, error)
 	Unseal(ctx context.Context, group string, s registrar.Seal)
 }
 
-// sealTerm seals a term on this VM and on all VMs that answer. It fails only if another VM ends the term. A claim excludes other
-// VMs already, so that only a VM with a spare token, or one that stops acknowledgements, has to tell others.
-func (r *Replacer) sealTerm(ctx context.Context, g *registrar.Group, s registrar.Seal) error {
-	err := r.trySealTerm(ctx, g, s)
-	r.cfg.Observe(Event{Name: EventTermSealed, Group: g.Name(), Term: s.Term, Err: err})
+// sealTerm seals a term on this VM and on all VMs that answer, and returns what these have passed on. It fails only if another VM ends the
+// term. A claim excludes other VMs already, so that only a VM with a spare token, or one that stops acknowledgements, has to tell others.
+func (r *Replacer) sealTerm(ctx context.Context, g *registrar.Group, s registrar.Seal) (registrar.PassedOn, error) {
+	passedOn, err := r.trySealTerm(ctx, g, s)
+	r.cfg.Observe(Event{Name: EventTermSealed, Group: g.Name(), Term: s.Term, PassedOn: passedOn, Err: err})
 	if classifier.Is(err, classifier.Conflict) {
-		return err
+		return registrar.PassedOn{}, err
 	}
-	return nil
+	return passedOn, nil
 }
 
-func (r *Replacer) trySealTerm(ctx context.Context, g *registrar.Group, s registrar.Seal) error {
+func (r *Replacer) trySealTerm(ctx context.Context, g *registrar.Group, s registrar.Seal) (registrar.PassedOn, error) {
 	if err := g.Seal(s); err != nil {
-		return err
+		return registrar.PassedOn{}, err
 	}
-	if r.cfg.Sealer == nil || !s.IsSpare && !s.StopsAcks {
-		return nil
+	if r.cfg.Sealer == nil {
+		return g.PassedOn(), nil
 	}
-	return r.cfg.Sealer.Seal(ctx, g.Name(), s)
+	if !s.IsSpare && !s.StopsAcks {
+		return registrar.PassedOn{}, nil
+	}
+	others, err := r.cfg.Sealer.Seal(ctx, g.Name(), s)
+	return g.PassedOn().With(others), err
 }
 
 // startSeal is sealTerm beside other steps. The returned function waits for its result, for up to holdGrace.
 func (r *Replacer) startSeal(ctx context.Context, g *registrar.Group, s registrar.Seal) func() error {
 	result := make(chan error, 1)
-	r.wg.Go(func() { result <- r.sealTerm(ctx, g, s) })
+	r.wg.Go(func() {
+		_, err := r.sealTerm(ctx, g, s)
+		result <- err
+	})
 	return func() error {
 		select {
 		case err := <-result:
@@ -60,7 +68,7 @@
 // keepSealed renews a seal until ctx ends.
 func (r *Replacer) keepSealed(ctx context.Context, g *registrar.Group, s registrar.Seal) {
 	for sleeper.Sleep(ctx, sealInterval) {
-		_ = r.trySealTerm(ctx, g, s) // the promote request has been sent, so that an error changes nothing
+		_, _ = r.trySealTerm(ctx, g, s) // the promote request has been sent, so that an error changes nothing
 	}
 }
 
--- a/internal/group/replacer/seal_test.go
+++ b/internal/group/replacer/seal_test.go
@@ -21,13 +21,14 @@
 	seals     []registrar.Seal
 	isUnseal  bool // the latest seal was withdrawn
 	sealError error
+	passedOn  registrar.PassedOn
 }
 
-func (s *fakeSealer) Seal(_ context.Context, _ string, seal registrar.Seal) error {
+func (s *fakeSealer) Seal(_ context.Context, _ string, seal registrar.Seal) (registrar.PassedOn, error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.seals, s.isUnseal = append(s.seals, seal), false
-	return s.sealError
+	return s.passedOn, s.sealError
 }
 
 func (s *fakeSealer) Unseal(context.Context, string, registrar.Seal) {
@@ -105,6 +106,45 @@
 	}
 }
 
+// Guards against the loss of commits that other VMs passed on with the help of a replica that has left, or left before this VM started.
+func TestCommitsOfOtherVMs(t *testing.T) {
+	at := func(index uint64) tokenizer.Position { return tokenizer.Position{Term: 3, Index: index} }
+	for _, c := range []struct {
+		name     string
+		hasLeft  bool // the VM has seen the departure; otherwise, it assumes one
+		passedOn registrar.PassedOn
+		want     string // promoted instance; "": none
+	}{
+		{"no replica holds all, and the departure is assumed", false, registrar.PassedOn{Position: at(9), IsComplete: true}, ""},
+		{"a replica holds all, and the departure is assumed", false, registrar.PassedOn{Position: at(8), IsComplete: true}, "b"},
+		{"not all have told, and the departure is assumed", false, registrar.PassedOn{Position: at(7)}, ""},
+		{"no replica holds all, and the departure was seen", true, registrar.PassedOn{Position: at(9)}, ""},
+		{"a replica holds all, and the departure was seen", true, registrar.PassedOn{Position: at(8)}, "b"},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				f := &fakeGroup{
+					primary: "a", term: 3, received: map[string]uint64{"a": 9, "b": 8, "c": 7}, errs: map[string]error{"demote a": errNoAnswer},
+					assumesDeparture: !c.hasLeft, roster: registrar.Roster{Instances: []registrar.Member{{ID: "d"}}, Primary: "a", Term: 3}, sealer: &fakeSealer{passedOn: c.passedOn},
+				}
+				got := promotedInstances(t, f, func(g *registrar.Group, r *registrar.Registrar, reg cataloger.Registry) {
+					if c.hasLeft {
+						r.Update(reg.With(map[string]*cataloger.Instance{"d": {ID: "d", Group: "g", Address: "d"}}))
+						r.Update(reg)
+						time.Sleep(3 * time.Second)
+						g.RemoveMissing()
+						g.RecordProof(registrar.Proof{Instance: "a", SentAt: g.Now(), Position: at(7)})
+					}
+					failPrimary(g)
+				})
+				if c.want == "" && len(got) > 0 || c.want != "" && (len(got) != 1 || got[0] != c.want) {
+					t.Errorf("%v promoted, want %q; commands %v", got, c.want, f.commands)
+				}
+			})
+		})
+	}
+}
+
 // Guards against the end of a seal while a promote request without an answer may still be carried out.
 func TestSealOutlastsRequest(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
--- a/internal/group/replacer/stall.go
+++ b/internal/group/replacer/stall.go
@@ -18,24 +18,24 @@
 
 // holdAllStalled is holdAll for a primary whose writes have stalled. If the demoted primary holds entries that no replica has, it
 // waits for newcomers first, since one of them may have allowed the primary to acknowledge these entries.
-func (r *Replacer) holdAllStalled(ctx context.Context, g *registrar.Group, old registrar.Primary, seal registrar.Seal, b *Basis) ([]candidate, error) {
-	known := g.Views()
-	candidates, err := r.holdAll(ctx, g, known, old, true, b)
+func (r *Replacer) holdAllStalled(ctx context.Context, e ending, seal registrar.Seal, b *Basis) ([]candidate, error) {
+	g, known := e.group, e.group.Views()
+	candidates, err := r.holdAll(ctx, e, known, b)
 	missing := b.Demoted
 	if err != nil || furthestReceived(candidates).Covers(missing) {
 		return candidates, err
 	}
 	for deadline := time.Now().Add(newcomerTimeout); time.Now().Before(deadline) && ctx.Err() == nil; {
-		if c, ok := r.findNewcomer(ctx, g, known, old.Term, missing); ok {
+		if c, ok := r.findNewcomer(ctx, g, known, e.old.Term, missing); ok {
 			return []candidate{c}, nil
 		}
-		_ = r.trySealTerm(ctx, g, seal)
+		_, _ = r.trySealTerm(ctx, g, seal)
 		r.awaitChange(ctx, g, newcomerInterval)
 	}
 	if err := r.refreshInstances(ctx); err != nil {
 		return nil, err
 	}
-	return r.holdAll(ctx, g, g.Views(), old, true, b)
+	return r.holdAll(ctx, e, g.Views(), b)
 }
 
 // findNewcomer returns an instance that is not in a list, does not leave, and has received all entries up to a position. It is not
--- a/internal/group/sealer/sealer.go
+++ b/internal/group/sealer/sealer.go
@@ -38,9 +38,9 @@
 	RefreshAddresses func(ctx context.Context) error
 }
 
-// Seal asks the other VMs to seal a term of a group and waits for their answers. It fails with kind conflict if one of them knows
-// of another VM that is ending the term, and with another kind if some did not answer, which may be down.
-func (s *Sealer) Seal(ctx context.Context, group string, seal registrar.Seal) error {
+// Seal asks the other VMs to seal a term of a group and waits for their answers. It returns what they have passed on. It fails with kind
+// conflict if one of them knows of another VM that is ending the term, and with another kind if some did not answer, which may be down.
+func (s *Sealer) Seal(ctx context.Context, group string, seal registrar.Seal) (registrar.PassedOn, error) {
 	q := url.Values{"group": {group}, "term": {strconv.FormatUint(seal.Term, 10)}, "holder": {seal.Holder}}
 	q.Set("spare", strconv.FormatBool(seal.IsSpare))
 	q.Set("stopsAcks", strconv.FormatBool(seal.StopsAcks))
@@ -52,61 +52,77 @@
 		refreshed <- s.RefreshAddresses(ctx)
 	}()
 	known := s.Addresses(group)
-	err := s.sendAll(ctx, http.MethodPost, known, q)
+	passedOn, err := s.sendAll(ctx, http.MethodPost, known, q)
 	if classifier.Is(err, classifier.Conflict) {
-		return err
+		return registrar.PassedOn{}, err
 	}
 	refreshErr := <-refreshed
 	added := slices.DeleteFunc(s.Addresses(group), func(a string) bool { return slices.Contains(known, a) })
-	if addedErr := s.sendAll(ctx, http.MethodPost, added, q); addedErr != nil {
-		return addedErr
-	}
-	return cmp.Or(err, refreshErr)
+	passedOnByAdded, addedErr := s.sendAll(ctx, http.MethodPost, added, q)
+	passedOn = passedOn.With(passedOnByAdded)
+	passedOn.IsComplete = passedOn.IsComplete && refreshErr == nil
+	return passedOn, cmp.Or(addedErr, err, refreshErr)
 }
 
 // Unseal ends the seal on the other VMs that can be reached.
 func (s *Sealer) Unseal(ctx context.Context, group string, seal registrar.Seal) {
 	q := url.Values{"group": {group}, "term": {strconv.FormatUint(seal.Term, 10)}, "holder": {seal.Holder}}
-	_ = s.sendAll(ctx, http.MethodDelete, s.Addresses(group), q)
+	_, _ = s.sendAll(ctx, http.MethodDelete, s.Addresses(group), q)
+}
+
+// answer is that of a VM to a request.
+type answer struct {
+	passedOn registrar.PassedOn
+	err      error
 }
 
-// sendAll sends a request to other VMs and returns the error of one. It returns as soon as there is one of kind conflict.
-func (s *Sealer) sendAll(ctx context.Context, method string, addresses []string, q url.Values) error {
+// sendAll sends a request to other VMs and returns what they have passed on and the error of one. It returns as soon as there is one of
+// kind conflict.
+func (s *Sealer) sendAll(ctx context.Context, method string, addresses []string, q url.Values) (registrar.PassedOn, error) {
 	ctx, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
-	results := make(chan error, len(addresses))
-	for _, a := range addresses {
-		go func() { results <- s.send(ctx, method, "http://"+a+Path+"?"+q.Encode()) }()
+	answers := make(chan answer, len(addresses))
+	for _, address := range addresses {
+		go func() { answers <- s.send(ctx, method, "http://"+address+Path+"?"+q.Encode()) }()
 	}
+	passedOn := registrar.PassedOn{IsComplete: true}
 	var err error
 	for range addresses {
-		result := <-results
-		if classifier.Is(result, classifier.Conflict) {
-			return result
+		a := <-answers
+		if classifier.Is(a.err, classifier.Conflict) {
+			return registrar.PassedOn{}, a.err
 		}
-		err = cmp.Or(err, result)
+		passedOn, err = passedOn.With(a.passedOn), cmp.Or(err, a.err)
 	}
-	return err
+	return passedOn, err
 }
 
-func (s *Sealer) send(ctx context.Context, method, target string) error {
+func (s *Sealer) send(ctx context.Context, method, target string) answer {
 	r, err := http.NewRequestWithContext(ctx, method, target, nil)
 	if err != nil {
-		return err
+		return answer{err: err}
 	}
 	response, err := s.Client.Do(r)
 	if err != nil {
-		return err
+		return answer{err: err}
 	}
 	defer func() { _ = response.Body.Close() }()
 	switch response.StatusCode {
 	case http.StatusNoContent:
-		return nil
+		return answer{passedOn: parsePassedOn(response.Header)}
 	case http.StatusConflict:
 		text, _ := io.ReadAll(io.LimitReader(response.Body, maxTextBytes))
-		return classifier.New(classifier.Conflict, "%s", text)
+		return answer{err: classifier.New(classifier.Conflict, "%s", text)}
 	}
-	return classifier.New(classifier.BadMessage, "request to seal a term: status %d, want %d", response.StatusCode, http.StatusNoContent)
+	return answer{err: classifier.New(classifier.BadMessage, "request to seal a term: status %d, want %d", response.StatusCode, http.StatusNoContent)}
+}
+
+// passedOnHeader holds a position that covers all commits which the VM has passed on. It is missing if the VM knows none.
+const passedOnHeader = "Passed-On"
+
+func parsePassedOn(h http.Header) registrar.PassedOn {
+	p, err := tokenizer.ParsePosition(h.Get(passedOnHeader))
+	return registrar.PassedOn{Position: p, IsComplete: err == nil}
 }
 
 // maxTextBytes bounds the text of an error that another VM sends.
@@ -142,6 +158,9 @@
 			http.Error(w, classifier.Message(err), http.StatusConflict)
 			return
 		}
+		if p := g.PassedOn(); p.IsComplete {
+			w.Header().Set(passedOnHeader, p.Position.String())
+		}
 	default:
 		w.WriteHeader(http.StatusMethodNotAllowed)
 		return
--- a/internal/group/sealer/sealer_test.go
+++ b/internal/group/sealer/sealer_test.go
@@ -8,9 +8,12 @@
 	"slices"
 	"sync"
 	"testing"
+	"time"
 
 	"parsleyscale/internal/failure/classifier"
 	"parsleyscale/internal/group/registrar"
+	"parsleyscale/internal/session/tokenizer"
+	"parsleyscale/internal/sheet/cataloger"
 )
 
 // Guards against a VM that goes on passing on acknowledgements because it was added after the list of VMs was read, and
@@ -42,8 +45,8 @@
 		addresses = append(addresses, added)
 		return nil
 	}
-	if err := s.Seal(t.Context(), "g", registrar.Seal{Term: 3, Holder: "vm-1"}); err == nil {
-		t.Error("no error although a VM did not answer")
+	if passedOn, err := s.Seal(t.Context(), "g", registrar.Seal{Term: 3, Holder: "vm-1"}); err == nil || passedOn.IsComplete {
+		t.Errorf("error %v, all VMs have told what they passed on: %t; want an error and false, since a VM did not answer", err, passedOn.IsComplete)
 	}
 	slices.Sort(sealed)
 	if want := []string{"a", "b"}; !slices.Equal(slices.Compact(sealed), want) {
@@ -97,7 +100,40 @@
 		Addresses:        func(string) []string { return []string{"127.0.0.1:1", server.Listener.Addr().String()} },
 		RefreshAddresses: func(context.Context) error { return nil },
 	}
-	if err := s.Seal(t.Context(), "g", registrar.Seal{Term: 3, Holder: "vm-2"}); !classifier.Is(err, classifier.Conflict) {
+	if _, err := s.Seal(t.Context(), "g", registrar.Seal{Term: 3, Holder: "vm-2"}); !classifier.Is(err, classifier.Conflict) {
 		t.Errorf("error %v, want one of kind conflict", err)
 	}
 }
+
+// Guards against commits of other VMs that a VM which replaces a primary does not hear of, and against a VM without knowledge of its
+// own that is taken for one which has passed on nothing.
+func TestSealReturnsWhatWasPassedOn(t *testing.T) {
+	start := func(index uint64) string {
+		r := registrar.New(func() time.Duration { return time.Hour })
+		r.Update(cataloger.Registry{"a": {ID: "a", Group: "g", Address: "a", IsPrimary: true}})
+		if index > 0 {
+			r.Group("g").RecordProof(registrar.Proof{Instance: "a", SentAt: time.Hour, Position: tokenizer.Position{Term: 3, Index: index}})
+		}
+		server := httptest.NewServer(Handler{Group: r.Group})
+		t.Cleanup(server.Close)
+		return server.Listener.Addr().String()
+	}
+	seven, nine, unknown := start(7), start(9), start(0)
+	for _, c := range []struct {
+		name      string
+		addresses []string
+		want      registrar.PassedOn
+	}{
+		{"all have told", []string{seven, nine}, registrar.PassedOn{Position: tokenizer.Position{Term: 3, Index: 9}, IsComplete: true}},
+		{"one knows nothing", []string{seven, unknown}, registrar.PassedOn{Position: tokenizer.Position{Term: 3, Index: 7}}},
+		{"there are no others", nil, registrar.PassedOn{IsComplete: true}},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			s := Sealer{Client: http.DefaultClient, Addresses: func(string) []string { return slices.Clone(c.addresses) }, RefreshAddresses: func(context.Context) error { return nil }}
+			got, err := s.Seal(t.Context(), "g", registrar.Seal{Term: 3, Holder: "vm-1", StopsAcks: true})
+			if err != nil || got != c.want {
+				t.Errorf("%+v, error %v; want %+v", got, err, c.want)
+			}
+		})
+	}
+}
--- a/internal/statement/forwarder/server.go
+++ b/internal/statement/forwarder/server.go
@@ -63,8 +63,8 @@
 	// Find returns the address of an instance and its newest known log position. It
 	// returns false if the instance is unknown.
 	Find func(group, instance string) (carrier.Target, tokenizer.Position, bool)
-	// StopsAck reports whether the acknowledgement of a commit of a group is not passed on; nil stands for never.
-	StopsAck func(group string, p tokenizer.Position) bool
+	// Acknowledge reports whether the acknowledgement of a commit of a group may be passed on, and records it if so; nil stands for always.
+	Acknowledge func(group string, p tokenizer.Position) bool
 	// Sample returns a position that the primary of a group held at most maxAge ago, and its age.
 	Sample func(ctx context.Context, group string, maxAge time.Duration) (p tokenizer.Position, age time.Duration, err error)
 	// OnBegin is called when an instance has accepted the begin of a read-write transaction, with the time on Now at which
@@ -460,7 +460,7 @@
 // withSeal returns the reply for the other VM, to which the acknowledgement of a sealed term is not passed on.
 func (c *proxyConn) withSeal(cmd carrier.Command, prepared *carrier.Statement, r carrier.Reply) carrier.Reply {
 	isCommit := cmd.Verb == carrier.Commit || cmd.Verb == carrier.Write || prepared != nil && prepared.PreparedVerb == carrier.Write
-	if !isCommit || !r.OK() || c.server.cfg.StopsAck == nil || !c.server.cfg.StopsAck(c.target.Group, r.Position) {
+	if !isCommit || !r.OK() || c.server.cfg.Acknowledge == nil || c.server.cfg.Acknowledge(c.target.Group, r.Position) {
 		return r
 	}
 	return carrier.ErrorReply(classifier.OutcomeUnknown, "the primary "+c.target.Instance+" is being replaced, and its successor may lack the commit")
