Assume a departure after a gap in what a VM has seen of the registry

Cause: a VM learned of departures by comparing two states of the registry. A replica that joins and leaves while the VM is cut off is in neither: the whole table, or all changes in one answer of the feed, bring only what is left.

Change: a VM notices when changes may be missing: a table that is read again, changes from a VM with a gap, a refresh without the changes that led to the table, and instances that join and leave within changes that arrive at once. It then assumes a departure as it does after its start. The refresh of a replacement asks the feed for the changes, beside the read of the table.

Changed tests: the fake store of TestRefreshThroughPeers refuses feed calls as it refuses reads; a refresh makes both now.

--- a/internal/daemon/assembler/assembler.go
+++ b/internal/daemon/assembler/assembler.go
@@ -325,7 +325,25 @@
 
 // applyRegistryChanges applies changed rows to the registry.
 func (v *VM) applyRegistryChanges(rows []follower.Row, _ uint64) {
-	v.updateRegistry(v.registry.WithChanges(v.entries(rows)))
+	entries := v.entries(rows)
+	unseen, ok := v.registry.Unseen(entries)
+	if !ok {
+		v.recordRegistryGap("")
+	}
+	for _, group := range unseen {
+		v.recordRegistryGap(group)
+	}
+	v.updateRegistry(v.registry.WithChanges(entries))
+}
+
+// recordRegistryGap records that an instance of a group, or of any group if the name is empty, may have joined and left without a state of the
+// registry that shows it.
+func (v *VM) recordRegistryGap(group string) {
+	if v.log.Info(logger.RegistryGap, logger.String("group", group)); group == "" {
+		v.groups.RecordGap()
+		return
+	}
+	v.groups.Group(group).RecordGap()
 }
 
 // recordDial records what the result of a dial shows about the state of an instance.
--- a/internal/daemon/assembler/followers.go
+++ b/internal/daemon/assembler/followers.go
@@ -156,6 +156,12 @@
 			}
 		},
 		OnChanges: func(rows []follower.Row, version uint64) { c.Apply(rows, version); onChanges(rows, version) },
+		OnGap: func(version uint64) {
+			c.RecordGap(version)
+			if table == v.platform.RegistryTable {
+				v.recordRegistryGap("")
+			}
+		},
 		OnAnswer: func() {
 			c.ConfirmFresh()
 			if table == v.platform.ConfigurationTable {
--- a/internal/daemon/assembler/restore.go
+++ b/internal/daemon/assembler/restore.go
@@ -118,6 +118,7 @@
 			i, err := v.platform.ParseEntry(r.Key, r.Value)
 			if err != nil {
 				v.log.Warn(logger.EntryFault, logger.String("instance", r.Key), logger.Err(err))
+				e.IsUnusable = true
 			} else {
 				e.Instance = &i
 			}
--- a/internal/group/explorer/history_test.go
+++ b/internal/group/explorer/history_test.go
@@ -53,6 +53,8 @@
 	opts   options
 	events []event
 	length time.Duration
+	// isLossless states that no acknowledged commit may be lost, since the primary that holds them can be reached.
+	isLossless bool
 }
 
 // String returns the history in the form that parseHistory reads.
@@ -64,6 +66,9 @@
 	if o.slowReplica != "" {
 		fmt.Fprintf(&b, "slowReplica %s %s\n", o.slowReplica, o.slowBy)
 	}
+	if h.isLossless {
+		fmt.Fprintln(&b, "lossless")
+	}
 	if o.reader != "" {
 		fmt.Fprintf(&b, "reader %s\n", o.reader)
 	}
@@ -102,6 +107,8 @@
 		case "slowReplica":
 			h.opts.slowReplica = fields[1]
 			h.opts.slowBy, err = time.ParseDuration(fields[2])
+		case "lossless":
+			h.isLossless = true
 		case "reader":
 			h.opts.reader = fields[1]
 		case "event":
@@ -279,12 +286,13 @@
 	doubles    []string
 	promotions int
 	commits    int // acknowledged
+	isLossless bool
 }
 
-// isFailure reports whether an acknowledged commit was lost that a living replica of the registry had, or two VMs
-// sent one token.
+// isFailure reports whether an acknowledged commit was lost that a living replica of the registry had, or any one in a history that is to
+// be lossless, or two VMs sent one token.
 func (o outcome) isFailure() bool {
-	return len(o.doubles) > 0 || slices.ContainsFunc(o.losses, func(l loss) bool { return l.isKnown })
+	return len(o.doubles) > 0 || o.isLossless && len(o.losses) > 0 || slices.ContainsFunc(o.losses, func(l loss) bool { return l.isKnown })
 }
 
 // play runs a history in a bubble.
@@ -305,7 +313,7 @@
 		cancel()
 		p.close()
 		w.wg.Wait()
-		o = outcome{timeline: w.report(), losses: w.sortLosses(), doubles: w.doubles, promotions: w.promotions}
+		o = outcome{timeline: w.report(), losses: w.sortLosses(), doubles: w.doubles, promotions: w.promotions, isLossless: h.isLossless}
 		for _, e := range w.commits {
 			if e.acknowledgedAt > 0 {
 				o.commits++
--- a/internal/group/explorer/node_test.go
+++ b/internal/group/explorer/node_test.go
@@ -157,15 +157,19 @@
 			}
 		}
 		n.mu.Lock()
-		n.feed = n.feed[1:]
+		latest := n.feed[0] // after a cut, the feed brings all changes at once
+		for len(n.feed) > 0 && !time.Now().Before(n.feed[0].at) {
+			latest, n.feed = n.feed[0], n.feed[1:]
+		}
 		n.mu.Unlock()
-		n.apply(next.version, next.entries)
-		n.recordEra(follower.EraOf(next.version))
+		n.apply(latest.version, latest.entries)
+		n.recordEra(follower.EraOf(latest.version))
 	}
 }
 
 // apply applies a state of the registry unless the VM has a later one.
 func (n *node) apply(version uint64, entries []reconciler.Entry) {
+	hasGap := n.w.hides(n.registryVersion(), version)
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	if version < n.version {
@@ -174,6 +178,9 @@
 	if n.registry.IsRestoredAt(version) {
 		n.groups.RecordRestore()
 	}
+	if hasGap {
+		n.groups.RecordGap()
+	}
 	n.version, n.registry = version, n.registry.WithTable(entries, version)
 	n.groups.Update(n.registry.Instances())
 }
--- a/internal/group/explorer/restore_test.go
+++ b/internal/group/explorer/restore_test.go
@@ -84,6 +84,43 @@
 	}
 }
 
+// hides reports whether an instance has joined and left, or restarted, between two versions of the store, so that the registry shows it at neither,
+// or whether the store was restored in between. A VM without a version has just started.
+func (w *world) hides(before, after uint64) bool {
+	if before == 0 || follower.EraOf(before) != follower.EraOf(after) {
+		return before != 0
+	}
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	starts := func(s storeState) map[string]int64 {
+		m := map[string]int64{}
+		for id, r := range s.registry {
+			m[id] = r.instance.StartedAtMs
+		}
+		return m
+	}
+	var first, last map[string]int64
+	var between []map[string]int64
+	for _, s := range w.states {
+		switch {
+		case s.version <= follower.NumberOf(before):
+			first = starts(s)
+		case s.version < follower.NumberOf(after):
+			between = append(between, starts(s))
+		case s.version == follower.NumberOf(after):
+			last = starts(s)
+		}
+	}
+	for _, s := range between {
+		for id, start := range s {
+			if first[id] != start && last[id] != start {
+				return true
+			}
+		}
+	}
+	return false
+}
+
 // entries returns the registry as a VM reads it. The caller holds w.mu.
 func (w *world) entries() []reconciler.Entry {
 	var list []reconciler.Entry
--- a/internal/group/registrar/departure.go
+++ b/internal/group/registrar/departure.go
@@ -78,7 +78,7 @@
 // raiseFloors raises the floors of departures after which a replica may go on receiving entries to the position of the primary at the
 // acknowledgement of a commit. The caller holds g.mu.
 func (g *Group) raiseFloors(p tokenizer.Position) {
-	g.raiseAssumedFloor(p)
+	g.assumption.raiseFloor(p, g.clock())
 	if d := &g.departure; d.mayReceive() && !d.floor.IsZero() {
 		d.floor = d.floor.Max(p)
 	}
@@ -100,7 +100,7 @@
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	isDepartureMet := !g.departure.isSet || !g.departure.floor.IsZero() && p.Covers(g.departure.floor)
-	return isDepartureMet && g.isAssumptionMet(p, areAllTold)
+	return isDepartureMet && g.assumption.isMet(p, areAllTold)
 }
 
 // Departure reports whether a replica has left, and returns the floor of the latest departure, zero while it is not known,
@@ -115,6 +115,5 @@
 func (g *Group) NeedsDepartureSample() bool {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	needsFinalFloor := g.assumesDeparture && !g.isFloorFinal && g.clock() >= g.silentUntil()
-	return g.departure.isSet && g.departure.floor.IsZero() || needsFinalFloor
+	return g.departure.isSet && g.departure.floor.IsZero() || g.assumption.needsFinalFloor(g.clock())
 }
--- a/internal/group/registrar/group.go
+++ b/internal/group/registrar/group.go
@@ -29,9 +29,7 @@
 	latestPrimary    string                // the known primary, or else the one that was known last
 	latestTerm       uint64                // highest term in which latestPrimary proved to be the primary; zero: it did not, or restarted since
 	departure        departure             // the latest departure of a replica
-	assumesDeparture bool                  // a replica may have left before this VM knew the group
-	assumedFloor     tokenizer.Position    // covers the commits that this VM knows to be acknowledged, for which such a replica may have counted; zero: not known
-	isFloorFinal     bool                  // assumedFloor covers all of them, also those that other VMs passed on
+	assumption       assumption            // that a replica left without this VM seeing it
 	passedOn         tokenizer.Position    // newest one of the primary at an acknowledgement that this VM passed on; zero: none
 	seals            map[string]activeSeal // the latest of each VM
 	firstProof       tokenizer.Position    // the first position that a primary has proved; zero: none yet
@@ -134,6 +132,7 @@
 	defer g.mu.Unlock()
 	if g.firstUpdateAt == 0 {
 		g.firstUpdateAt = g.clock()
+		g.assumption.since = g.firstUpdateAt
 	}
 	present := map[string]bool{}
 	isChanged := false
@@ -294,9 +293,7 @@
 func (g *Group) RecordSample(sentAt time.Duration, p tokenizer.Position) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	if sentAt >= g.firstUpdateAt {
-		g.recordAssumedSample(Proof{SentAt: sentAt, Position: p})
-	}
+	g.recordAssumedSample(Proof{SentAt: sentAt, Position: p})
 	g.recordDepartureSample(Proof{SentAt: sentAt, Position: p})
 	g.Samples.Add(sentAt, g.clock(), p)
 }
@@ -350,7 +347,7 @@
 // lowerFloors lowers the floors that the primary of a later term does not hold to its position. The promotion has rolled back what is
 // beyond that, so that no instance will reach them.
 func (g *Group) lowerFloors(term uint64, p tokenizer.Position) {
-	for _, floor := range []*tokenizer.Position{&g.firstProof, &g.assumedFloor, &g.departure.floor, &g.passedOn} {
+	for _, floor := range []*tokenizer.Position{&g.firstProof, &g.assumption.floor, &g.departure.floor, &g.passedOn} {
 		if floor.Term < term && !p.IsZero() && !p.Covers(*floor) {
 			*floor = p
 		}
--- a/internal/group/registrar/registrar.go
+++ b/internal/group/registrar/registrar.go
@@ -80,7 +80,7 @@
 }
 
 func (r *Registrar) newGroup(name string) *Group {
-	return &Group{name: name, clock: r.clock, observe: r.observe, instances: map[string]*instanceState{}, seals: map[string]activeSeal{}, assumesDeparture: r.assumesDepartures, changed: make(chan struct{}), Samples: witness.New(sampleRetention)}
+	return &Group{name: name, clock: r.clock, observe: r.observe, instances: map[string]*instanceState{}, seals: map[string]activeSeal{}, assumption: assumption{isMade: r.assumesDepartures}, changed: make(chan struct{}), Samples: witness.New(sampleRetention)}
 }
 
 // Groups returns all groups, sorted by name.
--- a/internal/group/registrar/roster.go
+++ b/internal/group/registrar/roster.go
@@ -56,7 +56,7 @@
 	r.assumesDepartures = true
 }
 
-// ApplyRoster ends the assumption that a replica left before this VM knew the group. It returns an error if an instance of the
+// ApplyRoster ends the assumption that a replica left without this VM seeing it. It returns an error if an instance of the
 // roster is not known here, or has restarted. A missing primary is no departure: each of its commits was acknowledged by a replica.
 // But if there has been a later term, it may have become a replica since.
 func (g *Group) ApplyRoster(r Roster) error {
@@ -73,58 +73,22 @@
 			return fmt.Errorf("instance %s of the roster of group %s has left or restarted", m.ID, g.name)
 		}
 	}
-	g.assumesDeparture, g.assumedFloor = false, r.Floor
+	g.assumption = assumption{floor: r.Floor}
 	return nil
 }
 
-// AssumesDeparture reports whether the group assumes that a replica left before this VM knew it.
+// AssumesDeparture reports whether the group assumes that a replica left without this VM seeing it.
 func (g *Group) AssumesDeparture() bool {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	return g.assumesDeparture
+	return g.assumption.isMade
 }
 
-// AssumedDeparture returns the floor of departures before this VM knew the group, and AssumesDeparture.
+// AssumedDeparture returns the floor of departures that this VM may not have seen, and AssumesDeparture.
 func (g *Group) AssumedDeparture() (floor tokenizer.Position, isAssumed bool) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	return g.assumedFloor, g.assumesDeparture
-}
-
-// silentUntil returns the time, on the registrar's clock, from which on a replica that left before this VM knew the group receives
-// nothing. The caller holds g.mu.
-func (g *Group) silentUntil() time.Duration { return g.firstUpdateAt + maxStopTime }
-
-// recordAssumedSample records a proven position of the primary for the floor of the assumed departure. The first one covers the commits
-// that were acknowledged before this VM knew the group. As the replica may go on receiving, only one that was proved after silentUntil
-// covers all commits that other VMs may have passed on with its help. The caller holds g.mu.
-func (g *Group) recordAssumedSample(p Proof) {
-	isFirst := g.firstProof.IsZero()
-	if isFirst {
-		g.firstProof = p.Position
-	}
-	if !g.assumesDeparture || g.isFloorFinal {
-		return
-	}
-	g.isFloorFinal = p.SentAt >= g.silentUntil()
-	if isFirst || g.isFloorFinal {
-		g.assumedFloor = g.assumedFloor.Max(p.Position)
-	}
-}
-
-// raiseAssumedFloor raises the floor of the assumed departure to a position at the acknowledgement of a commit. The caller holds g.mu.
-func (g *Group) raiseAssumedFloor(p tokenizer.Position) {
-	if g.assumesDeparture && !g.isFloorFinal && g.clock() < g.silentUntil() {
-		g.assumedFloor = g.assumedFloor.Max(p)
-	}
-}
-
-// isAssumptionMet reports whether a replica that has received the log up to p holds every commit for which a replica counted that
-// left before this VM knew the group. Until the floor is final, it covers only the commits that are known to have been passed on, so
-// that all other VMs must have told theirs. The caller holds g.mu.
-func (g *Group) isAssumptionMet(p tokenizer.Position, areAllTold bool) bool {
-	isKnown := !g.assumesDeparture || g.isFloorFinal || areAllTold && !g.firstProof.IsZero()
-	return isKnown && p.Covers(g.assumedFloor)
+	return g.assumption.floor, g.assumption.isMade
 }
 
 // RosterView is what a VM knows of a group for its roster.
--- a/internal/group/registrar/roster_test.go
+++ b/internal/group/registrar/roster_test.go
@@ -145,3 +145,35 @@
 		})
 	}
 }
+
+// Guards against the loss of commits that only a replica held which joined and left while this VM missed changes of the registry, long after
+// the VM's start.
+func TestGapAssumesDeparture(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		r, g, _ := newGroup()
+		at := func(index uint64) tokenizer.Position { return tokenizer.Position{Term: 1, Index: index} }
+		prove(g, "a", 1, 5)
+		time.Sleep(time.Hour)
+		if !g.IsCoveredDespiteDepartures(at(4), false) {
+			t.Fatal("not covered although no replica has left")
+		}
+		r.RecordGap()
+		if g.IsCoveredDespiteDepartures(at(9), true) {
+			t.Error("covered although no primary has proved its position since the gap")
+		}
+		time.Sleep(time.Second)
+		prove(g, "a", 1, 6)
+		if g.IsCoveredDespiteDepartures(at(6), false) {
+			t.Error("covered although not all VMs have told what they passed on")
+		}
+		if g.IsCoveredDespiteDepartures(at(5), true) || !g.IsCoveredDespiteDepartures(at(6), true) {
+			t.Error("want covered by a replica that holds the position proved since the gap, and by no other")
+		}
+		if err := g.ApplyRoster(Roster{Instances: []Member{{ID: "b"}}, Floor: at(2)}); err != nil {
+			t.Fatal(err)
+		}
+		if !g.IsCoveredDespiteDepartures(at(2), false) {
+			t.Error("not covered although the roster shows that no replica has left")
+		}
+	})
+}
--- a/internal/platform/follower/follower.go
+++ b/internal/platform/follower/follower.go
@@ -26,6 +26,9 @@
 type Page struct {
 	Rows    []Row
 	Version uint64 // latest version of the store; all rows are of its era
+	// Gap is a version below which changes may be missing, except the latest one of each row that is there: a row that was written and
+	// removed in between does not show. Zero: none is missing.
+	Gap uint64
 }
 
 // Source is the store, or a substitute for it. Read returns all rows of a table. Follow returns the changes after a
@@ -58,6 +61,9 @@
 	OnTable func(rows []Row, version uint64)
 	// OnChanges is called with the new changes from the feed or from Merge.
 	OnChanges func(rows []Row, version uint64)
+	// OnGap is called before a table or changes are passed on that may not show all changes since the version that was reached before; may be
+	// nil. It is not called for the first table.
+	OnGap func(version uint64)
 	// OnAnswer is called after each successful call to Source, before its rows are passed on; may be nil.
 	OnAnswer func()
 	// OnFault is called with the error when calls begin to fail, and with nil when they succeed again; may be nil.
@@ -86,6 +92,9 @@
 	if cfg.OnFault == nil {
 		cfg.OnFault = func(error) {}
 	}
+	if cfg.OnGap == nil {
+		cfg.OnGap = func(uint64) {}
+	}
 	if cfg.OnAnswer == nil {
 		cfg.OnAnswer = func() {}
 	}
@@ -131,7 +140,8 @@
 }
 
 // MergeTable applies a whole table that was read besides the feed. Once the table has been passed on, only the changes that
-// lead to it are, which changesTo returns, unless the store was restored in between. It reports whether any of it was new.
+// lead to it are, which changesTo returns, unless the store was restored in between. It reports whether any of it was new. The gap of the
+// page is its version, or zero if the feed was merged just before.
 func (f *Follower) MergeTable(p Page, changesTo func(table Page) []Row) bool {
 	f.mu.Lock()
 	defer f.mu.Unlock()
@@ -142,11 +152,14 @@
 		f.replaceTable(p)
 		return true
 	}
-	return f.applyChanges(Page{Rows: changesTo(p), Version: p.Version})
+	return f.applyChanges(Page{Rows: changesTo(p), Version: p.Version, Gap: p.Gap})
 }
 
 // replaceTable passes on the whole table. The caller holds f.mu.
 func (f *Follower) replaceTable(p Page) {
+	if f.version > 0 {
+		f.cfg.OnGap(p.Version)
+	}
 	f.cfg.OnTable(p.Rows, p.Version)
 	f.version, f.isLoaded = p.Version, true
 }
@@ -155,6 +168,9 @@
 // from another VM. It reports whether there were new ones. The caller holds f.mu.
 func (f *Follower) applyChanges(p Page) bool {
 	rows := slices.DeleteFunc(slices.Clone(p.Rows), func(r Row) bool { return r.Version <= f.version })
+	if p.Gap > f.version {
+		f.cfg.OnGap(p.Version)
+	}
 	if len(rows) > 0 {
 		f.cfg.OnChanges(rows, p.Version)
 	}
--- a/internal/platform/follower/follower_test.go
+++ b/internal/platform/follower/follower_test.go
@@ -142,3 +142,41 @@
 		}
 	})
 }
+
+// Guards against changes that a VM has missed without knowing it: of a table that is read again, and of another VM that missed them.
+func TestGap(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		var gaps []uint64
+		f := Start(Config{
+			Source: &fakeSource{}, Table: "t", OnTable: func([]Row, uint64) {}, OnChanges: func([]Row, uint64) {},
+			OnGap: func(version uint64) { gaps = append(gaps, version) },
+		})
+		defer f.Close()
+		synctest.Wait()
+		first := f.Version()
+		row := func(version uint64) []Row { return []Row{{Key: "b", Version: version}} }
+		none := func(Page) []Row { return nil }
+		for _, c := range []struct {
+			name  string
+			merge func(version uint64)
+			want  bool
+		}{
+			{"all changes", func(v uint64) { f.Merge(Page{Rows: row(v), Version: v}, false) }, false},
+			{"changes of a VM that missed some of them", func(v uint64) { f.Merge(Page{Rows: row(v), Version: v, Gap: v}, false) }, true},
+			{"changes of a VM that missed earlier ones", func(v uint64) { f.Merge(Page{Rows: row(v), Version: v, Gap: v - 1}, false) }, false},
+			{"the whole table of another VM", func(v uint64) { f.Merge(Page{Rows: row(v), Version: v}, true) }, true},
+			{"the table after the changes", func(v uint64) { f.MergeTable(Page{Rows: row(v), Version: v}, none) }, false},
+			{"the table without the changes", func(v uint64) { f.MergeTable(Page{Rows: row(v), Version: v, Gap: v}, none) }, true},
+		} {
+			version := f.Version() + 1
+			gaps = nil
+			c.merge(version)
+			if (len(gaps) > 0) != c.want || f.Version() != version {
+				t.Errorf("%s: gaps %v at version %d, want one: %t", c.name, gaps, f.Version(), c.want)
+			}
+		}
+		if first == 0 || len(gaps) != 1 {
+			t.Errorf("version %d, gaps %v; want a gap at the last table only", first, gaps)
+		}
+	})
+}
--- a/internal/platform/reconciler/reconciler.go
+++ b/internal/platform/reconciler/reconciler.go
@@ -19,6 +19,8 @@
 	ID       string
 	Version  uint64              // of the row
 	Instance *cataloger.Instance // nil: the row was removed, or its value is unusable
+	// IsUnusable states that the row is there, but its value is unusable.
+	IsUnusable bool
 }
 
 // departed is an instance that has left the registry.
@@ -105,6 +107,27 @@
 	return ok && e.Instance.StartedAtMs <= left.startedAtMs
 }
 
+// Unseen returns the groups of instances that join and leave within changes, so that no state of the registry shows them. It reports
+// whether it can tell: a removed row doesn't name its group.
+func (r Registry) Unseen(entries []Entry) (groups []string, ok bool) {
+	joined := map[string]cataloger.Instance{}
+	for _, e := range entries {
+		before, hasJoined := joined[e.ID]
+		_, isKnown := r.instances[e.ID]
+		switch {
+		case e.Instance != nil && hasJoined && before.StartedAtMs != e.Instance.StartedAtMs, e.Instance == nil && hasJoined:
+			groups = append(groups, before.Group)
+		case e.Instance == nil && !isKnown && !e.IsUnusable:
+			return nil, false
+		}
+		delete(joined, e.ID)
+		if e.Instance != nil && !isKnown {
+			joined[e.ID] = *e.Instance
+		}
+	}
+	return groups, true
+}
+
 // WithChanges returns the registry after rows have changed.
 func (r Registry) WithChanges(entries []Entry) Registry {
 	next := r.clone()
--- a/internal/platform/reconciler/reconciler_test.go
+++ b/internal/platform/reconciler/reconciler_test.go
@@ -64,3 +64,39 @@
 		t.Errorf("%d departed instances are remembered, want %d", len(r.departed), maxDeparted)
 	}
 }
+
+// Guards against a replica that joins and leaves while a VM gets no news, and that the VM never hears of, since the changes arrive at once.
+func TestUnseen(t *testing.T) {
+	r := Registry{}.WithTable([]Entry{entry(1, "a", "a", 1)}, 1)
+	in := func(e Entry, group string) Entry {
+		i := *e.Instance
+		i.Group = group
+		e.Instance = &i
+		return e
+	}
+	joined, again := in(entry(2, "b", "b", 2), "g"), in(entry(4, "b", "b", 4), "g")
+	left := Entry{ID: "b", Version: 3}
+	for _, c := range []struct {
+		name       string
+		changes    []Entry
+		wantGroups []string
+		wantOK     bool
+	}{
+		{"none", nil, nil, true},
+		{"one joins", []Entry{joined}, nil, true},
+		{"one changes after it has joined", []Entry{joined, joined}, nil, true},
+		{"one joins and leaves", []Entry{joined, left}, []string{"g"}, true},
+		{"one joins, leaves and joins again", []Entry{joined, left, again}, []string{"g"}, true},
+		{"one joins and restarts", []Entry{joined, again}, []string{"g"}, true},
+		{"a known one leaves", []Entry{{ID: "a", Version: 2}}, nil, true},
+		{"one leaves that was never there", []Entry{left}, nil, false},
+		{"the entry of an unknown one is unusable", []Entry{{ID: "b", Version: 2, IsUnusable: true}}, nil, true},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			groups, ok := r.Unseen(c.changes)
+			if !cmp.Equal(groups, c.wantGroups) || ok != c.wantOK {
+				t.Errorf("groups %v, %t; want %v, %t", groups, ok, c.wantGroups, c.wantOK)
+			}
+		})
+	}
+}
--- a/internal/platform/replicator/codec.go
+++ b/internal/platform/replicator/codec.go
@@ -27,12 +27,16 @@
 	IsWhole      bool // Rows is the whole table, because the missing changes are no longer kept; set for ChangesPath only
 	// Era is that of Version and of the versions of Rows, which are numbers of the store. VMs that don't know it have era 0.
 	Era     uint64
+	Gap     uint64         // of the follower's page; 0 if it is of an earlier era
 	InForce []follower.Row // the row of InForce, if the requesting VM has an older one; it has no version of the store
 }
 
 // newPage returns the wire form of a page, whose rows are of one era.
 func newPage(p follower.Page) page {
 	next := page{Rows: p.Rows, Version: follower.NumberOf(p.Version), Era: follower.EraOf(p.Version)}
+	if follower.EraOf(p.Gap) == next.Era {
+		next.Gap = follower.NumberOf(p.Gap)
+	}
 	if next.Era > 0 {
 		next.Rows = make([]follower.Row, len(p.Rows))
 		for k, r := range p.Rows {
@@ -52,7 +56,11 @@
 			rows[k] = r
 		}
 	}
-	return follower.Page{Version: follower.VersionAt(p.Era, p.Version), Rows: rows}
+	next := follower.Page{Version: follower.VersionAt(p.Era, p.Version), Rows: rows}
+	if p.Gap > 0 {
+		next.Gap = follower.VersionAt(p.Era, p.Gap)
+	}
+	return next
 }
 
 const (
--- a/internal/platform/replicator/refresher.go
+++ b/internal/platform/replicator/refresher.go
@@ -25,6 +25,8 @@
 	refreshTimeout = 800 * time.Millisecond
 	// confirmTimeout bounds the read from the store on behalf of another VM.
 	confirmTimeout = 500 * time.Millisecond
+	// feedGrace is how long a refresh waits for the feed after the store has sent the table.
+	feedGrace = 50 * time.Millisecond
 	// peersDelay gives the store time to answer before other VMs are asked.
 	peersDelay = 150 * time.Millisecond
 )
@@ -98,11 +100,35 @@
 	isIncomplete bool
 }
 
+// readStore reads the table, and the changes since the version that this VM has reached: the table does not show rows that were written and
+// removed again.
 func (r *Refresher) readStore(ctx context.Context) error {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	type changes struct {
+		page follower.Page
+		err  error
+	}
+	feed := make(chan changes, 1)
+	go func() {
+		p, err := r.Store.Follow(ctx, r.Table, r.Follower.Version(), 0)
+		feed <- changes{p, err}
+	}()
 	p, err := r.Store.Read(ctx, r.Table)
 	if err != nil {
 		return err
 	}
+	feedTimeout := time.NewTimer(feedGrace)
+	defer feedTimeout.Stop()
+	p.Gap = p.Version
+	select {
+	case c := <-feed:
+		if c.err == nil {
+			r.Follower.Merge(c.page, false)
+			p.Gap = 0
+		}
+	case <-feedTimeout.C:
+	}
 	r.Follower.MergeTable(p, r.Copy.changesTo)
 	if r.IsComplete != nil && !r.IsComplete() {
 		return errIncomplete
--- a/internal/platform/replicator/refresher_test.go
+++ b/internal/platform/replicator/refresher_test.go
@@ -62,6 +62,10 @@
 	return follower.Page{}, classifier.New(classifier.PlatformUnavailable, "503")
 }
 
+func (failingStore) Follow(context.Context, string, uint64, time.Duration) (follower.Page, error) {
+	return follower.Page{}, classifier.New(classifier.PlatformUnavailable, "503")
+}
+
 // Guards against a VM without the store that takes its copy for complete although another VM, or the store, knows of a row
 // that it lacks.
 func TestRefreshThroughPeers(t *testing.T) {
@@ -121,3 +125,67 @@
 		})
 	}
 }
+
+// answeringFeed is a store with a table of a version and the changes that led to it.
+type answeringFeed struct {
+	table, changes follower.Page
+	err            error // of feed calls after the first table
+}
+
+func (s *answeringFeed) Read(context.Context, string) (follower.Page, error) { return s.table, nil }
+
+func (s *answeringFeed) Follow(ctx context.Context, _ string, _ uint64, wait time.Duration) (follower.Page, error) {
+	if wait > 0 {
+		<-ctx.Done()
+		return follower.Page{}, ctx.Err()
+	}
+	return s.changes, s.err
+}
+
+// Guards against a row that is written and removed before a refresh, and that neither this VM nor those that follow its copy hear of.
+func TestRefreshFindsRemovedRow(t *testing.T) {
+	for _, c := range []struct {
+		name     string
+		err      error // of the feed
+		wantRows int   // changes after the first table that the copy keeps
+		wantGap  uint64
+	}{
+		{"the feed answers", nil, 2, 0},
+		{"the history is too short", classifier.New(classifier.Conflict, "410"), 0, 9},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			removed := follower.Row{Key: "b", Version: 8, IsRemoved: true}
+			store := &answeringFeed{table: follower.Page{Rows: rows(5, "a"), Version: 5}, err: c.err}
+			copied := NewTableCopy(DefaultFreshness)
+			var gap uint64
+			f := follower.Start(follower.Config{Source: store, Table: "t", OnTable: copied.Replace, OnChanges: copied.Apply, OnGap: func(version uint64) {
+				gap = version
+				copied.RecordGap(version)
+			}})
+			defer f.Close()
+			for f.Version() == 0 {
+				time.Sleep(time.Millisecond)
+			}
+			store.table.Version = 9
+			store.changes = follower.Page{Rows: append(rows(7, "b"), removed), Version: 9}
+			r := &Refresher{Store: store, Table: "t", Copy: copied, Follower: f}
+			if err := r.Refresh(t.Context()); err != nil {
+				t.Fatal(err)
+			}
+			if gap != c.wantGap || f.Version() != 9 {
+				t.Errorf("gap %d at version %d, want %d at version 9", gap, f.Version(), c.wantGap)
+			}
+			copied.ConfirmFresh()
+			p, _, err := copied.freshChanges(5)
+			if err != nil || len(p.Rows) != c.wantRows || p.Gap != c.wantGap {
+				t.Errorf("another VM gets %+v, error %v; want %d rows and gap %d", p, err, c.wantRows, c.wantGap)
+			}
+			if got := newPage(p).followerPage().Gap; got != c.wantGap {
+				t.Errorf("the wire form has gap %d, want %d", got, c.wantGap)
+			}
+			if p, _, err := copied.freshChanges(9); err != nil || p.Gap != 0 {
+				t.Errorf("a VM that has all gets gap %d, error %v; want none", p.Gap, err)
+			}
+		})
+	}
+}
--- a/internal/platform/replicator/replicator.go
+++ b/internal/platform/replicator/replicator.go
@@ -42,6 +42,7 @@
 	rows          map[string]follower.Row // by key; nil before the first Replace
 	changes       []follower.Row          // latest changes, oldest first
 	historyStart  uint64                  // changes up to this version are not in changes
+	gap           uint64                  // like that of follower.Page
 	version       uint64                  // of the table
 	freshness     time.Duration           // how long the copy is served after the store last answered
 	storeAnswerAt time.Time               // when the store last answered; zero after MarkStale
@@ -76,8 +77,9 @@
 	}
 	if old != nil && version >= c.version && follower.EraOf(version) == follower.EraOf(c.version) {
 		c.appendChanges(differences(old, c.rows, version))
+		c.gap = version
 	} else {
-		c.changes, c.historyStart = nil, version
+		c.changes, c.historyStart, c.gap = nil, version, 0
 	}
 	c.version = version
 	c.notify()
@@ -129,6 +131,13 @@
 	}
 }
 
+// RecordGap records that the changes which are applied next may not be all up to a version.
+func (c *TableCopy) RecordGap(version uint64) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.gap = max(c.gap, version)
+}
+
 // ExtendHistory adds changes that precede the kept ones: all changes after a version. VMs that have read the table at that
 // version or later can then follow this copy, although it was read after them.
 func (c *TableCopy) ExtendHistory(after uint64, rows []follower.Row) {
@@ -226,7 +235,7 @@
 		p.IsWhole = true
 		return p, true
 	}
-	p := follower.Page{Version: c.version, Rows: c.changesAfter(version)}
+	p := follower.Page{Version: c.version, Rows: c.changesAfter(version), Gap: c.gapAfter(version)}
 	return newPage(p), len(p.Rows) > 0
 }
 
@@ -241,6 +250,14 @@
 	return later
 }
 
+// gapAfter returns the gap as far as it concerns the changes after a version. The caller holds c.mu.
+func (c *TableCopy) gapAfter(version uint64) uint64 {
+	if c.gap <= version {
+		return 0
+	}
+	return c.gap
+}
+
 var errStale = classifier.New(classifier.PlatformUnavailable, "table copy of the reader is missing or may be stale")
 
 // freshChanges returns the changes after a version, which may be none, and a channel that is closed on the next
@@ -254,7 +271,7 @@
 	case version < c.historyStart:
 		return follower.Page{}, nil, classifier.New(classifier.Conflict, "changes after version %d are requested, but only those after version %d are kept", version, c.historyStart)
 	}
-	return follower.Page{Version: max(version, c.version), Rows: c.changesAfter(version)}, c.changed, nil
+	return follower.Page{Version: max(version, c.version), Rows: c.changesAfter(version), Gap: c.gapAfter(version)}, c.changed, nil
 }
 
 // eraHeader names the era of a reader's copy in an answer with status 410.
--- a/internal/telemetry/logger/event.go
+++ b/internal/telemetry/logger/event.go
@@ -55,6 +55,7 @@
 	PromoteOrdered    Event = "promoteOrdered"
 	NotInEffect       Event = "commandNotInEffect"
 	TermSealed        Event = "termSealed"
+	RegistryGap       Event = "registryGap"
 	RosterWritten     Event = "rosterWritten"
 	RosterApplied     Event = "rosterApplied"
 	PrimaryKnown      Event = "primaryKnown"
@@ -122,6 +123,7 @@
 	{ReplicaHeld, "a replica was instructed to accept no more entries of the old term, or the old primary to become a replica"},
 	{PrimaryDemoted, "a working primary was instructed to become a replica"},
 	{PromoteOrdered, "the platform was instructed to make an instance the primary of the next term"},
+	{RegistryGap, "an instance of the group, or of any group if none is named, may have joined and left without this VM seeing it: the history of the registry was too short, or the feed brought both at once"},
 	{TermSealed, "the other VMs were asked to pass on no more acknowledgements of a term that a promotion is to end; the line names those that did not answer, and shows what the others have passed on"},
 	{NotInEffect, "an instance answered a hold or a demotion, but its state shows that the term goes on there"},
 	{RosterWritten, "this VM has tried to write which instances of a group may hold commits that no other one holds, for VMs that start"},
