Leave VMs that have been silent for long out of the ranks

Cause: nothing removes the row of a VM that is gone for good, so that it keeps its ranks. The two VMs that kept the roster of the group were gone, and nobody wrote into it that a replica had joined, which later held commits alone and left.

Evidence: the log of the run has rosterApplied without an error, that is, the stale roster ended the assumption that a replica had left; the row of the store still has the first three instances.

--- a/internal/daemon/assembler/followers.go
+++ b/internal/daemon/assembler/followers.go
@@ -89,7 +89,7 @@
 	v.puller = replicator.StartPuller(replicator.PullerConfig{
 		Followers: map[string]*follower.Follower{v.platform.ConfigurationTable: v.followers[0], v.platform.RegistryTable: v.followers[1]},
 		Peers:     v.peersToPull, Client: replicator.NewClient(), OnMerge: v.logMergedChange, Exchange: v.exchange(),
-		OnAnswer: v.recordSourceAnswer, IsUrgent: v.isConfigurationOverdue,
+		OnAnswer: v.recordSourceAnswer, OnPull: v.members.recordPull, IsUrgent: v.isConfigurationOverdue,
 	})
 }
 
--- a/internal/daemon/assembler/members.go
+++ b/internal/daemon/assembler/members.go
@@ -50,6 +50,7 @@
 	keptUntil    time.Time // until then, VMs that are missing in the table stay in the list
 	gatewayLists map[gatewayQuery][]member
 	ranks        map[string]int // by group
+	silences     silences
 }
 
 // gatewayQuery is the key of a cached list of gateways.
@@ -66,7 +67,7 @@
 }
 
 func newMembers(cfg loader.LineSettings, s Store, source tableReader) *members {
-	return &members{cfg: cfg, store: s, source: source, gatewayLists: map[gatewayQuery][]member{}, ranks: map[string]int{}, settledAt: time.Now().Add(settlePeriod)}
+	return &members{cfg: cfg, store: s, source: source, gatewayLists: map[gatewayQuery][]member{}, ranks: map[string]int{}, silences: silences{}, settledAt: time.Now().Add(settlePeriod)}
 }
 
 func (m *members) self() member {
@@ -199,6 +200,7 @@
 	}
 	m.isListed, m.isSettled, m.refreshedAt = m.isListed || isListed, isSettled, startedAt
 	m.vms, m.gatewayLists, m.ranks = slices.Collect(maps.Values(vms)), map[gatewayQuery][]member{}, map[string]int{}
+	m.silences.retain(m.vms)
 	m.mu.Unlock()
 	return nil
 }
@@ -273,7 +275,17 @@
 	return len(m.vms)
 }
 
-// rank returns the position of this VM, from 0, in an order of all VMs that differs from group to group.
+// recordPull records whether another VM has answered a pull.
+func (m *members) recordPull(address string, err error) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if m.silences.record(address, err == nil, time.Now()) {
+		m.ranks = map[string]int{}
+	}
+}
+
+// rank returns the position of this VM, from 0, in an order of all VMs that differs from group to group. Nothing removes the row of a VM that is
+// gone for good, so those that have been silent for long are left out, unless most are silent: then it is this VM that is cut off.
 func (m *members) rank(group string) int {
 	m.mu.Lock()
 	defer m.mu.Unlock()
@@ -281,9 +293,10 @@
 	if ok {
 		return n
 	}
-	own := rendezvousWeight(m.cfg.ID, group)
+	own, now := rendezvousWeight(m.cfg.ID, group), time.Now()
+	leavesOutSilent := 2*m.silences.count(now) < len(m.vms)
 	for _, vm := range m.vms {
-		if rendezvousWeight(vm.ID, group) > own {
+		if rendezvousWeight(vm.ID, group) > own && !(leavesOutSilent && m.silences.isLong(vm.PeerAddress, now)) {
 			n++
 		}
 	}
--- a/internal/platform/replicator/puller.go
+++ b/internal/platform/replicator/puller.go
@@ -78,6 +78,8 @@
 	OnMerge func(peer, table string, version uint64)
 	// OnAnswer is called when a peer has answered, before anything is merged; may be nil.
 	OnAnswer func()
+	// OnPull is called with the result of each pull; may be nil.
+	OnPull func(peer string, err error)
 	// IsUrgent reports whether more peers than usual are asked in the next round; may be nil.
 	IsUrgent func() bool
 }
@@ -98,6 +100,9 @@
 	if cfg.OnAnswer == nil {
 		cfg.OnAnswer = func() {}
 	}
+	if cfg.OnPull == nil {
+		cfg.OnPull = func(string, error) {}
+	}
 	if cfg.IsUrgent == nil {
 		cfg.IsUrgent = func() bool { return false }
 	}
@@ -128,7 +133,7 @@
 	var wg sync.WaitGroup
 	for i := range min(n, len(peers)) {
 		address := peers[(a.nextPeer+i)%len(peers)]
-		wg.Go(func() { _ = a.pull(ctx, address) })
+		wg.Go(func() { a.cfg.OnPull(address, a.pull(ctx, address)) })
 	}
 	a.nextPeer += n
 	wg.Wait()
