Ask the VMs that seal a term for the departures that they know

Change: the answer to a seal is a report. Beside what the VM has passed on, it has the floor of the latest departure that the VM has seen, and the replicas without a registry entry that it still waits for. The new primary must hold the floor, and a replica that only another VM waits for counts as one that does not answer.

Changed tests: registrar.PassedOn has become a part of registrar.Report; TestPassedOn is in TestReport with the same checks, TestCommitsOfOtherVMs in TestReportsOfOtherVMs and TestSealReturnsWhatWasPassedOn in TestSealReturnsReports, each with more cases.

--- a/internal/daemon/assembler/log.go
+++ b/internal/daemon/assembler/log.go
@@ -2,6 +2,7 @@
 
 import (
 	"strconv"
+	"strings"
 	"time"
 
 	"parsleyscale/internal/backend/allotter"
@@ -180,8 +181,8 @@
 	if e.Basis != nil {
 		fields = append(fields, basisFields(*e.Basis)...)
 	}
-	if !e.PassedOn.Position.IsZero() {
-		fields = append(fields, logger.String("passedOn", e.PassedOn.Position.String()), logger.String("areAllTold", strconv.FormatBool(e.PassedOn.IsComplete)))
+	if e.Name == replacer.EventTermSealed {
+		fields = append(fields, reportFields(e.Report)...)
 	}
 	if e.Took != 0 {
 		fields = append(fields, logger.Millis("took", e.Took))
@@ -210,6 +211,21 @@
 	return fields
 }
 
+// reportFields returns the fields that describe what VMs have reported.
+func reportFields(r registrar.Report) []logger.Field {
+	var fields []logger.Field
+	if !r.PassedOn.IsZero() {
+		fields = append(fields, logger.String("passedOn", r.PassedOn.String()), logger.String("areAllTold", strconv.FormatBool(r.IsComplete)))
+	}
+	if !r.DepartureFloor.IsZero() {
+		fields = append(fields, logger.String("departureFloor", r.DepartureFloor.String()))
+	}
+	if len(r.Missing) > 0 {
+		fields = append(fields, logger.String("missing", strings.Join(r.Missing, " ")))
+	}
+	return fields
+}
+
 // basisFields returns the fields that describe what the choice of an instance is based on.
 func basisFields(b replacer.Basis) []logger.Field {
 	fields := []logger.Field{logger.String("tokenKind", tokenKind(b)), logger.String("endedBy", string(b.EndedBy))}
--- a/internal/group/explorer/node_test.go
+++ b/internal/group/explorer/node_test.go
@@ -255,31 +255,31 @@
 // sealer implements replacer.Sealer.
 type sealer struct{ n *node }
 
-func (s sealer) Seal(ctx context.Context, group string, seal registrar.Seal) (registrar.PassedOn, error) {
-	return s.each(ctx, func(o *node) (registrar.PassedOn, error) {
+func (s sealer) Seal(ctx context.Context, group string, seal registrar.Seal) (registrar.Report, error) {
+	return s.each(ctx, func(o *node) (registrar.Report, error) {
 		g := o.groups.Group(group)
 		if err := g.Seal(seal); err != nil {
-			return registrar.PassedOn{}, err
+			return registrar.Report{}, err
 		}
-		return g.PassedOn(), nil
+		return g.Report(), nil
 	})
 }
 
 func (s sealer) Unseal(ctx context.Context, group string, seal registrar.Seal) {
-	_, _ = s.each(ctx, func(o *node) (registrar.PassedOn, error) {
+	_, _ = s.each(ctx, func(o *node) (registrar.Report, error) {
 		o.groups.Group(group).Unseal(seal)
-		return registrar.PassedOn{}, nil
+		return registrar.Report{}, nil
 	})
 }
 
 // sealAnswer is that of a VM to a request to seal a term.
 type sealAnswer struct {
-	passedOn registrar.PassedOn
-	err      error
+	report registrar.Report
+	err    error
 }
 
 // each calls f on all VMs that can be reached. It returns the sum of the answers, and an error of kind conflict if there is one.
-func (s sealer) each(ctx context.Context, f func(o *node) (registrar.PassedOn, error)) (registrar.PassedOn, error) {
+func (s sealer) each(ctx context.Context, f func(o *node) (registrar.Report, error)) (registrar.Report, error) {
 	ctx, cancel := context.WithTimeout(ctx, sealTimeout)
 	defer cancel()
 	others := peers{s.n}.nodes()
@@ -290,18 +290,18 @@
 				answers <- sealAnswer{err: err}
 				return
 			}
-			passedOn, err := f(o)
+			report, err := f(o)
 			if travelErr := s.n.w.travel(ctx, o.id, s.n.id, "seal"); travelErr != nil {
-				passedOn, err = registrar.PassedOn{}, travelErr
+				report, err = registrar.Report{}, travelErr
 			}
-			answers <- sealAnswer{passedOn, err}
+			answers <- sealAnswer{report, err}
 		})
 	}
-	sum := registrar.PassedOn{IsComplete: true}
+	sum := registrar.Report{IsComplete: true}
 	var result error
 	for range others {
 		a := <-answers
-		sum = sum.With(a.passedOn)
+		sum = sum.With(a.report)
 		if a.err != nil && !classifier.Is(result, classifier.Conflict) {
 			result = a.err
 		}
--- a/internal/group/registrar/departure.go
+++ b/internal/group/registrar/departure.go
@@ -95,7 +95,7 @@
 }
 
 // IsCoveredDespiteDepartures reports whether a replica that has received the log up to p holds every commit for which the
-// primary may have counted a replica that has left since. areAllTold states that RecordPassedOn was called with what all VMs have passed on.
+// primary may have counted a replica that has left since. areAllTold states that RecordReport was called with a complete report.
 func (g *Group) IsCoveredDespiteDepartures(p tokenizer.Position, areAllTold bool) bool {
 	g.mu.Lock()
 	defer g.mu.Unlock()
--- a/internal/group/registrar/departure_test.go
+++ b/internal/group/registrar/departure_test.go
@@ -56,7 +56,7 @@
 		time.Sleep(3 * time.Second)
 		g.RemoveMissing()
 		prove(g, "a", 1, 5)
-		g.RecordPassedOn(PassedOn{Position: tokenizer.Position{Term: 1, Index: 6}})
+		g.RecordReport(Report{PassedOn: tokenizer.Position{Term: 1, Index: 6}})
 		if g.IsCoveredDespiteDepartures(tokenizer.Position{Term: 1, Index: 5}, false) {
 			t.Error("covered by a replica that lacks a commit")
 		}
@@ -81,7 +81,7 @@
 		if !g.IsCoveredDespiteDepartures(promoted, false) {
 			t.Error("not covered by the position of the new primary")
 		}
-		if got := g.PassedOn().Position; got != promoted {
+		if got := g.Report().PassedOn; got != promoted {
 			t.Errorf("other VMs are told of acknowledgements at %s, want %s", got, promoted)
 		}
 	})
--- /dev/null
+++ b/internal/group/registrar/report.go
@@ -0,0 +1,50 @@
+package registrar
+
+import (
+	"maps"
+	"slices"
+
+	"parsleyscale/internal/session/tokenizer"
+)
+
+// Report is what VMs know that bears on the choice of a new primary, and that the VM which replaces the old one may not know.
+type Report struct {
+	PassedOn tokenizer.Position // covers the commits whose acknowledgements the VMs have passed on
+	// IsComplete states that all VMs have reported, and that PassedOn covers also what they passed on before they last started.
+	IsComplete bool
+	// DepartureFloor is a position that the new primary must hold, since a replica has left; zero: none is known.
+	DepartureFloor tokenizer.Position
+	// Missing are replicas without a registry entry that have not left as far as a VM knows, sorted.
+	Missing []string
+}
+
+// With adds the report of other VMs.
+func (r Report) With(other Report) Report {
+	missing := slices.Concat(r.Missing, other.Missing)
+	slices.Sort(missing)
+	return Report{
+		PassedOn: r.PassedOn.Max(other.PassedOn), IsComplete: r.IsComplete && other.IsComplete,
+		DepartureFloor: r.DepartureFloor.Max(other.DepartureFloor), Missing: slices.Compact(missing),
+	}
+}
+
+// Report returns what this VM knows. The commits that it passed on before its start are covered by the first position that a primary has
+// proved to it. Once the term is sealed, it passes on no more.
+func (g *Group) Report() Report {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	r := Report{PassedOn: g.firstProof.Max(g.passedOn), IsComplete: !g.firstProof.IsZero(), DepartureFloor: g.departure.floor}
+	for _, id := range slices.Sorted(maps.Keys(g.instances)) {
+		if !g.instances[id].missingAt.IsZero() && id != g.latestPrimary {
+			r.Missing = append(r.Missing, id)
+		}
+	}
+	return r
+}
+
+// RecordReport records what VMs have passed on.
+func (g *Group) RecordReport(r Report) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.raiseFloors(r.PassedOn)
+}
--- a/internal/group/registrar/roster_test.go
+++ b/internal/group/registrar/roster_test.go
@@ -64,19 +64,19 @@
 	five, six := tokenizer.Position{Term: 2, Index: 5}, tokenizer.Position{Term: 2, Index: 6}
 	for _, c := range []struct {
 		name        string
-		passedOn    PassedOn      // by other VMs
+		report      Report        // by other VMs
 		provedAfter time.Duration // from the start to a second proof, of position 6; zero: none
 		p           tokenizer.Position
 		wantCovered bool
 	}{
-		{"all have told, and the replica lacks one", PassedOn{Position: six, IsComplete: true}, 0, five, false},
-		{"all have told, and the replica lacks none", PassedOn{Position: six, IsComplete: true}, 0, six, true},
-		{"all have told, and there are none", PassedOn{IsComplete: true}, 0, five, true},
-		{"not all have told", PassedOn{Position: five}, 0, six, false},
-		{"not all have told, and a proof may precede the departure", PassedOn{}, maxStopTime / 2, six, false},
-		{"not all have told, and the replica lacks a proof after the departure", PassedOn{}, maxStopTime, five, false},
-		{"not all have told, and the replica holds a proof after the departure", PassedOn{Position: five}, maxStopTime, six, true},
-		{"a proof after the departure covers what was told", PassedOn{Position: tokenizer.Position{Term: 2, Index: 7}}, maxStopTime, six, true},
+		{"all have told, and the replica lacks one", Report{PassedOn: six, IsComplete: true}, 0, five, false},
+		{"all have told, and the replica lacks none", Report{PassedOn: six, IsComplete: true}, 0, six, true},
+		{"all have told, and there are none", Report{IsComplete: true}, 0, five, true},
+		{"not all have told", Report{PassedOn: five}, 0, six, false},
+		{"not all have told, and a proof may precede the departure", Report{}, maxStopTime / 2, six, false},
+		{"not all have told, and the replica lacks a proof after the departure", Report{}, maxStopTime, five, false},
+		{"not all have told, and the replica holds a proof after the departure", Report{PassedOn: five}, maxStopTime, six, true},
+		{"a proof after the departure covers what was told", Report{PassedOn: tokenizer.Position{Term: 2, Index: 7}}, maxStopTime, six, true},
 	} {
 		t.Run(c.name, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
@@ -86,8 +86,8 @@
 					time.Sleep(c.provedAfter)
 					prove(g, "a", 2, 6)
 				}
-				g.RecordPassedOn(c.passedOn)
-				if got := g.IsCoveredDespiteDepartures(c.p, c.passedOn.IsComplete); got != c.wantCovered {
+				g.RecordReport(c.report)
+				if got := g.IsCoveredDespiteDepartures(c.p, c.report.IsComplete); got != c.wantCovered {
 					t.Errorf("covered by a replica at %s: %t, want %t", c.p, got, c.wantCovered)
 				}
 			})
--- a/internal/group/registrar/seal.go
+++ b/internal/group/registrar/seal.go
@@ -103,30 +103,3 @@
 	g.raiseFloors(p)
 	return true
 }
-
-// PassedOn tells which commits VMs have passed on as acknowledged.
-type PassedOn struct {
-	Position tokenizer.Position // covers the commits that VMs have told of
-	// IsComplete states that all VMs have told theirs, including those that they passed on before they last started.
-	IsComplete bool
-}
-
-// With adds what other VMs have told.
-func (p PassedOn) With(other PassedOn) PassedOn {
-	return PassedOn{Position: p.Position.Max(other.Position), IsComplete: p.IsComplete && other.IsComplete}
-}
-
-// RecordPassedOn records what other VMs have passed on.
-func (g *Group) RecordPassedOn(p PassedOn) {
-	g.mu.Lock()
-	defer g.mu.Unlock()
-	g.raiseFloors(p.Position)
-}
-
-// PassedOn returns which commits this VM has passed on as acknowledged. Those before its start are covered by the first position that a
-// primary has proved to it. Once the term is sealed, there are no more.
-func (g *Group) PassedOn() PassedOn {
-	g.mu.Lock()
-	defer g.mu.Unlock()
-	return PassedOn{Position: g.firstProof.Max(g.passedOn), IsComplete: !g.firstProof.IsZero()}
-}
--- a/internal/group/registrar/seal_test.go
+++ b/internal/group/registrar/seal_test.go
@@ -118,21 +118,3 @@
 		t.Error("a spare token is used while vm-1 ends the term")
 	}
 }
-
-// Guards against a VM that is taken for one which has passed on nothing, although it has started again since.
-func TestPassedOn(t *testing.T) {
-	_, g, _ := newGroup()
-	at := func(index uint64) tokenizer.Position { return tokenizer.Position{Term: 1, Index: index} }
-	if got := g.PassedOn(); got.IsComplete {
-		t.Errorf("%+v before a proof, want an incomplete answer", got)
-	}
-	prove(g, "a", 1, 5)
-	if got, want := g.PassedOn(), (PassedOn{Position: at(5), IsComplete: true}); got != want {
-		t.Errorf("%+v after a proof, want %+v", got, want)
-	}
-	g.Acknowledge(at(8))
-	g.Acknowledge(at(7))
-	if got, want := g.PassedOn(), (PassedOn{Position: at(8), IsComplete: true}); got != want {
-		t.Errorf("%+v after two acknowledgements, want %+v", got, want)
-	}
-}
--- a/internal/group/replacer/endterm.go
+++ b/internal/group/replacer/endterm.go
@@ -124,7 +124,7 @@
 			furthest = furthest.Max(s.Received)
 		}
 	}
-	if len(failed) == 0 && r.isCovered(ctx, g, furthest, registrar.PassedOn{}) {
+	if len(failed) == 0 && r.isCovered(ctx, g, furthest, registrar.Report{}) {
 		return nil
 	}
 	return classifier.Wrap(classifier.NoInstance, errors.Join(slices.Collect(maps.Values(failed))...), "a replacement cannot end the stall of primary %s: a replica does not answer or has left, and no other one holds all entries of the primary", primary)
@@ -326,8 +326,12 @@
 		b.EndedBy = EndedByFormerPrimary
 		return covering(candidates, formerPosition), nil
 	}
-	if replicaErr == nil && !r.isCovered(ctx, g, furthestReceived(candidates), e.sealing.await()) {
-		replicaErr = classifier.New(classifier.NoInstance, "a replica of group %s has left, or may have left before this VM started, and the others may lack entries that it had received", g.Name())
+	report := e.sealing.await()
+	if id, ok := unknownReplica(report, views, old.Instance); replicaErr == nil && ok {
+		replicaErr = classifier.New(classifier.NoInstance, "replica %s of group %s is known to another VM only, and may hold entries that the others lack", id, g.Name())
+	}
+	if replicaErr == nil && !r.isCovered(ctx, g, furthestReceived(candidates), report) {
+		replicaErr = classifier.New(classifier.NoInstance, "a replica of group %s has left, or may have left without this VM seeing it, and the others may lack entries that it had received", g.Name())
 	}
 	awaitsOldPrimary := e.isStalled() || former != old.Instance // it may turn out to be a replica
 	if replicaErr == nil && (!awaitsOldPrimary || replicas == len(views)) {
@@ -355,12 +359,25 @@
 	return covering(append(candidates, a.candidate), a.received), nil
 }
 
+// unknownReplica returns a replica of a report that this VM does not know.
+func unknownReplica(report registrar.Report, views []registrar.View, oldPrimary string) (id string, ok bool) {
+	for _, id := range report.Missing {
+		if id != oldPrimary && !slices.ContainsFunc(views, func(v registrar.View) bool { return v.ID == id }) {
+			return id, true
+		}
+	}
+	return "", false
+}
+
 // isCovered reports whether a replica that has received the log up to p holds every commit for which the primary may have counted a
-// replica that has left. If that fails because of the assumption that one left before this VM knew the group, it reads the roster.
-// VMs have passed on the acknowledgements in passedOn, and pass on no more.
-func (r *Replacer) isCovered(ctx context.Context, g *registrar.Group, p tokenizer.Position, passedOn registrar.PassedOn) bool {
-	g.RecordPassedOn(passedOn)
-	if g.IsCoveredDespiteDepartures(p, passedOn.IsComplete) {
+// replica that has left, as far as this VM knows and the other VMs report. If that fails because of the assumption that one left without this VM
+// seeing it, it reads the roster.
+func (r *Replacer) isCovered(ctx context.Context, g *registrar.Group, p tokenizer.Position, report registrar.Report) bool {
+	g.RecordReport(report)
+	if !p.Covers(report.DepartureFloor) {
+		return false
+	}
+	if g.IsCoveredDespiteDepartures(p, report.IsComplete) {
 		return true
 	}
 	if r.cfg.Roster == nil || !g.AssumesDeparture() {
@@ -373,7 +390,7 @@
 		err = g.ApplyRoster(roster)
 	}
 	r.cfg.Observe(Event{Name: EventRosterApplied, Group: g.Name(), Err: err})
-	return err == nil && g.IsCoveredDespiteDepartures(p, passedOn.IsComplete)
+	return err == nil && g.IsCoveredDespiteDepartures(p, report.IsComplete)
 }
 
 // furthestReceived returns the newest position among candidates, or the zero position if there are none.
--- a/internal/group/replacer/refresh.go
+++ b/internal/group/replacer/refresh.go
@@ -10,7 +10,7 @@
 // sealing is the seal of a term and the refresh of the instances that follows it, both of which run beside other steps.
 type sealing struct {
 	sealed    chan struct{} // closed once the VMs that answer have sealed the term
-	passedOn  registrar.PassedOn
+	report    registrar.Report
 	refreshed chan error // gets the result of both
 }
 
@@ -21,7 +21,7 @@
 	s := &sealing{sealed: make(chan struct{}), refreshed: make(chan error, 1)}
 	r.wg.Go(func() {
 		var err error
-		s.passedOn, err = r.sealTerm(ctx, g, seal)
+		s.report, err = r.sealTerm(ctx, g, seal)
 		close(s.sealed)
 		if err == nil {
 			err = r.refreshInstances(ctx)
@@ -31,13 +31,13 @@
 	return s
 }
 
-// await waits until the term is sealed, and returns what the VMs have passed on. The zero value returns at once.
-func (s *sealing) await() registrar.PassedOn {
+// await waits until the term is sealed, and returns what the VMs report. The zero value returns at once.
+func (s *sealing) await() registrar.Report {
 	if s == nil {
-		return registrar.PassedOn{}
+		return registrar.Report{}
 	}
 	<-s.sealed
-	return s.passedOn
+	return s.report
 }
 
 func (r *Replacer) refreshInstances(ctx context.Context) error {
--- a/internal/group/replacer/replacer.go
+++ b/internal/group/replacer/replacer.go
@@ -185,9 +185,9 @@
 	Command  Command // that Status answers, or Err if it failed
 	Via      string  // address of the VM that passed the command on; "": none
 	Status   carrier.InstanceStatus
-	PassedOn registrar.PassedOn // by all VMs that were asked (EventTermSealed)
-	Basis    *Basis             // of the choice (EventPromoteRequested)
-	Took     time.Duration      // time since the replacement began, with all its attempts (EventReplaced, EventFailed)
+	Report   registrar.Report // of the VMs that have sealed the term (EventTermSealed)
+	Basis    *Basis           // of the choice (EventPromoteRequested)
+	Took     time.Duration    // time since the replacement began, with all its attempts (EventReplaced, EventFailed)
 	Err      error
 }
 
--- a/internal/group/replacer/seal.go
+++ b/internal/group/replacer/seal.go
@@ -15,35 +15,35 @@
 
 // Sealer tells other VMs that this VM is about to end a term of a group.
 type Sealer interface {
-	// Seal returns what the other VMs have passed on. It fails with kind conflict while another VM ends the term, and with another kind if
+	// Seal returns what the other VMs report. It fails with kind conflict while another VM ends the term, and with another kind if
 	// a VM does not answer.
-	Seal(ctx context.Context, group string, s registrar.Seal) (registrar.PassedOn, error)
+	Seal(ctx context.Context, group string, s registrar.Seal) (registrar.Report, error)
 	Unseal(ctx context.Context, group string, s registrar.Seal)
 }
 
-// sealTerm seals a term on this VM and on all VMs that answer, and returns what these have passed on. It fails only if another VM ends the
-// term. A claim excludes other VMs already, so that only a VM with a spare token, or one that stops acknowledgements, has to tell others.
-func (r *Replacer) sealTerm(ctx context.Context, g *registrar.Group, s registrar.Seal) (registrar.PassedOn, error) {
-	passedOn, err := r.trySealTerm(ctx, g, s)
-	r.cfg.Observe(Event{Name: EventTermSealed, Group: g.Name(), Term: s.Term, PassedOn: passedOn, Err: err})
+// sealTerm seals a term on this VM and on all VMs that answer, and returns what these and this VM report. It fails only if another VM ends
+// the term. A claim excludes other VMs already, so that only a VM with a spare token, or one that stops acknowledgements, has to tell others.
+func (r *Replacer) sealTerm(ctx context.Context, g *registrar.Group, s registrar.Seal) (registrar.Report, error) {
+	report, err := r.trySealTerm(ctx, g, s)
+	r.cfg.Observe(Event{Name: EventTermSealed, Group: g.Name(), Term: s.Term, Report: report, Err: err})
 	if classifier.Is(err, classifier.Conflict) {
-		return registrar.PassedOn{}, err
+		return registrar.Report{}, err
 	}
-	return passedOn, nil
+	return report, nil
 }
 
-func (r *Replacer) trySealTerm(ctx context.Context, g *registrar.Group, s registrar.Seal) (registrar.PassedOn, error) {
+func (r *Replacer) trySealTerm(ctx context.Context, g *registrar.Group, s registrar.Seal) (registrar.Report, error) {
 	if err := g.Seal(s); err != nil {
-		return registrar.PassedOn{}, err
+		return registrar.Report{}, err
 	}
 	if r.cfg.Sealer == nil {
-		return g.PassedOn(), nil
+		return g.Report(), nil
 	}
 	if !s.IsSpare && !s.StopsAcks {
-		return registrar.PassedOn{}, nil
+		return registrar.Report{}, nil
 	}
 	others, err := r.cfg.Sealer.Seal(ctx, g.Name(), s)
-	return g.PassedOn().With(others), err
+	return g.Report().With(others), err
 }
 
 // startSeal is sealTerm beside other steps. The returned function waits for its result, for up to holdGrace.
--- a/internal/group/replacer/seal_test.go
+++ b/internal/group/replacer/seal_test.go
@@ -21,14 +21,14 @@
 	seals     []registrar.Seal
 	isUnseal  bool // the latest seal was withdrawn
 	sealError error
-	passedOn  registrar.PassedOn
+	report    registrar.Report
 }
 
-func (s *fakeSealer) Seal(_ context.Context, _ string, seal registrar.Seal) (registrar.PassedOn, error) {
+func (s *fakeSealer) Seal(_ context.Context, _ string, seal registrar.Seal) (registrar.Report, error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.seals, s.isUnseal = append(s.seals, seal), false
-	return s.passedOn, s.sealError
+	return s.report, s.sealError
 }
 
 func (s *fakeSealer) Unseal(context.Context, string, registrar.Seal) {
@@ -106,26 +106,32 @@
 	}
 }
 
-// Guards against the loss of commits that other VMs passed on with the help of a replica that has left, or left before this VM started.
-func TestCommitsOfOtherVMs(t *testing.T) {
+// Guards against the loss of commits that other VMs passed on with the help of a replica that has left, or left before this VM started, and
+// of those that depend on a departure which only they have seen.
+func TestReportsOfOtherVMs(t *testing.T) {
 	at := func(index uint64) tokenizer.Position { return tokenizer.Position{Term: 3, Index: index} }
 	for _, c := range []struct {
-		name     string
-		hasLeft  bool // the VM has seen the departure; otherwise, it assumes one
-		passedOn registrar.PassedOn
-		want     string // promoted instance; "": none
+		name    string
+		hasLeft bool // the VM has seen the departure; otherwise, it assumes one
+		report  registrar.Report
+		want    string // promoted instance; "": none
 	}{
-		{"no replica holds all, and the departure is assumed", false, registrar.PassedOn{Position: at(9), IsComplete: true}, ""},
-		{"a replica holds all, and the departure is assumed", false, registrar.PassedOn{Position: at(8), IsComplete: true}, "b"},
-		{"not all have told, and the departure is assumed", false, registrar.PassedOn{Position: at(7)}, ""},
-		{"no replica holds all, and the departure was seen", true, registrar.PassedOn{Position: at(9)}, ""},
-		{"a replica holds all, and the departure was seen", true, registrar.PassedOn{Position: at(8)}, "b"},
+		{"no replica holds all, and the departure is assumed", false, registrar.Report{PassedOn: at(9), IsComplete: true}, ""},
+		{"a replica holds all, and the departure is assumed", false, registrar.Report{PassedOn: at(8), IsComplete: true}, "b"},
+		{"not all have told, and the departure is assumed", false, registrar.Report{PassedOn: at(7)}, ""},
+		{"no replica holds all, and the departure was seen", true, registrar.Report{PassedOn: at(9)}, ""},
+		{"a replica holds all, and the departure was seen", true, registrar.Report{PassedOn: at(8)}, "b"},
+		{"no replica holds the floor of another VM", true, registrar.Report{DepartureFloor: at(9)}, ""},
+		{"a replica holds the floor of another VM", true, registrar.Report{DepartureFloor: at(8)}, "b"},
+		{"another VM misses a replica that is not known here", true, registrar.Report{Missing: []string{"e"}}, ""},
+		{"another VM misses a replica that has answered", true, registrar.Report{Missing: []string{"b"}}, "b"},
+		{"another VM misses the primary", true, registrar.Report{Missing: []string{"a"}}, "b"},
 	} {
 		t.Run(c.name, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
 				f := &fakeGroup{
 					primary: "a", term: 3, received: map[string]uint64{"a": 9, "b": 8, "c": 7}, errs: map[string]error{"demote a": errNoAnswer},
-					assumesDeparture: !c.hasLeft, roster: registrar.Roster{Instances: []registrar.Member{{ID: "d"}}, Primary: "a", Term: 3}, sealer: &fakeSealer{passedOn: c.passedOn},
+					assumesDeparture: !c.hasLeft, roster: registrar.Roster{Instances: []registrar.Member{{ID: "d"}}, Primary: "a", Term: 3}, sealer: &fakeSealer{report: c.report},
 				}
 				got := promotedInstances(t, f, func(g *registrar.Group, r *registrar.Registrar, reg cataloger.Registry) {
 					if c.hasLeft {
--- a/internal/group/sealer/sealer.go
+++ b/internal/group/sealer/sealer.go
@@ -38,9 +38,9 @@
 	RefreshAddresses func(ctx context.Context) error
 }
 
-// Seal asks the other VMs to seal a term of a group and waits for their answers. It returns what they have passed on. It fails with kind
-// conflict if one of them knows of another VM that is ending the term, and with another kind if some did not answer, which may be down.
-func (s *Sealer) Seal(ctx context.Context, group string, seal registrar.Seal) (registrar.PassedOn, error) {
+// Seal asks the other VMs to seal a term of a group and waits for their answers. It returns what they report. It fails with kind conflict
+// if one of them knows of another VM that is ending the term, and with another kind if some did not answer, which may be down.
+func (s *Sealer) Seal(ctx context.Context, group string, seal registrar.Seal) (registrar.Report, error) {
 	q := url.Values{"group": {group}, "term": {strconv.FormatUint(seal.Term, 10)}, "holder": {seal.Holder}}
 	q.Set("spare", strconv.FormatBool(seal.IsSpare))
 	q.Set("stopsAcks", strconv.FormatBool(seal.StopsAcks))
@@ -52,16 +52,16 @@
 		refreshed <- s.RefreshAddresses(ctx)
 	}()
 	known := s.Addresses(group)
-	passedOn, err := s.sendAll(ctx, http.MethodPost, known, q)
+	report, err := s.sendAll(ctx, http.MethodPost, known, q)
 	if classifier.Is(err, classifier.Conflict) {
-		return registrar.PassedOn{}, err
+		return registrar.Report{}, err
 	}
 	refreshErr := <-refreshed
 	added := slices.DeleteFunc(s.Addresses(group), func(a string) bool { return slices.Contains(known, a) })
-	passedOnByAdded, addedErr := s.sendAll(ctx, http.MethodPost, added, q)
-	passedOn = passedOn.With(passedOnByAdded)
-	passedOn.IsComplete = passedOn.IsComplete && refreshErr == nil
-	return passedOn, cmp.Or(addedErr, err, refreshErr)
+	reportOfAdded, addedErr := s.sendAll(ctx, http.MethodPost, added, q)
+	report = report.With(reportOfAdded)
+	report.IsComplete = report.IsComplete && refreshErr == nil
+	return report, cmp.Or(addedErr, err, refreshErr)
 }
 
 // Unseal ends the seal on the other VMs that can be reached.
@@ -72,29 +72,29 @@
 
 // answer is that of a VM to a request.
 type answer struct {
-	passedOn registrar.PassedOn
-	err      error
+	report registrar.Report
+	err    error
 }
 
-// sendAll sends a request to other VMs and returns what they have passed on and the error of one. It returns as soon as there is one of
+// sendAll sends a request to other VMs and returns what they report and the error of one. It returns as soon as there is one of
 // kind conflict.
-func (s *Sealer) sendAll(ctx context.Context, method string, addresses []string, q url.Values) (registrar.PassedOn, error) {
+func (s *Sealer) sendAll(ctx context.Context, method string, addresses []string, q url.Values) (registrar.Report, error) {
 	ctx, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
 	answers := make(chan answer, len(addresses))
 	for _, address := range addresses {
 		go func() { answers <- s.send(ctx, method, "http://"+address+Path+"?"+q.Encode()) }()
 	}
-	passedOn := registrar.PassedOn{IsComplete: true}
+	report := registrar.Report{IsComplete: true}
 	var err error
 	for range addresses {
 		a := <-answers
 		if classifier.Is(a.err, classifier.Conflict) {
-			return registrar.PassedOn{}, a.err
+			return registrar.Report{}, a.err
 		}
-		passedOn, err = passedOn.With(a.passedOn), cmp.Or(err, a.err)
+		report, err = report.With(a.report), cmp.Or(err, a.err)
 	}
-	return passedOn, err
+	return report, err
 }
 
 func (s *Sealer) send(ctx context.Context, method, target string) answer {
@@ -109,7 +109,7 @@
 	defer func() { _ = response.Body.Close() }()
 	switch response.StatusCode {
 	case http.StatusNoContent:
-		return answer{passedOn: parsePassedOn(response.Header)}
+		return answer{report: readReport(response.Header)}
 	case http.StatusConflict:
 		text, _ := io.ReadAll(io.LimitReader(response.Body, maxTextBytes))
 		return answer{err: classifier.New(classifier.Conflict, "%s", text)}
@@ -117,12 +117,33 @@
 	return answer{err: classifier.New(classifier.BadMessage, "request to seal a term: status %d, want %d", response.StatusCode, http.StatusNoContent)}
 }
 
-// passedOnHeader holds a position that covers all commits which the VM has passed on. It is missing if the VM knows none.
-const passedOnHeader = "Passed-On"
+// The headers of an answer that hold the report of the VM.
+const (
+	passedOnHeader       = "Passed-On" // missing if the VM knows no position that covers all commits which it has passed on
+	departureFloorHeader = "Departure-Floor"
+	missingHeader        = "Missing-Instance" // one for each
+)
+
+// maxMissing bounds the missing instances in the report of a VM.
+const maxMissing = registrar.MaxMembers
+
+func writeReport(h http.Header, r registrar.Report) {
+	if r.IsComplete {
+		h.Set(passedOnHeader, r.PassedOn.String())
+	}
+	if !r.DepartureFloor.IsZero() {
+		h.Set(departureFloorHeader, r.DepartureFloor.String())
+	}
+	for _, id := range r.Missing[:min(len(r.Missing), maxMissing)] {
+		h.Add(missingHeader, id)
+	}
+}
 
-func parsePassedOn(h http.Header) registrar.PassedOn {
-	p, err := tokenizer.ParsePosition(h.Get(passedOnHeader))
-	return registrar.PassedOn{Position: p, IsComplete: err == nil}
+// readReport returns a report. Positions that are missing or cannot be parsed are zero.
+func readReport(h http.Header) registrar.Report {
+	passedOn, err := tokenizer.ParsePosition(h.Get(passedOnHeader))
+	floor, _ := tokenizer.ParsePosition(h.Get(departureFloorHeader))
+	return registrar.Report{PassedOn: passedOn, IsComplete: err == nil, DepartureFloor: floor, Missing: h.Values(missingHeader)}
 }
 
 // maxTextBytes bounds the text of an error that another VM sends.
@@ -158,9 +179,7 @@
 			http.Error(w, classifier.Message(err), http.StatusConflict)
 			return
 		}
-		if p := g.PassedOn(); p.IsComplete {
-			w.Header().Set(passedOnHeader, p.Position.String())
-		}
+		writeReport(w.Header(), g.Report())
 	default:
 		w.WriteHeader(http.StatusMethodNotAllowed)
 		return
--- a/internal/group/sealer/sealer_test.go
+++ b/internal/group/sealer/sealer_test.go
@@ -10,6 +10,8 @@
 	"testing"
 	"time"
 
+	"github.com/google/go-cmp/cmp"
+
 	"parsleyscale/internal/failure/classifier"
 	"parsleyscale/internal/group/registrar"
 	"parsleyscale/internal/session/tokenizer"
@@ -45,8 +47,8 @@
 		addresses = append(addresses, added)
 		return nil
 	}
-	if passedOn, err := s.Seal(t.Context(), "g", registrar.Seal{Term: 3, Holder: "vm-1"}); err == nil || passedOn.IsComplete {
-		t.Errorf("error %v, all VMs have told what they passed on: %t; want an error and false, since a VM did not answer", err, passedOn.IsComplete)
+	if report, err := s.Seal(t.Context(), "g", registrar.Seal{Term: 3, Holder: "vm-1"}); err == nil || report.IsComplete {
+		t.Errorf("error %v, all VMs have reported: %t; want an error and false, since a VM did not answer", err, report.IsComplete)
 	}
 	slices.Sort(sealed)
 	if want := []string{"a", "b"}; !slices.Equal(slices.Compact(sealed), want) {
@@ -105,12 +107,18 @@
 	}
 }
 
-// Guards against commits of other VMs that a VM which replaces a primary does not hear of, and against a VM without knowledge of its
-// own that is taken for one which has passed on nothing.
-func TestSealReturnsWhatWasPassedOn(t *testing.T) {
-	start := func(index uint64) string {
+// Guards against commits of other VMs, or replicas that only they know, of which a VM that replaces a primary does not hear, and against a
+// VM without knowledge of its own that is taken for one which has passed on nothing.
+func TestSealReturnsReports(t *testing.T) {
+	start := func(index uint64, missing ...string) string {
 		r := registrar.New(func() time.Duration { return time.Hour })
-		r.Update(cataloger.Registry{"a": {ID: "a", Group: "g", Address: "a", IsPrimary: true}})
+		reg := cataloger.Registry{"a": {ID: "a", Group: "g", Address: "a", IsPrimary: true}}
+		before := reg
+		for _, id := range missing {
+			before = before.With(map[string]*cataloger.Instance{id: {ID: id, Group: "g", Address: id}})
+		}
+		r.Update(before)
+		r.Update(reg)
 		if index > 0 {
 			r.Group("g").RecordProof(registrar.Proof{Instance: "a", SentAt: time.Hour, Position: tokenizer.Position{Term: 3, Index: index}})
 		}
@@ -118,21 +126,22 @@
 		t.Cleanup(server.Close)
 		return server.Listener.Addr().String()
 	}
-	seven, nine, unknown := start(7), start(9), start(0)
+	seven, nine, unknown, missing := start(7), start(9), start(0), start(7, "b", "c")
 	for _, c := range []struct {
 		name      string
 		addresses []string
-		want      registrar.PassedOn
+		want      registrar.Report
 	}{
-		{"all have told", []string{seven, nine}, registrar.PassedOn{Position: tokenizer.Position{Term: 3, Index: 9}, IsComplete: true}},
-		{"one knows nothing", []string{seven, unknown}, registrar.PassedOn{Position: tokenizer.Position{Term: 3, Index: 7}}},
-		{"there are no others", nil, registrar.PassedOn{IsComplete: true}},
+		{"all have told", []string{seven, nine}, registrar.Report{PassedOn: tokenizer.Position{Term: 3, Index: 9}, IsComplete: true}},
+		{"one knows nothing", []string{seven, unknown}, registrar.Report{PassedOn: tokenizer.Position{Term: 3, Index: 7}}},
+		{"one misses replicas", []string{nine, missing}, registrar.Report{PassedOn: tokenizer.Position{Term: 3, Index: 9}, IsComplete: true, Missing: []string{"b", "c"}}},
+		{"there are no others", nil, registrar.Report{IsComplete: true}},
 	} {
 		t.Run(c.name, func(t *testing.T) {
 			s := Sealer{Client: http.DefaultClient, Addresses: func(string) []string { return slices.Clone(c.addresses) }, RefreshAddresses: func(context.Context) error { return nil }}
 			got, err := s.Seal(t.Context(), "g", registrar.Seal{Term: 3, Holder: "vm-1", StopsAcks: true})
-			if err != nil || got != c.want {
-				t.Errorf("%+v, error %v; want %+v", got, err, c.want)
+			if diff := cmp.Diff(c.want, got); err != nil || diff != "" {
+				t.Errorf("error %v, report (-want +got):\n%s", err, diff)
 			}
 		})
 	}
--- a/internal/telemetry/logger/event.go
+++ b/internal/telemetry/logger/event.go
@@ -124,7 +124,7 @@
 	{PrimaryDemoted, "a working primary was instructed to become a replica"},
 	{PromoteOrdered, "the platform was instructed to make an instance the primary of the next term"},
 	{RegistryGap, "an instance of the group, or of any group if none is named, may have joined and left without this VM seeing it: the history of the registry was too short, or the feed brought both at once"},
-	{TermSealed, "the other VMs were asked to pass on no more acknowledgements of a term that a promotion is to end; the line names those that did not answer, and shows what the others have passed on"},
+	{TermSealed, "the other VMs were asked to pass on no more acknowledgements of a term that a promotion is to end; the line names those that did not answer, and shows what the others report"},
 	{NotInEffect, "an instance answered a hold or a demotion, but its state shows that the term goes on there"},
 	{RosterWritten, "this VM has tried to write which instances of a group may hold commits that no other one holds, for VMs that start"},
 	{RosterApplied, "a replacement read the roster of a group: it shows that no replica left before this VM started, or the error tells why it does not"},
