Compare the replicas again if the refresh shows a gap

Found by reading the diff: the replacement of a primary that cannot be reached compares the replicas beside the refresh of the registry. A gap that only the refresh shows came too late, unless the instances changed as well, and a commit that only a replica in the gap held could be lost.

Change: what a new primary must hold is checked once more after the refresh.

Failed before: TestGapDuringRefresh (b promoted, want none).

--- a/internal/group/replacer/refresh.go
+++ b/internal/group/replacer/refresh.go
@@ -70,7 +70,9 @@
 	if err := <-e.sealing.refreshed; err != nil {
 		return nil, err
 	}
-	if isSameInstances(known, g.Views()) {
+	// The refresh may have shown a gap in what this VM has seen of the registry.
+	isStillCovered := b.EndedBy != EndedByHold || r.isCovered(ctx, g, furthestReceived(candidates), e.sealing.report)
+	if isStillCovered && isSameInstances(known, g.Views()) {
 		return candidates, nil
 	}
 	return r.holdAll(ctx, e, g.Views(), b)
--- a/internal/group/replacer/refresh_test.go
+++ b/internal/group/replacer/refresh_test.go
@@ -1,8 +1,10 @@
 package replacer
 
 import (
+	"slices"
 	"testing"
 	"testing/synctest"
+	"time"
 
 	"parsleyscale/internal/failure/classifier"
 	"parsleyscale/internal/group/registrar"
@@ -94,3 +96,34 @@
 		})
 	}
 }
+
+// Guards against the loss of commits that only a replica held which joined and left while this VM missed changes of the registry: the
+// refresh shows the gap, but the replicas had been compared before.
+func TestGapDuringRefresh(t *testing.T) {
+	for name, c := range map[string]struct {
+		roster []registrar.Member
+		want   []string
+	}{
+		"a replica has left":  {[]registrar.Member{{ID: "b"}, {ID: "c"}, {ID: "d"}}, nil},
+		"no replica has left": {[]registrar.Member{{ID: "b"}, {ID: "c"}}, []string{"b"}},
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				f := &fakeGroup{
+					primary: "a", term: 3, received: map[string]uint64{"a": 9, "b": 8, "c": 7}, errs: map[string]error{"demote a": errNoAnswer},
+					roster: registrar.Roster{Instances: c.roster, Primary: "a", Term: 3},
+				}
+				got := promotedInstances(t, f, func(g *registrar.Group, _ *registrar.Registrar, _ cataloger.Registry) {
+					f.refresh = func() {
+						time.Sleep(50 * time.Millisecond) // until the replicas have answered
+						g.RecordGap()
+					}
+					failPrimary(g)
+				})
+				if !slices.Equal(got, c.want) {
+					t.Errorf("%v promoted, want %v; commands %v", got, c.want, f.commands)
+				}
+			})
+		})
+	}
+}
