Count reports as complete only once all VMs are known

Found by reading the diff: a VM that has just started asks the VMs that it knows, which may be the seeds only, to seal a term. That all of these answered did not mean that all VMs had told what they passed on.

Change: the sealer takes reports for complete only after the list of VMs has been read since the VMs that start together have had the time to enter themselves.

Failed before: the case "there may be others" of TestSealReturnsReports (new field).

--- a/internal/daemon/assembler/assembler.go
+++ b/internal/daemon/assembler/assembler.go
@@ -196,7 +196,7 @@
 		},
 		RefreshInstances:  v.refreshRegistry,
 		Self:              cfg.ID,
-		Sealer:            &sealer.Sealer{Client: replicator.NewClient(), Addresses: v.writerAddresses, RefreshAddresses: v.members.refreshIfOld},
+		Sealer:            &sealer.Sealer{Client: replicator.NewClient(), Addresses: v.writerAddresses, RefreshAddresses: v.members.refreshIfOld, AreAddressesKnown: v.members.areAllRead},
 		Peers:             peers,
 		DemoteAt:          peers.Demote,
 		AnswersDirectly:   v.gateways.answersDirectly,
--- a/internal/group/sealer/sealer.go
+++ b/internal/group/sealer/sealer.go
@@ -36,6 +36,8 @@
 	Addresses func(group string) []string // of the other VMs that have connections to instances of a group
 	// RefreshAddresses brings Addresses up to date, so that a VM which has just been added is asked as well.
 	RefreshAddresses func(ctx context.Context) error
+	// AreAddressesKnown reports whether Addresses returns all of them. Shortly after the start, some may be missing.
+	AreAddressesKnown func() bool
 }
 
 // Seal asks the other VMs to seal a term of a group and waits for their answers. It returns what they report. It fails with kind conflict
@@ -60,7 +62,7 @@
 	added := slices.DeleteFunc(s.Addresses(group), func(a string) bool { return slices.Contains(known, a) })
 	reportOfAdded, addedErr := s.sendAll(ctx, http.MethodPost, added, q)
 	report = report.With(reportOfAdded)
-	report.IsComplete = report.IsComplete && refreshErr == nil
+	report.IsComplete = report.IsComplete && refreshErr == nil && s.AreAddressesKnown()
 	return report, cmp.Or(addedErr, err, refreshErr)
 }
 
--- a/internal/group/sealer/sealer_test.go
+++ b/internal/group/sealer/sealer_test.go
@@ -39,7 +39,7 @@
 	}
 	defer func() { _ = silent.Close() }()
 	addresses := []string{start("a"), "127.0.0.1:1", silent.Addr().String()}
-	s := Sealer{Client: http.DefaultClient, Addresses: func(string) []string { mu.Lock(); defer mu.Unlock(); return slices.Clone(addresses) }}
+	s := Sealer{Client: http.DefaultClient, Addresses: func(string) []string { mu.Lock(); defer mu.Unlock(); return slices.Clone(addresses) }, AreAddressesKnown: func() bool { return true }}
 	s.RefreshAddresses = func(context.Context) error {
 		added := start("b")
 		mu.Lock()
@@ -100,7 +100,7 @@
 	s := Sealer{
 		Client:           http.DefaultClient,
 		Addresses:        func(string) []string { return []string{"127.0.0.1:1", server.Listener.Addr().String()} },
-		RefreshAddresses: func(context.Context) error { return nil },
+		RefreshAddresses: func(context.Context) error { return nil }, AreAddressesKnown: func() bool { return true },
 	}
 	if _, err := s.Seal(t.Context(), "g", registrar.Seal{Term: 3, Holder: "vm-2"}); !classifier.Is(err, classifier.Conflict) {
 		t.Errorf("error %v, want one of kind conflict", err)
@@ -128,17 +128,19 @@
 	}
 	seven, nine, unknown, missing := start(7), start(9), start(0), start(7, "b", "c")
 	for _, c := range []struct {
-		name      string
-		addresses []string
-		want      registrar.Report
+		name       string
+		addresses  []string
+		areUnknown bool // the list of addresses may lack some
+		want       registrar.Report
 	}{
-		{"all have told", []string{seven, nine}, registrar.Report{PassedOn: tokenizer.Position{Term: 3, Index: 9}, IsComplete: true}},
-		{"one knows nothing", []string{seven, unknown}, registrar.Report{PassedOn: tokenizer.Position{Term: 3, Index: 7}}},
-		{"one misses replicas", []string{nine, missing}, registrar.Report{PassedOn: tokenizer.Position{Term: 3, Index: 9}, IsComplete: true, Missing: []string{"b", "c"}}},
-		{"there are no others", nil, registrar.Report{IsComplete: true}},
+		{"all have told", []string{seven, nine}, false, registrar.Report{PassedOn: tokenizer.Position{Term: 3, Index: 9}, IsComplete: true}},
+		{"one knows nothing", []string{seven, unknown}, false, registrar.Report{PassedOn: tokenizer.Position{Term: 3, Index: 7}}},
+		{"one misses replicas", []string{nine, missing}, false, registrar.Report{PassedOn: tokenizer.Position{Term: 3, Index: 9}, IsComplete: true, Missing: []string{"b", "c"}}},
+		{"there are no others", nil, false, registrar.Report{IsComplete: true}},
+		{"there may be others", []string{nine}, true, registrar.Report{PassedOn: tokenizer.Position{Term: 3, Index: 9}}},
 	} {
 		t.Run(c.name, func(t *testing.T) {
-			s := Sealer{Client: http.DefaultClient, Addresses: func(string) []string { return slices.Clone(c.addresses) }, RefreshAddresses: func(context.Context) error { return nil }}
+			s := Sealer{Client: http.DefaultClient, Addresses: func(string) []string { return slices.Clone(c.addresses) }, RefreshAddresses: func(context.Context) error { return nil }, AreAddressesKnown: func() bool { return !c.areUnknown }}
 			got, err := s.Seal(t.Context(), "g", registrar.Seal{Term: 3, Holder: "vm-1", StopsAcks: true})
 			if diff := cmp.Diff(c.want, got); err != nil || diff != "" {
 				t.Errorf("error %v, report (-want +got):\n%s", err, diff)
