Count what other VMs passed on before a proof that ends a departure's silence

Found by reading the diff: a report raised the floor of a departure only while the departed replica could still receive. A VM that hears 40 s later of a commit which another one passed on 10 s after the departure did not require it, so that it could promote a replica that lacks the commit.

Change: reports raise the floor until a primary has proved its position after the time in which the replica could receive, and the VMs of low ranks ask for that proof, for a departure that was seen as for an assumed one. From then on they don't, so that the floor does not rise for good after each release.

Failed before: TestOtherVMsPassOnDuringStop, TestReportLongAfterStart.

--- a/internal/group/registrar/assumption.go
+++ b/internal/group/registrar/assumption.go
@@ -40,13 +40,20 @@
 	a.isProved = true
 }
 
-// raiseFloor raises the floor to the position of the primary at the acknowledgement of a commit.
+// raiseFloor raises the floor to the position of the primary at an acknowledgement that this VM passes on now.
 func (a *assumption) raiseFloor(p tokenizer.Position, now time.Duration) {
 	if a.isMade && !a.isFinal && now < a.silentFrom() {
 		a.floor = a.floor.Max(p)
 	}
 }
 
+// recordReport raises the floor to what VMs have passed on at any time.
+func (a *assumption) recordReport(passedOn tokenizer.Position) {
+	if a.isMade && !a.isFinal {
+		a.floor = a.floor.Max(passedOn)
+	}
+}
+
 // isMet reports whether an instance that has received the log up to p holds every commit for which the replica counted. Until the floor is
 // final, it covers only the commits that are known to have been passed on, so that all other VMs must have told theirs.
 func (a assumption) isMet(p tokenizer.Position, areAllTold bool) bool {
--- a/internal/group/registrar/departure.go
+++ b/internal/group/registrar/departure.go
@@ -14,7 +14,8 @@
 	floor tokenizer.Position // covers every commit acknowledged before at; zero while it is not known
 
 	// silent holds the replicas that have gone missing and may go on receiving entries, each with the time until which it
-	// may, or the zero time without a limit. Until then, the floor rises with each commit that this VM knows to be acknowledged.
+	// may, or the zero time without a limit. Until then, the floor rises with each commit that this VM passes on. What other VMs passed on
+	// until then is covered once a primary has proved its position after that time.
 	silent map[string]time.Time
 }
 
@@ -68,15 +69,37 @@
 	s.received = p
 }
 
-// recordDepartureSample completes the floor of the latest departure from the position of a proven primary.
+// recordDepartureSample completes the floor of the latest departure from the position of a proven primary, and ends the silence of the replicas
+// that could no longer receive entries when it was proved: it covers all that they received.
 func (g *Group) recordDepartureSample(p Proof) {
-	if d := &g.departure; d.isSet && d.floor.IsZero() && p.SentAt >= d.at {
+	d := &g.departure
+	if !d.isSet || p.SentAt < d.at {
+		return
+	}
+	if d.floor.IsZero() {
 		d.floor = p.Position
 	}
+	sentAt := time.Now().Add(p.SentAt - g.clock())
+	for id, until := range d.silent {
+		if !until.IsZero() && !sentAt.Before(until) {
+			d.floor = d.floor.Max(p.Position)
+			delete(d.silent, id)
+		}
+	}
+}
+
+// hasSilenceEnded reports whether there is a silent replica that can no longer receive entries.
+func (d *departure) hasSilenceEnded() bool {
+	for _, until := range d.silent {
+		if !until.IsZero() && !time.Now().Before(until) {
+			return true
+		}
+	}
+	return false
 }
 
-// raiseFloors raises the floors of departures after which a replica may go on receiving entries to the position of the primary at the
-// acknowledgement of a commit. The caller holds g.mu.
+// raiseFloors raises the floors of departures after which a replica may go on receiving entries to the position of the primary at an
+// acknowledgement that this VM passes on now. The caller holds g.mu.
 func (g *Group) raiseFloors(p tokenizer.Position) {
 	g.assumption.raiseFloor(p, g.clock())
 	if d := &g.departure; d.mayReceive() && !d.floor.IsZero() {
@@ -115,5 +138,6 @@
 func (g *Group) NeedsDepartureSample() bool {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	return g.departure.isSet && g.departure.floor.IsZero() || g.assumption.needsFinalFloor(g.clock())
+	isOpen := g.departure.isSet && g.departure.floor.IsZero() || g.departure.hasSilenceEnded()
+	return isOpen || g.assumption.needsFinalFloor(g.clock())
 }
--- a/internal/group/registrar/departure_test.go
+++ b/internal/group/registrar/departure_test.go
@@ -66,6 +66,44 @@
 	})
 }
 
+// Guards against the loss of commits that other VMs passed on while a leaving replica received them, and that this VM hears of later, and
+// against a floor that rises for good after each release.
+func TestOtherVMsPassOnDuringStop(t *testing.T) {
+	at := func(index uint64) tokenizer.Position { return tokenizer.Position{Term: 1, Index: index} }
+	for _, isProved := range []bool{false, true} {
+		synctest.Test(t, func(t *testing.T) {
+			r, g, reg := newGroup()
+			b := reg["b"]
+			b.IsLeaving = true
+			r.Update(reg.With(map[string]*cataloger.Instance{"b": &b}))
+			r.Update(reg.With(map[string]*cataloger.Instance{"b": nil}))
+			time.Sleep(missingRetention)
+			g.RemoveMissing()
+			prove(g, "a", 1, 5)
+			if g.NeedsDepartureSample() {
+				t.Error("needs another sample while the replica may receive")
+			}
+			time.Sleep(2 * maxStopTime)
+			if !g.NeedsDepartureSample() {
+				t.Error("needs no sample after the replica has stopped")
+			}
+			if isProved {
+				prove(g, "a", 1, 6)
+			}
+			g.RecordReport(Report{PassedOn: at(7)})
+			if got := g.IsCoveredDespiteDepartures(at(6), false); got != isProved {
+				t.Errorf("the primary has proved its position since the stop: %t; covered by a replica that holds that, but not what was passed on: %t", isProved, got)
+			}
+			if g.IsCoveredDespiteDepartures(at(5), false) {
+				t.Error("covered by a replica that lacks a commit")
+			}
+			if got := g.NeedsDepartureSample(); got == isProved {
+				t.Errorf("needs a sample: %t, want %t", got, !isProved)
+			}
+		})
+	}
+}
+
 // Guards against a group that stays without a primary: the position at an acknowledgement may lie beyond the commit, and what lies beyond
 // it is rolled back if the primary is replaced, so that no instance ever reaches the floor.
 func TestPromotionLowersFloors(t *testing.T) {
--- a/internal/group/registrar/report.go
+++ b/internal/group/registrar/report.go
@@ -42,9 +42,12 @@
 	return r
 }
 
-// RecordReport records what VMs have passed on.
+// RecordReport raises the floors to what VMs have passed on while a replica that has left may have received entries.
 func (g *Group) RecordReport(r Report) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	g.raiseFloors(r.PassedOn)
+	g.assumption.recordReport(r.PassedOn)
+	if d := &g.departure; len(d.silent) > 0 && !d.floor.IsZero() {
+		d.floor = d.floor.Max(r.PassedOn)
+	}
 }
--- a/internal/group/registrar/roster_test.go
+++ b/internal/group/registrar/roster_test.go
@@ -95,6 +95,19 @@
 	}
 }
 
+// Guards against the loss of commits that other VMs passed on soon after the start of this VM, which hears of them later.
+func TestReportLongAfterStart(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		_, g := newStartedGroup()
+		prove(g, "a", 2, 5)
+		time.Sleep(2 * maxStopTime)
+		g.RecordReport(Report{PassedOn: tokenizer.Position{Term: 2, Index: 6}, IsComplete: true})
+		if g.IsCoveredDespiteDepartures(tokenizer.Position{Term: 2, Index: 5}, true) {
+			t.Error("covered by a replica that lacks a commit")
+		}
+	})
+}
+
 // Guards against a VM that never learns a position of the primary from after the time in which a departed replica may receive, since no
 // caller of it needs one.
 func TestAssumedDepartureNeedsLateSample(t *testing.T) {
