Read the rosters ahead of a replacement

Change: while a departure is assumed and the floor is not final, the VMs that act first read the roster 1 s after the start or the gap, and again after growing pauses. A replacement reads it as before.

--- a/internal/group/registrar/roster.go
+++ b/internal/group/registrar/roster.go
@@ -84,6 +84,13 @@
 	return g.assumption.isMade
 }
 
+// NeedsRoster reports whether only a roster, or what all VMs have passed on, can tell what a new primary must hold.
+func (g *Group) NeedsRoster() bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.assumption.isMade && !g.assumption.isFinal
+}
+
 // AssumedDeparture returns the floor of departures that this VM may not have seen, and AssumesDeparture.
 func (g *Group) AssumedDeparture() (floor tokenizer.Position, isAssumed bool) {
 	g.mu.Lock()
--- a/internal/group/replacer/endterm.go
+++ b/internal/group/replacer/endterm.go
@@ -383,14 +383,7 @@
 	if r.cfg.Roster == nil || !g.AssumesDeparture() {
 		return false
 	}
-	ctx, cancel := context.WithTimeout(ctx, rosterTimeout)
-	defer cancel()
-	roster, err := r.cfg.Roster(ctx, g.Name())
-	if err == nil {
-		err = g.ApplyRoster(roster)
-	}
-	r.cfg.Observe(Event{Name: EventRosterApplied, Group: g.Name(), Err: err})
-	return err == nil && g.IsCoveredDespiteDepartures(p, report.IsComplete)
+	return r.applyRoster(ctx, g) == nil && g.IsCoveredDespiteDepartures(p, report.IsComplete)
 }
 
 // furthestReceived returns the newest position among candidates, or the zero position if there are none.
--- a/internal/group/replacer/replacer.go
+++ b/internal/group/replacer/replacer.go
@@ -72,8 +72,6 @@
 	checkInterval = 50 * time.Millisecond
 	// commandTimeout bounds one control command (status, hold or demote) to an instance.
 	commandTimeout = 400 * time.Millisecond
-	// rosterTimeout bounds the read of a roster.
-	rosterTimeout = 300 * time.Millisecond
 	// claimTimeout bounds a claim; after it the spare token is used.
 	claimTimeout = 400 * time.Millisecond
 	// promoteTimeout bounds the wait for the answer to a promote request.
@@ -161,8 +159,8 @@
 	// a direct connection. It is nil if there are no gateways.
 	AnswersDirectly func(ctx context.Context, v registrar.View) bool
 	Rank            func(group string) int // of this VM for the group; the VM of rank 0 acts first
-	// Roster returns the roster of a group from the store. It is read if the group assumes that a replica left before this VM knew
-	// it, and the replicas lack entries because of that; nil if there are no rosters.
+	// Roster returns the roster of a group from the store. It is read if the group assumes that a replica left without this VM seeing
+	// it; nil if there are no rosters.
 	Roster func(ctx context.Context, group string) (registrar.Roster, error)
 	// IsConfigured reports whether the configuration has a group. Instances of other groups are not probed, since nobody
 	// asks for them; nil stands for all groups.
@@ -227,6 +225,8 @@
 	requested   map[string]uint64         // latest term for whose end a promote request was sent, by group
 	awaited     map[string]awaitedRestore // by group
 	spareToken  uint64                    // for a replacement while the store is unavailable; zero: none
+
+	rosterReads map[string]rosterRead // by group; accessed by run only
 }
 
 // Start returns a running Replacer.
@@ -238,7 +238,7 @@
 		cfg.IsConfigured = func(string) bool { return true }
 	}
 	ctx, cancel := context.WithCancel(context.Background())
-	r := &Replacer{cfg: cfg, cancel: cancel, isReplacing: map[string]bool{}, failures: map[string]int{}, requested: map[string]uint64{}, lastProbe: map[string]time.Time{}, awaited: map[string]awaitedRestore{}}
+	r := &Replacer{cfg: cfg, cancel: cancel, isReplacing: map[string]bool{}, failures: map[string]int{}, requested: map[string]uint64{}, lastProbe: map[string]time.Time{}, awaited: map[string]awaitedRestore{}, rosterReads: map[string]rosterRead{}}
 	r.wg.Go(func() { r.run(ctx) })
 	r.wg.Go(func() { r.refillSpareToken(ctx) })
 	return r
@@ -274,6 +274,7 @@
 func (r *Replacer) checkGroup(ctx context.Context, g *registrar.Group) {
 	h := g.Health()
 	r.probePossiblePrimaries(ctx, g, h)
+	r.readRosterAhead(ctx, g)
 	a := Decide(Evidence{Health: h, Now: time.Now(), Rank: r.cfg.Rank(g.Name())})
 	if a.Reason == Healthy {
 		r.clearFailures(g.Name())
--- a/internal/group/replacer/replacer_test.go
+++ b/internal/group/replacer/replacer_test.go
@@ -208,7 +208,11 @@
 			return f.command("demoteAt", t.Address, term)
 		},
 		Sample: func(context.Context, *registrar.Group) error { return nil },
-		Roster: func(context.Context, string) (registrar.Roster, error) { return f.roster, f.rosterErr },
+		Roster: func(context.Context, string) (registrar.Roster, error) {
+			f.mu.Lock()
+			defer f.mu.Unlock()
+			return f.roster, f.rosterErr
+		},
 		RefreshInstances: func(context.Context) error {
 			if f.refresh != nil {
 				f.refresh()
