--- a/internal/daemon/assembler/assembler.go
+++ b/internal/daemon/assembler/assembler.go
@@ -339,7 +339,8 @@
 // recordRegistryGap records that an instance of a group, or of any group if the name is empty, may have joined and left without a state of the
 // registry that shows it.
 func (v *VM) recordRegistryGap(group string) {
-	if v.log.Info(logger.RegistryGap, logger.String("group", group)); group == "" {
+	v.log.Info(logger.RegistryGap, logger.String("group", group))
+	if group == "" {
 		v.groups.RecordGap()
 		return
 	}
