Count a session as ended if its startup fails last

In a daemon such a session counts against the limit of clients for good, and a drain waits for it.

Cause: the startup registers the session, sends ReadyForQuery and removes its deadline. Only an error of the send unregistered it. If the connection is closed in between, the last step fails, and the session is not reached by the deferred call.

TestSessionClosedAtEndOfStartup failed before.

--- a/internal/request/listener/lifecycle_test.go
+++ b/internal/request/listener/lifecycle_test.go
@@ -425,6 +425,29 @@
 	connect().conn.Close()
 }
 
+// fixedDeadlineConn is a connection that is closed before its deadline can be removed.
+type fixedDeadlineConn struct{ net.Conn }
+
+func (c fixedDeadlineConn) SetDeadline(t time.Time) error {
+	if t.IsZero() {
+		return net.ErrClosed
+	}
+	return c.Conn.SetDeadline(t)
+}
+
+// Guards against sessions that count as open for good: the connection had been closed when the startup ended.
+func TestSessionClosedAtEndOfStartup(t *testing.T) {
+	l := startListener(t, newTestConfig(t, &fakeRunner{}))
+	clientEnd, serverEnd := net.Pipe()
+	l.serveConn(fixedDeadlineConn{serverEnd})
+	newRawClient(t, clientEnd)
+	for deadline := time.Now().Add(5 * time.Second); l.Clients() > 0; time.Sleep(time.Millisecond) {
+		if time.Now().After(deadline) {
+			t.Fatalf("%d sessions are open after their only one has ended, want none", l.Clients())
+		}
+	}
+}
+
 // pipeClient connects to a listener over an in-memory pipe, because the fake clock of synctest does not advance while a
 // goroutine waits for a socket.
 func pipeClient(t *testing.T, l *Listener) *rawClient {
--- a/internal/request/listener/startup.go
+++ b/internal/request/listener/startup.go
@@ -252,9 +252,12 @@
 	}
 	key := binary.BigEndian.AppendUint32(nil, s.secretKey)
 	s.out.send(&pgproto3.BackendKeyData{ProcessID: s.processID, SecretKey: key})
-	if err := s.sendReadyForQuery(); err != nil {
+	err := s.sendReadyForQuery()
+	if err == nil {
+		err = s.conn.SetDeadline(time.Time{})
+	}
+	if err != nil {
 		s.l.unregister(s)
-		return err
 	}
-	return s.conn.SetDeadline(time.Time{})
+	return err
 }
