Drop the floor of a silent replica that returns

Callers: after a replica had lost its registry entry for a few seconds and was back, a crash of the primary could leave the group without one until the primary returned.

Cause: the floor that VMs keep for a departed replica rises with acknowledgements, to positions that may lie beyond what any replica has received. It stayed when the replica came back without a restart.

Change: each silent replica has a floor of its own, which ends with its silence. What was known of its log is kept.

--- a/internal/group/registrar/departure.go
+++ b/internal/group/registrar/departure.go
@@ -4,19 +4,39 @@
 	"time"
 
 	"parsleyscale/internal/session/tokenizer"
+	"parsleyscale/internal/sheet/cataloger"
 )
 
-// departure records that a replica has left the group, or has restarted and may have lost its log. The commits that
-// only this replica had received, and thereby allowed the primary to acknowledge, may now be on the primary alone.
+// departure records that replicas have left the group, or have restarted and may have lost their logs. The commits that
+// only such a replica had received, and thereby allowed the primary to acknowledge, may now be on the primary alone.
 type departure struct {
-	isSet bool
+	isSet bool               // for a replica that is not silent
 	at    time.Duration      // when the latest one was noticed, on the registrar's clock
 	floor tokenizer.Position // covers every commit acknowledged before at; zero while it is not known
 
-	// silent holds the replicas that have gone missing and may go on receiving entries, each with the time until which it
-	// may, or the zero time without a limit. Until then, the floor rises with each commit that this VM passes on. What other VMs passed on
-	// until then is covered once a primary has proved its position after that time.
-	silent map[string]time.Time
+	silent map[Member]silence
+}
+
+// silence is that of a replica that has gone missing and may go on receiving entries. If it comes back without a restart, it has not
+// departed.
+type silence struct {
+	at       time.Duration // when it was noticed, on the registrar's clock
+	until    time.Time     // until when the replica may receive entries; zero: without a limit
+	instance instanceState // what was known of the replica
+	// floor covers every commit acknowledged before at; zero while it is not known. Until the silence ends, it rises with each commit that this
+	// VM passes on. What other VMs passed on until then is covered once a primary has proved its position after that time.
+	floor tokenizer.Position
+}
+
+// mayReceive reports whether the replica may go on receiving entries.
+func (s silence) mayReceive() bool { return s.until.IsZero() || time.Now().Before(s.until) }
+
+// withFloor raises a floor that is known.
+func (s silence) withFloor(p tokenizer.Position) silence {
+	if !s.floor.IsZero() {
+		s.floor = s.floor.Max(p)
+	}
+	return s
 }
 
 // maxStopTime is how long after the notice of its stop an instance may go on receiving entries. Its registry entry may have
@@ -26,28 +46,59 @@
 // firstEntryTime is the longest time until a new replica holds its first entry.
 const firstEntryTime = 10 * time.Second
 
-// recordDeparture records that an instance has left or restarted. A primary is not a replica: each of its commits was
+// recordDeparture records that an instance has restarted or lost its log. A primary is not a replica: each of its commits was
 // acknowledged by one.
 func (g *Group) recordDeparture(s *instanceState) {
 	if s.ID == g.latestPrimary {
 		g.latestTerm = 0
 		return
 	}
-	silent := g.departure.silent
-	if !s.missingAt.IsZero() {
-		if silent == nil {
-			silent = map[string]time.Time{}
-		}
-		silent[s.ID] = time.Time{}
-		if s.IsLeaving {
-			silent[s.ID] = s.LeavingAt.Add(maxStopTime)
+	d := &g.departure
+	d.isSet, d.at, d.floor = true, g.clock(), tokenizer.Position{}
+}
+
+// recordSilence records that an instance has gone missing.
+func (g *Group) recordSilence(s *instanceState) {
+	if s.ID == g.latestPrimary {
+		g.latestTerm = 0
+		return
+	}
+	silent := silence{at: g.clock(), instance: *s}
+	if s.IsLeaving {
+		silent.until = s.LeavingAt.Add(maxStopTime)
+	}
+	d := &g.departure
+	if d.silent == nil {
+		d.silent = map[Member]silence{}
+	}
+	d.silent[Member{ID: s.ID, StartedAtMs: s.StartedAtMs}] = silent
+}
+
+// recordArrival records that an instance is in the registry. If it was silent and has not restarted, it is asked like all others, and
+// recordArrival returns what was known of it. If it has restarted, it received nothing afterwards that counts for its earlier log.
+func (g *Group) recordArrival(i cataloger.Instance) *instanceState {
+	var returned *instanceState
+	for m, s := range g.departure.silent {
+		switch {
+		case m.ID != i.ID:
+		case m.StartedAtMs == i.StartedAtMs:
+			returned = &s.instance
+			delete(g.departure.silent, m)
+		case s.mayReceive():
+			s.until = time.Now()
+			g.departure.silent[m] = s
 		}
 	}
-	g.departure = departure{isSet: true, at: g.clock(), silent: silent}
+	return returned
 }
 
-// recordArrival records that an instance is in the registry. A silent replica that is back is asked like all others.
-func (g *Group) recordArrival(id string) { delete(g.departure.silent, id) }
+// add adds the departure of a replica whose silence has ended.
+func (d *departure) add(s silence) {
+	if !d.isSet || !d.floor.IsZero() {
+		d.floor = d.floor.Max(s.floor)
+	}
+	d.isSet, d.at = true, max(d.at, s.at)
+}
 
 // RecordReceived records the newest entry that a replica holds by its own report, before the end of a term. Within a term,
 // no replica gives up an entry, unless it restarts without its log. Its registry entry shows that only once it is written. If
@@ -69,52 +120,58 @@
 	s.received = p
 }
 
-// recordDepartureSample completes the floor of the latest departure from the position of a proven primary, and ends the silence of the replicas
+// recordDepartureSample completes the floors of departures from the position of a proven primary, and ends the silence of the replicas
 // that could no longer receive entries when it was proved: it covers all that they received.
 func (g *Group) recordDepartureSample(p Proof) {
 	d := &g.departure
-	if !d.isSet || p.SentAt < d.at {
-		return
-	}
-	if d.floor.IsZero() {
+	if d.isSet && d.floor.IsZero() && p.SentAt >= d.at {
 		d.floor = p.Position
 	}
 	sentAt := time.Now().Add(p.SentAt - g.clock())
-	for id, until := range d.silent {
-		if !until.IsZero() && !sentAt.Before(until) {
-			d.floor = d.floor.Max(p.Position)
-			delete(d.silent, id)
+	for m, s := range d.silent {
+		if p.SentAt < s.at {
+			continue
+		}
+		if s.floor.IsZero() {
+			s.floor = p.Position
+		}
+		d.silent[m] = s
+		if !s.until.IsZero() && !sentAt.Before(s.until) {
+			delete(d.silent, m)
+			d.add(s.withFloor(p.Position))
 		}
 	}
 }
 
-// hasSilenceEnded reports whether there is a silent replica that can no longer receive entries.
-func (d *departure) hasSilenceEnded() bool {
-	for _, until := range d.silent {
-		if !until.IsZero() && !time.Now().Before(until) {
+// needsSample reports whether the primary has to prove its position to complete a floor, or to end a silence.
+func (d *departure) needsSample() bool {
+	for _, s := range d.silent {
+		if s.floor.IsZero() || !s.mayReceive() {
 			return true
 		}
 	}
-	return false
+	return d.isSet && d.floor.IsZero()
+}
+
+// highestFloor returns the position that a new primary must hold, or the zero position if none is known. It reports whether all floors are
+// known.
+func (d *departure) highestFloor() (p tokenizer.Position, areKnown bool) {
+	p, areKnown = d.floor, !d.isSet || !d.floor.IsZero()
+	for _, s := range d.silent {
+		p, areKnown = p.Max(s.floor), areKnown && !s.floor.IsZero()
+	}
+	return p, areKnown
 }
 
 // raiseFloors raises the floors of departures after which a replica may go on receiving entries to the position of the primary at an
 // acknowledgement that this VM passes on now. The caller holds g.mu.
 func (g *Group) raiseFloors(p tokenizer.Position) {
 	g.assumption.raiseFloor(p, g.clock())
-	if d := &g.departure; d.mayReceive() && !d.floor.IsZero() {
-		d.floor = d.floor.Max(p)
-	}
-}
-
-// mayReceive reports whether a missing replica may go on receiving entries.
-func (d *departure) mayReceive() bool {
-	for _, until := range d.silent {
-		if until.IsZero() || time.Now().Before(until) {
-			return true
+	for m, s := range g.departure.silent {
+		if s.mayReceive() {
+			g.departure.silent[m] = s.withFloor(p)
 		}
 	}
-	return false
 }
 
 // IsCoveredDespiteDepartures reports whether a replica that has received the log up to p holds every commit for which the
@@ -122,22 +179,26 @@
 func (g *Group) IsCoveredDespiteDepartures(p tokenizer.Position, areAllTold bool) bool {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	isDepartureMet := !g.departure.isSet || !g.departure.floor.IsZero() && p.Covers(g.departure.floor)
-	return isDepartureMet && g.assumption.isMet(p, areAllTold)
+	floor, areKnown := g.departure.highestFloor()
+	return areKnown && p.Covers(floor) && g.assumption.isMet(p, areAllTold)
 }
 
-// Departure reports whether a replica has left, and returns the floor of the latest departure, zero while it is not known,
-// and the number of replicas that have gone missing without a notice.
+// Departure reports whether a replica has left, and returns the position that a new primary must hold therefore, zero while it is not
+// known, and the number of replicas that have gone missing and may go on receiving entries.
 func (g *Group) Departure() (floor tokenizer.Position, silent int, ok bool) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	return g.departure.floor, len(g.departure.silent), g.departure.isSet
+	floor, areKnown := g.departure.highestFloor()
+	if !areKnown {
+		floor = tokenizer.Position{}
+	}
+	silent = len(g.departure.silent)
+	return floor, silent, g.departure.isSet || silent > 0
 }
 
 // NeedsDepartureSample reports whether the primary has to prove its position to complete the floor of a departure.
 func (g *Group) NeedsDepartureSample() bool {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	isOpen := g.departure.isSet && g.departure.floor.IsZero() || g.departure.hasSilenceEnded()
-	return isOpen || g.assumption.needsFinalFloor(g.clock())
+	return g.departure.needsSample() || g.assumption.needsFinalFloor(g.clock())
 }
--- a/internal/group/registrar/departure_test.go
+++ b/internal/group/registrar/departure_test.go
@@ -125,6 +125,67 @@
 	})
 }
 
+// Guards against a group that waits for a failed primary although all replicas are there: the floor for a replica that had gone missing stayed
+// after the replica had come back, and the position at an acknowledgement may lie beyond what any replica has received.
+func TestSilentReplicaReturns(t *testing.T) {
+	at := func(index uint64) tokenizer.Position { return tokenizer.Position{Term: 1, Index: index} }
+	for _, c := range []struct {
+		name         string
+		hasDeparture bool // whether another replica has restarted without its log before
+		isProved     bool // whether the primary proves its position while the replica is missing
+		hasRestarted bool
+		received     tokenizer.Position // by the replica when it is back
+		wantFloor    tokenizer.Position
+		wantCovered  bool // by a replica that lacks only what no replica has received
+	}{
+		{name: "with its log", isProved: true, received: at(8), wantCovered: true},
+		{name: "with its log, before a proof", received: at(8), wantCovered: true},
+		{name: "with its log, after another departure", hasDeparture: true, isProved: true, received: at(8), wantFloor: at(5), wantCovered: true},
+		{name: "restarted", isProved: true, hasRestarted: true, received: at(8), wantFloor: at(9)},
+		{name: "restarted, before a proof", hasRestarted: true, received: at(8)},
+		{name: "with less than it had received", isProved: true, received: at(3)},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				r, g, reg := newGroup()
+				if c.hasDeparture {
+					c := reg["c"]
+					c.StartedAtMs++
+					reg = reg.With(map[string]*cataloger.Instance{"c": &c})
+					r.Update(reg)
+				}
+				prove(g, "a", 1, 5)
+				g.RecordReceived("b", at(5), 1)
+				time.Sleep(time.Second)
+				r.Update(reg.With(map[string]*cataloger.Instance{"b": nil}))
+				time.Sleep(missingRetention)
+				g.RemoveMissing()
+				if c.isProved {
+					prove(g, "a", 1, 6)
+				}
+				g.Acknowledge(at(9))
+				g.RecordReport(Report{PassedOn: at(9)})
+				if g.IsCoveredDespiteDepartures(at(8), true) {
+					t.Error("covered by a replica that lacks a commit, while another one is missing")
+				}
+				if c.hasRestarted {
+					b := reg["b"]
+					b.StartedAtMs++
+					reg = reg.With(map[string]*cataloger.Instance{"b": &b})
+				}
+				r.Update(reg)
+				g.RecordReceived("b", c.received, 1)
+				if got := g.Report().DepartureFloor; got != c.wantFloor {
+					t.Errorf("a new primary must hold %s, want %s", got, c.wantFloor)
+				}
+				if got := g.IsCoveredDespiteDepartures(at(8), true); got != c.wantCovered {
+					t.Errorf("covered by a replica that lacks what no replica has received: %t, want %t", got, c.wantCovered)
+				}
+			})
+		})
+	}
+}
+
 // Guards against the loss of commits that only a replica held which has restarted without its log: its answer counted, although
 // its registry entry did not show the restart yet.
 func TestReplicaReportsLess(t *testing.T) {
--- a/internal/group/registrar/group.go
+++ b/internal/group/registrar/group.go
@@ -157,13 +157,16 @@
 // applyEntry applies a registry entry. It reports whether the instance is new, has restarted, or differs in address,
 // role or leaving state.
 func (g *Group) applyEntry(i cataloger.Instance) bool {
-	g.recordArrival(i.ID)
+	returned := g.recordArrival(i)
 	s, ok := g.instances[i.ID]
 	if !ok || s.StartedAtMs != i.StartedAtMs || s.Address != i.Address {
 		if ok {
 			g.recordDeparture(s)
 		}
 		s = &instanceState{View: View{Instance: i}, seenAt: time.Now()}
+		if returned != nil {
+			s.received, s.Position = returned.received, returned.Position
+		}
 		g.instances[i.ID] = s
 		if i.IsPrimary {
 			g.recordRegistryPrimary(i.ID)
@@ -243,7 +246,7 @@
 			continue
 		}
 		delete(g.instances, id)
-		g.recordDeparture(s)
+		g.recordSilence(s)
 		removed = append(removed, id)
 		if g.primary.Instance == id {
 			g.losePrimary(LossRemoved)
@@ -347,10 +350,18 @@
 // lowerFloors lowers the floors that the primary of a later term does not hold to its position. The promotion has rolled back what is
 // beyond that, so that no instance will reach them.
 func (g *Group) lowerFloors(term uint64, p tokenizer.Position) {
-	for _, floor := range []*tokenizer.Position{&g.firstProof, &g.assumption.floor, &g.departure.floor, &g.passedOn} {
-		if floor.Term < term && !p.IsZero() && !p.Covers(*floor) {
-			*floor = p
+	lower := func(floor tokenizer.Position) tokenizer.Position {
+		if floor.Term < term && !p.IsZero() && !p.Covers(floor) {
+			return p
 		}
+		return floor
+	}
+	for _, floor := range []*tokenizer.Position{&g.firstProof, &g.assumption.floor, &g.departure.floor, &g.passedOn} {
+		*floor = lower(*floor)
+	}
+	for m, s := range g.departure.silent {
+		s.floor = lower(s.floor)
+		g.departure.silent[m] = s
 	}
 }
 
--- a/internal/group/registrar/report.go
+++ b/internal/group/registrar/report.go
@@ -33,7 +33,8 @@
 func (g *Group) Report() Report {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	r := Report{PassedOn: g.firstProof.Max(g.passedOn), IsComplete: !g.firstProof.IsZero(), DepartureFloor: g.departure.floor}
+	r := Report{PassedOn: g.firstProof.Max(g.passedOn), IsComplete: !g.firstProof.IsZero()}
+	r.DepartureFloor, _ = g.departure.highestFloor()
 	for _, id := range slices.Sorted(maps.Keys(g.instances)) {
 		if !g.instances[id].missingAt.IsZero() && id != g.latestPrimary {
 			r.Missing = append(r.Missing, id)
@@ -47,7 +48,7 @@
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	g.assumption.recordReport(r.PassedOn)
-	if d := &g.departure; len(d.silent) > 0 && !d.floor.IsZero() {
-		d.floor = d.floor.Max(r.PassedOn)
+	for m, s := range g.departure.silent {
+		g.departure.silent[m] = s.withFloor(r.PassedOn)
 	}
 }
--- a/internal/group/registrar/roster.go
+++ b/internal/group/registrar/roster.go
@@ -113,7 +113,8 @@
 func (g *Group) RosterView() RosterView {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	v := RosterView{FirstProof: g.firstProof, Newest: g.Samples.Newest(), DepartureFloor: g.departure.floor, Now: g.clock()}
+	v := RosterView{FirstProof: g.firstProof, Newest: g.Samples.Newest(), Now: g.clock()}
+	v.DepartureFloor, _ = g.departure.highestFloor()
 	for id, s := range g.instances {
 		v.Instances = append(v.Instances, Member{ID: id, StartedAtMs: s.StartedAtMs})
 	}
