Confirm commits at a known replica while another one may be missing

Callers: after the start of all VMs, or while a replica is missing, a failure of the primary could leave a group without one until the primary returned.

Cause: the position at an acknowledgement may lie beyond the commit, where no replica is. Where a replica may be missing, a new primary must hold the positions that all VMs have passed on, and none did.

Change: in that state a VM passes on an acknowledgement once a known replica has received the log up to that position, and requires nothing of a new primary for it. A roster stands beside the assumed departure, as its floor may be beyond the replicas.

--- a/internal/daemon/assembler/assembler.go
+++ b/internal/daemon/assembler/assembler.go
@@ -17,6 +17,7 @@
 	"parsleyscale/internal/failure/classifier"
 	"parsleyscale/internal/group/claimer"
 	"parsleyscale/internal/group/commander"
+	"parsleyscale/internal/group/confirmer"
 	"parsleyscale/internal/group/enroller"
 	"parsleyscale/internal/group/registrar"
 	"parsleyscale/internal/group/replacer"
@@ -105,6 +106,7 @@
 	statementNames    namer.Namer
 	forwardServer     *forwarder.Server // nil if the settings have no link address
 	performer         *performer.Performer
+	confirmer         *confirmer.Confirmer
 	replacer          *replacer.Replacer
 	claims            *claimer.Claimer
 	storeEra          atomic.Int64              // 0 until the store is restored
@@ -180,8 +182,9 @@
 	peers := commander.Peers{Dialer: p.Dialer, Addresses: v.gateways.linkAddresses, Parse: p.ParseCondition}
 	v.performer = performer.New(performer.Config{
 		DataCentre: cfg.DataCentre, Region: cfg.Region, RegionOf: func(dc string) string { return cfg.DataCentres[dc] },
-		Groups: v.groups, Pool: v.pool, RetryBudget: admitter.NewRetryBudget(), Observe: v.logStatement, Unfenced: v.unfenced(controller),
+		Groups: v.groups, Pool: v.pool, RetryBudget: admitter.NewRetryBudget(), Observe: v.logStatement, Unfenced: v.unfenced(controller), Acknowledge: v.acknowledge,
 	})
+	v.confirmer = confirmer.New(confirmer.Config{Status: controller.Status, Sample: v.performer.SamplePrimaryPosition})
 	v.replacer = replacer.Start(replacer.Config{
 		Groups: v.groups, Controller: controller, Tokens: v.members, Claims: v.claims, IsUnfenced: !cfg.Fencing, Probe: v.performer.Probe, Sample: v.performer.SamplePrimaryPosition, Rank: v.members.rank, IsConfigured: v.isConfigured, Roster: v.roster,
 		Promote: func(ctx context.Context, group, instance string, token uint64) error {
--- a/internal/daemon/assembler/gateway.go
+++ b/internal/daemon/assembler/gateway.go
@@ -223,7 +223,7 @@
 	if err != nil {
 		return err
 	}
-	v.forwardServer = forwarder.NewServer(forwarder.Config{Listener: ln, Accept: v.platform.AcceptPort, Budget: v.budget, Pool: v.pool, Names: &v.statementNames, Find: v.findInstance, IsUnreachable: v.hasFailedAttempts, Acknowledge: v.acknowledge, Now: v.platform.Clock, OnBegin: v.recordForwardedBegin, Sample: v.samplePosition, Avoid: v.avoid, OnOutcome: v.recordForwardedOutcome, OnPanic: v.logPanic})
+	v.forwardServer = forwarder.NewServer(forwarder.Config{Listener: ln, Accept: v.platform.AcceptPort, Budget: v.budget, Pool: v.pool, Names: &v.statementNames, Find: v.findInstance, IsUnreachable: v.hasFailedAttempts, Acknowledge: v.acknowledgeForwarded, Now: v.platform.Clock, OnBegin: v.recordForwardedBegin, Sample: v.samplePosition, Avoid: v.avoid, OnOutcome: v.recordForwardedOutcome, OnPanic: v.logPanic})
 	go v.forwardServer.Serve()
 	return nil
 }
@@ -295,9 +295,17 @@
 	return v.groups.Group(group)
 }
 
-// acknowledge reports whether the acknowledgement of a commit may be passed on to the VM that this one is a gateway for.
-func (v *VM) acknowledge(group string, p tokenizer.Position) bool {
-	return v.groups.Group(group).Acknowledge(p)
+// acknowledge reports whether the acknowledgement of a commit may be passed on.
+func (v *VM) acknowledge(g *registrar.Group, p tokenizer.Position) bool {
+	if v.groupConfiguration(g.Name()).SyncReplicas == 0 {
+		return g.Acknowledge(p)
+	}
+	return v.confirmer.Acknowledge(g, p)
+}
+
+// acknowledgeForwarded is acknowledge for a VM that this one is a gateway for.
+func (v *VM) acknowledgeForwarded(group string, p tokenizer.Position) bool {
+	return v.acknowledge(v.groups.Group(group), p)
 }
 
 // writerAddresses returns the peer addresses of the other VMs through which the writes to a group pass: its gateways, or else
--- a/internal/group/registrar/assumption.go
+++ b/internal/group/registrar/assumption.go
@@ -8,7 +8,7 @@
 
 // assumption is the assumption that a replica left the group without this VM seeing it, and that the primary counted the replica for
 // commits which no other replica holds. A VM makes it for the time before its start, and for each time in which it may have missed changes of
-// the registry. A roster ends it.
+// the registry.
 type assumption struct {
 	isMade bool
 	since  time.Duration      // on the registrar's clock; the VM has seen all later changes
@@ -18,14 +18,27 @@
 	// isFinal states that a primary has proved the floor when the replica could no longer receive. It then covers the commits that other VMs
 	// passed on, too.
 	isFinal bool
+
+	// hasRoster states that a roster has shown that no replica left. It is then enough to hold rosterFloor. The assumption stays beside it,
+	// since the floor of a roster may lie beyond what the replicas of a failed primary have received.
+	hasRoster   bool
+	rosterFloor tokenizer.Position
 }
 
+// isOpen reports whether the assumption is made and no roster has shown the opposite.
+func (a assumption) isOpen() bool { return a.isMade && !a.hasRoster }
+
 // silentFrom returns the time from which on the replica receives nothing.
 func (a assumption) silentFrom() time.Duration { return a.since + maxStopTime }
 
 // needsFinalFloor reports whether a proof of the primary would make the floor final.
 func (a assumption) needsFinalFloor(now time.Duration) bool {
-	return a.isMade && !a.isFinal && now >= a.silentFrom()
+	return a.isOpen() && !a.isFinal && now >= a.silentFrom()
+}
+
+// mayReceive reports whether the replica may go on receiving entries.
+func (a assumption) mayReceive(now time.Duration) bool {
+	return a.isOpen() && !a.isFinal && now < a.silentFrom()
 }
 
 // recordProof takes the position of a proof for the floor if it covers commits that the floor may lack.
@@ -57,6 +70,9 @@
 // isMet reports whether an instance that has received the log up to p holds every commit for which the replica counted. Until the floor is
 // final, it covers only the commits that are known to have been passed on, so that all other VMs must have told theirs.
 func (a assumption) isMet(p tokenizer.Position, areAllTold bool) bool {
+	if a.hasRoster && p.Covers(a.rosterFloor) {
+		return true
+	}
 	isKnown := !a.isMade || a.isFinal || areAllTold && a.isProved
 	return isKnown && p.Covers(a.floor)
 }
@@ -72,7 +88,11 @@
 func (g *Group) RecordGap() {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	g.assumption = assumption{isMade: true, since: g.clock(), floor: g.assumption.floor}
+	floor := g.assumption.floor
+	if g.assumption.hasRoster {
+		floor = g.assumption.rosterFloor
+	}
+	g.assumption = assumption{isMade: true, since: g.clock(), floor: floor}
 }
 
 // recordAssumedSample records a proven position of the primary for the assumption, and as the first one. The caller holds g.mu.
--- a/internal/group/registrar/departure.go
+++ b/internal/group/registrar/departure.go
@@ -163,6 +163,16 @@
 	return p, areKnown
 }
 
+// mayReceive reports whether a silent replica may go on receiving entries.
+func (d *departure) mayReceive() bool {
+	for _, s := range d.silent {
+		if s.mayReceive() {
+			return true
+		}
+	}
+	return false
+}
+
 // raiseFloors raises the floors of departures after which a replica may go on receiving entries to the position of the primary at an
 // acknowledgement that this VM passes on now. The caller holds g.mu.
 func (g *Group) raiseFloors(p tokenizer.Position) {
--- a/internal/group/registrar/group.go
+++ b/internal/group/registrar/group.go
@@ -30,7 +30,7 @@
 	latestTerm       uint64                // highest term in which latestPrimary proved to be the primary; zero: it did not, or restarted since
 	departure        departure             // the latest departure of a replica
 	assumption       assumption            // that a replica left without this VM seeing it
-	passedOn         tokenizer.Position    // newest one of the primary at an acknowledgement that this VM passed on; zero: none
+	passedOn         tokenizer.Position    // newest one of the primary at an acknowledgement that this VM passed on, and that no known replica had received; zero: none
 	seals            map[string]activeSeal // the latest of each VM
 	firstProof       tokenizer.Position    // the first position that a primary has proved; zero: none yet
 	registryPrimary  string                // instance that the registry names instead of the known primary; "": none
@@ -356,7 +356,7 @@
 		}
 		return floor
 	}
-	for _, floor := range []*tokenizer.Position{&g.firstProof, &g.assumption.floor, &g.departure.floor, &g.passedOn} {
+	for _, floor := range []*tokenizer.Position{&g.firstProof, &g.assumption.floor, &g.assumption.rosterFloor, &g.departure.floor, &g.passedOn} {
 		*floor = lower(*floor)
 	}
 	for m, s := range g.departure.silent {
--- a/internal/group/registrar/report.go
+++ b/internal/group/registrar/report.go
@@ -9,7 +9,8 @@
 
 // Report is what VMs know that bears on the choice of a new primary, and that the VM which replaces the old one may not know.
 type Report struct {
-	PassedOn tokenizer.Position // covers the commits whose acknowledgements the VMs have passed on
+	// PassedOn covers the commits whose acknowledgements the VMs have passed on, except those that a replica which they know has received.
+	PassedOn tokenizer.Position
 	// IsComplete states that all VMs have reported, and that PassedOn covers also what they passed on before they last started.
 	IsComplete bool
 	// DepartureFloor is a position that the new primary must hold, since a replica has left; zero: none is known.
--- a/internal/group/registrar/roster.go
+++ b/internal/group/registrar/roster.go
@@ -73,7 +73,7 @@
 			return fmt.Errorf("instance %s of the roster of group %s has left or restarted", m.ID, g.name)
 		}
 	}
-	g.assumption = assumption{floor: r.Floor}
+	g.assumption.hasRoster, g.assumption.rosterFloor = true, r.Floor
 	return nil
 }
 
@@ -81,20 +81,23 @@
 func (g *Group) AssumesDeparture() bool {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	return g.assumption.isMade
+	return g.assumption.isOpen()
 }
 
 // NeedsRoster reports whether only a roster, or what all VMs have passed on, can tell what a new primary must hold.
 func (g *Group) NeedsRoster() bool {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	return g.assumption.isMade && !g.assumption.isFinal
+	return g.assumption.isOpen() && !g.assumption.isFinal
 }
 
 // AssumedDeparture returns the floor of departures that this VM may not have seen, and AssumesDeparture.
 func (g *Group) AssumedDeparture() (floor tokenizer.Position, isAssumed bool) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
+	if g.assumption.hasRoster {
+		return g.assumption.rosterFloor, false
+	}
 	return g.assumption.floor, g.assumption.isMade
 }
 
--- a/internal/group/registrar/seal.go
+++ b/internal/group/registrar/seal.go
@@ -99,7 +99,9 @@
 	if g.stopsAck(p) {
 		return false
 	}
-	g.passedOn = g.passedOn.Max(p)
-	g.raiseFloors(p)
+	if !g.isReceived(p) {
+		g.passedOn = g.passedOn.Max(p)
+		g.raiseFloors(p)
+	}
 	return true
 }
--- a/internal/statement/performer/performer.go
+++ b/internal/statement/performer/performer.go
@@ -77,7 +77,10 @@
 	RetryBudget *admitter.RetryBudget
 	// Unfenced is set where a replaced primary goes on answering, so that the lead of a primary has to be verified.
 	Unfenced *Unfenced
-	Observe  func(Event) // may be nil
+	// Acknowledge reports whether the acknowledgement of a commit may be passed on, and records it if so. The position is that of the primary
+	// at the acknowledgement. Nil stands for Acknowledge of the group.
+	Acknowledge func(g *registrar.Group, p tokenizer.Position) bool
+	Observe     func(Event) // may be nil
 }
 
 // Unfenced holds what the verification of a primary's lead needs.
@@ -123,6 +126,9 @@
 	if cfg.Observe == nil {
 		cfg.Observe = func(Event) {}
 	}
+	if cfg.Acknowledge == nil {
+		cfg.Acknowledge = (*registrar.Group).Acknowledge
+	}
 	p := &Performer{cfg: cfg}
 	if u := cfg.Unfenced; u != nil {
 		p.verifier = verifier.New(verifier.Config{Begin: p.probeAhead, Status: u.Status, SyncReplicas: u.SyncReplicas})
@@ -476,7 +482,7 @@
 	} else {
 		p.recordBeginReply(g, id, sentAt, r)
 	}
-	if r.OK() && !g.Acknowledge(r.Position) {
+	if r.OK() && !p.cfg.Acknowledge(g, r.Position) {
 		return carrier.ErrorReply(classifier.OutcomeUnknown, "the primary "+id+" is being replaced, and its successor may lack the commit")
 	}
 	return r
