Bound the history of table copies in bytes

Cause: a copy keeps 4,000 changes with their values, whatever their size.

Change: it keeps 1 MiB of them; a VM that lacks more gets the table. The same holds for the earlier changes that a reader learns.

TestHistoryIsBounded failed before at the fifth of 13,000 versions.

--- a/internal/platform/replicator/replicator.go
+++ b/internal/platform/replicator/replicator.go
@@ -24,8 +24,11 @@
 )
 
 const (
-	// maxKeptChanges is the number of changes that a copy keeps. A VM that lacks older ones reads the whole table.
+	// maxKeptChanges and maxKeptBytes bound the changes that a copy keeps. A VM that lacks older ones reads the whole table.
 	maxKeptChanges = 4000
+	maxKeptBytes   = 1 << 20
+	// rowOverheadBytes is what a row occupies besides its key and value.
+	rowOverheadBytes = 80
 	// DefaultFreshness is how long a reader serves its copy after the store last answered. It is longer than
 	// ReaderWait, so that a feed call that waits for a change does not make the copy stale.
 	DefaultFreshness = 2200 * time.Millisecond
@@ -107,12 +110,27 @@
 // appendChanges adds the latest changes to the kept ones. The caller holds c.mu.
 func (c *TableCopy) appendChanges(rows []follower.Row) {
 	c.changes = append(c.changes, rows...)
-	if excess := len(c.changes) - maxKeptChanges; excess > 0 {
+	c.trimChanges()
+}
+
+// trimChanges drops the oldest changes beyond maxKeptChanges or maxKeptBytes. The caller holds c.mu.
+func (c *TableCopy) trimChanges() {
+	kept, size := 0, 0
+	for _, r := range slices.Backward(c.changes) {
+		if size += rowSize(r); size > maxKeptBytes || kept == maxKeptChanges {
+			break
+		}
+		kept++
+	}
+	if excess := len(c.changes) - kept; excess > 0 {
 		c.historyStart = c.changes[excess-1].Version
 		c.changes = append([]follower.Row(nil), c.changes[excess:]...)
 	}
 }
 
+// rowSize returns about how much memory a row occupies.
+func rowSize(r follower.Row) int { return len(r.Key) + len(r.Value) + rowOverheadBytes }
+
 // Apply applies changes that bring the table to a version. Replace must have been called before.
 func (c *TableCopy) Apply(rows []follower.Row, version uint64) {
 	c.mu.Lock()
@@ -149,6 +167,7 @@
 	earlier := slices.DeleteFunc(slices.Clone(rows), func(r follower.Row) bool { return r.Version > c.historyStart })
 	c.changes = append(earlier, c.changes...)
 	c.historyStart = after
+	c.trimChanges()
 }
 
 // ConfirmFresh records that the store answered, which makes the copy fresh for a while.
--- a/internal/platform/replicator/replicator_test.go
+++ b/internal/platform/replicator/replicator_test.go
@@ -456,3 +456,51 @@
 		t.Error("the changes of a restored store continue those of the store before")
 	}
 }
+
+// Guards against a copy whose history grows with the size of its rows: all VMs exceeded their memory after a thousand versions of a large
+// configuration. A VM that lacks more than the history gets the table, in an answer of about that size.
+func TestHistoryIsBounded(t *testing.T) {
+	value := bytes.Repeat([]byte("0123456789abcdef"), 268<<10/16)
+	change := func(version uint64) []follower.Row {
+		return []follower.Row{{Key: "config", Value: value, Version: version}}
+	}
+	kept := func(c *TableCopy) (size int) {
+		for _, r := range c.changes {
+			size += rowSize(r)
+		}
+		return size
+	}
+	c := NewTableCopy(DefaultFreshness)
+	c.Replace(change(1), 1)
+	c.ConfirmFresh()
+	for version := uint64(2); version <= 13000; version++ {
+		c.Apply(change(version), version)
+		if size := kept(c); size > maxKeptBytes {
+			t.Fatalf("version %d: the history has %d bytes, want at most %d", version, size, maxKeptBytes)
+		}
+	}
+	if p, ok := c.delta(12999); !ok || p.IsWhole || len(p.Rows) != 1 {
+		t.Errorf("changes after the version before: %d rows, whole table %t; want one change", len(p.Rows), p.IsWhole)
+	}
+	if p, ok := c.delta(12900); !ok || !p.IsWhole || len(p.Rows) != 1 {
+		t.Errorf("changes after an early version: %d rows, whole table %t; want the table", len(p.Rows), p.IsWhole)
+	}
+	if _, _, err := c.freshChanges(12900); !classifier.Is(err, classifier.Conflict) {
+		t.Errorf("a follower of the copy that lacks 100 versions gets error %v, want kind conflict", err)
+	}
+
+	c = NewTableCopy(DefaultFreshness)
+	c.Replace(change(500), 500)
+	c.ConfirmFresh()
+	var earlier []follower.Row
+	for version := uint64(200); version < 500; version++ {
+		earlier = append(earlier, change(version)...)
+	}
+	c.ExtendHistory(199, earlier)
+	if size := kept(c); size > maxKeptBytes {
+		t.Errorf("with the changes before its start, the history has %d bytes, want at most %d", size, maxKeptBytes)
+	}
+	if _, _, err := c.freshChanges(300); !classifier.Is(err, classifier.Conflict) {
+		t.Errorf("changes that are not kept: got error %v, want kind conflict", err)
+	}
+}
