Read the table if an answer of the feed cannot be used

Cause: the feed's answer with all versions is longer than a VM reads. That was taken for an outage, and the same call repeated until the store dropped the history.

Change: an answer that is too long, ends early or cannot be decoded has a kind of its own, and is followed by a read of the table.

--- a/internal/platform/follower/follower.go
+++ b/internal/platform/follower/follower.go
@@ -33,8 +33,9 @@
 
 // Source is the store, or a substitute for it. Read returns all rows of a table. Follow returns the changes after a
 // version and waits up to the given time for the first one; it fails with kind conflict if these changes are no longer
-// kept, or if the store has been restored since that version. If there is no answer, both must return an error soon after
-// the time at which the answer was due.
+// kept, or if the store has been restored since that version, and with kind answerIncomplete if an answer has come that cannot be used,
+// such as one with more changes than it may hold. If there is no answer, both must return an error soon after the time at which the
+// answer was due.
 type Source interface {
 	Read(ctx context.Context, table string) (Page, error)
 	Follow(ctx context.Context, table string, after uint64, wait time.Duration) (Page, error)
@@ -193,14 +194,15 @@
 
 // run calls Source until ctx ends. After a failed call it pauses, with exponential backoff.
 func (f *Follower) run(ctx context.Context) {
-	isFailing := false
+	isFailing, isFeedUnusable := false, false
 	wait := initialWait
 	pause := DefaultMinPause
 	for ctx.Err() == nil {
 		var p Page
 		var err error
 		version, isLoaded := f.state()
-		if isLoaded {
+		isFeedCall := isLoaded && !isFeedUnusable
+		if isFeedCall {
 			p, err = f.cfg.Source.Follow(ctx, f.cfg.Table, version, wait)
 		} else {
 			p, err = f.cfg.Source.Read(ctx, f.cfg.Table)
@@ -208,14 +210,16 @@
 		if ctx.Err() != nil {
 			return
 		}
-		if err == nil && !isLoaded && EraOf(p.Version) < EraOf(version) {
+		if err == nil && !isFeedCall && EraOf(p.Version) < EraOf(version) {
 			err = classifier.New(classifier.PlatformUnavailable, "table %s is of era %d, before era %d of this VM's copy", f.cfg.Table, EraOf(p.Version), EraOf(version))
 		}
 		if err != nil {
 			wait = initialWait
-			if isLoaded && classifier.Is(err, classifier.Conflict) {
+			if isFeedCall && classifier.Is(err, classifier.Conflict) {
 				f.invalidate()
 			}
+			// The same call would get the same answer. What other VMs send is merged until the table has been read.
+			isFeedUnusable = isFeedCall && classifier.Is(err, classifier.AnswerIncomplete)
 			if !isFailing {
 				isFailing = true
 				f.cfg.OnFault(err)
@@ -228,10 +232,10 @@
 			isFailing = false
 			f.cfg.OnFault(nil)
 		}
-		pause = DefaultMinPause
+		pause, isFeedUnusable = DefaultMinPause, false
 		f.cfg.OnAnswer()
-		f.handleAnswer(p, !isLoaded)
-		if isLoaded {
+		f.handleAnswer(p, !isFeedCall)
+		if isFeedCall {
 			wait = f.cfg.Wait() // may depend on the rows that were passed on
 		}
 	}
--- a/internal/platform/follower/follower_test.go
+++ b/internal/platform/follower/follower_test.go
@@ -180,3 +180,45 @@
 		}
 	})
 }
+
+// Guards against a follower that repeats a call whose answer it cannot use: it stayed behind although the table could be read.
+func TestUnusableAnswer(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		tooLong := classifier.New(classifier.AnswerIncomplete, "response exceeds the limit")
+		src := &fakeSource{reads: 4, feedAnswers: []feedAnswer{{err: tooLong}}}
+		var tables []uint64
+		gaps := 0
+		f := Start(Config{
+			Source: src, Table: "t", OnTable: func(_ []Row, version uint64) { tables = append(tables, version) },
+			OnChanges: func([]Row, uint64) {}, OnGap: func(uint64) { gaps++ },
+		})
+		time.Sleep(2 * DefaultMinPause)
+		f.Close()
+		if d := cmp.Diff([]uint64{5, 6}, tables); d != "" {
+			t.Errorf("versions of the tables that were read (-want +got):\n%s", d)
+		}
+		if gaps != 1 {
+			t.Errorf("%d gaps, want 1: the table does not show rows that were written and removed", gaps)
+		}
+	})
+}
+
+// Guards against changes of other VMs that are not merged while the answers of the store cannot be used.
+func TestMergeWhileAnswersAreUnusable(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		tooLong := classifier.New(classifier.AnswerIncomplete, "response exceeds the limit")
+		src := &fakeSource{feedAnswers: []feedAnswer{{err: tooLong}, {err: tooLong}, {err: tooLong}}}
+		f := Start(Config{Source: src, Table: "t", OnTable: func([]Row, uint64) {}, OnChanges: func([]Row, uint64) {}})
+		defer f.Close()
+		synctest.Wait()
+		src.mu.Lock()
+		src.readGate = make(chan struct{})
+		gate := src.readGate
+		src.mu.Unlock()
+		time.Sleep(2 * DefaultMinPause)
+		if !f.Merge(Page{Rows: []Row{{Key: "b", Version: 3}}, Version: 3}, false) {
+			t.Error("a change of another VM was not merged")
+		}
+		close(gate)
+	})
+}
