Judge a stall by what all VMs report, and unconfirmed commits by later ones

Callers: soon after the start of the VMs, a primary that had lost its replicas but still answered was not replaced for as long as that lasted; writes stalled.

Cause: whether a replacement can end a stall was checked without the reports of other VMs, so that only a roster allowed it, whose floor may lie beyond the replicas. And an acknowledgement that no known replica confirmed was passed on if the primary proved its position, which such a primary does; it raised the floor beyond the replicas.

Change: the check is repeated with the reports after the seal, before anything is demoted. An unconfirmed acknowledgement is passed on only if the primary goes on to acknowledge others.

--- a/internal/daemon/assembler/assembler.go
+++ b/internal/daemon/assembler/assembler.go
@@ -184,7 +184,7 @@
 		DataCentre: cfg.DataCentre, Region: cfg.Region, RegionOf: func(dc string) string { return cfg.DataCentres[dc] },
 		Groups: v.groups, Pool: v.pool, RetryBudget: admitter.NewRetryBudget(), Observe: v.logStatement, Unfenced: v.unfenced(controller), Acknowledge: v.acknowledge,
 	})
-	v.confirmer = confirmer.New(confirmer.Config{Status: controller.Status, Sample: v.performer.SamplePrimaryPosition})
+	v.confirmer = confirmer.New(confirmer.Config{Status: controller.Status})
 	v.replacer = replacer.Start(replacer.Config{
 		Groups: v.groups, Controller: controller, Tokens: v.members, Claims: v.claims, IsUnfenced: !cfg.Fencing, Probe: v.performer.Probe, Sample: v.performer.SamplePrimaryPosition, Rank: v.members.rank, IsConfigured: v.isConfigured, Roster: v.roster,
 		Promote: func(ctx context.Context, group, instance string, token uint64) error {
--- a/internal/group/confirmer/confirmer.go
+++ b/internal/group/confirmer/confirmer.go
@@ -20,20 +20,20 @@
 
 const (
 	// receiptTimeout bounds the wait for a replica to receive a commit that another one has received.
-	receiptTimeout = 100 * time.Millisecond
+	receiptTimeout = 250 * time.Millisecond
 	// askInterval is the time between two requests to a replica.
 	askInterval = 2 * time.Millisecond
 	// askTimeout bounds a request to a replica.
 	askTimeout = 250 * time.Millisecond
-	// pauseTime is how long acknowledgements of a group do not wait after one has waited in vain.
+	// pauseTime is how long acknowledgements of a group do not wait after one has waited in vain while others came.
 	pauseTime = 500 * time.Millisecond
+	// memoryTime is how long after a wait in vain another acknowledgement shows that the primary goes on.
+	memoryTime = 2 * time.Second
 )
 
 // Config holds the dependencies of a Confirmer.
 type Config struct {
 	Status func(ctx context.Context, t carrier.Target) (carrier.InstanceStatus, error)
-	// Sample fails if the primary of a group does not prove its position.
-	Sample func(ctx context.Context, g *registrar.Group) error
 }
 
 // Confirmer passes on acknowledgements.
@@ -41,30 +41,59 @@
 	cfg      Config
 	requests singleflight.Group // by instance
 
-	mu          sync.Mutex
-	pausedUntil map[string]time.Time // by group
+	mu     sync.Mutex
+	states map[string]state // by group
+}
+
+// state is what a Confirmer remembers of the acknowledgements of a group.
+type state struct {
+	latestAt    time.Time // when the latest one came
+	failedAt    time.Time // when the latest one that waited in vain did so
+	pausedUntil time.Time // until then, none waits
 }
 
 // New returns a Confirmer with the given configuration.
 func New(cfg Config) *Confirmer {
-	return &Confirmer{cfg: cfg, pausedUntil: map[string]time.Time{}}
+	return &Confirmer{cfg: cfg, states: map[string]state{}}
 }
 
 // Acknowledge reports whether the acknowledgement of a commit may be passed on, and records it if so. The position is that of the primary at
-// the acknowledgement. If no known replica confirms that it has received the commit, the acknowledgement is passed on only if the primary still
-// proves to be one: it may be the failure of the primary that keeps replicas from receiving the commit.
+// the acknowledgement. If no known replica confirms that it has received the commit, the acknowledgement is passed on only if the primary goes
+// on to acknowledge commits, with the help of a replica that is not known: the primary may have failed, or lost its replicas.
 func (c *Confirmer) Acknowledge(g *registrar.Group, p tokenizer.Position) bool {
-	if g.NeedsReceipt(p) && !c.isPaused(g.Name()) && !c.awaitReceipt(g, p) {
-		ctx, cancel := context.WithTimeout(context.Background(), askTimeout)
-		defer cancel()
-		if c.cfg.Sample(ctx, g) != nil {
-			return false
-		}
-		c.pause(g.Name())
+	start := time.Now()
+	if isPaused := c.recordCall(g.Name(), start); !isPaused && g.NeedsReceipt(p) && !c.awaitReceipt(g, p) && !c.goesOn(g.Name(), start) {
+		return false
 	}
 	return g.Acknowledge(p)
 }
 
+// recordCall records that an acknowledgement has come, and reports whether it does not wait.
+func (c *Confirmer) recordCall(group string, now time.Time) (isPaused bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	s := c.states[group]
+	s.latestAt = now
+	c.states[group] = s
+	return now.Before(s.pausedUntil)
+}
+
+// goesOn reports whether the primary goes on to acknowledge commits, after an acknowledgement that came at start has waited in vain. Those
+// that came at about the same time do not show that.
+func (c *Confirmer) goesOn(group string, start time.Time) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	s, now := c.states[group], time.Now()
+	isLaterOne := !start.Before(s.failedAt) && start.Sub(s.failedAt) < memoryTime
+	goesOn := isLaterOne || s.latestAt.Sub(start) > receiptTimeout/2
+	s.failedAt = now
+	if goesOn {
+		s.pausedUntil = now.Add(pauseTime)
+	}
+	c.states[group] = s
+	return goesOn
+}
+
 // awaitReceipt asks the replicas until one has received the log up to p.
 func (c *Confirmer) awaitReceipt(g *registrar.Group, p tokenizer.Position) bool {
 	for start := time.Now(); time.Since(start) < receiptTimeout; time.Sleep(askInterval) {
@@ -88,15 +117,3 @@
 	}
 	return err
 }
-
-func (c *Confirmer) isPaused(group string) bool {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	return time.Now().Before(c.pausedUntil[group])
-}
-
-func (c *Confirmer) pause(group string) {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	c.pausedUntil[group] = time.Now().Add(pauseTime)
-}
--- a/internal/group/replacer/endterm.go
+++ b/internal/group/replacer/endterm.go
@@ -108,8 +108,8 @@
 // checkStallCanEnd returns an error if a replacement cannot end a stall of writes. While one replica
 // does not answer or has left, and the others lack entries of the primary, only the primary itself could be chosen.
 // Its demotion and promotion would interrupt the reads as well, and the writes would still wait for a replica.
-// A replacement does help if a replica is held, because a promotion ends holds.
-func (r *Replacer) checkStallCanEnd(ctx context.Context, g *registrar.Group, primary string) error {
+// A replacement does help if a replica is held, because a promotion ends holds. The report is that of the VMs.
+func (r *Replacer) checkStallCanEnd(ctx context.Context, g *registrar.Group, primary string, report registrar.Report) error {
 	statuses, failed := r.statusOfAll(ctx, g)
 	old, hasAnswered := statuses[primary]
 	if !hasAnswered {
@@ -124,7 +124,7 @@
 			furthest = furthest.Max(s.Received)
 		}
 	}
-	if len(failed) == 0 && r.isCovered(ctx, g, furthest, registrar.Report{}) {
+	if len(failed) == 0 && r.isCovered(ctx, g, furthest, report) {
 		return nil
 	}
 	return classifier.Wrap(classifier.NoInstance, errors.Join(slices.Collect(maps.Values(failed))...), "a replacement cannot end the stall of primary %s: a replica does not answer or has left, and no other one holds all entries of the primary", primary)
--- a/internal/group/replacer/refresh.go
+++ b/internal/group/replacer/refresh.go
@@ -58,6 +58,9 @@
 			return nil, err
 		}
 		if e.isStalled() {
+			if err := r.checkStallCanEnd(ctx, g, e.old.Instance, e.sealing.report); err != nil {
+				return nil, err
+			}
 			return r.holdAllStalled(ctx, e, seal, b)
 		}
 		return r.holdAll(ctx, e, g.Views(), b)
--- a/internal/group/replacer/replacer.go
+++ b/internal/group/replacer/replacer.go
@@ -484,7 +484,7 @@
 		}
 	}
 	if a.Reason == WritesStalled {
-		return false, r.checkStallCanEnd(ctx, g, old.Instance)
+		return false, r.checkStallCanEnd(ctx, g, old.Instance, registrar.Report{IsComplete: true}) // what the VMs report is checked after the seal
 	}
 	return false, nil
 }
--- a/internal/group/replacer/seal_test.go
+++ b/internal/group/replacer/seal_test.go
@@ -64,6 +64,42 @@
 	}
 }
 
+// Guards against a stall that lasts for as long as a departure before the VM's start is assumed, since no roster could be read, or it has a
+// floor that no replica holds: the VM did not ask the other VMs what they had passed on. If that is more than the replicas hold, the reads are
+// not interrupted.
+func TestStallSoonAfterStart(t *testing.T) {
+	at := func(index uint64) tokenizer.Position { return tokenizer.Position{Term: 3, Index: index} }
+	members := []registrar.Member{{ID: "a"}, {ID: "b"}, {ID: "c"}}
+	for _, c := range []struct {
+		name   string
+		roster registrar.Roster
+		report registrar.Report
+		want   string // promoted instance; "": none
+	}{
+		{"without a roster, and the replicas hold all", registrar.Roster{}, registrar.Report{PassedOn: at(8), IsComplete: true}, "b"},
+		{"without a roster, and no replica holds all", registrar.Roster{}, registrar.Report{PassedOn: at(9), IsComplete: true}, ""},
+		{"without a roster, and not all VMs answer", registrar.Roster{}, registrar.Report{PassedOn: at(8)}, ""},
+		{"no replica holds the floor of the roster, but all that was passed on", registrar.Roster{Instances: members, Floor: at(9)}, registrar.Report{PassedOn: at(8), IsComplete: true}, "b"},
+		{"the replicas hold the floor of the roster", registrar.Roster{Instances: members, Floor: at(8)}, registrar.Report{PassedOn: at(9)}, "b"},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				f := &fakeGroup{
+					primary: "a", term: 3, received: map[string]uint64{"a": 9, "b": 8, "c": 8}, errs: map[string]error{"probe a": nil},
+					assumesDeparture: true, roster: c.roster, sealer: &fakeSealer{report: c.report},
+				}
+				got := promotedInstances(t, f, func(g *registrar.Group, _ *registrar.Registrar, _ cataloger.Registry) { stallWrites(g) })
+				switch {
+				case c.want == "" && (len(got) > 0 || f.hasCommand("hold b") || f.hasCommand("demote a")):
+					t.Errorf("%v promoted, commands %v; want none", got, f.commands)
+				case c.want != "" && (len(got) != 1 || got[0] != c.want):
+					t.Errorf("%v promoted, commands %v; want %s", got, f.commands, c.want)
+				}
+			})
+		})
+	}
+}
+
 // Guards against the promotion of an instance of a later term, which covers every position of the term that ends.
 func TestNewcomerOfLaterTerm(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
