--- a/internal/daemon/assembler/assembler.go
+++ b/internal/daemon/assembler/assembler.go
@@ -257,6 +257,7 @@
 	v.log.Info(logger.VMStopping, logger.Int("sessions", int64(v.sessionServer.SessionCount())))
 	settings := v.latestSettings.Load()
 	v.sessionServer.Stop(settings.StopNotice.Std(), settings.StopGrace.Std())
+	v.confirmer.Close()
 	v.limits.close()
 	v.replacer.Close()
 	v.enroller.Close()
--- a/internal/group/confirmer/confirmer.go
+++ b/internal/group/confirmer/confirmer.go
@@ -11,8 +11,7 @@
 	"sync"
 	"time"
 
-	"golang.org/x/sync/singleflight"
-
+	"parsleyscale/internal/clock/sleeper"
 	"parsleyscale/internal/group/registrar"
 	"parsleyscale/internal/session/tokenizer"
 	"parsleyscale/internal/statement/carrier"
@@ -38,11 +37,14 @@
 
 // Confirmer passes on acknowledgements.
 type Confirmer struct {
-	cfg      Config
-	requests singleflight.Group // by instance
+	cfg    Config
+	ctx    context.Context
+	cancel context.CancelFunc
+	wg     sync.WaitGroup
 
 	mu     sync.Mutex
 	states map[string]state // by group
+	asked  map[string]bool  // instances that have not answered yet
 }
 
 // state is what a Confirmer remembers of the acknowledgements of a group.
@@ -54,7 +56,17 @@
 
 // New returns a Confirmer with the given configuration.
 func New(cfg Config) *Confirmer {
-	return &Confirmer{cfg: cfg, states: map[string]state{}}
+	c := &Confirmer{cfg: cfg, states: map[string]state{}, asked: map[string]bool{}}
+	c.ctx, c.cancel = context.WithCancel(context.Background())
+	return c
+}
+
+// Close ends the requests to replicas and waits for them. Acknowledgements that wait, or come afterwards, are not confirmed.
+func (c *Confirmer) Close() {
+	c.mu.Lock()
+	c.cancel()
+	c.mu.Unlock()
+	c.wg.Wait()
 }
 
 // Acknowledge reports whether the acknowledgement of a commit may be passed on, and records it if so. The position is that of the primary at
@@ -96,24 +108,37 @@
 
 // awaitReceipt asks the replicas until one has received the log up to p.
 func (c *Confirmer) awaitReceipt(g *registrar.Group, p tokenizer.Position) bool {
-	for start := time.Now(); time.Since(start) < receiptTimeout; time.Sleep(askInterval) {
+	for start := time.Now(); g.NeedsReceipt(p); {
 		for _, v := range g.Replicas() {
-			c.requests.DoChan(v.ID, func() (any, error) { return nil, c.ask(g, v) })
+			c.startAsking(g, v)
 		}
-		if !g.NeedsReceipt(p) {
-			return true
+		if time.Since(start) >= receiptTimeout || !sleeper.Sleep(c.ctx, askInterval) {
+			return false
 		}
 	}
-	return !g.NeedsReceipt(p)
+	return true
+}
+
+// startAsking asks a replica what it has received, unless it is being asked.
+func (c *Confirmer) startAsking(g *registrar.Group, v registrar.View) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.asked[v.ID] || c.ctx.Err() != nil {
+		return
+	}
+	c.asked[v.ID] = true
+	c.wg.Go(func() {
+		c.ask(g, v)
+		c.mu.Lock()
+		defer c.mu.Unlock()
+		delete(c.asked, v.ID)
+	})
 }
 
-// ask asks a replica what it has received.
-func (c *Confirmer) ask(g *registrar.Group, v registrar.View) error {
-	ctx, cancel := context.WithTimeout(context.Background(), askTimeout)
+func (c *Confirmer) ask(g *registrar.Group, v registrar.View) {
+	ctx, cancel := context.WithTimeout(c.ctx, askTimeout)
 	defer cancel()
-	s, err := c.cfg.Status(ctx, registrar.NewTarget(v.Instance))
-	if err == nil && !s.IsPrimary {
+	if s, err := c.cfg.Status(ctx, registrar.NewTarget(v.Instance)); err == nil && !s.IsPrimary {
 		g.RecordReceipt(v.ID, s.Received)
 	}
-	return err
 }
--- a/internal/group/confirmer/confirmer_test.go
+++ b/internal/group/confirmer/confirmer_test.go
@@ -64,6 +64,7 @@
 			synctest.Test(t, func(t *testing.T) {
 				g, start := newGroup(), time.Now()
 				confirmer := New(receivesAt(t, c.receivedAt))
+				defer confirmer.Close()
 				if c.others > 0 {
 					time.AfterFunc(c.others, func() { confirmer.Acknowledge(g, at(5)) })
 				}
@@ -89,6 +90,7 @@
 	synctest.Test(t, func(t *testing.T) {
 		g, start := newGroup(), time.Now()
 		confirmer := New(receivesAt(t, time.Hour))
+		defer confirmer.Close()
 		var passedOn []bool
 		for range 100 {
 			passedOn = append(passedOn, confirmer.Acknowledge(g, at(9)))
@@ -108,3 +110,18 @@
 		}
 	})
 }
+
+// Guards against an acknowledgement or a request that outlives the VM.
+func TestClose(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g, start := newGroup(), time.Now()
+		confirmer := New(Config{Status: func(ctx context.Context, _ carrier.Target) (carrier.InstanceStatus, error) {
+			<-ctx.Done()
+			return carrier.InstanceStatus{}, ctx.Err()
+		}})
+		time.AfterFunc(time.Millisecond, confirmer.Close)
+		if confirmer.Acknowledge(g, at(8)) || time.Since(start) != time.Millisecond {
+			t.Errorf("passed on, or not refused at the end but %v later", time.Since(start)-time.Millisecond)
+		}
+	})
+}
--- a/internal/group/explorer/node_test.go
+++ b/internal/group/explorer/node_test.go
@@ -9,6 +9,7 @@
 
 	"parsleyscale/internal/failure/classifier"
 	"parsleyscale/internal/group/claimer"
+	"parsleyscale/internal/group/confirmer"
 	"parsleyscale/internal/group/enroller"
 	"parsleyscale/internal/group/registrar"
 	"parsleyscale/internal/group/replacer"
@@ -35,15 +36,16 @@
 
 // node is a VM: the product's replacer, registrar and claimer, and writers that stand for its callers.
 type node struct {
-	id       string
-	rank     int
-	w        *world
-	ctx      context.Context
-	cancel   context.CancelFunc
-	groups   *registrar.Registrar
-	replacer *replacer.Replacer
-	enroller *enroller.Enroller
-	claims   *claimer.Claimer
+	id        string
+	rank      int
+	w         *world
+	ctx       context.Context
+	cancel    context.CancelFunc
+	groups    *registrar.Registrar
+	replacer  *replacer.Replacer
+	enroller  *enroller.Enroller
+	claims    *claimer.Claimer
+	confirmer *confirmer.Confirmer
 
 	mu         sync.Mutex
 	feed       []feedItem
@@ -68,6 +70,7 @@
 	n.groups = registrar.New(func() time.Duration { return time.Since(w.start) + time.Hour })
 	n.groups.AssumeDepartures()
 	n.claims = claimer.New(table{n}, id, 0)
+	n.confirmer = confirmer.New(confirmer.Config{Status: controller{n}.Status})
 	w.mu.Lock()
 	n.era = w.era
 	n.apply(w.reached(), w.entries())
@@ -118,6 +121,7 @@
 	n.cancel()
 	n.replacer.Close()
 	n.enroller.Close()
+	n.confirmer.Close()
 }
 
 // deliver queues a state of the registry. The caller holds the world's mutex.
@@ -405,7 +409,7 @@
 	case err == nil:
 		g.RecordAnswer(id, r.pos, 0)
 		g.RecordProof(registrar.Proof{Instance: id, SentAt: sentAt, Position: r.pos})
-		if g.Acknowledge(r.pos) {
+		if n.confirmer.Acknowledge(g, r.pos) {
 			n.w.acknowledge(e, id, r)
 		}
 		g.RecordAnsweredWrite()
