--- a/internal/group/explorer/explorer_test.go
+++ b/internal/group/explorer/explorer_test.go
@@ -44,6 +44,11 @@
 	explore(t, withReader)
 }
 
+// Guards against the same after an outage of the store during which the entries of the instances lapse.
+func TestRandomHistoriesWithLapses(t *testing.T) {
+	explore(t, withLapses)
+}
+
 // explore plays the histories of the seeds, each as change returns it.
 func explore(t *testing.T, change func(history) history) {
 	t.Helper()
--- a/internal/group/explorer/history_test.go
+++ b/internal/group/explorer/history_test.go
@@ -30,6 +30,7 @@
 	outage       kind = "outage"       // service a is cut from all VMs but b
 	silence      kind = "silence"      // instance a is cut off from the store
 	splitPrimary kind = "splitPrimary" // instance a is cut from the other instances but b
+	lapse        kind = "lapse"        // the store is down, and the entries of the instances are gone until each writes its own again
 )
 
 // event is a fault or an operation. Instances are named by their role at the time of the event: P for the primary,
@@ -279,6 +280,41 @@
 	return h
 }
 
+// withLapses returns the same history, some seconds later, after an outage of the store during which the entries of all instances lapse.
+// Around its end, VMs start anew, the replicas may receive nothing for a time, and a newcomer may join and leave.
+func withLapses(h history) history {
+	r := rand.New(rand.NewPCG(h.seed, 17))
+	d := drawer{Rand: r, vms: h.vms}
+	const later = 7 * time.Second
+	down := event{at: between(r, 300*time.Millisecond, 2*time.Second), kind: lapse, lasts: between(r, 300*time.Millisecond, 4*time.Second)}
+	upAt := down.at + down.lasts
+	events := []event{down}
+	if r.IntN(2) == 0 {
+		h.opts.reader = d.vm()
+	}
+	for range r.IntN(3) {
+		events = append(events, event{at: between(r, down.at, upAt+2*time.Second), kind: restartVM, a: d.vm(), lasts: between(r, 10*time.Millisecond, 500*time.Millisecond)})
+	}
+	for _, id := range []string{"R1", "R2"} {
+		if r.IntN(2) == 0 {
+			events = append(events, event{at: between(r, upAt, upAt+2*time.Second), kind: deaf, a: id, lasts: between(r, time.Second, later)})
+		}
+	}
+	if r.IntN(2) == 0 {
+		joinsAt := between(r, 100*time.Millisecond, upAt)
+		events = append(events,
+			event{at: joinsAt, kind: join, lasts: between(r, 20*time.Millisecond, 400*time.Millisecond), extra: between(r, 10*time.Millisecond, 500*time.Millisecond)},
+			event{at: between(r, joinsAt+time.Second, joinsAt+5*time.Second), kind: leave, a: "N", lasts: between(r, 500*time.Millisecond, 5*time.Second)})
+	}
+	for _, e := range h.events {
+		e.at += later - 3*time.Second
+		events = append(events, e)
+	}
+	slices.SortStableFunc(events, func(a, b event) int { return cmp.Compare(a.at, b.at) })
+	h.events, h.length = events, h.length+later
+	return h
+}
+
 // outcome is the result of a history.
 type outcome struct {
 	timeline   string
--- a/internal/group/explorer/model_test.go
+++ b/internal/group/explorer/model_test.go
@@ -366,6 +366,20 @@
 	}
 }
 
+// lapse removes the registry entries of all instances, which write them again one after the other. The caller holds w.mu.
+func (w *world) lapse() {
+	w.logLocked("store: is back without entries")
+	for _, i := range w.sortedInstances() {
+		if i.startedAt < 0 {
+			continue // it registers later, for the first time
+		}
+		i.writesAt = w.now() + w.drawLocked("rewrite "+i.id, 20*time.Millisecond, rewriteTime)
+		if i.entry != nil {
+			w.setEntry(i, nil)
+		}
+	}
+}
+
 func (i *instance) newEntry() cataloger.Instance {
 	return cataloger.Instance{ID: i.id, Group: groupName, Address: i.id, IsPrimary: i.isPrimary, IsLeaving: i.isLeaving, StartedAtMs: i.startedAt.Milliseconds()}
 }
--- a/internal/group/explorer/player_test.go
+++ b/internal/group/explorer/player_test.go
@@ -94,6 +94,15 @@
 		w.mu.Lock()
 		w.away--
 		w.mu.Unlock()
+	case lapse:
+		w.mu.Lock()
+		w.away++
+		w.mu.Unlock()
+		w.sleep(e.lasts)
+		w.mu.Lock()
+		w.lapse()
+		w.away--
+		w.mu.Unlock()
 	case silence:
 		p.during(e, w.cuts, pair(a, storeService))
 	case isolate, outage:
