Hold replicas without a registry entry at their last address

Callers: acknowledged commits could be lost if a replica that had lost its registry entry went on receiving, and a VM that did not get the seal passed them on.

Cause: such a replica was not held; what it had received was guessed from what VMs had passed on.

Change: it is held beside the others. If it answers and has kept its log, its newest entry takes the place of its floor. Reports of VMs name the replica of a floor.

--- a/internal/daemon/assembler/log.go
+++ b/internal/daemon/assembler/log.go
@@ -217,8 +217,8 @@
 	if !r.PassedOn.IsZero() {
 		fields = append(fields, logger.String("passedOn", r.PassedOn.String()), logger.String("areAllTold", strconv.FormatBool(r.IsComplete)))
 	}
-	if !r.DepartureFloor.IsZero() {
-		fields = append(fields, logger.String("departureFloor", r.DepartureFloor.String()))
+	if floor := r.WithoutHolds().DepartureFloor; !floor.IsZero() {
+		fields = append(fields, logger.String("departureFloor", floor.String()), logger.Int("silentReplicas", int64(len(r.SilentFloors))))
 	}
 	if len(r.Missing) > 0 {
 		fields = append(fields, logger.String("missing", strings.Join(r.Missing, " ")))
--- a/internal/group/confirmer/confirmer_test.go
+++ b/internal/group/confirmer/confirmer_test.go
@@ -76,7 +76,7 @@
 				}
 				below := c.wantFloor
 				below.Index--
-				if g.IsCoveredDespiteDepartures(below, true) || !g.IsCoveredDespiteDepartures(c.wantFloor, true) {
+				if g.IsCoveredDespiteDepartures(below, true, nil) || !g.IsCoveredDespiteDepartures(c.wantFloor, true, nil) {
 					t.Errorf("want covered by a replica that holds %s, and by no other", c.wantFloor)
 				}
 				time.Sleep(time.Second)
--- a/internal/group/registrar/departure.go
+++ b/internal/group/registrar/departure.go
@@ -26,6 +26,13 @@
 	// floor covers every commit acknowledged before at; zero while it is not known. Until the silence ends, it rises with each commit that this
 	// VM passes on. What other VMs passed on until then is covered once a primary has proved its position after that time.
 	floor tokenizer.Position
+	// provedFloor is the floor before it rose.
+	provedFloor tokenizer.Position
+}
+
+// isLogKept reports whether a replica that holds the log up to p has not lost its log meanwhile.
+func (s silence) isLogKept(p tokenizer.Position) bool {
+	return !s.provedFloor.IsZero() && p.Covers(s.provedFloor.Max(s.instance.received).Max(s.instance.Position))
 }
 
 // mayReceive reports whether the replica may go on receiving entries.
@@ -133,7 +140,7 @@
 			continue
 		}
 		if s.floor.IsZero() {
-			s.floor = p.Position
+			s.floor, s.provedFloor = p.Position, p.Position
 		}
 		d.silent[m] = s
 		if !s.until.IsZero() && !sentAt.Before(s.until) {
@@ -154,10 +161,14 @@
 }
 
 // highestFloor returns the position that a new primary must hold, or the zero position if none is known. It reports whether all floors are
-// known.
-func (d *departure) highestFloor() (p tokenizer.Position, areKnown bool) {
+// known. That of a silent replica which is held is its newest entry.
+func (d *departure) highestFloor(held map[Member]tokenizer.Position) (p tokenizer.Position, areKnown bool) {
 	p, areKnown = d.floor, !d.isSet || !d.floor.IsZero()
-	for _, s := range d.silent {
+	for m, s := range d.silent {
+		if received, ok := held[m]; ok {
+			p = p.Max(received)
+			continue
+		}
 		p, areKnown = p.Max(s.floor), areKnown && !s.floor.IsZero()
 	}
 	return p, areKnown
@@ -184,12 +195,40 @@
 	}
 }
 
+// SilentReplicas returns the replicas that have gone missing and may go on receiving entries, as they were known last.
+func (g *Group) SilentReplicas() []View {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	var list []View
+	for _, s := range g.departure.silent {
+		if s.mayReceive() {
+			list = append(list, s.instance.View)
+		}
+	}
+	return list
+}
+
+// KeptLogs returns those of the silent replicas that have not lost their logs, of some that are held and thus receive no more, with their newest
+// entries.
+func (g *Group) KeptLogs(held map[Member]tokenizer.Position) map[Member]tokenizer.Position {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	kept := map[Member]tokenizer.Position{}
+	for m, p := range held {
+		if s, ok := g.departure.silent[m]; ok && s.isLogKept(p) {
+			kept[m] = p
+		}
+	}
+	return kept
+}
+
 // IsCoveredDespiteDepartures reports whether a replica that has received the log up to p holds every commit for which the
 // primary may have counted a replica that has left since. areAllTold states that RecordReport was called with a complete report.
-func (g *Group) IsCoveredDespiteDepartures(p tokenizer.Position, areAllTold bool) bool {
+// Held is as returned by KeptLogs.
+func (g *Group) IsCoveredDespiteDepartures(p tokenizer.Position, areAllTold bool, held map[Member]tokenizer.Position) bool {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	floor, areKnown := g.departure.highestFloor()
+	floor, areKnown := g.departure.highestFloor(held)
 	return areKnown && p.Covers(floor) && g.assumption.isMet(p, areAllTold)
 }
 
@@ -198,7 +237,7 @@
 func (g *Group) Departure() (floor tokenizer.Position, silent int, ok bool) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	floor, areKnown := g.departure.highestFloor()
+	floor, areKnown := g.departure.highestFloor(nil)
 	if !areKnown {
 		floor = tokenizer.Position{}
 	}
--- a/internal/group/registrar/departure_test.go
+++ b/internal/group/registrar/departure_test.go
@@ -37,10 +37,10 @@
 				prove(g, "a", 1, 5)
 				time.Sleep(c.after)
 				g.Acknowledge(tokenizer.Position{Term: 1, Index: 6})
-				if got := g.IsCoveredDespiteDepartures(tokenizer.Position{Term: 1, Index: 5}, true); got != c.wantCovered {
+				if got := g.IsCoveredDespiteDepartures(tokenizer.Position{Term: 1, Index: 5}, true, nil); got != c.wantCovered {
 					t.Errorf("covered by a replica that lacks the commit: %t, want %t", got, c.wantCovered)
 				}
-				if !g.IsCoveredDespiteDepartures(tokenizer.Position{Term: 1, Index: 6}, true) {
+				if !g.IsCoveredDespiteDepartures(tokenizer.Position{Term: 1, Index: 6}, true, nil) {
 					t.Error("not covered by a replica that holds the commit")
 				}
 			})
@@ -57,10 +57,10 @@
 		g.RemoveMissing()
 		prove(g, "a", 1, 5)
 		g.RecordReport(Report{PassedOn: tokenizer.Position{Term: 1, Index: 6}})
-		if g.IsCoveredDespiteDepartures(tokenizer.Position{Term: 1, Index: 5}, false) {
+		if g.IsCoveredDespiteDepartures(tokenizer.Position{Term: 1, Index: 5}, false, nil) {
 			t.Error("covered by a replica that lacks a commit")
 		}
-		if !g.IsCoveredDespiteDepartures(tokenizer.Position{Term: 1, Index: 6}, false) {
+		if !g.IsCoveredDespiteDepartures(tokenizer.Position{Term: 1, Index: 6}, false, nil) {
 			t.Error("not covered by a replica that holds all commits")
 		}
 	})
@@ -91,10 +91,10 @@
 				prove(g, "a", 1, 6)
 			}
 			g.RecordReport(Report{PassedOn: at(7)})
-			if got := g.IsCoveredDespiteDepartures(at(6), false); got != isProved {
+			if got := g.IsCoveredDespiteDepartures(at(6), false, nil); got != isProved {
 				t.Errorf("the primary has proved its position since the stop: %t; covered by a replica that holds that, but not what was passed on: %t", isProved, got)
 			}
-			if g.IsCoveredDespiteDepartures(at(5), false) {
+			if g.IsCoveredDespiteDepartures(at(5), false, nil) {
 				t.Error("covered by a replica that lacks a commit")
 			}
 			if got := g.NeedsDepartureSample(); got == isProved {
@@ -116,7 +116,7 @@
 		g.Acknowledge(tokenizer.Position{Term: 1, Index: 9})
 		promoted := tokenizer.Position{Term: 1, Index: 8}
 		g.RecordStatus("c", carrier.InstanceStatus{IsPrimary: true, Term: 2, Received: promoted})
-		if !g.IsCoveredDespiteDepartures(promoted, false) {
+		if !g.IsCoveredDespiteDepartures(promoted, false, nil) {
 			t.Error("not covered by the position of the new primary")
 		}
 		if got := g.Report().PassedOn; got != promoted {
@@ -165,7 +165,7 @@
 				}
 				g.Acknowledge(at(9))
 				g.RecordReport(Report{PassedOn: at(9)})
-				if g.IsCoveredDespiteDepartures(at(8), true) {
+				if g.IsCoveredDespiteDepartures(at(8), true, nil) {
 					t.Error("covered by a replica that lacks a commit, while another one is missing")
 				}
 				if c.hasRestarted {
@@ -175,10 +175,10 @@
 				}
 				r.Update(reg)
 				g.RecordReceived("b", c.received, 1)
-				if got := g.Report().DepartureFloor; got != c.wantFloor {
+				if got := g.Report().WithoutHolds().DepartureFloor; got != c.wantFloor {
 					t.Errorf("a new primary must hold %s, want %s", got, c.wantFloor)
 				}
-				if got := g.IsCoveredDespiteDepartures(at(8), true); got != c.wantCovered {
+				if got := g.IsCoveredDespiteDepartures(at(8), true, nil); got != c.wantCovered {
 					t.Errorf("covered by a replica that lacks what no replica has received: %t, want %t", got, c.wantCovered)
 				}
 			})
@@ -216,7 +216,7 @@
 				}
 				g.RecordReceived("b", c.received, 3)
 				prove(g, "a", 3, 8)
-				if g.NeedsDepartureSample() || !g.IsCoveredDespiteDepartures(at(3, 8), true) {
+				if g.NeedsDepartureSample() || !g.IsCoveredDespiteDepartures(at(3, 8), true, nil) {
 					t.Error("counts as departed after the primary has proved its position, and another replica holds that")
 				}
 			})
--- a/internal/group/registrar/group.go
+++ b/internal/group/registrar/group.go
@@ -360,7 +360,7 @@
 		*floor = lower(*floor)
 	}
 	for m, s := range g.departure.silent {
-		s.floor = lower(s.floor)
+		s.floor, s.provedFloor = lower(s.floor), lower(s.provedFloor)
 		g.departure.silent[m] = s
 	}
 }
--- a/internal/group/registrar/receipt_test.go
+++ b/internal/group/registrar/receipt_test.go
@@ -43,7 +43,7 @@
 					t.Errorf("counts as received: %t, want %t", got, c.want)
 				}
 				g.Acknowledge(at(2, 6))
-				if got := g.IsCoveredDespiteDepartures(at(2, 5), true); got != c.want {
+				if got := g.IsCoveredDespiteDepartures(at(2, 5), true, nil); got != c.want {
 					t.Errorf("covered by a replica that may lack the commit: %t, want %t", got, c.want)
 				}
 				if got := g.Report().PassedOn == at(2, 5); got != c.want {
--- a/internal/group/registrar/report.go
+++ b/internal/group/registrar/report.go
@@ -15,6 +15,8 @@
 	IsComplete bool
 	// DepartureFloor is a position that the new primary must hold, since a replica has left; zero: none is known.
 	DepartureFloor tokenizer.Position
+	// SilentFloors are positions that the new primary must hold as well, each unless a replica that has gone missing is held.
+	SilentFloors map[Member]tokenizer.Position
 	// Missing are replicas without a registry entry that have not left as far as a VM knows, sorted.
 	Missing []string
 }
@@ -23,10 +25,40 @@
 func (r Report) With(other Report) Report {
 	missing := slices.Concat(r.Missing, other.Missing)
 	slices.Sort(missing)
+	floors := maps.Clone(r.SilentFloors)
+	for m, p := range other.SilentFloors {
+		if floors == nil {
+			floors = map[Member]tokenizer.Position{}
+		}
+		floors[m] = floors[m].Max(p)
+	}
 	return Report{
 		PassedOn: r.PassedOn.Max(other.PassedOn), IsComplete: r.IsComplete && other.IsComplete,
-		DepartureFloor: r.DepartureFloor.Max(other.DepartureFloor), Missing: slices.Compact(missing),
+		DepartureFloor: r.DepartureFloor.Max(other.DepartureFloor), SilentFloors: floors, Missing: slices.Compact(missing),
+	}
+}
+
+// WithoutHolds returns the report with all silent floors in the departure floor.
+func (r Report) WithoutHolds() Report {
+	for _, p := range r.SilentFloors {
+		r.DepartureFloor = r.DepartureFloor.Max(p)
+	}
+	r.SilentFloors = nil
+	return r
+}
+
+// IsMet reports whether an instance that has received the log up to p holds the floors of the report. Held are the newest entries of silent
+// replicas that are held.
+func (r Report) IsMet(p tokenizer.Position, held map[Member]tokenizer.Position) bool {
+	for m, floor := range r.SilentFloors {
+		if received, ok := held[m]; ok {
+			floor = received
+		}
+		if !p.Covers(floor) {
+			return false
+		}
 	}
+	return p.Covers(r.DepartureFloor)
 }
 
 // Report returns what this VM knows. The commits that it passed on before its start are covered by the first position that a primary has
@@ -35,7 +67,12 @@
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	r := Report{PassedOn: g.firstProof.Max(g.passedOn), IsComplete: !g.firstProof.IsZero()}
-	r.DepartureFloor, _ = g.departure.highestFloor()
+	r.DepartureFloor = g.departure.floor
+	for m, s := range g.departure.silent {
+		if !s.floor.IsZero() {
+			r = r.With(Report{IsComplete: r.IsComplete, SilentFloors: map[Member]tokenizer.Position{m: s.floor}})
+		}
+	}
 	for _, id := range slices.Sorted(maps.Keys(g.instances)) {
 		if !g.instances[id].missingAt.IsZero() && id != g.latestPrimary {
 			r.Missing = append(r.Missing, id)
--- a/internal/group/registrar/roster.go
+++ b/internal/group/registrar/roster.go
@@ -117,7 +117,7 @@
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	v := RosterView{FirstProof: g.firstProof, Newest: g.Samples.Newest(), Now: g.clock()}
-	v.DepartureFloor, _ = g.departure.highestFloor()
+	v.DepartureFloor, _ = g.departure.highestFloor(nil)
 	for id, s := range g.instances {
 		v.Instances = append(v.Instances, Member{ID: id, StartedAtMs: s.StartedAtMs})
 	}
--- a/internal/group/registrar/roster_test.go
+++ b/internal/group/registrar/roster_test.go
@@ -48,10 +48,10 @@
 			if err := g.ApplyRoster(c.roster); (err != nil) != c.wantErr {
 				t.Errorf("error %v, want one: %t", err, c.wantErr)
 			}
-			if got := g.IsCoveredDespiteDepartures(tokenizer.Position{Term: 1, Index: 6}, true); got {
+			if got := g.IsCoveredDespiteDepartures(tokenizer.Position{Term: 1, Index: 6}, true, nil); got {
 				t.Error("covered by a replica that lacks the floor")
 			}
-			if got := g.IsCoveredDespiteDepartures(tokenizer.Position{Term: 1, Index: 7}, true); got == c.wantErr {
+			if got := g.IsCoveredDespiteDepartures(tokenizer.Position{Term: 1, Index: 7}, true, nil); got == c.wantErr {
 				t.Errorf("covered by a replica that holds the floor: %t, want %t", got, !c.wantErr)
 			}
 		})
@@ -87,7 +87,7 @@
 					prove(g, "a", 2, 6)
 				}
 				g.RecordReport(c.report)
-				if got := g.IsCoveredDespiteDepartures(c.p, c.report.IsComplete); got != c.wantCovered {
+				if got := g.IsCoveredDespiteDepartures(c.p, c.report.IsComplete, nil); got != c.wantCovered {
 					t.Errorf("covered by a replica at %s: %t, want %t", c.p, got, c.wantCovered)
 				}
 			})
@@ -102,7 +102,7 @@
 		prove(g, "a", 2, 5)
 		time.Sleep(2 * maxStopTime)
 		g.RecordReport(Report{PassedOn: tokenizer.Position{Term: 2, Index: 6}, IsComplete: true})
-		if g.IsCoveredDespiteDepartures(tokenizer.Position{Term: 2, Index: 5}, true) {
+		if g.IsCoveredDespiteDepartures(tokenizer.Position{Term: 2, Index: 5}, true, nil) {
 			t.Error("covered by a replica that lacks a commit")
 		}
 	})
@@ -142,16 +142,16 @@
 		t.Run(c.name, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
 				_, g := newStartedGroup()
-				if g.IsCoveredDespiteDepartures(tokenizer.Position{Term: 2, Index: 9}, true) {
+				if g.IsCoveredDespiteDepartures(tokenizer.Position{Term: 2, Index: 9}, true, nil) {
 					t.Error("covered before a primary has proved its position")
 				}
 				prove(g, "a", 2, 5)
 				time.Sleep(c.after)
 				g.Acknowledge(tokenizer.Position{Term: 2, Index: 6})
-				if got := g.IsCoveredDespiteDepartures(tokenizer.Position{Term: 2, Index: 5}, true); got != c.wantCovered {
+				if got := g.IsCoveredDespiteDepartures(tokenizer.Position{Term: 2, Index: 5}, true, nil); got != c.wantCovered {
 					t.Errorf("covered by a replica that lacks the commit: %t, want %t", got, c.wantCovered)
 				}
-				if !g.IsCoveredDespiteDepartures(tokenizer.Position{Term: 2, Index: 6}, true) {
+				if !g.IsCoveredDespiteDepartures(tokenizer.Position{Term: 2, Index: 6}, true, nil) {
 					t.Error("not covered by a replica that holds the commit")
 				}
 			})
@@ -167,25 +167,25 @@
 		at := func(index uint64) tokenizer.Position { return tokenizer.Position{Term: 1, Index: index} }
 		prove(g, "a", 1, 5)
 		time.Sleep(time.Hour)
-		if !g.IsCoveredDespiteDepartures(at(4), false) {
+		if !g.IsCoveredDespiteDepartures(at(4), false, nil) {
 			t.Fatal("not covered although no replica has left")
 		}
 		r.RecordGap()
-		if g.IsCoveredDespiteDepartures(at(9), true) {
+		if g.IsCoveredDespiteDepartures(at(9), true, nil) {
 			t.Error("covered although no primary has proved its position since the gap")
 		}
 		time.Sleep(time.Second)
 		prove(g, "a", 1, 6)
-		if g.IsCoveredDespiteDepartures(at(6), false) {
+		if g.IsCoveredDespiteDepartures(at(6), false, nil) {
 			t.Error("covered although not all VMs have told what they passed on")
 		}
-		if g.IsCoveredDespiteDepartures(at(5), true) || !g.IsCoveredDespiteDepartures(at(6), true) {
+		if g.IsCoveredDespiteDepartures(at(5), true, nil) || !g.IsCoveredDespiteDepartures(at(6), true, nil) {
 			t.Error("want covered by a replica that holds the position proved since the gap, and by no other")
 		}
 		if err := g.ApplyRoster(Roster{Instances: []Member{{ID: "b"}}, Floor: at(2)}); err != nil {
 			t.Fatal(err)
 		}
-		if !g.IsCoveredDespiteDepartures(at(2), false) {
+		if !g.IsCoveredDespiteDepartures(at(2), false, nil) {
 			t.Error("not covered although the roster shows that no replica has left")
 		}
 	})
--- a/internal/group/replacer/endterm.go
+++ b/internal/group/replacer/endterm.go
@@ -124,7 +124,7 @@
 			furthest = furthest.Max(s.Received)
 		}
 	}
-	if len(failed) == 0 && r.isCovered(ctx, g, furthest, report) {
+	if len(failed) == 0 && r.isCovered(ctx, g, furthest, report, nil) {
 		return nil
 	}
 	return classifier.Wrap(classifier.NoInstance, errors.Join(slices.Collect(maps.Values(failed))...), "a replacement cannot end the stall of primary %s: a replica does not answer or has left, and no other one holds all entries of the primary", primary)
@@ -277,7 +277,8 @@
 // it already, only the instances that hold all of its entries are candidates. Otherwise, it waits
 // for the old primary's answer if that of a replica is missing or if its writes have stalled. With a
 // replica missing, or after one has left with entries that the others may lack, only the instances that
-// hold all entries of the old primary are candidates.
+// hold all entries of the old primary are candidates. Replicas without a registry entry are held, too, if they answer, so that what they have
+// received is known, but they are no candidates.
 func (r *Replacer) holdAll(ctx context.Context, e ending, views []registrar.View, b *Basis) ([]candidate, error) {
 	g, old, nextTerm := e.group, e.old, e.old.Term+1
 	b.Known, b.Unanswered, b.Demoted = len(views), 0, tokenizer.Position{}
@@ -297,6 +298,11 @@
 		replicas++
 		r.wg.Go(func() { replicaAnswers <- r.holdOrDemote(ctx, g, v, false, nextTerm) })
 	}
+	silentReplicas := g.SilentReplicas()
+	silentAnswers := make(chan haltAnswer, len(silentReplicas))
+	for _, v := range silentReplicas {
+		r.wg.Go(func() { silentAnswers <- r.holdOrDemote(ctx, g, v, false, nextTerm) })
+	}
 	// A primary that has been demoted, and is not known as the primary any more, is held like a replica.
 	former, knownPosition := g.FormerPrimary(old.Term)
 	var formerPosition tokenizer.Position
@@ -327,10 +333,11 @@
 		return covering(candidates, formerPosition), nil
 	}
 	report := e.sealing.await()
-	if id, ok := unknownReplica(report, views, old.Instance); replicaErr == nil && ok {
+	if id, ok := unknownReplica(report, slices.Concat(views, silentReplicas), old.Instance); replicaErr == nil && ok {
 		replicaErr = classifier.New(classifier.NoInstance, "replica %s of group %s is known to another VM only, and may hold entries that the others lack", id, g.Name())
 	}
-	if replicaErr == nil && !r.isCovered(ctx, g, furthestReceived(candidates), report) {
+	e.sealing.recordHeld(g.KeptLogs(awaitHeld(silentAnswers, silentReplicas)))
+	if replicaErr == nil && !r.isCovered(ctx, g, furthestReceived(candidates), report, e.sealing.heldReplicas()) {
 		replicaErr = classifier.New(classifier.NoInstance, "a replica of group %s has left, or may have left without this VM seeing it, and the others may lack entries that it had received", g.Name())
 	}
 	awaitsOldPrimary := e.isStalled() || former != old.Instance // it may turn out to be a replica
@@ -370,20 +377,42 @@
 }
 
 // isCovered reports whether a replica that has received the log up to p holds every commit for which the primary may have counted a
-// replica that has left, as far as this VM knows and the other VMs report. If that fails because of the assumption that one left without this VM
+// replica that has left, as far as this VM knows and the other VMs report. Held are silent replicas that are held. If that fails because of the assumption that one left without this VM
 // seeing it, it reads the roster.
-func (r *Replacer) isCovered(ctx context.Context, g *registrar.Group, p tokenizer.Position, report registrar.Report) bool {
+func (r *Replacer) isCovered(ctx context.Context, g *registrar.Group, p tokenizer.Position, report registrar.Report, held map[registrar.Member]tokenizer.Position) bool {
 	g.RecordReport(report)
-	if !p.Covers(report.DepartureFloor) {
+	if !report.IsMet(p, held) {
 		return false
 	}
-	if g.IsCoveredDespiteDepartures(p, report.IsComplete) {
+	if g.IsCoveredDespiteDepartures(p, report.IsComplete, held) {
 		return true
 	}
 	if r.cfg.Roster == nil || !g.AssumesDeparture() {
 		return false
 	}
-	return r.applyRoster(ctx, g) == nil && g.IsCoveredDespiteDepartures(p, report.IsComplete)
+	return r.applyRoster(ctx, g) == nil && g.IsCoveredDespiteDepartures(p, report.IsComplete, held)
+}
+
+// silentGrace is how long an attempt waits for the answers of replicas without a registry entry after those of the others.
+const silentGrace = 50 * time.Millisecond
+
+// awaitHeld returns the newest entries of those of the silent replicas that are held.
+func awaitHeld(answers <-chan haltAnswer, replicas []registrar.View) map[registrar.Member]tokenizer.Position {
+	held := map[registrar.Member]tokenizer.Position{}
+	timeout := time.NewTimer(silentGrace)
+	defer timeout.Stop()
+	for range replicas {
+		select {
+		case a := <-answers:
+			k := slices.IndexFunc(replicas, func(v registrar.View) bool { return v.ID == a.id })
+			if a.err == nil && k >= 0 && !a.status.IsPrimary {
+				held[registrar.Member{ID: a.id, StartedAtMs: replicas[k].StartedAtMs}] = a.received
+			}
+		case <-timeout.C:
+			return held
+		}
+	}
+	return held
 }
 
 // furthestReceived returns the newest position among candidates, or the zero position if there are none.
--- a/internal/group/replacer/refresh.go
+++ b/internal/group/replacer/refresh.go
@@ -5,13 +5,15 @@
 	"slices"
 
 	"parsleyscale/internal/group/registrar"
+	"parsleyscale/internal/session/tokenizer"
 )
 
 // sealing is the seal of a term and the refresh of the instances that follows it, both of which run beside other steps.
 type sealing struct {
 	sealed    chan struct{} // closed once the VMs that answer have sealed the term
 	report    registrar.Report
-	refreshed chan error // gets the result of both
+	refreshed chan error                              // gets the result of both
+	held      map[registrar.Member]tokenizer.Position // newest entries of the silent replicas that are held
 }
 
 // startSealAndRefresh seals a term and then brings the instances of all groups up to date, beside the first steps of the end of
@@ -40,6 +42,21 @@
 	return s.report
 }
 
+// recordHeld records the silent replicas that are held. The zero value does not.
+func (s *sealing) recordHeld(held map[registrar.Member]tokenizer.Position) {
+	if s != nil {
+		s.held = held
+	}
+}
+
+// heldReplicas returns what recordHeld has recorded last.
+func (s *sealing) heldReplicas() map[registrar.Member]tokenizer.Position {
+	if s == nil {
+		return nil
+	}
+	return s.held
+}
+
 func (r *Replacer) refreshInstances(ctx context.Context) error {
 	if r.cfg.RefreshInstances == nil {
 		return nil
@@ -74,7 +91,7 @@
 		return nil, err
 	}
 	// The refresh may have shown a gap in what this VM has seen of the registry.
-	isStillCovered := b.EndedBy != EndedByHold || r.isCovered(ctx, g, furthestReceived(candidates), e.sealing.report)
+	isStillCovered := b.EndedBy != EndedByHold || r.isCovered(ctx, g, furthestReceived(candidates), e.sealing.report, e.sealing.held)
 	if isStillCovered && isSameInstances(known, g.Views()) {
 		return candidates, nil
 	}
--- a/internal/group/replacer/replacer_test.go
+++ b/internal/group/replacer/replacer_test.go
@@ -650,6 +650,42 @@
 	}
 }
 
+// Guards against the loss of commits that a VM which does not answer passes on with the help of a replica without a registry entry, and against a
+// group that waits for its failed primary because of what such a replica might have received.
+func TestReplicaWithoutEntryIsHeld(t *testing.T) {
+	for _, c := range []struct {
+		name     string
+		received uint64 // by the replica without an entry
+		err      error  // of its hold
+		want     string // promoted instance; "": none
+	}{
+		{"it has what the other replica has, and less than what the primary had", 8, nil, "b"},
+		{"it has more than the other replica", 9, nil, ""},
+		{"it has lost its log", 2, nil, ""},
+		{"it does not answer", 8, errNoAnswer, ""},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				f := &fakeGroup{primary: "a", term: 3, received: map[string]uint64{"a": 9, "b": 8, "c": c.received}, errs: map[string]error{"demote a": errNoAnswer, "hold c": c.err}}
+				got := promotedInstances(t, f, func(g *registrar.Group, r *registrar.Registrar, reg cataloger.Registry) {
+					r.Update(reg.With(map[string]*cataloger.Instance{"c": nil}))
+					time.Sleep(3 * time.Second)
+					g.RemoveMissing()
+					g.RecordProof(registrar.Proof{Instance: "a", SentAt: g.Now(), Position: tokenizer.Position{Term: 3, Index: 7}})
+					g.Acknowledge(tokenizer.Position{Term: 3, Index: 9})
+					failPrimary(g)
+				})
+				if c.want == "" && len(got) > 0 || c.want != "" && (len(got) != 1 || got[0] != c.want) {
+					t.Errorf("%v promoted, want %q; commands %v", got, c.want, f.commands)
+				}
+				if !f.hasCommand("hold c") {
+					t.Errorf("the replica without an entry was not held; commands %v", f.commands)
+				}
+			})
+		})
+	}
+}
+
 // Guards against the loss of commits by a VM that starts after the replica which helped to acknowledge them has left: it took
 // the replicas that were left for all.
 func TestMissedDeparture(t *testing.T) {
--- a/internal/group/sealer/sealer.go
+++ b/internal/group/sealer/sealer.go
@@ -11,11 +11,13 @@
 import (
 	"cmp"
 	"context"
+	"fmt"
 	"io"
 	"net/http"
 	"net/url"
 	"slices"
 	"strconv"
+	"strings"
 	"time"
 
 	"parsleyscale/internal/failure/classifier"
@@ -124,9 +126,10 @@
 	passedOnHeader       = "Passed-On" // missing if the VM knows no position that covers all commits which it has passed on
 	departureFloorHeader = "Departure-Floor"
 	missingHeader        = "Missing-Instance" // one for each
+	silentFloorHeader    = "Silent-Floor"     // one for each: the position, the start in ms and the identity
 )
 
-// maxMissing bounds the missing instances in the report of a VM.
+// maxMissing bounds the missing instances, and the silent floors, in the report of a VM.
 const maxMissing = registrar.MaxMembers
 
 func writeReport(h http.Header, r registrar.Report) {
@@ -139,13 +142,31 @@
 	for _, id := range r.Missing[:min(len(r.Missing), maxMissing)] {
 		h.Add(missingHeader, id)
 	}
+	if len(r.SilentFloors) > maxMissing {
+		h.Set(departureFloorHeader, r.WithoutHolds().DepartureFloor.String())
+		return
+	}
+	for m, p := range r.SilentFloors {
+		h.Add(silentFloorHeader, fmt.Sprintf("%s %d %s", p, m.StartedAtMs, m.ID))
+	}
 }
 
 // readReport returns a report. Positions that are missing or cannot be parsed are zero.
 func readReport(h http.Header) registrar.Report {
 	passedOn, err := tokenizer.ParsePosition(h.Get(passedOnHeader))
 	floor, _ := tokenizer.ParsePosition(h.Get(departureFloorHeader))
-	return registrar.Report{PassedOn: passedOn, IsComplete: err == nil, DepartureFloor: floor, Missing: h.Values(missingHeader)}
+	r := registrar.Report{PassedOn: passedOn, IsComplete: err == nil, DepartureFloor: floor, Missing: h.Values(missingHeader)}
+	for _, value := range h.Values(silentFloorHeader) {
+		fields := strings.SplitN(value, " ", 3)
+		if len(fields) < 3 {
+			continue
+		}
+		p, _ := tokenizer.ParsePosition(fields[0])
+		startedAtMs, _ := strconv.ParseInt(fields[1], 10, 64)
+		m := registrar.Member{ID: fields[2], StartedAtMs: startedAtMs}
+		r = r.With(registrar.Report{IsComplete: r.IsComplete, SilentFloors: map[registrar.Member]tokenizer.Position{m: p}})
+	}
+	return r
 }
 
 // maxTextBytes bounds the text of an error that another VM sends.
--- a/internal/group/sealer/sealer_test.go
+++ b/internal/group/sealer/sealer_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"net"
 	"net/http"
 	"net/http/httptest"
@@ -148,3 +149,28 @@
 		})
 	}
 }
+
+// Guards against floors of silent replicas that get lost on the way from one VM to another.
+func TestReportOnTheWire(t *testing.T) {
+	at := func(index uint64) tokenizer.Position { return tokenizer.Position{Term: 3, Index: index} }
+	many := map[registrar.Member]tokenizer.Position{}
+	for n := range uint64(maxMissing + 1) {
+		many[registrar.Member{ID: fmt.Sprint("i-", n)}] = at(n)
+	}
+	for _, c := range []struct {
+		name         string
+		report, want registrar.Report
+	}{
+		{"all parts", registrar.Report{PassedOn: at(7), IsComplete: true, DepartureFloor: at(2), SilentFloors: map[registrar.Member]tokenizer.Position{{ID: "b", StartedAtMs: 40}: at(5), {ID: "c d"}: at(6)}, Missing: []string{"e"}},
+			registrar.Report{PassedOn: at(7), IsComplete: true, DepartureFloor: at(2), SilentFloors: map[registrar.Member]tokenizer.Position{{ID: "b", StartedAtMs: 40}: at(5), {ID: "c d"}: at(6)}, Missing: []string{"e"}}},
+		{"more silent replicas than fit", registrar.Report{SilentFloors: many}, registrar.Report{DepartureFloor: at(maxMissing)}},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			h := http.Header{}
+			writeReport(h, c.report)
+			if diff := cmp.Diff(c.want, readReport(h)); diff != "" {
+				t.Errorf("report that arrives (-want +got):\n%s", diff)
+			}
+		})
+	}
+}
