Roll a transaction back if one of its statements is refused for memory

Callers: BUSY promises that nothing of the attempt is kept, but a COMMIT after it was carried out if the VM had refused the statement for lack of memory.

Cause: refusals by the session's own budget kept the transaction's state.

Change: they roll it back and report that it has failed, as other refusals do.

Evidence: four of five cases of TestRefusalEndsTransaction failed before.

--- a/internal/statement/conductor/session.go
+++ b/internal/statement/conductor/session.go
@@ -138,7 +138,7 @@
 	if err == nil || !isRead {
 		return r, err
 	}
-	return carrier.ErrorReplyFor(err).WithState(r.State), nil
+	return s.refuseBy(err), nil
 }
 
 // isInvalidStatement reports whether err is due to one statement only, so that the session can go on.
@@ -319,7 +319,18 @@
 	if refusal, isRefused := s.checkKey(); isRefused {
 		return refusal
 	}
-	return carrier.ErrorReplyFor(err).WithState(s.state())
+	return s.refuseBy(err)
+}
+
+// refuseBy returns the reply that refuses a statement because of an error. A refusal for overload promises that nothing is kept, so that it rolls
+// the transaction back.
+func (s *session) refuseBy(err error) carrier.Reply {
+	refusal := carrier.ErrorReplyFor(err)
+	if s.tx == nil || !classifier.Is(err, classifier.Overloaded) {
+		return refusal.WithState(s.state())
+	}
+	s.tx.Rollback()
+	return s.tx.Refuse(refusal)
 }
 
 // handle answers a statement from the state of the session, or passes it on to the performer.
@@ -451,7 +462,7 @@
 		return s.refuse(classifier.MessageTooLarge, fmt.Sprintf("too many session values, the limit is %d", maxEntriesPerSession))
 	}
 	if err := s.account.Keep(len(st.Name) + len(st.Args)); err != nil {
-		return carrier.ErrorReplyFor(err).WithState(s.state())
+		return s.refuseBy(err)
 	}
 	if old, ok := s.values[st.Name]; ok {
 		s.account.Unkeep(len(st.Name) + len(old))
@@ -469,7 +480,7 @@
 	}
 	text, err := s.account.KeepText(st.Args)
 	if err != nil {
-		return carrier.ErrorReplyFor(err).WithState(s.state())
+		return s.refuseBy(err)
 	}
 	s.deallocate(st.Name)
 	if s.prepared == nil {
