--- a/internal/group/confirmer/confirmer.go
+++ b/internal/group/confirmer/confirmer.go
@@ -74,7 +74,8 @@
 // on to acknowledge commits, with the help of a replica that is not known: the primary may have failed, or lost its replicas.
 func (c *Confirmer) Acknowledge(g *registrar.Group, p tokenizer.Position) bool {
 	start := time.Now()
-	if isPaused := c.recordCall(g.Name(), start); !isPaused && g.NeedsReceipt(p) && !c.awaitReceipt(g, p) && !c.goesOn(g.Name(), start) {
+	waits := !c.recordCall(g.Name(), start) && g.NeedsReceipt(p) && len(g.Replicas()) > 0
+	if waits && !c.awaitReceipt(g, p) && !c.goesOn(g.Name(), start) {
 		return false
 	}
 	return g.Acknowledge(p)
--- a/internal/group/registrar/departure.go
+++ b/internal/group/registrar/departure.go
@@ -1,6 +1,9 @@
 package registrar
 
 import (
+	"cmp"
+	"maps"
+	"slices"
 	"time"
 
 	"parsleyscale/internal/session/tokenizer"
@@ -14,9 +17,12 @@
 	at    time.Duration      // when the latest one was noticed, on the registrar's clock
 	floor tokenizer.Position // covers every commit acknowledged before at; zero while it is not known
 
-	silent map[Member]silence
+	silent map[Member]silence // at most maxSilent
 }
 
+// maxSilent bounds the silent replicas of a group. Beyond that, the one that has been silent for the longest time counts as gone.
+const maxSilent = MaxMembers
+
 // silence is that of a replica that has gone missing and may go on receiving entries. If it comes back without a restart, it has not
 // departed.
 type silence struct {
@@ -78,6 +84,9 @@
 	if d.silent == nil {
 		d.silent = map[Member]silence{}
 	}
+	if len(d.silent) == maxSilent {
+		d.endLongestSilence()
+	}
 	d.silent[Member{ID: s.ID, StartedAtMs: s.StartedAtMs}] = silent
 }
 
@@ -99,6 +108,14 @@
 	return returned
 }
 
+// endLongestSilence ends the silence of the replica that has been silent for the longest time.
+func (d *departure) endLongestSilence() {
+	members := slices.Collect(maps.Keys(d.silent))
+	longest := slices.MinFunc(members, func(a, b Member) int { return cmp.Compare(d.silent[a].at, d.silent[b].at) })
+	d.add(d.silent[longest])
+	delete(d.silent, longest)
+}
+
 // add adds the departure of a replica whose silence has ended.
 func (d *departure) add(s silence) {
 	if !d.isSet || !d.floor.IsZero() {
--- a/internal/group/registrar/departure_test.go
+++ b/internal/group/registrar/departure_test.go
@@ -1,6 +1,7 @@
 package registrar
 
 import (
+	"fmt"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -186,6 +187,29 @@
 	}
 }
 
+// Guards against memory that grows with each replica that goes missing for good, and against its floor getting lost.
+func TestManySilentReplicas(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		r, g, reg := newGroup()
+		b := reg["b"]
+		for n := range maxSilent + 3 {
+			b.ID = fmt.Sprint("b", n)
+			r.Update(reg.With(map[string]*cataloger.Instance{b.ID: &b}))
+			r.Update(reg)
+			time.Sleep(missingRetention)
+			g.RemoveMissing()
+			prove(g, "a", 1, uint64(n+1))
+		}
+		if n := len(g.SilentReplicas()); n != maxSilent {
+			t.Errorf("%d silent replicas, want %d", n, maxSilent)
+		}
+		last := uint64(maxSilent + 3)
+		if g.IsCoveredDespiteDepartures(tokenizer.Position{Term: 1, Index: last - 1}, true, nil) || !g.IsCoveredDespiteDepartures(tokenizer.Position{Term: 1, Index: last}, true, nil) {
+			t.Error("want covered by a replica that holds what was proved after the last departure, and by no other")
+		}
+	})
+}
+
 // Guards against the loss of commits that only a replica held which has restarted without its log: its answer counted, although
 // its registry entry did not show the restart yet.
 func TestReplicaReportsLess(t *testing.T) {
