Count a replica that answers a hold for the floors that other VMs report for it

Another VM may not know yet that a silent replica is back; its floor, which may lie beyond all replicas, then kept a failed primary from being replaced. The confirmer ends last, since other VMs may still use a stopping VM as a gateway.

--- a/internal/daemon/assembler/assembler.go
+++ b/internal/daemon/assembler/assembler.go
@@ -257,11 +257,11 @@
 	v.log.Info(logger.VMStopping, logger.Int("sessions", int64(v.sessionServer.SessionCount())))
 	settings := v.latestSettings.Load()
 	v.sessionServer.Stop(settings.StopNotice.Std(), settings.StopGrace.Std())
-	v.confirmer.Close()
 	v.limits.close()
 	v.replacer.Close()
 	v.enroller.Close()
 	v.auditor.Close()
+	v.confirmer.Close() // last, as other VMs may still use this one as a gateway
 	v.log.Info(logger.VMStopped)
 }
 
--- a/internal/group/replacer/endterm.go
+++ b/internal/group/replacer/endterm.go
@@ -336,8 +336,16 @@
 	if id, ok := unknownReplica(report, slices.Concat(views, silentReplicas), old.Instance); replicaErr == nil && ok {
 		replicaErr = classifier.New(classifier.NoInstance, "replica %s of group %s is known to another VM only, and may hold entries that the others lack", id, g.Name())
 	}
-	e.sealing.recordHeld(g.KeptLogs(awaitHeld(silentAnswers, silentReplicas)))
-	if replicaErr == nil && !r.isCovered(ctx, g, furthestReceived(candidates), report, e.sealing.heldReplicas()) {
+	held := g.KeptLogs(awaitHeld(silentAnswers, silentReplicas))
+	for _, v := range views { // another VM may not know yet that a replica is back
+		for _, c := range candidates {
+			if c.id == v.ID {
+				held[registrar.Member{ID: v.ID, StartedAtMs: v.StartedAtMs}] = c.received
+			}
+		}
+	}
+	e.sealing.recordHeld(held)
+	if replicaErr == nil && !r.isCovered(ctx, g, furthestReceived(candidates), report, held) {
 		replicaErr = classifier.New(classifier.NoInstance, "a replica of group %s has left, or may have left without this VM seeing it, and the others may lack entries that it had received", g.Name())
 	}
 	awaitsOldPrimary := e.isStalled() || former != old.Instance // it may turn out to be a replica
@@ -377,8 +385,8 @@
 }
 
 // isCovered reports whether a replica that has received the log up to p holds every commit for which the primary may have counted a
-// replica that has left, as far as this VM knows and the other VMs report. Held are silent replicas that are held. If that fails because of the assumption that one left without this VM
-// seeing it, it reads the roster.
+// replica that has left, as far as this VM knows and the other VMs report. Held are replicas that are held, with their newest entries.
+// If that fails because of the assumption that one left without this VM seeing it, it reads the roster.
 func (r *Replacer) isCovered(ctx context.Context, g *registrar.Group, p tokenizer.Position, report registrar.Report, held map[registrar.Member]tokenizer.Position) bool {
 	g.RecordReport(report)
 	if !report.IsMet(p, held) {
--- a/internal/group/replacer/refresh.go
+++ b/internal/group/replacer/refresh.go
@@ -13,7 +13,7 @@
 	sealed    chan struct{} // closed once the VMs that answer have sealed the term
 	report    registrar.Report
 	refreshed chan error                              // gets the result of both
-	held      map[registrar.Member]tokenizer.Position // newest entries of the silent replicas that are held
+	held      map[registrar.Member]tokenizer.Position // newest entries of the replicas that were held last
 }
 
 // startSealAndRefresh seals a term and then brings the instances of all groups up to date, beside the first steps of the end of
@@ -42,21 +42,13 @@
 	return s.report
 }
 
-// recordHeld records the silent replicas that are held. The zero value does not.
+// recordHeld records the replicas that are held, with their newest entries. The zero value does not.
 func (s *sealing) recordHeld(held map[registrar.Member]tokenizer.Position) {
 	if s != nil {
 		s.held = held
 	}
 }
 
-// heldReplicas returns what recordHeld has recorded last.
-func (s *sealing) heldReplicas() map[registrar.Member]tokenizer.Position {
-	if s == nil {
-		return nil
-	}
-	return s.held
-}
-
 func (r *Replacer) refreshInstances(ctx context.Context) error {
 	if r.cfg.RefreshInstances == nil {
 		return nil
--- a/internal/group/replacer/seal_test.go
+++ b/internal/group/replacer/seal_test.go
@@ -159,6 +159,8 @@
 		{"a replica holds all, and the departure was seen", true, registrar.Report{PassedOn: at(8)}, "b"},
 		{"no replica holds the floor of another VM", true, registrar.Report{DepartureFloor: at(9)}, ""},
 		{"a replica holds the floor of another VM", true, registrar.Report{DepartureFloor: at(8)}, "b"},
+		{"no replica holds the floor of another VM for a replica that is not known here", true, registrar.Report{SilentFloors: map[registrar.Member]tokenizer.Position{{ID: "e"}: at(9)}}, ""},
+		{"another VM does not know that a replica is back", true, registrar.Report{SilentFloors: map[registrar.Member]tokenizer.Position{{ID: "b"}: at(9)}}, "b"},
 		{"another VM misses a replica that is not known here", true, registrar.Report{Missing: []string{"e"}}, ""},
 		{"another VM misses a replica that has answered", true, registrar.Report{Missing: []string{"b"}}, "b"},
 		{"another VM misses the primary", true, registrar.Report{Missing: []string{"a"}}, "b"},
