Confirm commits only as long as a choice may depend on them

The VMs that act first have a roster a few seconds after their start, so that what others pass on later does not matter to them. A replica is asked every 10 ms at most.

--- a/internal/group/confirmer/confirmer.go
+++ b/internal/group/confirmer/confirmer.go
@@ -20,8 +20,10 @@
 const (
 	// receiptTimeout bounds the wait for a replica to receive a commit that another one has received.
 	receiptTimeout = 250 * time.Millisecond
-	// askInterval is the time between two requests to a replica.
-	askInterval = 2 * time.Millisecond
+	// askInterval is the least time between two requests to a replica.
+	askInterval = 10 * time.Millisecond
+	// checkInterval is the time between two looks at what replicas have received.
+	checkInterval = 2 * time.Millisecond
 	// askTimeout bounds a request to a replica.
 	askTimeout = 250 * time.Millisecond
 	// pauseTime is how long acknowledgements of a group do not wait after one has waited in vain while others came.
@@ -44,7 +46,7 @@
 
 	mu     sync.Mutex
 	states map[string]state // by group
-	asked  map[string]bool  // instances that have not answered yet
+	asked  map[string]bool  // instances that have not answered yet, or were asked less than askInterval ago
 }
 
 // state is what a Confirmer remembers of the acknowledgements of a group.
@@ -113,14 +115,14 @@
 		for _, v := range g.Replicas() {
 			c.startAsking(g, v)
 		}
-		if time.Since(start) >= receiptTimeout || !sleeper.Sleep(c.ctx, askInterval) {
+		if time.Since(start) >= receiptTimeout || !sleeper.Sleep(c.ctx, checkInterval) {
 			return false
 		}
 	}
 	return true
 }
 
-// startAsking asks a replica what it has received, unless it is being asked.
+// startAsking asks a replica what it has received, unless it is being asked or was asked less than askInterval ago.
 func (c *Confirmer) startAsking(g *registrar.Group, v registrar.View) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -129,7 +131,13 @@
 	}
 	c.asked[v.ID] = true
 	c.wg.Go(func() {
+		pause := time.NewTimer(askInterval)
+		defer pause.Stop()
 		c.ask(g, v)
+		select {
+		case <-pause.C:
+		case <-c.ctx.Done():
+		}
 		c.mu.Lock()
 		defer c.mu.Unlock()
 		delete(c.asked, v.ID)
--- a/internal/group/confirmer/confirmer_test.go
+++ b/internal/group/confirmer/confirmer_test.go
@@ -54,8 +54,8 @@
 		wantPassedOn bool
 		wantFloor    tokenizer.Position // that a new primary must hold afterwards
 	}{
-		{"a replica has received the commit", 0, 0, askInterval, true, at(5)},
-		{"a replica receives the commit soon", 11 * time.Millisecond, 0, 7 * askInterval, true, at(5)},
+		{"a replica has received the commit", 0, 0, checkInterval, true, at(5)},
+		{"a replica receives the commit soon", 3 * time.Millisecond, 0, askInterval + 2*checkInterval, true, at(5)},
 		{"no known replica receives the commit, and the primary goes on", time.Hour, receiptTimeout - time.Millisecond, receiptTimeout, true, at(8)},
 		{"no known replica receives the commit, and others came at the same time", time.Hour, time.Millisecond, receiptTimeout, false, at(5)},
 		{"no known replica receives the commit, and no others come", time.Hour, 0, receiptTimeout, false, at(5)},
--- a/internal/group/registrar/assumption.go
+++ b/internal/group/registrar/assumption.go
@@ -36,9 +36,12 @@
 	return a.isOpen() && !a.isFinal && now >= a.silentFrom()
 }
 
-// mayReceive reports whether the replica may go on receiving entries.
-func (a assumption) mayReceive(now time.Duration) bool {
-	return a.isOpen() && !a.isFinal && now < a.silentFrom()
+// rosterTime is the time in which the VMs that act first have usually read a roster. What others pass on later does not matter to them.
+const rosterTime = 5 * time.Second
+
+// needsReceipts reports whether the VMs that act first may depend on what this VM passes on.
+func (a assumption) needsReceipts(now time.Duration) bool {
+	return a.isOpen() && !a.isFinal && now < a.since+rosterTime
 }
 
 // recordProof takes the position of a proof for the floor if it covers commits that the floor may lack.
--- a/internal/group/registrar/receipt.go
+++ b/internal/group/registrar/receipt.go
@@ -2,12 +2,12 @@
 
 import "parsleyscale/internal/session/tokenizer"
 
-// NeedsReceipt reports whether a replica that this VM does not know may have been counted for a commit, and no replica that it knows is known to
-// have received the log up to p.
+// NeedsReceipt reports whether the choice of a new primary may depend on the acknowledgement of a commit, since a replica that this VM does not know may
+// have been counted for it, and no replica that it knows is known to have received the log up to p.
 func (g *Group) NeedsReceipt(p tokenizer.Position) bool {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	return (g.assumption.mayReceive(g.clock()) || g.departure.mayReceive()) && !g.isReceived(p)
+	return (g.assumption.needsReceipts(g.clock()) || g.departure.mayReceive()) && !g.isReceived(p)
 }
 
 // Replicas returns the known instances that count for NeedsReceipt, in no particular order.
--- a/internal/group/registrar/receipt_test.go
+++ b/internal/group/registrar/receipt_test.go
@@ -3,6 +3,7 @@
 import (
 	"testing"
 	"testing/synctest"
+	"time"
 
 	"parsleyscale/internal/session/tokenizer"
 	"parsleyscale/internal/sheet/cataloger"
@@ -62,6 +63,14 @@
 		if !g.NeedsReceipt(p) {
 			t.Error("needs no receipt right after the start")
 		}
+		time.Sleep(rosterTime)
+		if g.NeedsReceipt(p) {
+			t.Error("needs a receipt although the VMs that act first have read a roster")
+		}
+		g.RecordGap()
+		if !g.NeedsReceipt(p) {
+			t.Error("needs no receipt right after a gap")
+		}
 		if err := g.ApplyRoster(Roster{Instances: []Member{{ID: "b", StartedAtMs: 5}}, Floor: p}); err != nil {
 			t.Fatal(err)
 		}
