--- a/internal/group/registrar/assumption.go
+++ b/internal/group/registrar/assumption.go
@@ -36,7 +36,8 @@
 	return a.isOpen() && !a.isFinal && now >= a.silentFrom()
 }
 
-// rosterTime is the time in which the VMs that act first have usually read a roster. What others pass on later does not matter to them.
+// rosterTime is the time in which the VMs that act first have usually read a roster. What others pass on later does not matter to them then.
+// Without a roster, an unconfirmed commit raises the floor, which can only delay a replacement.
 const rosterTime = 5 * time.Second
 
 // needsReceipts reports whether the VMs that act first may depend on what this VM passes on.
--- a/internal/group/registrar/report.go
+++ b/internal/group/registrar/report.go
@@ -38,7 +38,7 @@
 	}
 }
 
-// WithoutHolds returns the report with all silent floors in the departure floor.
+// WithoutHolds returns the report for the case that no silent replica is held: the departure floor covers all silent floors.
 func (r Report) WithoutHolds() Report {
 	for _, p := range r.SilentFloors {
 		r.DepartureFloor = r.DepartureFloor.Max(p)
--- a/internal/group/registrar/roster.go
+++ b/internal/group/registrar/roster.go
@@ -56,8 +56,8 @@
 	r.assumesDepartures = true
 }
 
-// ApplyRoster ends the assumption that a replica left without this VM seeing it. It returns an error if an instance of the
-// roster is not known here, or has restarted. A missing primary is no departure: each of its commits was acknowledged by a replica.
+// ApplyRoster records that a roster shows that no replica left without this VM seeing it, so that it is enough for a new primary to hold the
+// floor of the roster. It returns an error if an instance of the roster is not known here, or has restarted. A missing primary is no departure: each of its commits was acknowledged by a replica.
 // But if there has been a later term, it may have become a replica since.
 func (g *Group) ApplyRoster(r Roster) error {
 	g.mu.Lock()
--- a/internal/group/replacer/roster.go
+++ b/internal/group/replacer/roster.go
@@ -42,7 +42,7 @@
 	r.wg.Go(func() { _ = r.applyRoster(ctx, g) })
 }
 
-// applyRoster reads the roster of a group and ends the assumption that a replica left without this VM seeing it, if the roster shows that.
+// applyRoster reads the roster of a group and records it if it shows that no replica left without this VM seeing it.
 func (r *Replacer) applyRoster(ctx context.Context, g *registrar.Group) error {
 	ctx, cancel := context.WithTimeout(ctx, rosterTimeout)
 	defer cancel()
