Tell in the log of a new primary that lacks what a VM has passed on

The steps that change a primary are warnings now. A VM that passed on acknowledgements compares the position at the latest one with that of a new primary (primaryLacksEntries, with a counter), and primaryKnown tells how long ago that was: so a log shows whether commits were passed on after the holds, and by which VM. promoteOrdered has the number of VMs that did not answer the seal. No logic is changed. Test: TestPrimaryLacksEntries.

--- a/internal/daemon/assembler/log.go
+++ b/internal/daemon/assembler/log.go
@@ -140,12 +140,21 @@
 		return
 	}
 	write := v.log.Info
-	if e.Err != nil || e.Name == replacer.EventNotInEffect {
+	if e.Err != nil || isDecisive(e.Name) {
 		write = v.log.Warn
 	}
 	write(name, replacementFields(e)...)
 }
 
+// isDecisive reports whether an event shows a change of primary, or a command that has failed to prepare one.
+func isDecisive(event string) bool {
+	switch event {
+	case replacer.EventReplacementBegun, replacer.EventPromoteRequested, replacer.EventReplaced, replacer.EventNotInEffect:
+		return true
+	}
+	return false
+}
+
 // countReplacement counts the outcome of a replacement or of one of its attempts, a promote request, or a command that is not
 // in effect.
 func (v *VM) countReplacement(e replacer.Event) {
@@ -232,7 +241,7 @@
 	if b.Via != "" {
 		fields = append(fields, logger.String("via", b.Via))
 	}
-	fields = append(fields, logger.String("received", b.Received.String()), logger.Int("known", int64(b.Known)), logger.Int("unanswered", int64(b.Unanswered)), logger.Int("candidates", int64(b.Candidates)))
+	fields = append(fields, logger.String("received", b.Received.String()), logger.Int("known", int64(b.Known)), logger.Int("unanswered", int64(b.Unanswered)), logger.Int("unsealed", int64(b.Unsealed)), logger.Int("candidates", int64(b.Candidates)))
 	if !b.Demoted.IsZero() {
 		fields = append(fields, logger.String("demoted", b.Demoted.String()))
 	}
@@ -279,7 +288,15 @@
 		v.log.Info(logger.PrimaryUnknown, append(fields, logger.String("reason", string(c.Reason)))...)
 		return
 	}
-	v.log.Info(logger.PrimaryKnown, append(fields, logger.String("reached", c.Position.String()))...)
+	fields = append(fields, logger.String("reached", c.Position.String()))
+	if !c.PassedOn.IsZero() {
+		fields = append(fields, logger.String("passedOn", c.PassedOn.String()), logger.Millis("passedOnAgo", c.PassedOnAgo))
+	}
+	v.log.Info(logger.PrimaryKnown, fields...)
+	if c.LacksEntries() {
+		v.log.Warn(logger.PrimaryLacksEntries, fields...)
+		v.meter.LackingPrimary(c.Group)
+	}
 }
 
 // replacementEvents maps the replacer's events to log events. Events that are not in it are not logged.
--- a/internal/daemon/assembler/log_test.go
+++ b/internal/daemon/assembler/log_test.go
@@ -120,9 +120,17 @@
 	}{
 		{registrar.PrimaryChange{Group: "g", Instance: "i", Term: 3, Position: tokenizer.Position{Term: 3, Index: 9}}, `event="primaryKnown" vm="vm-1" group="g" instance="i" term=3 reached="3/9"`},
 		{registrar.PrimaryChange{Group: "g", Instance: "i", LastTerm: 3, Term: 4, Reason: registrar.LossLaterTerm}, `event="primaryUnknown" vm="vm-1" group="g" instance="i" term=4 lastTerm=3 reason="laterTerm"`},
+		{
+			registrar.PrimaryChange{Group: "g", Instance: "i", Term: 4, Position: tokenizer.Position{Term: 4, Index: 9}, PassedOn: tokenizer.Position{Term: 3, Index: 8}, PassedOnAgo: time.Second},
+			`event="primaryKnown" vm="vm-1" group="g" instance="i" term=4 reached="4/9" passedOn="3/8" passedOnAgoMs=1000`,
+		},
+		{
+			registrar.PrimaryChange{Group: "g", Instance: "i", Term: 3, Position: tokenizer.Position{Term: 3, Index: 7}, PassedOn: tokenizer.Position{Term: 3, Index: 8}, PassedOnAgo: time.Second},
+			`level=warn event="primaryLacksEntries" vm="vm-1" group="g" instance="i" term=3 reached="3/7" passedOn="3/8" passedOnAgoMs=1000`,
+		},
 	} {
 		var b bytes.Buffer
-		v := &VM{log: logger.New(&b, "vm-1")}
+		v := &VM{log: logger.New(&b, "vm-1"), meter: newMeter(t)}
 		v.logPrimaryChange(c.change)
 		if !strings.HasSuffix(b.String(), c.want+"\n") {
 			t.Errorf("line %q, want it to end with %s", b.String(), c.want)
--- a/internal/group/registrar/group.go
+++ b/internal/group/registrar/group.go
@@ -32,6 +32,7 @@
 	assumption       assumption            // that a replica left without this VM seeing it
 	passedOn         tokenizer.Position    // newest one of the primary at an acknowledgement that this VM passed on, and that no known replica had received; zero: none
 	seals            map[string]activeSeal // the latest of each VM
+	latestAck        acknowledgement       // with the newest position among those that this VM passed on
 	firstProof       tokenizer.Position    // the first position that a primary has proved; zero: none yet
 	registryPrimary  string                // instance that the registry names instead of the known primary; "": none
 	noPrimarySince   time.Time             // when the last primary became unknown; zero: a primary is known or there was none yet
@@ -341,7 +342,8 @@
 		g.setPrimary(p.Instance)
 	}
 	if isNew {
-		g.observe(PrimaryChange{Group: g.name, Instance: p.Instance, LastTerm: g.latestTerm, Term: term, Position: p.Position})
+		c := PrimaryChange{Group: g.name, Instance: p.Instance, LastTerm: g.latestTerm, Term: term, Position: p.Position}
+		g.observe(c.withAcknowledgement(g.latestAck))
 	}
 	g.latestTerm = term
 	return true
--- a/internal/group/registrar/registrar.go
+++ b/internal/group/registrar/registrar.go
@@ -148,6 +148,24 @@
 	Term     uint64             // highest term that was seen in the group
 	Position tokenizer.Position // in the answer
 	Reason   LossReason         // "": the primary has become known
+
+	PassedOn    tokenizer.Position // of the former primary, at the latest acknowledgement that this VM passed on; zero: none
+	PassedOnAgo time.Duration
+}
+
+// withAcknowledgement returns the change with an acknowledgement by another primary, or one in an earlier term.
+func (c PrimaryChange) withAcknowledgement(a acknowledgement) PrimaryChange {
+	if a.position.IsZero() || a.instance == c.Instance && a.position.Term >= c.Position.Term {
+		return c
+	}
+	c.PassedOn, c.PassedOnAgo = a.position, time.Since(a.at)
+	return c
+}
+
+// LacksEntries reports whether the log of the new primary ends before the position of its predecessor at an acknowledgement that this VM passed
+// on. The entries in between are lost. They may include the commit, but that position may also lie beyond it.
+func (c PrimaryChange) LacksEntries() bool {
+	return c.Reason == "" && c.Position.Index < c.PassedOn.Index
 }
 
 // LossReason tells why a primary has become unknown.
--- a/internal/group/registrar/registrar_test.go
+++ b/internal/group/registrar/registrar_test.go
@@ -89,6 +89,44 @@
 	})
 }
 
+// Guards against a lost commit of which no log tells: the VM that passed its acknowledgement on knows the position at that time, and that of
+// the new primary.
+func TestPrimaryLacksEntries(t *testing.T) {
+	at := func(term, index uint64) tokenizer.Position { return tokenizer.Position{Term: term, Index: index} }
+	for _, c := range []struct {
+		name     string
+		instance string
+		p        tokenizer.Position
+		want     bool
+	}{
+		{"successor without an entry, counted in the former term", "b", at(1, 7), true},
+		{"successor with an entry", "b", at(2, 7), true},
+		{"successor that holds all", "b", at(1, 8), false},
+		{"the same primary, by an earlier answer", "a", at(1, 7), false},
+		{"the same primary in a later term", "a", at(2, 7), true},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				r := New(func() time.Duration { return time.Since(time.Time{}) })
+				var got []PrimaryChange
+				r.Observe(func(c PrimaryChange) { got = append(got, c) })
+				r.Update(cataloger.Registry{"a": {ID: "a", Group: "g", IsPrimary: true}, "b": {ID: "b", Group: "g"}})
+				g := r.Group("g")
+				prove(g, "a", 1, 5)
+				g.Acknowledge(at(1, 8))
+				g.Acknowledge(at(1, 6))
+				time.Sleep(time.Second)
+				g.RecordDenial("a")
+				got = nil
+				prove(g, c.instance, c.p.Term, c.p.Index)
+				if len(got) != 1 || got[0].LacksEntries() != c.want || c.want && (got[0].PassedOn != at(1, 8) || got[0].PassedOnAgo != time.Second) {
+					t.Errorf("changes %+v, want one that lacks entries: %t", got, c.want)
+				}
+			})
+		})
+	}
+}
+
 // Guards against a log that does not show which instance a VM took for the primary when it sent a command or a commit.
 func TestPrimaryChanges(t *testing.T) {
 	start := time.Now()
--- a/internal/group/registrar/report.go
+++ b/internal/group/registrar/report.go
@@ -17,6 +17,8 @@
 	DepartureFloor tokenizer.Position
 	// SilentFloors are positions that the new primary must hold as well, each unless a replica that has gone missing is held.
 	SilentFloors map[Member]tokenizer.Position
+	// Unanswered is the number of VMs that have not answered and may go on to pass on acknowledgements.
+	Unanswered int
 	// Missing are replicas without a registry entry that have not left as far as a VM knows, sorted.
 	Missing []string
 }
@@ -33,7 +35,7 @@
 		floors[m] = floors[m].Max(p)
 	}
 	return Report{
-		PassedOn: r.PassedOn.Max(other.PassedOn), IsComplete: r.IsComplete && other.IsComplete,
+		PassedOn: r.PassedOn.Max(other.PassedOn), IsComplete: r.IsComplete && other.IsComplete, Unanswered: r.Unanswered + other.Unanswered,
 		DepartureFloor: r.DepartureFloor.Max(other.DepartureFloor), SilentFloors: floors, Missing: slices.Compact(missing),
 	}
 }
--- a/internal/group/registrar/seal.go
+++ b/internal/group/registrar/seal.go
@@ -103,5 +103,15 @@
 		g.passedOn = g.passedOn.Max(p)
 		g.raiseFloors(p)
 	}
+	if p.Covers(g.latestAck.position) {
+		g.latestAck = acknowledgement{position: p, instance: g.primary.Instance, at: time.Now()}
+	}
 	return true
 }
+
+// acknowledgement is one that this VM has passed on.
+type acknowledgement struct {
+	position tokenizer.Position // of the primary
+	instance string             // the primary
+	at       time.Time
+}
--- a/internal/group/replacer/basis.go
+++ b/internal/group/replacer/basis.go
@@ -27,6 +27,7 @@
 	EarlierChoice string // of another attempt at the term; "": none is recorded
 	Known         int    // instances of the group that the VM knew
 	Unanswered    int    // replicas that did not answer the hold
+	Unsealed      int    // VMs that did not answer the seal and may go on to pass on acknowledgements
 	Candidates    int
 	Received      tokenizer.Position // of the chosen instance
 	Demoted       tokenizer.Position // of the demoted primary; zero: not known
--- a/internal/group/replacer/basis_test.go
+++ b/internal/group/replacer/basis_test.go
@@ -39,6 +39,10 @@
 			"a replica does not answer", &fakeGroup{received: received, errs: map[string]error{"hold c": errNoAnswer}}, &fakeTokens{last: 100, choice: "b"}, unreachable,
 			Basis{EndedBy: EndedByHoldAndDemotion, EarlierChoice: "b", Known: 3, Unanswered: 1, Candidates: 2, Received: nine},
 		},
+		{
+			"two VMs do not answer the seal", &fakeGroup{received: received, sealer: &fakeSealer{report: registrar.Report{Unanswered: 2}}, errs: map[string]error{"demote a": errNoAnswer}}, &fakeTokens{last: 100}, unreachable,
+			Basis{EndedBy: EndedByHold, Known: 3, Unsealed: 2, Candidates: 2, Received: nine},
+		},
 		{
 			"the primary is leaving", &fakeGroup{received: received}, &fakeTokens{last: 100}, markPrimaryLeaving,
 			Basis{EndedBy: EndedByDemotion, Known: 3, Candidates: 1, Received: nine, Demoted: nine},
--- a/internal/group/replacer/endterm.go
+++ b/internal/group/replacer/endterm.go
@@ -333,6 +333,7 @@
 		return covering(candidates, formerPosition), nil
 	}
 	report := e.sealing.await()
+	b.Unsealed = report.Unanswered
 	if id, ok := unknownReplica(report, slices.Concat(views, silentReplicas), old.Instance); replicaErr == nil && ok {
 		replicaErr = classifier.New(classifier.NoInstance, "replica %s of group %s is known to another VM only, and may hold entries that the others lack", id, g.Name())
 	}
--- a/internal/group/sealer/sealer.go
+++ b/internal/group/sealer/sealer.go
@@ -96,6 +96,9 @@
 		if classifier.Is(a.err, classifier.Conflict) {
 			return registrar.Report{}, a.err
 		}
+		if a.err != nil {
+			a.report.Unanswered = 1
+		}
 		report, err = report.With(a.report), cmp.Or(err, a.err)
 	}
 	return report, err
--- a/internal/group/sealer/sealer_test.go
+++ b/internal/group/sealer/sealer_test.go
@@ -137,13 +137,14 @@
 		{"all have told", []string{seven, nine}, false, registrar.Report{PassedOn: tokenizer.Position{Term: 3, Index: 9}, IsComplete: true}},
 		{"one knows nothing", []string{seven, unknown}, false, registrar.Report{PassedOn: tokenizer.Position{Term: 3, Index: 7}}},
 		{"one misses replicas", []string{nine, missing}, false, registrar.Report{PassedOn: tokenizer.Position{Term: 3, Index: 9}, IsComplete: true, Missing: []string{"b", "c"}}},
+		{"two do not answer", []string{nine, "127.0.0.1:1", "127.0.0.1:2"}, false, registrar.Report{PassedOn: tokenizer.Position{Term: 3, Index: 9}, Unanswered: 2}},
 		{"there are no others", nil, false, registrar.Report{IsComplete: true}},
 		{"there may be others", []string{nine}, true, registrar.Report{PassedOn: tokenizer.Position{Term: 3, Index: 9}}},
 	} {
 		t.Run(c.name, func(t *testing.T) {
 			s := Sealer{Client: http.DefaultClient, Addresses: func(string) []string { return slices.Clone(c.addresses) }, RefreshAddresses: func(context.Context) error { return nil }, AreAddressesKnown: func() bool { return !c.areUnknown }}
 			got, err := s.Seal(t.Context(), "g", registrar.Seal{Term: 3, Holder: "vm-1", StopsAcks: true})
-			if diff := cmp.Diff(c.want, got); err != nil || diff != "" {
+			if diff := cmp.Diff(c.want, got); (err != nil) != (c.want.Unanswered > 0) || diff != "" {
 				t.Errorf("error %v, report (-want +got):\n%s", err, diff)
 			}
 		})
--- a/internal/telemetry/logger/event.go
+++ b/internal/telemetry/logger/event.go
@@ -59,17 +59,19 @@
 	RosterWritten     Event = "rosterWritten"
 	RosterApplied     Event = "rosterApplied"
 	PrimaryKnown      Event = "primaryKnown"
-	PrimaryUnknown    Event = "primaryUnknown"
-	ShardHeld         Event = "shardHeld"
-	ShardReleased     Event = "shardReleased"
-	TeamOverLimit     Event = "teamOverLimit"
-	TeamWaits         Event = "teamWaits"
-	RampBegun         Event = "rampBegun"
-	InstanceAvoided   Event = "instanceAvoided"
-	TeamRefused       Event = "teamRefused"
-	TeamsInForce      Event = "teamsInForce"
-	ClientClosed      Event = "clientClosed"
-	ClientRefused     Event = "clientRefused"
+
+	PrimaryLacksEntries Event = "primaryLacksEntries"
+	PrimaryUnknown      Event = "primaryUnknown"
+	ShardHeld           Event = "shardHeld"
+	ShardReleased       Event = "shardReleased"
+	TeamOverLimit       Event = "teamOverLimit"
+	TeamWaits           Event = "teamWaits"
+	RampBegun           Event = "rampBegun"
+	InstanceAvoided     Event = "instanceAvoided"
+	TeamRefused         Event = "teamRefused"
+	TeamsInForce        Event = "teamsInForce"
+	ClientClosed        Event = "clientClosed"
+	ClientRefused       Event = "clientRefused"
 )
 
 // EventDescription describes one event.
@@ -129,6 +131,7 @@
 	{RosterWritten, "this VM has tried to write which instances of a group may hold commits that no other one holds, for VMs that start"},
 	{RosterApplied, "a replacement read the roster of a group: it shows that no replica left before this VM started, or the error tells why it does not"},
 	{PrimaryKnown, "an instance has become known to this VM as the primary of a term by its own answer"},
+	{PrimaryLacksEntries, "the log of a new primary ends before the position of its predecessor at an acknowledgement that this VM passed on, so that commits may be lost; the line tells how long ago that was"},
 	{PrimaryUnknown, "this VM no longer takes an instance for the primary, with the reason"},
 	{ShardHeld, "this VM has begun to grant a part of the teams' limits"},
 	{ShardReleased, "this VM has ended granting a part of the teams' limits, with the reason"},
--- a/internal/telemetry/meter/lines.go
+++ b/internal/telemetry/meter/lines.go
@@ -20,6 +20,7 @@
 	replacements      metric.Int64Counter
 	promoteRequests   metric.Int64Counter
 	ineffective       metric.Int64Counter
+	lackingPrimaries  metric.Int64Counter
 	teamOperations    metric.Int64Counter
 	teamWait          metric.Float64Histogram
 	teamRefusals      metric.Int64Counter
@@ -71,6 +72,7 @@
 		{&l.promoteRequests, "parsleyscale.promote.requests", "promote requests that this VM sent, by kind of the token and outcome"},
 		{&l.teamOperations, "parsleyscale.team.operations", "operations of teams with a limit, by team and outcome"},
 		{&l.ineffective, "parsleyscale.commands.ineffective", "holds and demotions whose answer shows that they are not in effect, by command"},
+		{&l.lackingPrimaries, "parsleyscale.primaries.lacking_entries", "new primaries whose log ends before the position of their predecessor at an acknowledgement that this VM passed on, by group"},
 		{&l.teamRefusals, "parsleyscale.team.refusals", "operations refused for the caller's key, by reason"},
 	} {
 		if *c.counter, err = otelMeter.Int64Counter(c.name, metric.WithDescription(c.title)); err != nil {
@@ -134,6 +136,11 @@
 	l.replacements.Add(context.Background(), 1, metric.WithAttributes(attribute.String("reason", reason), attribute.String("outcome", outcome)))
 }
 
+// LackingPrimary counts a new primary of a group whose log ends before what this VM has passed on.
+func (l *LineMeter) LackingPrimary(group string) {
+	l.lackingPrimaries.Add(context.Background(), 1, metric.WithAttributes(attribute.String("group", group)))
+}
+
 // PromoteRequest counts a promote request by the kind of its token and its outcome.
 func (l *LineMeter) PromoteRequest(tokenKind, outcome string) {
 	l.promoteRequests.Add(context.Background(), 1, metric.WithAttributes(attribute.String("token", tokenKind), attribute.String("outcome", outcome)))
