Let the explorer suspend VMs and deliver orders, commands and news late

Histories of the earlier tests are drawn as before. A request to another VM to read the registry ends after 800 ms, as in the product, where it waited for the end of the attempt.

--- a/internal/group/explorer/explorer_test.go
+++ b/internal/group/explorer/explorer_test.go
@@ -19,6 +19,7 @@
 	lasting   = flag.Bool("lastingDemotions", false, "a demoted primary that restarts is a replica in all histories")
 	shrinks   = flag.Bool("shrink", false, "leave out the events without which a failing history still fails")
 	outFile   = flag.String("timelines", "", "file to which the timelines of failing histories are appended")
+	savesAll  = flag.Bool("all", false, "append the timelines of all histories")
 )
 
 func excludedKinds() []kind {
@@ -49,6 +50,21 @@
 	explore(t, withLapses)
 }
 
+// Guards against the same if VMs are suspended or do not hear each other, and promotions are carried out late.
+func TestRandomHistoriesWithSuspensions(t *testing.T) {
+	explore(t, withSuspensions)
+}
+
+// Guards against the same if two VMs replace a primary that is soon back.
+func TestRandomHistoriesWithRivals(t *testing.T) {
+	explore(t, withRivals)
+}
+
+// Guards against the same if instances do not learn of promotions, and commands and entries are late.
+func TestRandomHistoriesWithLateNews(t *testing.T) {
+	explore(t, withLateNews)
+}
+
 // explore plays the histories of the seeds, each as change returns it.
 func explore(t *testing.T, change func(history) history) {
 	t.Helper()
@@ -154,6 +170,8 @@
 			if o := play(t, h); o.isFailure() {
 				t.Errorf("%s", o.summary(h))
 				save(t, h, o)
+			} else if *savesAll {
+				save(t, h, o)
 			}
 		})
 	}
--- a/internal/group/explorer/history_test.go
+++ b/internal/group/explorer/history_test.go
@@ -73,6 +73,7 @@
 	if o.reader != "" {
 		fmt.Fprintf(&b, "reader %s\n", o.reader)
 	}
+	b.WriteString(o.lateness())
 	for _, e := range h.events {
 		fmt.Fprintln(&b, e)
 	}
@@ -112,6 +113,16 @@
 			h.isLossless = true
 		case "reader":
 			h.opts.reader = fields[1]
+		case "promoteSpread":
+			h.opts.promoteSpread, err = time.ParseDuration(fields[1])
+		case "passDelay":
+			h.opts.passDelay, err = time.ParseDuration(fields[1])
+		case "hidesUnreceived":
+			h.opts.hidesUnreceived = true
+		case "holdsOutlastTerm":
+			h.opts.holdsOutlastTerm = true
+		case "replacedGoesOn":
+			h.opts.replacedGoesOn = true
 		case "event":
 			var e event
 			e, err = parseEvent(fields[1:])
--- a/internal/group/explorer/model_test.go
+++ b/internal/group/explorer/model_test.go
@@ -1,6 +1,7 @@
 package explorer
 
 import (
+	"cmp"
 	"context"
 	"fmt"
 	"hash/fnv"
@@ -66,6 +67,9 @@
 	learnsAt  time.Duration // when it learns of the latest promotion
 	catchesUp time.Duration // when it has received the first copy of the log
 	crashes   int           // number of its crashes; connections break at each
+	cutOffs   int           // number of events that cut it off from the platform
+	hasMissed bool          // it was cut off from the platform at the latest promotion
+	shown     int           // entries that a replica has received, or that it held at its promotion
 
 	entry    *cataloger.Instance // its entry in the registry; nil: it has none
 	silentAt time.Duration
@@ -93,8 +97,19 @@
 	return tokenizer.Position{Term: i.log[len(i.log)-1].term, Index: uint64(len(i.log))}
 }
 
-func (i *instance) status() carrier.InstanceStatus {
-	return carrier.InstanceStatus{IsPrimary: i.isPrimary, Term: i.term, Received: i.position(), HoldTerm: i.holdTerm}
+// reported returns the position that an instance reports.
+func (w *world) reported(i *instance) tokenizer.Position {
+	if !w.opts.hidesUnreceived || !i.isPrimary || i.shown >= len(i.log) {
+		return i.position()
+	}
+	if i.shown == 0 {
+		return tokenizer.Position{}
+	}
+	return tokenizer.Position{Term: i.log[i.shown-1].term, Index: uint64(i.shown)}
+}
+
+func (w *world) status(i *instance) carrier.InstanceStatus {
+	return carrier.InstanceStatus{IsPrimary: i.isPrimary, Term: i.term, Received: w.reported(i), HoldTerm: i.holdTerm}
 }
 
 // options are the choices that the protocol leaves open.
@@ -107,6 +122,11 @@
 	learnDelay              time.Duration // at most, until a replica knows its new primary
 	registryDelay           time.Duration // at most, until a VM knows a new entry
 	reader                  string        // VM whose callers only read; "": none
+	promoteSpread           time.Duration // at most, by which a promotion takes longer than promoteTime
+	passDelay               time.Duration // at most, from a VM's decision to pass on an acknowledgement until it has
+	hidesUnreceived         bool          // a primary reports no entry of its term before a replica has received it
+	holdsOutlastTerm        bool          // a hold that comes after a promotion stops its replica from receiving in the new term, too
+	replacedGoesOn          bool          // a replaced primary that is cut off from the platform goes on
 }
 
 // world is the state of the platform and the group.
@@ -134,6 +154,7 @@
 	states     []storeState  // of the store, oldest first
 	away       int           // restores that are under way
 	restoredAt time.Duration // zero: never
+	lateness
 	subs       map[string]*node
 	waiters    []*waiter
 	timeline   []string
@@ -171,7 +192,7 @@
 }
 
 func newWorld(ctx context.Context, seed uint64, o options) *world {
-	w := &world{seed: seed, start: time.Now(), opts: o, ctx: ctx, counters: map[string]uint64{}, instances: map[string]*instance{}, holderOf: map[uint64]string{}, cuts: map[string]int{}, lossy: map[string]int{}, late: map[string]int{}, rows: map[string]follower.Row{}, registry: map[string]registryRow{}, subs: map[string]*node{}, term: 1}
+	w := &world{seed: seed, start: time.Now(), opts: o, ctx: ctx, counters: map[string]uint64{}, instances: map[string]*instance{}, holderOf: map[uint64]string{}, cuts: map[string]int{}, lossy: map[string]int{}, late: map[string]int{}, rows: map[string]follower.Row{}, registry: map[string]registryRow{}, subs: map[string]*node{}, term: 1, lateness: newLateness()}
 	for _, id := range []string{"a", "b", "c"} {
 		w.instances[id] = &instance{id: id, isUp: true, term: 1, delay: w.drawLocked("delay "+id, 0, 8*time.Millisecond)}
 	}
@@ -279,31 +300,43 @@
 
 // replicate lets replicas receive entries and answers the commits that enough replicas have received.
 func (w *world) replicate() {
-	now := w.now()
-	w.answerCommits(now)
+	w.answerCommits(w.now())
+	w.replicateUnaware()
 	p := w.instances[w.primary]
 	if p == nil || !p.isUp || !p.isPrimary && !w.opts.demotedSends {
 		return
 	}
 	for _, r := range w.sortedInstances() {
-		if r == p || !r.isUp || r.isDeaf || r.holdTerm > p.term || now < r.learnsAt || now < r.catchesUp || w.isCut(p.id, r.id) {
-			continue
-		}
-		r.term = max(r.term, p.term)
-		n := 0
-		for n < len(r.log) && n < len(p.log) && r.log[n] == p.log[n] {
-			n++
-		}
-		if n < len(r.log) && !p.isPrimary {
-			continue
-		}
-		r.log = r.log[:n:n]
-		for k := n; k < len(p.log) && now-p.log[k].at >= r.delay; k++ {
-			r.log = append(r.log, p.log[k])
+		if r != p && !r.hasMissed && w.canReceive(r, p) {
+			w.receiveFrom(r, p)
 		}
 	}
 }
 
+// canReceive reports whether a replica receives the entries of a primary at present.
+func (w *world) canReceive(r, p *instance) bool {
+	now := w.now()
+	isHeld := r.holdTerm > p.term || r.holdTerm > 0 && w.opts.holdsOutlastTerm
+	return r.isUp && !r.isDeaf && !isHeld && now >= r.learnsAt && now >= r.catchesUp && !w.isCut(p.id, r.id)
+}
+
+// receiveFrom lets a replica receive the entries of a primary.
+func (w *world) receiveFrom(r, p *instance) {
+	r.term = max(r.term, p.term)
+	n := 0
+	for n < len(r.log) && n < len(p.log) && r.log[n] == p.log[n] {
+		n++
+	}
+	if n < len(r.log) && !p.isPrimary {
+		return
+	}
+	r.log = r.log[:n:n]
+	for k := n; k < len(p.log) && w.now()-p.log[k].at >= r.delay; k++ {
+		r.log = append(r.log, p.log[k])
+	}
+	p.shown = max(p.shown, len(r.log))
+}
+
 func (w *world) answerCommits(now time.Duration) {
 	rest := w.waiters[:0]
 	for _, x := range w.waiters {
@@ -313,7 +346,7 @@
 		case !p.isUp || p.crashes != x.crashes || !p.isPrimary || p.term != x.term:
 			result.kind = classifier.OutcomeUnknown
 		case w.hasReceipt(x):
-			result.pos, result.by = p.position(), x.received
+			result.pos, result.by = w.reported(p), x.received
 		case now >= x.deadline:
 			result.kind = classifier.StatementTimeout
 		default:
@@ -410,6 +443,13 @@
 	if err := w.travel(ctx, vm, id, command); err != nil {
 		return carrier.InstanceStatus{}, err
 	}
+	if w.sendLate(id, command, execute) {
+		<-ctx.Done()
+		return carrier.InstanceStatus{}, classifier.Wrap(classifier.NoInstance, ctx.Err(), "%s does not answer", id)
+	}
+	if err := w.refuseIfBusy(id, command); err != nil {
+		return carrier.InstanceStatus{}, cmp.Or(w.travel(ctx, id, vm, command), err)
+	}
 	w.mu.Lock()
 	i := w.instances[id]
 	if i == nil || !i.isUp {
@@ -432,6 +472,9 @@
 
 // travel lets a message pass between a VM and an instance. A message on a path that is cut gets lost.
 func (w *world) travel(ctx context.Context, from, to, what string) error {
+	if err := w.awaitRunFor(ctx, from); err != nil {
+		return err
+	}
 	most := 4 * time.Millisecond
 	if w.isLate(from, to) {
 		most = 300 * time.Millisecond
@@ -447,7 +490,10 @@
 		<-ctx.Done()
 		return classifier.Wrap(classifier.NoInstance, ctx.Err(), "%s to %s is cut", from, to)
 	}
-	return nil
+	if !strings.HasPrefix(from, "vm") {
+		return nil // an answer, which waits until the VM takes it up
+	}
+	return w.awaitRunFor(ctx, to)
 }
 
 func (w *world) isLate(a, b string) bool {
@@ -463,7 +509,7 @@
 }
 
 func (w *world) statusOf(ctx context.Context, vm, id string) (carrier.InstanceStatus, error) {
-	return w.call(ctx, vm, id, "status", func(i *instance) (carrier.InstanceStatus, error) { return i.status(), nil })
+	return w.call(ctx, vm, id, "status", func(i *instance) (carrier.InstanceStatus, error) { return w.status(i), nil })
 }
 
 func (w *world) hold(ctx context.Context, vm, id string, term uint64) (carrier.InstanceStatus, error) {
@@ -471,8 +517,8 @@
 		if !i.isPrimary && term > i.term {
 			i.holdTerm = max(i.holdTerm, term)
 		}
-		w.logLocked("%s: HOLD %d at %s: %+v", vm, term, id, i.status())
-		return i.status(), nil
+		w.logLocked("%s: HOLD %d at %s: %+v", vm, term, id, w.status(i))
+		return w.status(i), nil
 	})
 }
 
@@ -481,8 +527,8 @@
 		if i.isPrimary && i.term < term {
 			i.isPrimary = false
 		}
-		w.logLocked("%s: DEMOTE %d at %s: %+v", vm, term, id, i.status())
-		return i.status(), nil
+		w.logLocked("%s: DEMOTE %d at %s: %+v", vm, term, id, w.status(i))
+		return w.status(i), nil
 	})
 }
 
@@ -490,9 +536,9 @@
 func (w *world) begin(ctx context.Context, vm, id string) (tokenizer.Position, error) {
 	s, err := w.call(ctx, vm, id, "begin", func(i *instance) (carrier.InstanceStatus, error) {
 		if !i.isPrimary {
-			return i.status(), classifier.New(classifier.NotPrimary, "%s", id)
+			return w.status(i), classifier.New(classifier.NotPrimary, "%s", id)
 		}
-		return i.status(), nil
+		return w.status(i), nil
 	})
 	return s.Received, err
 }
@@ -584,13 +630,17 @@
 	}
 	w.logLocked("platform: promotes %s for %s;%s", id, name, w.positions())
 	crashes := i.crashes
+	takes := w.opts.promoteTime
+	if w.opts.promoteSpread > 0 {
+		takes += w.drawLocked("promote", 0, w.opts.promoteSpread)
+	}
 	w.wg.Go(func() {
-		if !w.sleep(w.opts.promoteTime) {
+		if !w.sleep(takes) {
 			return
 		}
 		w.mu.Lock()
 		defer w.mu.Unlock()
-		if !i.isUp || i.crashes != crashes || w.primary == id && i.isPrimary {
+		if !i.isUp || i.crashes != crashes || w.primary == id && i.isPrimary || i.cutOffs > 0 {
 			w.logLocked("platform: promotion of %s for %s has no effect", id, name)
 			return
 		}
@@ -626,11 +676,15 @@
 	}
 	w.primary, w.lineage = i.id, p
 	for _, r := range w.instances {
+		if r != i && r.cutOffs > 0 {
+			r.hasMissed, r.isPrimary = true, r.isPrimary && w.opts.replacedGoesOn
+			continue
+		}
 		r.learnsAt = w.now() + w.drawLocked("learn "+r.id, time.Millisecond, w.opts.learnDelay)
 		r.isPrimary = r == i
 		r.holdTerm = 0
 	}
-	i.term, i.learnsAt = w.term, 0
+	i.term, i.learnsAt, i.hasMissed, i.shown = w.term, 0, false, len(i.log)
 }
 
 func (w *world) sleep(d time.Duration) bool {
--- a/internal/group/explorer/node_test.go
+++ b/internal/group/explorer/node_test.go
@@ -29,6 +29,8 @@
 	maxWrites     = 6
 	// confirmTimeout bounds a read of the registry.
 	confirmTimeout = 400 * time.Millisecond
+	// refreshTimeout bounds a request to another VM to read the registry.
+	refreshTimeout = 800 * time.Millisecond
 	// sealTimeout bounds the requests to seal a term.
 	sealTimeout  = 100 * time.Millisecond
 	writeTimeout = 1200 * time.Millisecond
@@ -167,6 +169,7 @@
 			latest, n.feed = n.feed[0], n.feed[1:]
 		}
 		n.mu.Unlock()
+		n.w.awaitRun(n.id)
 		n.apply(latest.version, latest.entries)
 		n.recordEra(follower.EraOf(latest.version))
 	}
@@ -233,11 +236,8 @@
 	others := peers{n}.nodes()
 	silent, isIncomplete := 1, false
 	for _, o := range others {
-		if n.w.travel(ctx, n.id, o.id, "confirm") != nil {
-			continue
-		}
-		version, entries, err := o.readRegistry(ctx)
-		if n.w.travel(ctx, o.id, n.id, "confirm") != nil {
+		version, entries, answered, err := n.confirmAt(ctx, o)
+		if !answered {
 			continue
 		}
 		if err == nil {
@@ -260,9 +260,21 @@
 	return err
 }
 
+// confirmAt lets another VM read the registry, and reports whether that one answers in time.
+func (n *node) confirmAt(ctx context.Context, o *node) (version uint64, entries []reconciler.Entry, answered bool, err error) {
+	ctx, cancel := context.WithTimeout(ctx, refreshTimeout)
+	defer cancel()
+	defer n.w.awaitRun(n.id)
+	if n.w.travel(ctx, n.id, o.id, "confirm") != nil {
+		return 0, nil, false, nil
+	}
+	version, entries, err = o.readRegistry(ctx)
+	return version, entries, n.w.travel(ctx, o.id, n.id, "confirm") == nil, err
+}
+
 // demoteAt demotes whatever instance listens at an address, which is its identity here.
 func (n *node) demoteAt(ctx context.Context, t carrier.Target, term uint64) (carrier.InstanceStatus, error) {
-	return n.w.demote(ctx, n.id, t.Address, term)
+	return n.own(ctx, func() (carrier.InstanceStatus, error) { return n.w.demote(ctx, n.id, t.Address, term) })
 }
 
 // sealer implements replacer.Sealer.
@@ -293,6 +305,8 @@
 
 // each calls f on all VMs that can be reached. It returns the sum of the answers, and an error of kind conflict if there is one.
 func (s sealer) each(ctx context.Context, f func(o *node) (registrar.Report, error)) (registrar.Report, error) {
+	s.n.w.awaitRun(s.n.id)
+	defer s.n.w.awaitRun(s.n.id)
 	ctx, cancel := context.WithTimeout(ctx, sealTimeout)
 	defer cancel()
 	others := peers{s.n}.nodes()
@@ -301,6 +315,10 @@
 		s.n.w.wg.Go(func() {
 			if err := s.n.w.travel(ctx, s.n.id, o.id, "seal"); err != nil {
 				answers <- sealAnswer{err: err}
+				if s.n.w.suspension(o.id) != nil && !s.n.w.cut(s.n.id, o.id) { // it reads the request later
+					s.n.w.awaitRun(o.id)
+					_, _ = f(o)
+				}
 				return
 			}
 			report, err := f(o)
@@ -350,10 +368,12 @@
 
 // probe is Probe of the performer.
 func (n *node) probe(g *registrar.Group, v registrar.View) error {
+	n.w.awaitRun(n.id)
 	ctx, cancel := context.WithTimeout(n.ctx, probeTimeout)
 	defer cancel()
 	sentAt := g.Now()
 	p, err := n.w.begin(ctx, n.id, v.ID)
+	err = n.w.receive(ctx, n.id, err)
 	switch {
 	case err == nil:
 		g.RecordProof(registrar.Proof{Instance: v.ID, SentAt: sentAt, Position: p})
@@ -410,15 +430,22 @@
 }
 
 func (n *node) writeTo(g *registrar.Group, id string) {
+	n.w.awaitRun(n.id)
 	ctx, cancel := context.WithTimeout(n.ctx, writeTimeout)
 	defer cancel()
 	sentAt := g.Now()
 	r, e, err := n.w.commit(ctx, n.id, id)
+	err = n.w.receive(ctx, n.id, err)
 	switch {
 	case err == nil:
 		g.RecordAnswer(id, r.pos, 0)
 		g.RecordProof(registrar.Proof{Instance: id, SentAt: sentAt, Position: r.pos})
 		if n.confirmer.Acknowledge(g, r.pos) {
+			n.w.reach(n.id, atAck)
+			if n.w.opts.passDelay > 0 {
+				n.w.sleep(n.w.draw("pass "+n.id, 0, n.w.opts.passDelay))
+				n.w.awaitRun(n.id)
+			}
 			n.w.acknowledge(e, id, r)
 		}
 		g.RecordAnsweredWrite()
@@ -439,6 +466,11 @@
 // promote sends a promote request to the platform.
 func (n *node) promote(ctx context.Context, _, id string, token uint64) error {
 	w := n.w
+	w.awaitRun(n.id)
+	defer w.awaitRun(n.id)
+	if ctx.Err() != nil {
+		return classifier.Wrap(classifier.PlatformUnavailable, ctx.Err(), "not sent")
+	}
 	if w.cut(n.id, platformService) {
 		<-ctx.Done()
 		return classifier.Wrap(classifier.PlatformUnavailable, ctx.Err(), "platform is cut off")
@@ -448,6 +480,9 @@
 	if w.isLate(n.id, platformService) {
 		most = 2500 * time.Millisecond
 	}
+	w.mu.Lock()
+	most = max(most, w.orders[n.id])
+	w.mu.Unlock()
 	delay := w.draw("order "+n.id, time.Millisecond, most)
 	done := make(chan error, 1)
 	w.wg.Go(func() { // the request is carried out even if the VM stops waiting for the answer, or ends
@@ -471,15 +506,15 @@
 type controller struct{ n *node }
 
 func (c controller) Status(ctx context.Context, t carrier.Target) (carrier.InstanceStatus, error) {
-	return c.n.w.statusOf(ctx, c.n.id, t.Instance)
+	return c.n.own(ctx, func() (carrier.InstanceStatus, error) { return c.n.w.statusOf(ctx, c.n.id, t.Instance) })
 }
 
 func (c controller) Hold(ctx context.Context, t carrier.Target, term uint64) (carrier.InstanceStatus, error) {
-	return c.n.w.hold(ctx, c.n.id, t.Instance, term)
+	return c.n.own(ctx, func() (carrier.InstanceStatus, error) { return c.n.w.hold(ctx, c.n.id, t.Instance, term) })
 }
 
 func (c controller) Demote(ctx context.Context, t carrier.Target, term uint64) (carrier.InstanceStatus, error) {
-	return c.n.w.demote(ctx, c.n.id, t.Instance, term)
+	return c.n.own(ctx, func() (carrier.InstanceStatus, error) { return c.n.w.demote(ctx, c.n.id, t.Instance, term) })
 }
 
 // peers implements replacer.PeerCommander.
@@ -508,10 +543,9 @@
 }
 
 func (p peers) Status(ctx context.Context, path carrier.Target) (carrier.InstanceStatus, error) {
-	if err := p.n.w.travel(ctx, p.n.id, path.Address, "path"); err != nil {
-		return carrier.InstanceStatus{}, err
-	}
-	return p.n.w.statusOf(ctx, path.Address, path.Instance)
+	return p.through(ctx, path.Address, func() (carrier.InstanceStatus, error) {
+		return p.n.w.statusOf(ctx, path.Address, path.Instance)
+	})
 }
 
 func (p peers) FindPath(ctx context.Context, t carrier.Target) (carrier.Target, error) {
@@ -542,10 +576,23 @@
 }
 
 func (p peers) Demote(ctx context.Context, path carrier.Target, term uint64) (carrier.InstanceStatus, error) {
-	if err := p.n.w.travel(ctx, p.n.id, path.Address, "path"); err != nil {
-		return carrier.InstanceStatus{}, err
-	}
-	return p.n.w.demote(ctx, path.Address, path.Instance, term)
+	return p.through(ctx, path.Address, func() (carrier.InstanceStatus, error) {
+		return p.n.w.demote(ctx, path.Address, path.Instance, term)
+	})
+}
+
+// through lets another VM make a call.
+func (p peers) through(ctx context.Context, vm string, call func() (carrier.InstanceStatus, error)) (carrier.InstanceStatus, error) {
+	return p.n.own(ctx, func() (carrier.InstanceStatus, error) {
+		if err := p.n.w.travel(ctx, p.n.id, vm, "path"); err != nil {
+			return carrier.InstanceStatus{}, err
+		}
+		s, err := call()
+		if waitErr := p.n.w.awaitRunFor(ctx, vm); waitErr != nil {
+			return carrier.InstanceStatus{}, waitErr
+		}
+		return s, err
+	})
 }
 
 // tokens implements replacer.TokenSource.
@@ -568,8 +615,10 @@
 }
 
 // store carries out a call of the store.
-func (n *node) store(ctx context.Context, execute func() error) error {
+func (n *node) store(ctx context.Context, execute func() error) (err error) {
 	w := n.w
+	w.awaitRun(n.id)
+	defer func() { err = w.receive(ctx, n.id, err) }()
 	if w.cut(n.id, storeService) {
 		if w.draw("refuse "+n.id, 0, 2) == 0 {
 			return classifier.New(classifier.PlatformUnavailable, "store refuses")
--- a/internal/group/explorer/player_test.go
+++ b/internal/group/explorer/player_test.go
@@ -8,6 +8,8 @@
 	"time"
 )
 
+func vmName(k int) string { return fmt.Sprintf("vm%d", k) }
+
 // player carries out the events of a history.
 type player struct {
 	w *world
@@ -20,7 +22,7 @@
 }
 
 func (p *player) startNode(k int) {
-	id := fmt.Sprintf("vm%d", k)
+	id := vmName(k)
 	rank := (k + int(p.h.seed%3)) % p.h.vms
 	p.mu.Lock()
 	defer p.mu.Unlock()
@@ -76,6 +78,9 @@
 		return
 	}
 	w.logf("event: %s %s %s (%s %s) for %s", e.kind, a, b, e.a, e.b, e.lasts)
+	if p.playLateness(e, a) {
+		return
+	}
 	switch e.kind {
 	case cutPaths:
 		p.during(e, w.cuts, pair(a, b))
@@ -108,7 +113,7 @@
 	case isolate, outage:
 		var pairs []string
 		for k := range p.h.vms {
-			if vm := fmt.Sprintf("vm%d", k); vm != b {
+			if vm := vmName(k); vm != b {
 				pairs = append(pairs, pair(a, vm))
 			}
 		}
@@ -146,6 +151,7 @@
 	case leave:
 		w.leave(a, e.lasts)
 	case restartVM:
+		w.awaitRun(a)
 		p.mu.Lock()
 		n := p.nodes[a]
 		delete(p.nodes, a)
--- a/internal/group/explorer/restore_test.go
+++ b/internal/group/explorer/restore_test.go
@@ -1,6 +1,7 @@
 package explorer
 
 import (
+	"bytes"
 	"context"
 	"maps"
 	"math/rand/v2"
@@ -199,6 +200,13 @@
 		return 0, follower.Row{}, err
 	}
 	t.n.recordEra(era)
+	if err == nil && name == "claims" {
+		point := atClaim
+		if bytes.Contains(value, []byte(`"choice"`)) {
+			point = atRecord
+		}
+		w.reach(t.n.id, point)
+	}
 	if err == nil && version != 0 && follower.EraOf(version) != era {
 		return 0, follower.Row{}, classifier.New(classifier.Conflict, "store was restored since version %d", version)
 	}
