Keep what a new primary alone has received as a replica

Cause: a replacement took each commit to be on a replica. A primary that has just been promoted was itself the replica that counted for commits of the term before, and may be the only instance left with them while the other one receives nothing and the former primary is gone. If its writes stalled, it was demoted, and what it held beyond the other replica was given up as not acknowledged; if it crashed, the other replica was promoted without a wait. As it has no entry of its term, VMs count it in the term before, so that nothing told the two primaries of that term apart.

Change: the position at which an instance proves itself as the successor of another primary must be held by whatever is promoted next (an entry of the new term will do, since it comes after all others). A demoted primary's answer shows the same. Otherwise the demoted primary itself is chosen, or the group waits for it.

--- a/internal/group/registrar/departure.go
+++ b/internal/group/registrar/departure.go
@@ -239,14 +239,14 @@
 	return kept
 }
 
-// IsCoveredDespiteDepartures reports whether a replica that has received the log up to p holds every commit for which the
-// primary may have counted a replica that has left since. areAllTold states that RecordReport was called with a complete report.
+// IsCoveredDespiteDepartures reports whether a replica that has received the log up to p holds every commit for which a
+// primary may have counted a replica that has left since, or has become the primary itself. areAllTold states that RecordReport was called with a complete report.
 // Held is as returned by KeptLogs.
 func (g *Group) IsCoveredDespiteDepartures(p tokenizer.Position, areAllTold bool, held map[Member]tokenizer.Position) bool {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	floor, areKnown := g.departure.highestFloor(held)
-	return areKnown && p.Covers(floor) && g.assumption.isMet(p, areAllTold)
+	return areKnown && p.Covers(floor) && p.Covers(g.lead.inherited) && g.assumption.isMet(p, areAllTold)
 }
 
 // Departure reports whether a replica has left, and returns the position that a new primary must hold therefore, zero while it is not
--- a/internal/group/registrar/group.go
+++ b/internal/group/registrar/group.go
@@ -28,6 +28,7 @@
 	primary          Primary
 	latestPrimary    string                // the known primary, or else the one that was known last
 	latestTerm       uint64                // highest term in which latestPrimary proved to be the primary; zero: it did not, or restarted since
+	lead             lead                  // the latest one that a primary has proved
 	departure        departure             // the latest departure of a replica
 	assumption       assumption            // that a replica left without this VM seeing it
 	passedOn         tokenizer.Position    // newest one of the primary at an acknowledgement that this VM passed on, and that no known replica had received; zero: none
@@ -334,6 +335,7 @@
 	}
 	g.primary.Term = term
 	s.Position = s.Position.Max(p.Position)
+	g.lead = g.lead.withProof(p.Instance, term, p.Position)
 	isNew := g.primary.Instance != p.Instance || g.latestTerm != term
 	if isNew {
 		g.lowerFloors(term, p.Position)
--- /dev/null
+++ b/internal/group/registrar/lead.go
@@ -0,0 +1,30 @@
+package registrar
+
+import "parsleyscale/internal/session/tokenizer"
+
+// lead is the time in which an instance is the primary.
+type lead struct {
+	instance string // "": no primary has proved itself
+	term     uint64 // highest one in which it is known to lead
+	// inherited covers the entries that the primary held before it became the primary, as far as this VM can tell. As a replica, it may have been
+	// counted for their commits, and be the only one that is left with them. An instance that holds an entry of the primary's own
+	// term has received all that went before.
+	inherited tokenizer.Position
+}
+
+// withProof returns the lead after an instance has proved to be the primary of a term, with its newest entry. Until a primary has an entry of
+// its own, it may be counted in the term before.
+func (l lead) withProof(instance string, term uint64, p tokenizer.Position) lead {
+	if instance == l.instance && term <= l.term {
+		return l
+	}
+	next := lead{instance: instance, term: max(term, l.term)}
+	switch {
+	case l.instance == "":
+	case p.Term > l.term:
+		next.inherited = tokenizer.Position{Term: p.Term}
+	default:
+		next.inherited = p
+	}
+	return next
+}
--- /dev/null
+++ b/internal/group/registrar/lead_test.go
@@ -0,0 +1,40 @@
+package registrar
+
+import (
+	"testing"
+
+	"parsleyscale/internal/session/tokenizer"
+)
+
+// Guards against a new primary that is taken for one whose entries are all on a replica, and against a group that waits for entries which the
+// primary has written itself.
+func TestInherited(t *testing.T) {
+	at := func(term, index uint64) tokenizer.Position { return tokenizer.Position{Term: term, Index: index} }
+	type proof struct {
+		instance string
+		term     uint64 // as the instance reports it
+		p        tokenizer.Position
+	}
+	for _, c := range []struct {
+		name   string
+		proofs []proof
+		want   tokenizer.Position
+	}{
+		{"first primary", []proof{{"a", 3, at(3, 7)}, {"a", 3, at(3, 8)}}, at(0, 0)},
+		{"successor without an entry", []proof{{"a", 3, at(3, 7)}, {"b", 3, at(3, 9)}}, at(3, 9)},
+		{"the same, proved again", []proof{{"a", 3, at(3, 7)}, {"b", 3, at(3, 9)}, {"b", 3, at(3, 9)}}, at(3, 9)},
+		{"the same, after its status", []proof{{"a", 3, at(3, 7)}, {"b", 3, at(3, 9)}, {"b", 4, at(3, 9)}}, at(3, 9)},
+		{"successor that has written since", []proof{{"a", 3, at(3, 7)}, {"b", 3, at(3, 9)}, {"b", 4, at(4, 10)}}, at(4, 0)},
+		{"successor with an entry", []proof{{"a", 3, at(3, 7)}, {"b", 4, at(4, 12)}}, at(4, 0)},
+		{"successor of that without an entry", []proof{{"a", 3, at(3, 7)}, {"b", 4, at(4, 12)}, {"a", 4, at(4, 13)}}, at(4, 13)},
+		{"the same primary later", []proof{{"a", 3, at(3, 7)}, {"b", 4, at(4, 12)}, {"b", 4, at(4, 90)}}, at(4, 0)},
+	} {
+		var l lead
+		for _, p := range c.proofs {
+			l = l.withProof(p.instance, p.term, p.p)
+		}
+		if l.inherited != c.want {
+			t.Errorf("%s: inherited entries up to %s, want %s", c.name, l.inherited, c.want)
+		}
+	}
+}
--- a/internal/group/replacer/endterm.go
+++ b/internal/group/replacer/endterm.go
@@ -357,6 +357,9 @@
 		return nil, replicaErr
 	}
 	a := <-primaryAnswer
+	if replicaErr == nil && a.err == nil && !holdsInherited(furthestReceived(candidates), a) {
+		replicaErr = classifier.New(classifier.NoInstance, "no replica of group %s holds all entries that primary %s had received before its term", g.Name(), a.id)
+	}
 	switch {
 	case classifier.Is(a.err, classifier.Conflict):
 		return nil, a.err
@@ -375,6 +378,12 @@
 	return covering(append(candidates, a.candidate), a.received), nil
 }
 
+// holdsInherited reports whether a replica that has received the log up to p holds all entries that a primary held before its term. It does if it
+// holds one of that term.
+func holdsInherited(p tokenizer.Position, primary haltAnswer) bool {
+	return p.Term >= primary.status.Term || p.Covers(primary.received)
+}
+
 // unknownReplica returns a replica of a report that this VM does not know.
 func unknownReplica(report registrar.Report, views []registrar.View, oldPrimary string) (id string, ok bool) {
 	for _, id := range report.Missing {
--- a/internal/group/replacer/replacer.go
+++ b/internal/group/replacer/replacer.go
@@ -2,7 +2,7 @@
 // a number of replicas has received it, and whose new primary is appointed by a
 // single fenced promote request to the platform.
 //
-// Nine rules make the promotion safe.
+// Ten rules make the promotion safe.
 //   - An attempt takes its fencing token before it holds, demotes or compares any
 //     instance. An attempt that begins later has a higher token, and once the
 //     platform has seen that token, it refuses the lower one. A spare token is fetched
@@ -32,6 +32,9 @@
 //     replica that has left the group, or lost its log, counts as missing until another one
 //     holds everything that was acknowledged before this was noticed. A VM assumes that one left before
 //     the VM started, unless the store's roster of the group shows the opposite.
+//   - A new primary was a replica, and counted for commits of the term before. Until another instance holds what it had received by then, or an
+//     entry of its own term, it is the one that does not answer if it fails, and is not given up if its writes stall. VMs that know no entry of its
+//     term count it in the term before.
 //   - The chosen instance is recorded with the claim before the promote request is
 //     sent. A later attempt at the same term, which may have reached other
 //     instances, keeps that choice as long as no instance holds more than the chosen
