Remember a promote request for as long as it may be carried out

Cause: a VM that had sent a request without an answer stopped the acknowledgements of the term only as long as it worked at it: its seals ended 2 s after it was killed, suspended or had given up, while the request may be carried out for 15 s. Its choice bound only attempts that found it in the store and its seal in force. So the primary went on with the help of a replica that had restarted, or another attempt, also of the same VM, chose another instance; a higher token does not cancel a promotion that was accepted. A primary that had led for a few seconds and did not answer could be promoted again by a late request of the term before.

Change: before the request is sent, the VMs are told its instance and token. They stop the acknowledgements of the term for the lifetime of the request, unless it is withdrawn or the term ends, and once its VM has not renewed the seal, another one ends the term (orderAbandoned). An attempt that chooses another instance than a request it knows from the store, its own seals or other VMs first shows the platform its token and waits until a promotion that was accepted before has taken effect; a higher token than its own, or a VM that goes on, keeps it from that. So a group no longer waits for a chosen instance that never answers, either. The token is shown before any successor of a primary that has led for less than 15 s is ordered. A spare token for which no request was sent is kept.

--- a/internal/group/registrar/group.go
+++ b/internal/group/registrar/group.go
@@ -568,6 +568,7 @@
 	PrimaryView      View      // zero while no primary is known
 	UnansweredWrites int       // unanswered writes since the last answered one, or since the primary or its term changed
 	StalledAt        time.Time // when the first of them was recorded
+	AbandonedSince   time.Time // since when no VM has worked at the end of the term although a promote request may be carried out; zero: there is none
 	Instances        int       // number of known instances
 	RegistryPrimary  string    // instance that the registry names instead of the known primary; "": none
 }
@@ -576,7 +577,7 @@
 func (g *Group) Health() Health {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	h := Health{Primary: g.primary, NoPrimarySince: g.noPrimarySince, UnansweredWrites: g.unansweredWrites, StalledAt: g.stalledAt, Instances: len(g.instances), RegistryPrimary: g.registryPrimary}
+	h := Health{Primary: g.primary, NoPrimarySince: g.noPrimarySince, UnansweredWrites: g.unansweredWrites, StalledAt: g.stalledAt, AbandonedSince: g.abandonedSince(), Instances: len(g.instances), RegistryPrimary: g.registryPrimary}
 	if s, ok := g.instances[g.primary.Instance]; ok {
 		h.PrimaryView = s.View
 	}
--- a/internal/group/registrar/report.go
+++ b/internal/group/registrar/report.go
@@ -19,6 +19,8 @@
 	SilentFloors map[Member]tokenizer.Position
 	// Unanswered is the number of VMs that have not answered and may go on to pass on acknowledgements.
 	Unanswered int
+	// Orders are the promote requests of other VMs at the end of the term that may still be carried out.
+	Orders []Order
 	// Missing are replicas without a registry entry that have not left as far as a VM knows, sorted.
 	Missing []string
 }
@@ -36,10 +38,27 @@
 	}
 	return Report{
 		PassedOn: r.PassedOn.Max(other.PassedOn), IsComplete: r.IsComplete && other.IsComplete, Unanswered: r.Unanswered + other.Unanswered,
-		DepartureFloor: r.DepartureFloor.Max(other.DepartureFloor), SilentFloors: floors, Missing: slices.Compact(missing),
+		DepartureFloor: r.DepartureFloor.Max(other.DepartureFloor), SilentFloors: floors, Missing: slices.Compact(missing), Orders: withOrders(r.Orders, other.Orders),
 	}
 }
 
+// withOrders adds to a list of orders those of another one that it lacks.
+func withOrders(list, other []Order) []Order {
+	sum := slices.Clone(list)
+	for _, o := range other {
+		if !slices.Contains(sum, o) {
+			sum = append(sum, o)
+		}
+	}
+	return sum
+}
+
+// WithOrders adds promote requests that may still be carried out.
+func (r Report) WithOrders(orders []Order) Report {
+	r.Orders = withOrders(r.Orders, orders)
+	return r
+}
+
 // WithoutHolds returns the report for the case that no silent replica is held: the departure floor covers all silent floors.
 func (r Report) WithoutHolds() Report {
 	for _, p := range r.SilentFloors {
--- a/internal/group/registrar/seal.go
+++ b/internal/group/registrar/seal.go
@@ -1,6 +1,8 @@
 package registrar
 
 import (
+	"cmp"
+	"slices"
 	"time"
 
 	"parsleyscale/internal/failure/classifier"
@@ -11,6 +13,9 @@
 // it, or leave the outcome of the primary's writes unknown, for long.
 const sealTTL = 2 * time.Second
 
+// OrderLifetime is how long after its call a promote request without an answer may still be carried out.
+const OrderLifetime = 15 * time.Second
+
 // Seal tells that a VM is about to end a term of a group.
 type Seal struct {
 	Term   uint64
@@ -23,16 +28,32 @@
 	// joined or restarted after the replicas were compared. The new primary lacks these.
 	StopsAcks bool
 	After     tokenizer.Position // of a demoted primary, which its successor covers; zero: none
+	// Order is the promote request that the VM is about to send, or has sent, at the end of the term; the zero value: none. The platform may
+	// carry it out long after its call, whatever has become of the VM.
+	Order Order
+}
+
+// Order is a promote request.
+type Order struct {
+	Instance string // to be promoted
+	Token    uint64 // at most that of the request
 }
 
 // activeSeal is a seal and the time at which it expires.
 type activeSeal struct {
 	Seal
-	until time.Time
+	until     time.Time
+	orderedAt time.Time // when its order was known last to be repeated; zero: there is none
+	isLeader  bool      // the instance of the order was the known primary before
 }
 
 func (s activeSeal) isActive() bool { return time.Now().Before(s.until) }
 
+// isOrderOpen reports whether the order may still be carried out.
+func (s activeSeal) isOrderOpen() bool {
+	return !s.orderedAt.IsZero() && time.Since(s.orderedAt) < OrderLifetime
+}
+
 // Seal records a seal, or renews it. It fails with kind conflict while another VM ends the same term, or a later one, unless the
 // claims of both exclude each other.
 func (g *Group) Seal(s Seal) error {
@@ -43,16 +64,63 @@
 			return classifier.New(classifier.Conflict, "group %s: VM %s is ending term %d", g.name, holder, other.Term)
 		}
 	}
-	if last := g.seals[s.Holder]; last.isActive() && last.Term == s.Term && last.StopsAcks {
+	last := g.seals[s.Holder]
+	isContinued := last.Term == s.Term && (last.isActive() || last.isOrderOpen())
+	if isContinued && last.StopsAcks {
 		if !s.StopsAcks || s.After.Covers(last.After) {
 			s.After = last.After // an earlier promote request of the VM may still be carried out
 		}
 		s.StopsAcks = true
 	}
-	g.seals[s.Holder] = activeSeal{s, time.Now().Add(sealTTL)}
+	next := activeSeal{Seal: s, until: time.Now().Add(sealTTL)}
+	switch {
+	case s.Order.Instance != "":
+		next.orderedAt, next.isLeader = time.Now(), s.Order.Instance == g.latestPrimary
+		if isContinued && last.Order.Instance == s.Order.Instance {
+			next.isLeader = last.isLeader
+		}
+	case isContinued && last.isOrderOpen():
+		next.Order, next.orderedAt, next.isLeader = last.Order, last.orderedAt, last.isLeader
+	}
+	g.seals[s.Holder] = next
 	return nil
 }
 
+// OpenOrders returns the promote requests at the end of a term that may still be carried out, as far as this VM knows.
+func (g *Group) OpenOrders(term uint64) []Order {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.openOrders(term)
+}
+
+func (g *Group) openOrders(term uint64) []Order {
+	var list []Order
+	for _, s := range g.seals {
+		if s.Term == term && s.isOrderOpen() {
+			list = append(list, s.Order)
+		}
+	}
+	slices.SortFunc(list, func(a, b Order) int { return cmp.Compare(a.Token, b.Token) })
+	return list
+}
+
+// abandonedSince returns since when no VM has worked at the end of the present term although a promote request for it may still be
+// carried out. It returns the zero time if there is none, or if its instance leads already.
+func (g *Group) abandonedSince() time.Time {
+	var since time.Time
+	for _, s := range g.seals {
+		isCarriedOut := g.primary.Instance == s.Order.Instance && !s.isLeader
+		switch {
+		case s.Term < g.primary.Term || !s.isOrderOpen() || isCarriedOut:
+		case s.isActive():
+			return time.Time{}
+		case s.until.After(since):
+			since = s.until
+		}
+	}
+	return since
+}
+
 // IsSealedByOther reports whether another VM than self is ending a term.
 func (g *Group) IsSealedByOther(self string, term uint64) bool {
 	g.mu.Lock()
@@ -84,7 +152,8 @@
 
 func (g *Group) stopsAck(p tokenizer.Position) bool {
 	for _, s := range g.seals {
-		if s.StopsAcks && s.isActive() && p.Term <= s.Term && (s.After.IsZero() || !s.After.Covers(p)) {
+		isInForce := s.isActive() || s.isOrderOpen()
+		if s.StopsAcks && isInForce && p.Term <= s.Term && (s.After.IsZero() || !s.After.Covers(p)) {
 			return true
 		}
 	}
--- a/internal/group/registrar/seal_test.go
+++ b/internal/group/registrar/seal_test.go
@@ -118,3 +118,58 @@
 		t.Error("a spare token is used while vm-1 ends the term")
 	}
 }
+
+// Guards against the loss of commits that are passed on after the VM which sealed the term has failed, while its promote request may still be
+// carried out, and against a VM that is taken for one which works at that.
+func TestOpenOrder(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		_, g, _ := newGroup()
+		at := func(term, index uint64) tokenizer.Position { return tokenizer.Position{Term: term, Index: index} }
+		prove(g, "a", 3, 7)
+		seal := Seal{Term: 3, Holder: "vm-1", StopsAcks: true, Order: Order{Instance: "b", Token: 9}}
+		if err := g.Seal(seal); err != nil {
+			t.Fatal(err)
+		}
+		sealedAt := time.Now()
+		check := func(when string, wantStops, wantOrder bool, wantSince time.Time) {
+			t.Helper()
+			if got := g.StopsAck(at(3, 9)); got != wantStops {
+				t.Errorf("%s: acknowledgements are stopped: %t, want %t", when, got, wantStops)
+			}
+			if got := g.OpenOrders(3); (len(got) == 1 && got[0] == seal.Order) != wantOrder {
+				t.Errorf("%s: open orders %v, want one: %t", when, got, wantOrder)
+			}
+			if got := g.Health().AbandonedSince; !got.Equal(wantSince) {
+				t.Errorf("%s: abandoned since %v, want %v", when, got, wantSince)
+			}
+		}
+		check("in force", true, true, time.Time{})
+		time.Sleep(sealTTL)
+		check("expired", true, true, sealedAt.Add(sealTTL))
+		if g.StopsAck(at(4, 9)) {
+			t.Error("acknowledgements of the next term are stopped")
+		}
+		if err := g.Seal(Seal{Term: 3, Holder: "vm-1"}); err != nil {
+			t.Fatal(err)
+		}
+		check("the VM works at the term again", true, true, time.Time{})
+		time.Sleep(OrderLifetime - sealTTL - time.Millisecond)
+		check("at the end of its lifetime", true, true, sealedAt.Add(2*sealTTL))
+		time.Sleep(time.Millisecond)
+		check("carried out or lost by now", false, false, time.Time{})
+		if err := g.Seal(seal); err != nil {
+			t.Fatal(err)
+		}
+		g.Unseal(seal)
+		check("withdrawn", false, false, time.Time{})
+		if err := g.Seal(seal); err != nil {
+			t.Fatal(err)
+		}
+		time.Sleep(sealTTL)
+		g.RecordDenial("a")
+		prove(g, "b", 3, 9)
+		check("carried out, without an entry of the new term", true, true, time.Time{})
+		prove(g, "b", 4, 10)
+		check("carried out", true, true, time.Time{})
+	})
+}
--- a/internal/group/replacer/basis.go
+++ b/internal/group/replacer/basis.go
@@ -32,6 +32,8 @@
 	Received      tokenizer.Position // of the chosen instance
 	Demoted       tokenizer.Position // of the demoted primary; zero: not known
 
+	OpenOrders []registrar.Order // of earlier attempts at the term, as VMs have reported
+
 	RegistryVersion uint64 // zero: not known
 	RegistryAge     time.Duration
 
--- a/internal/group/replacer/decide.go
+++ b/internal/group/replacer/decide.go
@@ -48,6 +48,7 @@
 	WritesStalled      Reason = "writesStalled"
 	NoPrimary          Reason = "noPrimary"
 	PrimaryLeaving     Reason = "primaryLeaving"
+	OrderAbandoned     Reason = "orderAbandoned" // a promote request of a VM that has stopped working at it may still be carried out
 )
 
 // Evidence is the input of a decision.
@@ -82,6 +83,8 @@
 		return onceDue(e, h.PrimaryView.FailedAt.Add(unreachableAfter+delay), Action{Replace, PrimaryUnreachable})
 	case h.UnansweredWrites >= minStalls:
 		return onceDue(e, h.StalledAt.Add(stalledAfter+delay), Action{Replace, WritesStalled})
+	case !h.AbandonedSince.IsZero():
+		return onceDue(e, h.AbandonedSince.Add(delay), Action{Switch, OrderAbandoned})
 	}
 	return Action{None, Healthy}
 }
--- a/internal/group/replacer/decide_test.go
+++ b/internal/group/replacer/decide_test.go
@@ -15,7 +15,7 @@
 
 var now = time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
 
-// decideCase is a case of testdata/decide.hujson. Lost, Leaving, Failed and Stalled are times in
+// decideCase is a case of testdata/decide.hujson. Lost, Leaving, Failed, Stalled and Abandoned are times in
 // milliseconds before the decision.
 type decideCase struct {
 	Name         string `json:"name"`
@@ -26,6 +26,7 @@
 	FailedMsAgo  int    `json:"failed"`
 	Stalls       int    `json:"stalls"`
 	StalledMsAgo int    `json:"stalled"`
+	AbandonedMs  int    `json:"abandoned"`
 	Rank         int    `json:"rank"`
 	Want         Kind   `json:"want"`
 	Reason       Reason `json:"reason"`
@@ -39,6 +40,9 @@
 	if c.LostMsAgo > 0 {
 		h.Primary.Instance, h.NoPrimarySince = "", msAgo(c.LostMsAgo)
 	}
+	if c.AbandonedMs > 0 {
+		h.AbandonedSince = msAgo(c.AbandonedMs)
+	}
 	return Evidence{Health: h, Now: now, Rank: c.Rank}
 }
 
--- a/internal/group/replacer/endterm.go
+++ b/internal/group/replacer/endterm.go
@@ -65,14 +65,17 @@
 		return candidates, false, err
 	}
 	// A stalled primary is reachable, so holdAll awaits the answer to its demotion.
+	fenced := make(chan error, 1)
+	r.wg.Go(func() { fenced <- r.fenceLateRequests(ctx, e) })
 	if e.isStalled() {
-		if err := r.fenceLateRequests(ctx, e); err != nil {
+		if err := <-fenced; err != nil {
 			return nil, true, err
 		}
+		fenced <- nil
 	}
 	b.EndedBy, seal.StopsAcks = EndedByHold, true
 	candidates, err = r.holdAllRegistered(ctx, e, *seal, b)
-	return candidates, true, err
+	return candidates, true, cmp.Or(err, <-fenced)
 }
 
 // discoverTerm returns the highest term that any instance has reported, after it has asked all of them again.
@@ -333,7 +336,7 @@
 		return covering(candidates, formerPosition), nil
 	}
 	report := e.sealing.await()
-	b.Unsealed = report.Unanswered
+	b.Unsealed, b.OpenOrders = report.Unanswered, report.Orders
 	if id, ok := unknownReplica(report, slices.Concat(views, silentReplicas), old.Instance); replicaErr == nil && ok {
 		replicaErr = classifier.New(classifier.NoInstance, "replica %s of group %s is known to another VM only, and may hold entries that the others lack", id, g.Name())
 	}
--- a/internal/group/replacer/fence.go
+++ b/internal/group/replacer/fence.go
@@ -1,7 +1,9 @@
 package replacer
 
 import (
+	"cmp"
 	"context"
+	"slices"
 	"time"
 
 	"parsleyscale/internal/clock/sleeper"
@@ -11,23 +13,21 @@
 )
 
 const (
-	// lateRequestLifetime is how long after its call a promote request without an answer may still be carried out.
-	lateRequestLifetime = 15 * time.Second
 	// fenceAttempts is how often the platform is shown a token in vain before an attempt fails.
 	fenceAttempts = 3
-	// lostChoiceWait is longer than a promotion takes from its request to its effect, which is up to 1 s.
-	lostChoiceWait = 1500 * time.Millisecond
+	// promotionTime is longer than a promotion takes from its request to its effect, which is up to 1 s.
+	promotionTime = 1500 * time.Millisecond
 	// EntriesBackTime is the time after a restore until the instances have written their registry entries again, about 2 s.
 	EntriesBackTime = 2200 * time.Millisecond
-	// lostChoiceInterval is the time between two searches for the instance of a lost choice.
-	lostChoiceInterval = 100 * time.Millisecond
+	// promotionInterval is the time between two searches for an instance that has been promoted.
+	promotionInterval = 100 * time.Millisecond
 )
 
 // fenceLateRequests shows the platform the token of an attempt before a primary that has led for a short time only is demoted. A
 // request for its own promotion may be carried out late, or be repeated by a VM that does not reach it, and make it lead again
 // after its demotion. The platform refuses these once it has seen the token. Without an answer, the primary is not demoted.
 func (r *Replacer) fenceLateRequests(ctx context.Context, e ending) error {
-	if r.cfg.IsUnfenced || time.Since(e.old.Since) > lateRequestLifetime {
+	if r.cfg.IsUnfenced || time.Since(e.old.Since) > registrar.OrderLifetime {
 		return nil
 	}
 	return r.fence(ctx, e.group.Name(), e.token)
@@ -56,12 +56,12 @@
 	restoredAt time.Time
 }
 
-// errRestoreAwaited ends an attempt after its wait for a lost choice. By then, the primary may have recovered.
-var errRestoreAwaited = classifier.New(classifier.NotReady, "the store was restored; promotions from before have had time to take effect")
+// errOrdersAwaited ends an attempt after its wait for promotions that may have been accepted. By then, the primary may have recovered.
+var errOrdersAwaited = classifier.New(classifier.NotReady, "earlier promote requests have had time to take effect")
 
 // awaitLostChoice lets a promotion take effect whose choice the restored store may have lost. Once the platform has seen the token,
 // it accepts no further request for it. The wait lasts at least until the registry lists all replicas again, which are compared
-// afterwards. It takes place once for a term, and then returns errRestoreAwaited, or earlier once the group has a new primary.
+// afterwards. It takes place once for a term, and then returns errOrdersAwaited, or earlier once the group has a new primary.
 func (r *Replacer) awaitLostChoice(ctx context.Context, g *registrar.Group, old registrar.Primary, c claimer.ClaimResult) error {
 	restore := awaitedRestore{old.Term, c.RestoredAt}
 	r.mu.Lock()
@@ -73,20 +73,74 @@
 	if err := r.fence(ctx, g.Name(), fencingToken(old.Term, c.FencingToken, true)); err != nil {
 		return err
 	}
-	end := time.Now().Add(lostChoiceWait)
+	end := time.Now().Add(promotionTime)
 	if entriesBackAt := c.RestoredAt.Add(EntriesBackTime); entriesBackAt.After(end) {
 		end = entriesBackAt
 	}
+	if isReplaced, err := r.awaitPromotions(ctx, g, old, end); isReplaced || err != nil {
+		return cmp.Or(err, errOrdersAwaited)
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.awaited[g.Name()] = restore
+	return errOrdersAwaited
+}
+
+// awaitPromotions waits until a time, or until the group has a new primary.
+func (r *Replacer) awaitPromotions(ctx context.Context, g *registrar.Group, old registrar.Primary, end time.Time) (isReplaced bool, err error) {
 	for time.Now().Before(end) {
-		if !sleeper.Sleep(ctx, lostChoiceInterval) {
-			return ctx.Err()
+		if !sleeper.Sleep(ctx, promotionInterval) {
+			return false, ctx.Err()
 		}
 		if isReplaced, _ := r.probeOthers(g, old); isReplaced {
-			return errRestoreAwaited
+			return true, nil
 		}
 	}
+	return false, nil
+}
+
+// voidedOrders are the promote requests at the end of a term with tokens up to one that the platform has seen. It refuses them, and those that
+// it had accepted before have had time to take effect.
+type voidedOrders struct {
+	term, token uint64
+}
+
+// earlierOrders returns the promote requests at the end of a term that may still be carried out, as far as this VM knows, the claim tells
+// or other VMs have reported.
+func earlierOrders(g *registrar.Group, e ending, c claimer.ClaimResult, reported []registrar.Order) []registrar.Order {
+	orders := append(g.OpenOrders(e.old.Term), reported...)
+	if _, isPresent := g.View(c.ChosenInstance); isPresent {
+		orders = append(orders, registrar.Order{Instance: c.ChosenInstance, Token: fencingToken(e.old.Term, c.ChoiceNumber, true)})
+	}
+	return orders
+}
+
+// checkEarlierOrders returns an error while a promote request of an earlier attempt may be carried out that is for another instance than the
+// chosen one: the platform may carry out both, one after the other, and the second one would drop the commits of the first one's term. If the
+// token of this attempt is higher, and the VM that sent the request does not go on, the platform is shown the token first.
+func (r *Replacer) checkEarlierOrders(ctx context.Context, e ending, target string, orders []registrar.Order) error {
+	g, term := e.group, e.old.Term
+	r.mu.Lock()
+	void := r.voided[g.Name()]
+	r.mu.Unlock()
+	k := slices.IndexFunc(orders, func(o registrar.Order) bool {
+		return o.Instance != target && (void.term != term || o.Token > void.token)
+	})
+	if k < 0 {
+		return nil
+	}
+	isLater := slices.ContainsFunc(orders, func(o registrar.Order) bool { return o.Instance != target && o.Token > e.token })
+	if isLater || r.cfg.IsUnfenced || r.cfg.Fence == nil || g.IsSealedByOther(r.cfg.Self, term) {
+		return classifier.New(classifier.Conflict, "instance %s may still be promoted by an earlier attempt, and this one has chosen instance %s", orders[k].Instance, target)
+	}
+	if err := r.fence(ctx, g.Name(), e.token); err != nil {
+		return err
+	}
+	if isReplaced, err := r.awaitPromotions(ctx, g, e.old, time.Now().Add(promotionTime)); isReplaced || err != nil {
+		return cmp.Or(err, errOrdersAwaited)
+	}
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	r.awaited[g.Name()] = restore
-	return errRestoreAwaited
+	r.voided[g.Name()] = voidedOrders{term, e.token}
+	return errOrdersAwaited
 }
--- a/internal/group/replacer/replacer.go
+++ b/internal/group/replacer/replacer.go
@@ -2,7 +2,7 @@
 // a number of replicas has received it, and whose new primary is appointed by a
 // single fenced promote request to the platform.
 //
-// Ten rules make the promotion safe.
+// Eleven rules make the promotion safe.
 //   - An attempt takes its fencing token before it holds, demotes or compares any
 //     instance. An attempt that begins later has a higher token, and once the
 //     platform has seen that token, it refuses the lower one. A spare token is fetched
@@ -36,11 +36,14 @@
 //     entry of its own term, it is the one that does not answer if it fails, and is not given up if its writes stall. VMs that know no entry of its
 //     term count it in the term before.
 //   - The chosen instance is recorded with the claim before the promote request is
-//     sent. A later attempt at the same term, which may have reached other
+//     sent, and other VMs are told. A later attempt at the same term, which may have reached other
 //     instances, keeps that choice as long as no instance holds more than the chosen
-//     one, and does not proceed without the chosen instance's answer. A hold is
+//     one. It chooses otherwise only once the platform has seen its higher token, and a promotion
+//     that was accepted before has had time to take effect. A hold is
 //     never undone: a promote request that got no answer may still be carried out
-//     later, and until then nothing may be acknowledged that the chosen replica lacks.
+//     later, and until then nothing may be acknowledged that the chosen replica lacks. So the VMs
+//     stop the acknowledgements of the term for as long as that is possible, and end the term if the VM
+//     that sent the request does not.
 //   - After a restore of the store, which may have lost a claim with its choice, the platform is shown the token of the new claim, and
 //     any promotion that it accepted before takes effect first. By then, the instances have written their registry entries again.
 //   - The claim is renewed before each repeated promote request, so that none is sent after another VM has claimed the
@@ -58,7 +61,6 @@
 	"context"
 	"errors"
 	"math/rand/v2"
-	"slices"
 	"sync"
 	"time"
 
@@ -227,6 +229,7 @@
 	lastProbe   map[string]time.Time      // by instance
 	requested   map[string]uint64         // latest term for whose end a promote request was sent, by group
 	awaited     map[string]awaitedRestore // by group
+	voided      map[string]voidedOrders   // the latest of each group
 	spareToken  uint64                    // for a replacement while the store is unavailable; zero: none
 
 	rosterReads map[string]rosterRead // by group; accessed by run only
@@ -241,7 +244,7 @@
 		cfg.IsConfigured = func(string) bool { return true }
 	}
 	ctx, cancel := context.WithCancel(context.Background())
-	r := &Replacer{cfg: cfg, cancel: cancel, isReplacing: map[string]bool{}, failures: map[string]int{}, requested: map[string]uint64{}, lastProbe: map[string]time.Time{}, awaited: map[string]awaitedRestore{}, rosterReads: map[string]rosterRead{}}
+	r := &Replacer{cfg: cfg, cancel: cancel, isReplacing: map[string]bool{}, failures: map[string]int{}, requested: map[string]uint64{}, lastProbe: map[string]time.Time{}, awaited: map[string]awaitedRestore{}, voided: map[string]voidedOrders{}, rosterReads: map[string]rosterRead{}}
 	r.wg.Go(func() { r.run(ctx) })
 	r.wg.Go(func() { r.refillSpareToken(ctx) })
 	return r
@@ -364,6 +367,9 @@
 		if current.Term > old.Term || a.Kind == Replace && Decide(Evidence{Health: g.Health(), Now: time.Now()}).Kind == None {
 			return // another VM has replaced the primary, or the primary has recovered
 		}
+		if a.Reason == OrderAbandoned && Decide(Evidence{Health: g.Health(), Now: time.Now()}).Reason != OrderAbandoned {
+			return // settled, or the primary has failed: a replacement for that reason begins
+		}
 		if _, ok := g.View(old.Instance); !ok && a.Kind == Switch {
 			return // the leaving primary has left before it was demoted: a replacement for that reason begins
 		}
@@ -376,7 +382,7 @@
 				a.Reason = PrimaryUnreachable // so that other VMs are asked for a path to it
 			}
 		}
-		if err := r.attempt(ctx, g, a, old); err != nil && !errors.Is(err, errRestoreAwaited) {
+		if err := r.attempt(ctx, g, a, old); err != nil && !errors.Is(err, errOrdersAwaited) {
 			r.cfg.Observe(Event{Name: EventFailed, Group: g.Name(), Instance: old.Instance, Reason: a.Reason, Term: old.Term, Err: err, Took: time.Since(start)})
 			r.backOff(ctx, g)
 		}
@@ -439,10 +445,14 @@
 	}
 	b := r.newBasis(isSpare, claim.ChosenInstance)
 	seal := registrar.Seal{Term: old.Term, Holder: r.cfg.Self, IsSpare: isSpare}
+	isOrdered := false
 	defer func() {
 		if !r.hasRequested(g.Name(), old.Term) {
 			r.unseal(ctx, g, seal)
 		}
+		if isSpare && !isOrdered {
+			r.returnSpareToken(claim.FencingToken)
+		}
 	}()
 	e := ending{group: g, action: a, old: old, path: path, earlierChoice: claim.ChosenInstance, token: fencingToken(old.Term, claim.FencingToken, !isSpare)}
 	candidates, areHeld, err := r.endTerm(ctx, e, &seal, &b)
@@ -452,21 +462,26 @@
 		}
 		return err
 	}
-	target, err := r.chooseTarget(g, candidates, claim.ChosenInstance, old.Term)
+	target, err := choose(candidates, claim.ChosenInstance)
 	if err != nil {
 		return err
 	}
+	if err := r.checkEarlierOrders(ctx, e, target, earlierOrders(g, e, claim, b.OpenOrders)); err != nil {
+		return err
+	}
 	b.recordChoice(g, candidates, target)
-	p := promotion{group: g, action: a, basis: b, term: old.Term, target: target, received: furthestReceived(candidates), number: claim.FencingToken, isClaimed: !isSpare, isFirstChoice: claim.ChosenInstance == ""}
+	p := promotion{group: g, action: a, basis: b, term: old.Term, target: target, received: furthestReceived(candidates), number: claim.FencingToken, isClaimed: !isSpare, isFirstChoice: claim.ChosenInstance == "", isFirstOrder: !r.hasRequested(g.Name(), old.Term)}
 	if p.oldPrimary = old.Instance; p.oldPrimary == "" {
 		p.oldPrimary, _ = g.FormerPrimary(old.Term)
 	}
 	if !areHeld {
 		seal.StopsAcks, seal.After = true, b.Demoted
 	}
-	if err := r.settleChoice(ctx, &p, areHeld, seal); err != nil {
+	seal.Order = registrar.Order{Instance: target, Token: e.token}
+	if err := r.settleChoice(ctx, e, &p, areHeld, seal); err != nil {
 		return err
 	}
+	isOrdered = true
 	r.recordRequest(g.Name(), old.Term)
 	return r.requestPromotion(ctx, p, seal)
 }
@@ -486,45 +501,38 @@
 			return false, classifier.New(classifier.NoPrimary, "cannot replace the primary of group %s: no instance has reported a term", g.Name())
 		}
 	}
+	if a.Reason == OrderAbandoned {
+		statuses, _ := r.statusOfAll(ctx, g) // the promotion may have taken effect
+		for id, s := range statuses {
+			g.RecordStatus(id, s)
+		}
+		if g.Primary().Term > old.Term {
+			return true, nil
+		}
+	}
 	if a.Reason == WritesStalled {
 		return false, r.checkStallCanEnd(ctx, g, old.Instance, registrar.Report{IsComplete: true}) // what the VMs report is checked after the seal
 	}
 	return false, nil
 }
 
-// chooseTarget chooses the instance to promote. An earlier choice, which may still be promoted, must be among the candidates.
-// While the VM that made it goes on, no other one is chosen: the platform may carry out both promote requests, one after the other.
-func (r *Replacer) chooseTarget(g *registrar.Group, candidates []candidate, earlierChoice string, term uint64) (string, error) {
-	_, isEarlierPresent := g.View(earlierChoice)
-	if isEarlierPresent && !slices.ContainsFunc(candidates, func(c candidate) bool { return c.id == earlierChoice }) {
-		return "", classifier.New(classifier.Conflict, "instance %s may still be promoted by an earlier attempt and is no candidate in this one", earlierChoice)
-	}
-	target, err := choose(candidates, earlierChoice)
-	if err != nil {
-		return "", err
-	}
-	if isEarlierPresent && target != earlierChoice && (r.cfg.IsUnfenced || g.IsSealedByOther(r.cfg.Self, term)) {
-		return "", classifier.New(classifier.Conflict, "instance %s may still be promoted by an earlier attempt, which instance %s is ahead of", earlierChoice, target)
-	}
-	return target, nil
-}
-
-// settleChoice records the choice. After a demotion, it meanwhile holds the replicas and stops the acknowledgements of later
-// commits, in case the demoted primary leads again before the promotion is carried out.
-func (r *Replacer) settleChoice(ctx context.Context, p *promotion, areHeld bool, seal registrar.Seal) error {
-	awaitSeal, awaitHolds := noWait, noWait
-	if !areHeld {
-		awaitSeal = r.startSeal(ctx, p.group, seal)
-		if p.target != p.oldPrimary {
-			awaitHolds = r.holdOthers(ctx, *p)
-		}
+// settleChoice records the choice, and tells other VMs of the promote request that follows. After a demotion, it meanwhile holds the replicas
+// and stops the acknowledgements of later commits, in case the demoted primary leads again before the promotion is carried out.
+func (r *Replacer) settleChoice(ctx context.Context, e ending, p *promotion, areHeld bool, seal registrar.Seal) error {
+	awaitSeal, awaitHolds := r.startSeal(ctx, p.group, seal), noWait
+	if !areHeld && p.target != p.oldPrimary {
+		awaitHolds = r.holdOthers(ctx, *p)
 	}
 	if p.isClaimed {
 		if err := r.record(ctx, p); err != nil {
 			return err
 		}
 	}
-	err := cmp.Or(awaitHolds(), awaitSeal())
+	err := awaitHolds()
+	report, sealErr := awaitSeal()
+	if err = cmp.Or(err, sealErr); err == nil {
+		err = r.checkEarlierOrders(ctx, e, p.target, report.Orders)
+	}
 	if err != nil && p.isClaimed && p.isFirstChoice {
 		_ = r.cfg.Claims.Withdraw(ctx, p.group.Name(), p.term, p.number) // no request was sent; otherwise the choice stands, which only delays
 	}
@@ -537,6 +545,13 @@
 	r.requested[group] = term
 }
 
+// forgetRequest records that the platform has refused the only promote request that ends a term.
+func (r *Replacer) forgetRequest(group string) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	delete(r.requested, group)
+}
+
 // hasRequested reports whether this VM has sent a promote request that ends a term. It may still be carried out.
 func (r *Replacer) hasRequested(group string, term uint64) bool {
 	r.mu.Lock()
@@ -557,6 +572,7 @@
 
 	oldPrimary    string // "" if it is not known
 	isFirstChoice bool   // no earlier attempt at the term chose an instance
+	isFirstOrder  bool   // this VM has sent no promote request at the end of the term before
 }
 
 // record records the choice with the claim, which gives the claim a new number. Where tokens are checked, only a
@@ -626,9 +642,15 @@
 		err := r.promote(ctx, g.Name(), p.target, p.token())
 		r.cfg.Observe(Event{Name: EventPromoteRequested, Group: g.Name(), Instance: p.target, Reason: p.action.Reason, Term: p.term, Token: p.token(), Basis: &p.basis, Err: err})
 		if classifier.Is(err, classifier.Conflict) {
-			if p.isClaimed && p.isFirstChoice && !isUnanswered && !r.cfg.IsUnfenced {
+			if isUnanswered {
+				return settled(err) // an earlier request may still take effect
+			}
+			if p.isClaimed && p.isFirstChoice && !r.cfg.IsUnfenced {
 				_ = r.cfg.Claims.Withdraw(ctx, g.Name(), p.term, p.number) // otherwise the choice stands, which only delays
 			}
+			if p.isFirstOrder {
+				r.forgetRequest(g.Name())
+			}
 			return settled(err)
 		}
 		isUnanswered = isUnanswered || err != nil
@@ -688,6 +710,15 @@
 	return t, true, nil
 }
 
+// returnSpareToken keeps a spare token for which no promote request was sent, unless there is another one by now.
+func (r *Replacer) returnSpareToken(token uint64) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.spareToken == 0 {
+		r.spareToken = token
+	}
+}
+
 func (r *Replacer) groupNames() []string {
 	groups := r.cfg.Groups.Groups()
 	names := make([]string, len(groups))
--- a/internal/group/replacer/seal.go
+++ b/internal/group/replacer/seal.go
@@ -47,18 +47,23 @@
 }
 
 // startSeal is sealTerm beside other steps. The returned function waits for its result, for up to holdGrace.
-func (r *Replacer) startSeal(ctx context.Context, g *registrar.Group, s registrar.Seal) func() error {
-	result := make(chan error, 1)
+func (r *Replacer) startSeal(ctx context.Context, g *registrar.Group, s registrar.Seal) func() (registrar.Report, error) {
+	type result struct {
+		report registrar.Report
+		err    error
+	}
+	results := make(chan result, 1)
 	r.wg.Go(func() {
-		_, err := r.sealTerm(ctx, g, s)
-		result <- err
+		report, err := r.sealTerm(ctx, g, s)
+		results <- result{report, err}
 	})
-	return func() error {
+	deadline := time.Now().Add(holdGrace)
+	return func() (registrar.Report, error) {
 		select {
-		case err := <-result:
-			return err
-		case <-time.After(holdGrace):
-			return nil
+		case x := <-results:
+			return x.report, x.err
+		case <-time.After(time.Until(deadline)):
+			return registrar.Report{}, nil
 		}
 	}
 }
--- a/internal/group/replacer/seal_test.go
+++ b/internal/group/replacer/seal_test.go
@@ -257,3 +257,17 @@
 		})
 	}
 }
+
+// Guards against a late request for a primary that does not answer: it makes the primary lead again, in a term that nobody has sealed, until
+// the request for its successor is carried out.
+func TestReplacementOfNewPrimaryIsFenced(t *testing.T) {
+	for _, fenceErr := range []error{nil, errNoAnswer} {
+		synctest.Test(t, func(t *testing.T) {
+			f := &fakeGroup{primary: "a", term: 3, received: map[string]uint64{"a": 9, "b": 9, "c": 9}, errs: map[string]error{"demote a": errNoAnswer}, fenceErr: fenceErr}
+			got := promotedInstances(t, f, func(g *registrar.Group, _ *registrar.Registrar, _ cataloger.Registry) { failPrimary(g) })
+			if f.fences == 0 || (len(got) > 0) != (fenceErr == nil) {
+				t.Errorf("error %v of the platform: %v promoted after %d fences", fenceErr, got, f.fences)
+			}
+		})
+	}
+}
--- a/internal/group/sealer/sealer.go
+++ b/internal/group/sealer/sealer.go
@@ -49,6 +49,10 @@
 	q.Set("spare", strconv.FormatBool(seal.IsSpare))
 	q.Set("stopsAcks", strconv.FormatBool(seal.StopsAcks))
 	q.Set("after", seal.After.String())
+	if seal.Order.Instance != "" {
+		q.Set("order", seal.Order.Instance)
+		q.Set("token", strconv.FormatUint(seal.Order.Token, 10))
+	}
 	refreshed := make(chan error, 1)
 	go func() {
 		ctx, cancel := context.WithTimeout(ctx, timeout)
@@ -130,6 +134,7 @@
 	departureFloorHeader = "Departure-Floor"
 	missingHeader        = "Missing-Instance" // one for each
 	silentFloorHeader    = "Silent-Floor"     // one for each: the position, the start in ms and the identity
+	openOrderHeader      = "Open-Order"       // one for each: the token and the instance
 )
 
 // maxMissing bounds the missing instances, and the silent floors, in the report of a VM.
@@ -145,6 +150,9 @@
 	for _, id := range r.Missing[:min(len(r.Missing), maxMissing)] {
 		h.Add(missingHeader, id)
 	}
+	for _, o := range r.Orders[:min(len(r.Orders), maxMissing)] {
+		h.Add(openOrderHeader, fmt.Sprintf("%d %s", o.Token, o.Instance))
+	}
 	if len(r.SilentFloors) > maxMissing {
 		h.Set(departureFloorHeader, r.WithoutHolds().DepartureFloor.String())
 		return
@@ -169,6 +177,12 @@
 		m := registrar.Member{ID: fields[2], StartedAtMs: startedAtMs}
 		r = r.With(registrar.Report{IsComplete: r.IsComplete, SilentFloors: map[registrar.Member]tokenizer.Position{m: p}})
 	}
+	for _, value := range h.Values(openOrderHeader) {
+		token, instance, _ := strings.Cut(value, " ")
+		if n, err := strconv.ParseUint(token, 10, 64); err == nil {
+			r.Orders = append(r.Orders, registrar.Order{Instance: instance, Token: n})
+		}
+	}
 	return r
 }
 
@@ -183,12 +197,15 @@
 func (h Handler) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	q := r.URL.Query()
 	seal := registrar.Seal{Holder: q.Get("holder"), IsSpare: q.Get("spare") == "true", StopsAcks: q.Get("stopsAcks") == "true"}
-	var err, afterErr error
+	var err, afterErr, orderErr error
 	seal.Term, err = strconv.ParseUint(q.Get("term"), 10, 64)
 	if q.Has("after") {
 		seal.After, afterErr = tokenizer.ParsePosition(q.Get("after"))
 	}
-	if err != nil || afterErr != nil || seal.Holder == "" {
+	if seal.Order.Instance = q.Get("order"); seal.Order.Instance != "" {
+		seal.Order.Token, orderErr = strconv.ParseUint(q.Get("token"), 10, 64)
+	}
+	if err != nil || afterErr != nil || orderErr != nil || seal.Holder == "" {
 		w.WriteHeader(http.StatusBadRequest)
 		return
 	}
@@ -205,7 +222,7 @@
 			http.Error(w, classifier.Message(err), http.StatusConflict)
 			return
 		}
-		writeReport(w.Header(), g.Report())
+		writeReport(w.Header(), g.Report().WithOrders(g.OpenOrders(seal.Term)))
 	default:
 		w.WriteHeader(http.StatusMethodNotAllowed)
 		return
