Keep a choice whose promote request was accepted

Cause: when the platform refuses a repeated request, as its instance has crashed, the choice was withdrawn if each request before had been answered. One that was accepted takes effect all the same, and its primary may report no entry of its term, so that the term was ended a second time with another choice.

--- a/internal/group/replacer/replacer.go
+++ b/internal/group/replacer/replacer.go
@@ -632,7 +632,7 @@
 		r.wg.Go(func() { r.demoteOnReturn(sentCtx, p) })
 	}
 	r.wg.Go(func() { r.keepSealed(sentCtx, g, seal) })
-	isUnanswered := false
+	isUnanswered, isAccepted := false, false
 	for isRetry := false; ctx.Err() == nil; isRetry = true {
 		if isRetry && p.isClaimed {
 			if err := r.renewClaim(ctx, &p); err != nil {
@@ -642,7 +642,7 @@
 		err := r.promote(ctx, g.Name(), p.target, p.token())
 		r.cfg.Observe(Event{Name: EventPromoteRequested, Group: g.Name(), Instance: p.target, Reason: p.action.Reason, Term: p.term, Token: p.token(), Basis: &p.basis, Err: err})
 		if classifier.Is(err, classifier.Conflict) {
-			if isUnanswered {
+			if isUnanswered || isAccepted {
 				return settled(err) // an earlier request may still take effect
 			}
 			if p.isClaimed && p.isFirstChoice && !r.cfg.IsUnfenced {
@@ -653,7 +653,7 @@
 			}
 			return settled(err)
 		}
-		isUnanswered = isUnanswered || err != nil
+		isUnanswered, isAccepted = isUnanswered || err != nil, isAccepted || err == nil
 		if r.awaitNewPrimary(ctx, g, p.target, p.term, err == nil) {
 			if !isUnanswered {
 				_ = r.cfg.Claims.Settle(ctx, g.Name(), p.term, p.number, p.target) // otherwise the claim stays open, which only delays
