Let an unknown order for a term take effect before another one is sent

Cause: a VM had begun with a spare token while the store was out for it. It ordered the promotion of one replica; 0.2 to 0.5 s later, a VM that did not hear it, and whose claim found no recorded choice, ordered that of another one. The platform carried out both. In between the first one led the next term, and its commits, which the seals of the term before do not stop, were lost.

Change: a VM whose claim is the first one on a term, and that finds the primary demoted or a replica held for the end of that term, shows the platform its token and waits for a promotion that was accepted before, as with a choice that it knows. A VM with a spare token tries to claim the group once more right before its order. While a VM works at the promotion of one instance, those that know of it pass on no acknowledgements of another primary of the next term; if that VM sees another one lead, it shows the platform a higher token than that of its own unanswered request.

TestTermIsEndedByOther, TestSpareTokenAfterStoreIsBack and TestOrderOfOtherInstance are new.

--- a/internal/group/claimer/claimer.go
+++ b/internal/group/claimer/claimer.go
@@ -53,6 +53,8 @@
 type ClaimResult struct {
 	FencingToken   uint64
 	ChosenInstance string // instance for which an earlier attempt at this term may have sent a promote request; "" if none
+	// IsFirst states that the store has no earlier claim on the term.
+	IsFirst bool
 	// ChoiceNumber is at least the number of the token of that request; zero if there is none.
 	ChoiceNumber uint64
 	// MayHaveLostChoice is set if the restored store may lack a claim on this term, with its choice. A promote request for that one may
@@ -169,7 +171,7 @@
 		token, row, err := c.swap(ctx, group, own, latest.version)
 		switch {
 		case err == nil:
-			r := ClaimResult{FencingToken: token, ChosenInstance: own.ChosenInstance, ChoiceNumber: choiceNumber, MayHaveLostChoice: isLossPossible || c.isLossPossible(latest)}
+			r := ClaimResult{FencingToken: token, ChosenInstance: own.ChosenInstance, ChoiceNumber: choiceNumber, IsFirst: latest.Term != term, MayHaveLostChoice: isLossPossible || c.isLossPossible(latest)}
 			c.mu.Lock()
 			r.RestoredAt = c.restoredAt
 			c.mu.Unlock()
--- a/internal/group/registrar/seal.go
+++ b/internal/group/registrar/seal.go
@@ -157,7 +157,19 @@
 			return true
 		}
 	}
-	return false
+	return g.isAboutToEnd(p.Term)
+}
+
+// isAboutToEnd reports whether a VM works at the promotion of another instance than the known primary of a term, at the end of the term before:
+// the platform has carried out another promote request at the end of that term, and may carry out this one, too.
+func (g *Group) isAboutToEnd(term uint64) bool {
+	var latest activeSeal // with the highest token
+	for _, s := range g.seals {
+		if s.Term+1 == term && s.isActive() && s.isOrderOpen() && s.Order.Token >= latest.Order.Token {
+			latest = s
+		}
+	}
+	return latest.Order.Instance != "" && g.lead.term == term && g.lead.instance != latest.Order.Instance
 }
 
 // Acknowledge reports whether the acknowledgement of a commit may be passed on, and records it if so. The position is that of the
--- a/internal/group/registrar/seal_test.go
+++ b/internal/group/registrar/seal_test.go
@@ -173,3 +173,42 @@
 		check("carried out", true, true, time.Time{})
 	})
 }
+
+// Guards against the loss of commits between two promotions at the end of one term, which VMs requested that do not hear each other: a VM that
+// knows of the second request does not pass them on.
+func TestOrderOfOtherInstance(t *testing.T) {
+	at := func(term, index uint64) tokenizer.Position { return tokenizer.Position{Term: term, Index: index} }
+	for _, c := range []struct {
+		name   string
+		orders []Order
+		later  time.Duration
+		want   bool // acknowledgements of the next term are stopped
+	}{
+		{"for the new primary", []Order{{"b", 5}}, 0, false},
+		{"for another instance", []Order{{"c", 5}}, 0, true},
+		{"for both, the new primary first", []Order{{"b", 4}, {"c", 5}}, 0, true},
+		{"for both, the new primary last", []Order{{"c", 4}, {"b", 5}}, 0, false},
+		{"for another instance, by a VM that has failed", []Order{{"c", 5}}, sealTTL, false},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				_, g, _ := newGroup()
+				prove(g, "a", 3, 7)
+				for n, o := range c.orders {
+					if err := g.Seal(Seal{Term: 3, Holder: string(rune('1' + n)), StopsAcks: true, Order: o}); err != nil {
+						t.Fatal(err)
+					}
+				}
+				time.Sleep(c.later)
+				prove(g, "b", 4, 8)
+				if got := g.StopsAck(at(4, 8)); got != c.want {
+					t.Errorf("acknowledgements of the new primary are stopped: %t, want %t", got, c.want)
+				}
+				prove(g, "c", 5, 9)
+				if g.StopsAck(at(5, 9)) {
+					t.Error("acknowledgements of the term after the next one are stopped")
+				}
+			})
+		})
+	}
+}
--- a/internal/group/replacer/endterm.go
+++ b/internal/group/replacer/endterm.go
@@ -32,6 +32,7 @@
 	path          <-chan carrier.Target // gets the path to an unreachable primary, if there is one
 	earlierChoice string
 	token         uint64   // of the promote request, or a lower one of the same attempt
+	isFirstClaim  bool     // no VM has claimed the term before
 	sealing       *sealing // nil: the acknowledgements of the term are not stopped before the replicas are compared
 }
 
@@ -65,6 +66,9 @@
 		return candidates, false, err
 	}
 	// A stalled primary is reachable, so holdAll awaits the answer to its demotion.
+	if e.isFirstClaim && r.hasBegun(ctx, e) {
+		return nil, true, r.voidOrders(ctx, e)
+	}
 	fenced := make(chan error, 1)
 	r.wg.Go(func() { fenced <- r.fenceLateRequests(ctx, e) })
 	if e.isStalled() {
@@ -200,6 +204,9 @@
 	if err := r.fenceLateRequests(ctx, e); err != nil {
 		return nil, err
 	}
+	if e.isFirstClaim && (r.isDemoted(ctx, e, v, status) || r.hasBegun(ctx, e)) {
+		return nil, r.voidOrders(ctx, e)
+	}
 	demoted, err := r.callWithRetry(ctx, v, func(ctx context.Context, t carrier.Target) (carrier.InstanceStatus, error) {
 		return demote(ctx, t, nextTerm)
 	})
--- a/internal/group/replacer/fence.go
+++ b/internal/group/replacer/fence.go
@@ -10,6 +10,7 @@
 	"parsleyscale/internal/failure/classifier"
 	"parsleyscale/internal/group/claimer"
 	"parsleyscale/internal/group/registrar"
+	"parsleyscale/internal/statement/carrier"
 )
 
 const (
@@ -133,14 +134,61 @@
 	if isLater || r.cfg.IsUnfenced || r.cfg.Fence == nil || g.IsSealedByOther(r.cfg.Self, term) {
 		return classifier.New(classifier.Conflict, "instance %s may still be promoted by an earlier attempt, and this one has chosen instance %s", orders[k].Instance, target)
 	}
-	if err := r.fence(ctx, g.Name(), e.token); err != nil {
+	return r.voidOrders(ctx, e)
+}
+
+// voidOrders shows the platform the token of an attempt, so that it refuses earlier promote requests at the end of the term, and waits until one
+// that it had accepted has taken effect. It returns errOrdersAwaited then.
+func (r *Replacer) voidOrders(ctx context.Context, e ending) error {
+	if err := r.fence(ctx, e.group.Name(), e.token); err != nil {
 		return err
 	}
-	if isReplaced, err := r.awaitPromotions(ctx, g, e.old, time.Now().Add(promotionTime)); isReplaced || err != nil {
+	if isReplaced, err := r.awaitPromotions(ctx, e.group, e.old, time.Now().Add(promotionTime)); isReplaced || err != nil {
 		return cmp.Or(err, errOrdersAwaited)
 	}
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	r.voided[g.Name()] = voidedOrders{term, e.token}
+	r.voided[e.group.Name()] = voidedOrders{e.old.Term, e.token}
 	return errOrdersAwaited
 }
+
+// begunTimeout bounds the wait for the states of the replicas before a term is ended.
+const begunTimeout = 50 * time.Millisecond
+
+// hasBegun reports whether another VM has begun to end a term, since a replica is held. If no VM had claimed the term, that one has a spare token,
+// so that its choice is not recorded, and a promotion that it has requested may be about to take effect.
+func (r *Replacer) hasBegun(ctx context.Context, e ending) bool {
+	if r.cfg.IsUnfenced || r.cfg.Fence == nil {
+		return false
+	}
+	ctx, cancel := context.WithTimeout(ctx, begunTimeout)
+	defer cancel()
+	views := e.group.Views()
+	answers := make(chan bool, len(views))
+	for _, v := range views {
+		r.wg.Go(func() {
+			s, err := r.cfg.Controller.Status(ctx, registrar.NewTarget(v.Instance))
+			answers <- err == nil && s.Term == e.old.Term && s.HoldTerm > e.old.Term
+		})
+	}
+	for range views {
+		select {
+		case hasBegun := <-answers:
+			if hasBegun {
+				return true
+			}
+		case <-ctx.Done():
+			return false
+		}
+	}
+	return false
+}
+
+// isDemoted reports whether another VM has demoted the primary of a term, which tells the same as hasBegun.
+func (r *Replacer) isDemoted(ctx context.Context, e ending, v registrar.View, status func(context.Context, carrier.Target) (carrier.InstanceStatus, error)) bool {
+	if r.cfg.IsUnfenced || r.cfg.Fence == nil {
+		return false
+	}
+	s, err := r.callWithRetry(ctx, v, status)
+	return err == nil && s.Term == e.old.Term && !s.IsPrimary
+}
--- a/internal/group/replacer/replacer.go
+++ b/internal/group/replacer/replacer.go
@@ -454,7 +454,7 @@
 			r.returnSpareToken(claim.FencingToken)
 		}
 	}()
-	e := ending{group: g, action: a, old: old, path: path, earlierChoice: claim.ChosenInstance, token: fencingToken(old.Term, claim.FencingToken, !isSpare)}
+	e := ending{group: g, action: a, old: old, path: path, earlierChoice: claim.ChosenInstance, token: fencingToken(old.Term, claim.FencingToken, !isSpare), isFirstClaim: claim.IsFirst}
 	candidates, areHeld, err := r.endTerm(ctx, e, &seal, &b)
 	if err != nil {
 		if g.Primary().Term == old.Term+1 {
@@ -466,6 +466,11 @@
 	if err != nil {
 		return err
 	}
+	if isSpare {
+		if err := r.checkStoreIsOut(ctx, g.Name(), old.Term); err != nil {
+			return err
+		}
+	}
 	if err := r.checkEarlierOrders(ctx, e, target, earlierOrders(g, e, claim, b.OpenOrders)); err != nil {
 		return err
 	}
@@ -655,6 +660,9 @@
 		}
 		isUnanswered, isAccepted = isUnanswered || err != nil, isAccepted || err == nil
 		if r.awaitNewPrimary(ctx, g, p.target, p.term, err == nil) {
+			if l := g.Primary(); isUnanswered && l.Instance != p.target {
+				r.voidOwnRequest(ctx, p)
+			}
 			if !isUnanswered {
 				_ = r.cfg.Claims.Settle(ctx, g.Name(), p.term, p.number, p.target) // otherwise the claim stays open, which only delays
 			}
@@ -664,6 +672,14 @@
 	return settled(ctx.Err())
 }
 
+// voidOwnRequest shows the platform a higher token than that of a promote request that got no answer, since another instance leads the next term.
+func (r *Replacer) voidOwnRequest(ctx context.Context, p promotion) {
+	if !p.isClaimed || r.cfg.IsUnfenced || r.renewClaim(ctx, &p) != nil {
+		return
+	}
+	_ = r.fence(ctx, p.group.Name(), p.token()) // otherwise the request may be carried out for a while
+}
+
 // token returns the fencing token of the promote request.
 func (p promotion) token() uint64 { return fencingToken(p.term, p.number, p.isClaimed) }
 
@@ -710,6 +726,24 @@
 	return t, true, nil
 }
 
+// lastClaimTimeout bounds the claim before a promote request with a spare token.
+const lastClaimTimeout = 100 * time.Millisecond
+
+// checkStoreIsOut returns an error if the store answers by now, before a promote request with a spare token: either another VM has claimed the term
+// meanwhile, or the next attempt of this one has the claim, with which its choice is recorded.
+func (r *Replacer) checkStoreIsOut(ctx context.Context, group string, term uint64) error {
+	ctx, cancel := context.WithTimeout(ctx, lastClaimTimeout)
+	defer cancel()
+	_, err := r.cfg.Claims.Claim(ctx, group, term)
+	switch {
+	case err == nil:
+		return classifier.New(classifier.NotReady, "group %s: the store answers again, so that no spare token is used", group)
+	case classifier.Is(err, classifier.Conflict):
+		return err
+	}
+	return nil
+}
+
 // returnSpareToken keeps a spare token for which no promote request was sent, unless there is another one by now.
 func (r *Replacer) returnSpareToken(token uint64) {
 	r.mu.Lock()
--- a/internal/group/replacer/replacer_test.go
+++ b/internal/group/replacer/replacer_test.go
@@ -124,16 +124,23 @@
 	choiceTerm uint64   // the only term for which Claim returns the choice; zero: any
 
 	mayHaveLostChoice bool // returned by Claim
+	isFirst           bool // the first claim is the first one on the term
+	claims            int
+	laterErr          func() error // err of all claims but the first; nil: err stands
 }
 
 func (f *fakeTokens) Next(context.Context) (uint64, error) { f.last++; return f.last, nil }
 func (f *fakeTokens) IsNeeded([]string) bool               { return true }
 func (f *fakeTokens) Claim(_ context.Context, _ string, term uint64) (claimer.ClaimResult, error) {
+	f.claims++
+	if f.claims > 1 && f.laterErr != nil {
+		f.err = f.laterErr()
+	}
 	if f.err != nil {
 		return claimer.ClaimResult{}, f.err
 	}
 	f.last++
-	r := claimer.ClaimResult{FencingToken: f.last, ChosenInstance: f.choice, MayHaveLostChoice: f.mayHaveLostChoice}
+	r := claimer.ClaimResult{FencingToken: f.last, ChosenInstance: f.choice, IsFirst: f.isFirst && f.claims == 1, MayHaveLostChoice: f.mayHaveLostChoice}
 	if f.choiceTerm > 0 && f.choiceTerm != term {
 		r.ChosenInstance = ""
 	}
--- a/internal/group/replacer/seal_test.go
+++ b/internal/group/replacer/seal_test.go
@@ -271,3 +271,73 @@
 		})
 	}
 }
+
+// Guards against two promotions of one term by VMs that do not reach each other: one has ended the term with a spare token, so that its
+// choice is not recorded, and the platform may have accepted its request.
+func TestTermIsEndedByOther(t *testing.T) {
+	held := func(term uint64) carrier.InstanceStatus {
+		return carrier.InstanceStatus{Term: 3, HoldTerm: term, Received: position(3, 9)}
+	}
+	for _, c := range []struct {
+		name    string
+		f       *fakeGroup
+		isFirst bool
+		isVoid  bool // the attempt waits until an earlier request has taken effect
+	}{
+		{"a replica is held", &fakeGroup{heldTerm: 4}, true, true},
+		{"a replica is held for an earlier term", &fakeGroup{heldTerm: 3}, true, false},
+		{"the primary is demoted", &fakeGroup{isDemoted: true, hasPeers: true}, true, true},
+		{"by a VM whose claim is known", &fakeGroup{heldTerm: 4}, false, false},
+		{"a replica does not answer", &fakeGroup{errs: map[string]error{"status b": errNoAnswer}}, true, false},
+		{"only one replica is held", &fakeGroup{states: map[string]carrier.InstanceStatus{"c": held(4)}}, true, true},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				c.f.primary, c.f.term, c.f.received = "a", 3, map[string]uint64{"a": 9, "b": 9, "c": 9}
+				if c.f.errs == nil {
+					c.f.errs = map[string]error{}
+				}
+				if !c.f.hasPeers {
+					c.f.errs["demote a"] = errNoAnswer
+				}
+				start := time.Now()
+				got := promotedInstancesWith(t, c.f, &fakeTokens{last: 100, isFirst: c.isFirst}, nil, func(g *registrar.Group, _ *registrar.Registrar, _ cataloger.Registry) { failPrimary(g) })
+				if len(got) != 1 {
+					t.Fatalf("%v promoted, want one instance; commands %v", got, c.f.commands)
+				}
+				if isVoid := c.f.promotedAt.Sub(start) >= maxPromotionTime; isVoid != c.isVoid {
+					t.Errorf("promoted after %s, want a wait for earlier requests: %t", c.f.promotedAt.Sub(start), c.isVoid)
+				}
+				if c.isVoid {
+					checkEarlierOrderIsVoid(t, c.f)
+				}
+			})
+		})
+	}
+}
+
+// Guards against two promotions of one term where the store is back before a VM with a spare token sends its request: another VM may have claimed
+// the term since.
+func TestSpareTokenAfterStoreIsBack(t *testing.T) {
+	for _, c := range []struct {
+		name string
+		err  error // of the claim when the request is about to be sent
+		want bool  // a spare token is used
+	}{
+		{"still out", errNoAnswer, true},
+		{"claimed by another VM", classifier.New(classifier.Conflict, "claimed"), false},
+		{"back", nil, false},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				f := &fakeGroup{primary: "a", term: 3, received: map[string]uint64{"a": 9, "b": 9, "c": 9}, errs: map[string]error{"demote a": errNoAnswer}}
+				claims := &fakeTokens{last: 100, err: errNoAnswer, laterErr: func() error { return c.err }}
+				promotedInstancesWith(t, f, claims, nil, func(g *registrar.Group, _ *registrar.Registrar, _ cataloger.Registry) { failPrimary(g) })
+				isSpare := len(f.tokens) > 0 && f.tokens[0] == fencingToken(3, 1, false)
+				if isSpare != c.want {
+					t.Errorf("tokens %v, want a spare one: %t", f.tokens, c.want)
+				}
+			})
+		})
+	}
+}
