Compare a primary that answers its demotion also if its writes had not stalled

Cause: when all replicas had answered a hold, the answer of a primary that is back was not looked at, although it may hold commits for which a replica was counted that the VM does not know.

Change: if it has answered by then and holds more than the replicas, it is promoted itself.

--- a/internal/group/replacer/endterm.go
+++ b/internal/group/replacer/endterm.go
@@ -361,6 +361,14 @@
 	}
 	awaitsOldPrimary := e.isStalled() || former != old.Instance // it may turn out to be a replica
 	if replicaErr == nil && (!awaitsOldPrimary || replicas == len(views)) {
+		select {
+		case a := <-primaryAnswer:
+			if a.err == nil && !isInLaterTerm(a.status, nextTerm) && !furthestReceived(candidates).Covers(a.received) {
+				b.EndedBy = EndedByHoldAndDemotion // a replica that is not known here may have been counted for what it holds beyond the others
+				return covering(append(candidates, a.candidate), a.received), nil
+			}
+		default:
+		}
 		return candidates, nil
 	}
 	if replicas == len(views) { // the old primary is not known here
