--- a/internal/group/registrar/group.go
+++ b/internal/group/registrar/group.go
@@ -335,7 +335,7 @@
 	}
 	g.primary.Term = term
 	s.Position = s.Position.Max(p.Position)
-	g.lead = g.lead.withProof(p.Instance, term, p.Position)
+	g.lead = g.lead.withProof(p.Instance, term, s.primaryTerm, p.Position)
 	isNew := g.primary.Instance != p.Instance || g.latestTerm != term
 	if isNew {
 		g.lowerFloors(term, p.Position)
--- a/internal/group/registrar/lead.go
+++ b/internal/group/registrar/lead.go
@@ -13,18 +13,20 @@
 }
 
 // withProof returns the lead after an instance has proved to be the primary of a term, with its newest entry. Until a primary has an entry of
-// its own, it may be counted in the term before.
-func (l lead) withProof(instance string, term uint64, p tokenizer.Position) lead {
+// its own, it may be counted in the term before, or in one that this VM has not seen. Reported is the term that it has reported to lead, zero if it
+// has not.
+func (l lead) withProof(instance string, term, reported uint64, p tokenizer.Position) lead {
 	if instance == l.instance && term <= l.term {
 		return l
 	}
-	next := lead{instance: instance, term: max(term, l.term)}
-	switch {
+	next := lead{instance: instance, term: max(term, l.term), inherited: p}
+	switch isOwn := reported == p.Term; {
 	case l.instance == "":
-	case p.Term > l.term:
+		next.inherited = tokenizer.Position{}
+	case isOwn && instance == l.instance && term == l.term+1:
+		next.inherited = l.inherited
+	case isOwn:
 		next.inherited = tokenizer.Position{Term: p.Term}
-	default:
-		next.inherited = p
 	}
 	return next
 }
