Tell VMs that start of promote requests that may still be carried out

Cause: seals are pushed to the VMs that run. One that had restarted since, while the VM that had sent the request was gone, passed on the commits of the term until the promotion took effect.

--- a/internal/daemon/assembler/assembler.go
+++ b/internal/daemon/assembler/assembler.go
@@ -95,6 +95,8 @@
 	registry       reconciler.Registry // accessed only by the follower of the registry table
 	hasRegistry    atomic.Bool
 	registryLoaded chan struct{} // closed when hasRegistry becomes true
+	openSealsRead  chan struct{} // closed once the open seals of other VMs are known, or openSealsTimeout has passed
+	sealer         *sealer.Sealer
 	isStopping     atomic.Bool
 	teamsChanged   chan struct{} // signals closeRemovedSessions
 	sourceAnswerAt atomic.Int64  // on Platform.Clock, when the store or another VM last answered; see silentFor
@@ -154,7 +156,7 @@
 }
 
 func start(cfg loader.LineSettings, p Platform, log *logger.Logger) (*VM, error) {
-	v := &VM{cfg: cfg, platform: p, log: log, startedAt: time.Now(), registryLoaded: make(chan struct{}), teamsChanged: make(chan struct{}, 1)}
+	v := &VM{cfg: cfg, platform: p, log: log, startedAt: time.Now(), registryLoaded: make(chan struct{}), openSealsRead: make(chan struct{}), teamsChanged: make(chan struct{}, 1)}
 	v.latestSettings.Store(&cfg)
 	v.recordSourceAnswer()
 	v.budget = budgeter.New(budgeter.LimitsFor(cfg.MemoryMB, cfg.MaxDescriptors), v.logBudget)
@@ -185,6 +187,8 @@
 		Groups: v.groups, Pool: v.pool, RetryBudget: admitter.NewRetryBudget(), Observe: v.logStatement, Unfenced: v.unfenced(controller), Acknowledge: v.acknowledge,
 	})
 	v.confirmer = confirmer.New(confirmer.Config{Status: controller.Status})
+	v.sealer = &sealer.Sealer{Client: replicator.NewClient(), Addresses: v.writerAddresses, RefreshAddresses: v.members.refreshIfOld, AreAddressesKnown: v.members.areAllRead}
+	go v.readOpenSeals()
 	v.replacer = replacer.Start(replacer.Config{
 		Groups: v.groups, Controller: controller, Tokens: v.members, Claims: v.claims, IsUnfenced: !cfg.Fencing, Probe: v.performer.Probe, Sample: v.performer.SamplePrimaryPosition, Rank: v.members.rank, IsConfigured: v.isConfigured, Roster: v.roster,
 		Promote: func(ctx context.Context, group, instance string, token uint64) error {
@@ -199,7 +203,7 @@
 		},
 		RefreshInstances:  v.refreshRegistry,
 		Self:              cfg.ID,
-		Sealer:            &sealer.Sealer{Client: replicator.NewClient(), Addresses: v.writerAddresses, RefreshAddresses: v.members.refreshIfOld, AreAddressesKnown: v.members.areAllRead},
+		Sealer:            v.sealer,
 		Peers:             peers,
 		DemoteAt:          peers.Demote,
 		AnswersDirectly:   v.gateways.answersDirectly,
--- a/internal/daemon/assembler/followers.go
+++ b/internal/daemon/assembler/followers.go
@@ -236,7 +236,7 @@
 		mux.Handle(replicator.CopyPath, h)
 	}
 	mux.HandleFunc(replicator.ChangesPath, h.ServeChanges)
-	mux.Handle(sealer.Path, sealer.Handler{Group: v.configuredGroup})
+	mux.Handle(sealer.Path, sealer.Handler{Group: v.configuredGroup, Groups: v.groups.Groups})
 	mux.Handle(replicator.ConfirmPath, v.refresher.Load())
 	mux.Handle(messenger.Path, messenger.Handler(v.limits.holder.Serve))
 	mux.Handle(inspector.Path, inspector.Handler(v.status))
--- a/internal/daemon/assembler/gateway.go
+++ b/internal/daemon/assembler/gateway.go
@@ -295,14 +295,6 @@
 	return v.groups.Group(group)
 }
 
-// acknowledge reports whether the acknowledgement of a commit may be passed on.
-func (v *VM) acknowledge(g *registrar.Group, p tokenizer.Position) bool {
-	if v.groupConfiguration(g.Name()).SyncReplicas == 0 {
-		return g.Acknowledge(p)
-	}
-	return v.confirmer.Acknowledge(g, p)
-}
-
 // acknowledgeForwarded is acknowledge for a VM that this one is a gateway for.
 func (v *VM) acknowledgeForwarded(group string, p tokenizer.Position) bool {
 	return v.acknowledge(v.groups.Group(group), p)
--- a/internal/group/explorer/node_test.go
+++ b/internal/group/explorer/node_test.go
@@ -82,6 +82,11 @@
 		if !w.isCut(id, o.id) && o.hasRecentRestore() {
 			restoredEra = max(restoredEra, o.knownEra())
 		}
+		if !w.isCut(id, o.id) {
+			for _, s := range o.groups.Group(groupName).OpenSeals(0) {
+				_ = n.groups.Group(groupName).Seal(s)
+			}
+		}
 	}
 	w.subs[id] = n
 	w.mu.Unlock()
--- a/internal/group/registrar/seal.go
+++ b/internal/group/registrar/seal.go
@@ -2,6 +2,8 @@
 
 import (
 	"cmp"
+	"encoding/json"
+	"fmt"
 	"slices"
 	"time"
 
@@ -18,25 +20,39 @@
 
 // Seal tells that a VM is about to end a term of a group.
 type Seal struct {
-	Term   uint64
-	Holder string // the VM
+	Term   uint64 `json:"term"`
+	Holder string `json:"holder"` // the VM
 	// IsSpare states that the VM uses a spare token. Its choice is not recorded, so that no other VM may end the term meanwhile: the
 	// platform carries out two promote requests that arrive one after the other, even if the second has the higher token.
-	IsSpare bool
+	IsSpare bool `json:"spare,omitempty"`
 	// StopsAcks states that no VM may pass on the acknowledgement of a commit in the term or in a lower one that is not covered by
 	// the position After. While a promotion is on its way, the primary may still acknowledge commits with the help of an instance that
 	// joined or restarted after the replicas were compared. The new primary lacks these.
-	StopsAcks bool
-	After     tokenizer.Position // of a demoted primary, which its successor covers; zero: none
+	StopsAcks bool               `json:"stopsAcks"`
+	After     tokenizer.Position `json:"after"` // of a demoted primary, which its successor covers; zero: none
 	// Order is the promote request that the VM is about to send, or has sent, at the end of the term; the zero value: none. The platform may
 	// carry it out long after its call, whatever has become of the VM.
-	Order Order
+	Order Order `json:"order"`
 }
 
 // Order is a promote request.
 type Order struct {
-	Instance string // to be promoted
-	Token    uint64 // at most that of the request
+	Instance string `json:"instance"` // to be promoted
+	Token    uint64 `json:"token"`    // at most that of the request, since the record of the choice raises it
+}
+
+// UnmarshalJSON decodes a seal that another VM knows, and rejects one without a term, a holder or a promote request.
+func (s *Seal) UnmarshalJSON(b []byte) error {
+	type fields Seal // without this method
+	var f fields
+	if err := json.Unmarshal(b, &f); err != nil {
+		return err
+	}
+	if f.Term == 0 || f.Holder == "" || f.Order.Instance == "" {
+		return fmt.Errorf("seal of term %d by %q for %q: term, holder and instance are needed", f.Term, f.Holder, f.Order.Instance)
+	}
+	*s = Seal(f)
+	return nil
 }
 
 // activeSeal is a seal and the time at which it expires.
@@ -86,13 +102,13 @@
 	return nil
 }
 
-// OpenSeals returns the seals of a term whose promote requests may still be carried out.
+// OpenSeals returns the seals of a term, or of all terms if it is zero, whose promote requests may still be carried out.
 func (g *Group) OpenSeals(term uint64) []Seal {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	var list []Seal
 	for _, s := range g.seals {
-		if s.Term == term && s.isOrderOpen() {
+		if (s.Term == term || term == 0) && s.isOrderOpen() {
 			list = append(list, s.Seal)
 		}
 	}
--- a/internal/group/sealer/sealer.go
+++ b/internal/group/sealer/sealer.go
@@ -11,6 +11,7 @@
 import (
 	"cmp"
 	"context"
+	"encoding/json"
 	"fmt"
 	"io"
 	"net/http"
@@ -25,7 +26,8 @@
 	"parsleyscale/internal/session/tokenizer"
 )
 
-// Path is the URL path at which a VM seals a term. The query has the fields of the seal, or its term and holder for its end.
+// Path is the URL path at which a VM seals a term. The query has the fields of the seal, or its term and holder for its end. Without a query, a VM
+// that starts reads the open seals.
 const Path = "/seal"
 
 // timeout bounds a request to one VM. A VM that does not answer is likely to be down, and a replacement must not wait for
@@ -78,6 +80,53 @@
 	_, _ = s.sendAll(ctx, http.MethodDelete, s.Addresses(group), q)
 }
 
+// OpenSeal is a seal of a group whose promote request may still be carried out.
+type OpenSeal struct {
+	Group string         `json:"group"`
+	Seal  registrar.Seal `json:"seal"`
+}
+
+const (
+	// maxOpenSeals bounds the seals in the answer of a VM, and maxOpenBytes its size.
+	maxOpenSeals = 256
+	maxOpenBytes = 128 << 10
+)
+
+// ReadOpen returns the open seals that other VMs know, for a VM that starts.
+func (s *Sealer) ReadOpen(ctx context.Context, addresses []string) []OpenSeal {
+	ctx, cancel := context.WithTimeout(ctx, timeout)
+	defer cancel()
+	answers := make(chan []OpenSeal, len(addresses))
+	for _, address := range addresses {
+		go func() {
+			list, _ := s.readOpenFrom(ctx, "http://"+address+Path) // a VM that does not answer is likely to be down
+			answers <- list
+		}()
+	}
+	var sum []OpenSeal
+	for range addresses {
+		sum = append(sum, <-answers...)
+	}
+	return sum
+}
+
+func (s *Sealer) readOpenFrom(ctx context.Context, target string) ([]OpenSeal, error) {
+	r, err := http.NewRequestWithContext(ctx, http.MethodGet, target, nil)
+	if err != nil {
+		return nil, err
+	}
+	response, err := s.Client.Do(r)
+	if err != nil {
+		return nil, err
+	}
+	defer func() { _ = response.Body.Close() }()
+	var list []OpenSeal
+	if err := json.NewDecoder(io.LimitReader(response.Body, maxOpenBytes)).Decode(&list); err != nil {
+		return nil, err
+	}
+	return list, nil
+}
+
 // answer is that of a VM to a request.
 type answer struct {
 	report registrar.Report
@@ -191,11 +240,29 @@
 
 // Handler serves the requests of other VMs. Group returns a group of this VM, or nil if it does not know the group.
 type Handler struct {
-	Group func(name string) *registrar.Group
+	Group  func(name string) *registrar.Group
+	Groups func() []*registrar.Group
+}
+
+// serveOpen sends the open seals of all groups.
+func (h Handler) serveOpen(w http.ResponseWriter) {
+	list := []OpenSeal{}
+	for _, g := range h.Groups() {
+		for _, s := range g.OpenSeals(0) {
+			if len(list) < maxOpenSeals {
+				list = append(list, OpenSeal{g.Name(), s})
+			}
+		}
+	}
+	_ = json.NewEncoder(w).Encode(list)
 }
 
 func (h Handler) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	q := r.URL.Query()
+	if r.Method == http.MethodGet && !q.Has("group") && h.Groups != nil {
+		h.serveOpen(w)
+		return
+	}
 	seal := registrar.Seal{Holder: q.Get("holder"), IsSpare: q.Get("spare") == "true", StopsAcks: q.Get("stopsAcks") == "true"}
 	var err, afterErr, orderErr error
 	seal.Term, err = strconv.ParseUint(q.Get("term"), 10, 64)
--- a/internal/group/sealer/sealer_test.go
+++ b/internal/group/sealer/sealer_test.go
@@ -175,3 +175,25 @@
 		})
 	}
 }
+
+// Guards against a VM that starts and knows of no promote request which may still be carried out.
+func TestReadOpen(t *testing.T) {
+	r := registrar.New(func() time.Duration { return time.Second })
+	want := registrar.Seal{Term: 3, Holder: "vm-1", StopsAcks: true, After: tokenizer.Position{Term: 3, Index: 7}, Order: registrar.Order{Instance: "b", Token: 1 << 63}}
+	for _, s := range []registrar.Seal{want, {Term: 3, Holder: "vm-2", StopsAcks: true}} {
+		if err := r.Group("g").Seal(s); err != nil {
+			t.Fatal(err)
+		}
+	}
+	server := httptest.NewServer(Handler{Group: r.Group, Groups: r.Groups})
+	defer server.Close()
+	faulty := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		_, _ = w.Write([]byte(`[{"group": "g", "seal": {"term": 3, "holder": "vm-3"}}]`))
+	}))
+	defer faulty.Close()
+	s := Sealer{Client: http.DefaultClient}
+	got := s.ReadOpen(t.Context(), []string{"127.0.0.1:1", server.Listener.Addr().String(), faulty.Listener.Addr().String()})
+	if diff := cmp.Diff([]OpenSeal{{"g", want}}, got); diff != "" {
+		t.Errorf("open seals (-want +got):\n%s", diff)
+	}
+}
