--- a/internal/daemon/assembler/log.go
+++ b/internal/daemon/assembler/log.go
@@ -248,6 +248,9 @@
 	if b.EarlierChoice != "" {
 		fields = append(fields, logger.String("earlierChoice", b.EarlierChoice))
 	}
+	if len(b.OpenOrders) > 0 {
+		fields = append(fields, logger.Int("openOrders", int64(len(b.OpenOrders))))
+	}
 	if b.RegistryVersion != 0 {
 		fields = append(fields, logger.Int("registryVersion", int64(follower.NumberOf(b.RegistryVersion))), logger.Millis("registryAge", b.RegistryAge))
 	}
--- a/internal/group/registrar/seal.go
+++ b/internal/group/registrar/seal.go
@@ -58,9 +58,9 @@
 // activeSeal is a seal and the time at which it expires.
 type activeSeal struct {
 	Seal
-	until     time.Time
-	orderedAt time.Time // when its order was known last to be repeated; zero: there is none
-	isLeader  bool      // the instance of the order was the known primary before
+	until      time.Time
+	orderedAt  time.Time // when its order was last known to be sent; zero: there is none
+	wasPrimary bool      // the instance of the order was the known primary before
 }
 
 func (s activeSeal) isActive() bool { return time.Now().Before(s.until) }
@@ -91,12 +91,12 @@
 	next := activeSeal{Seal: s, until: time.Now().Add(sealTTL)}
 	switch {
 	case s.Order.Instance != "":
-		next.orderedAt, next.isLeader = time.Now(), s.Order.Instance == g.latestPrimary
+		next.orderedAt, next.wasPrimary = time.Now(), s.Order.Instance == g.latestPrimary
 		if isContinued && last.Order.Instance == s.Order.Instance {
-			next.isLeader = last.isLeader
+			next.wasPrimary = last.wasPrimary
 		}
 	case isContinued && last.isOrderOpen():
-		next.Order, next.orderedAt, next.isLeader = last.Order, last.orderedAt, last.isLeader
+		next.Order, next.orderedAt, next.wasPrimary = last.Order, last.orderedAt, last.wasPrimary
 	}
 	g.seals[s.Holder] = next
 	return nil
@@ -130,7 +130,7 @@
 func (g *Group) abandonedSince() time.Time {
 	var since time.Time
 	for _, s := range g.seals {
-		isCarriedOut := g.primary.Instance == s.Order.Instance && !s.isLeader
+		isCarriedOut := g.primary.Instance == s.Order.Instance && !s.wasPrimary
 		switch {
 		case s.Term < g.primary.Term || !s.isOrderOpen() || isCarriedOut:
 		case s.isActive():
--- a/internal/group/replacer/decide.go
+++ b/internal/group/replacer/decide.go
@@ -34,7 +34,7 @@
 const (
 	None    Kind = "none"
 	Replace Kind = "replace" // the primary is unreachable, stalled or unknown
-	Switch  Kind = "switch"  // planned: the primary works and is leaving
+	Switch  Kind = "switch"  // the primary works: it is leaving, or a promote request that has been abandoned may replace it
 )
 
 // Reason is the stable reason code of an action.
--- a/internal/group/replacer/endterm.go
+++ b/internal/group/replacer/endterm.go
@@ -352,7 +352,7 @@
 	}
 	e.sealing.recordHeld(held)
 	if replicaErr == nil && !r.isCovered(ctx, g, furthestReceived(candidates), report, held) {
-		replicaErr = classifier.New(classifier.NoInstance, "a replica of group %s has left, or may have left without this VM seeing it, and the others may lack entries that it had received", g.Name())
+		replicaErr = classifier.New(classifier.NoInstance, "a replica of group %s has left, or may have left without this VM seeing it, or has become the primary, and the others may lack entries that it had received", g.Name())
 	}
 	awaitsOldPrimary := e.isStalled() || former != old.Instance // it may turn out to be a replica
 	if replicaErr == nil && (!awaitsOldPrimary || replicas == len(views)) {
--- a/internal/group/replacer/replacer.go
+++ b/internal/group/replacer/replacer.go
@@ -650,7 +650,7 @@
 		r.wg.Go(func() { r.demoteOnReturn(sentCtx, p) })
 	}
 	r.wg.Go(func() { r.keepSealed(sentCtx, g, seal) })
-	isUnanswered, isAccepted := false, false
+	isUnanswered, mayTakeEffect := false, false
 	for isRetry := false; ctx.Err() == nil; isRetry = true {
 		if isRetry && p.isClaimed {
 			if err := r.renewClaim(ctx, &p); err != nil {
@@ -660,8 +660,8 @@
 		err := r.promote(ctx, g.Name(), p.target, p.token())
 		r.cfg.Observe(Event{Name: EventPromoteRequested, Group: g.Name(), Instance: p.target, Reason: p.action.Reason, Term: p.term, Token: p.token(), Basis: &p.basis, Err: err})
 		if classifier.Is(err, classifier.Conflict) {
-			if isUnanswered || isAccepted {
-				return settled(err) // an earlier request may still take effect
+			if mayTakeEffect {
+				return settled(err)
 			}
 			if p.isClaimed && p.isFirstChoice && !r.cfg.IsUnfenced {
 				_ = r.cfg.Claims.Withdraw(ctx, g.Name(), p.term, p.number) // otherwise the choice stands, which only delays
@@ -671,7 +671,7 @@
 			}
 			return settled(err)
 		}
-		isUnanswered, isAccepted = isUnanswered || err != nil, isAccepted || err == nil
+		isUnanswered, mayTakeEffect = isUnanswered || err != nil, true
 		if r.awaitNewPrimary(ctx, g, p.target, p.term, err == nil) {
 			if l := g.Primary(); isUnanswered && l.Instance != p.target {
 				r.voidOwnRequest(ctx, p)
