--- /dev/null
+++ b/test/soak/fault_test.go
@@ -0,0 +1,418 @@
+package soak
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"sync"
+	"syscall"
+	"time"
+
+	"parsleyscale/platform/emulator"
+)
+
+// fault is a disruption of a plan. Its targets are picked by x and y in [0, 1) when it begins.
+type fault struct {
+	kind     string
+	at, time time.Duration // begin, and how long it lasts
+	group    int
+	x, y     float64
+}
+
+// kinds are the kinds of faults with their weights and the longest time.
+var kinds = []struct {
+	name    string
+	weight  int
+	longest time.Duration
+	run     func(s *system, p *player, f fault)
+}{
+	{"vmKill", 6, 3 * time.Second, runVMEnd(syscall.SIGKILL)},
+	{"vmTerm", 5, 2 * time.Second, runVMEnd(syscall.SIGTERM)},
+	{"herdKill", 1, 2 * time.Second, runHerdKill},
+	{"vmPause", 10, 5 * time.Second, runVMPause},
+	{"primaryCrash", 8, 5 * time.Second, runCrash(true)},
+	{"replicaCrash", 5, 5 * time.Second, runCrash(false)},
+	{"primaryBlink", 4, 200 * time.Millisecond, runCrash(true)},
+	{"replicaBlink", 6, 200 * time.Millisecond, runCrash(false)},
+	{"primarySilent", 6, 5 * time.Second, runSilent(true)},
+	{"replicaSilent", 3, 4 * time.Second, runSilent(false)},
+	{"replicaDeaf", 10, 6 * time.Second, runDeaf},
+	{"entryLost", 8, 5 * time.Second, runEntryLost},
+	{"primaryIsolated", 5, 5 * time.Second, runIsolated},
+	{"replicaEmpty", 3, time.Second, runEmpty},
+	{"join", 4, time.Second, runJoin},
+	{"leave", 5, 4 * time.Second, runLeave(false)},
+	{"release", 4, 4 * time.Second, runLeave(true)},
+	{"storeUnavailable", 5, 6 * time.Second, runStore(emulator.Unavailable)},
+	{"storeSilent", 5, 6 * time.Second, runStore(emulator.Unresponsive)},
+	{"storeSlow", 3, 5 * time.Second, runStore(emulator.Slow)},
+	{"storeAnswersLost", 3, 4 * time.Second, runStore(emulator.DropsAnswer)},
+	{"compact", 2, 0, func(s *system, _ *player, _ fault) { s.store.Compact() }},
+	{"promoteLate", 8, 5 * time.Second, runPromoteLate},
+	{"answersLost", 4, 3 * time.Second, runAnswersLost},
+	{"cutPrimary", 10, 6 * time.Second, runCut(true)},
+	{"cutReplica", 4, 6 * time.Second, runCut(false)},
+}
+
+// newPlan draws faults for a time: series of overlapping faults with pauses between them.
+func newPlan(seed uint64, length time.Duration, groups int) []fault {
+	rng := rand.New(rand.NewPCG(seed, 55))
+	total := 0
+	for _, k := range kinds {
+		total += k.weight
+	}
+	var plan []fault
+	for at := time.Second; at < length; {
+		n := 2 + rng.IntN(9)
+		for range n {
+			pick, k := rng.IntN(total), 0
+			for ; pick >= kinds[k].weight; k++ {
+				pick -= kinds[k].weight
+			}
+			f := fault{kind: kinds[k].name, at: at, group: rng.IntN(groups), x: rng.Float64(), y: rng.Float64()}
+			f.time = time.Duration((0.04 + 0.96*rng.Float64()) * float64(kinds[k].longest))
+			plan = append(plan, f)
+			at += time.Duration(rng.Float64() * float64(700*time.Millisecond))
+		}
+		at += time.Duration((0.5 + 3*rng.Float64()) * float64(time.Second))
+	}
+	return plan
+}
+
+// player plays a plan.
+type player struct {
+	program string
+	begun   time.Time
+	wg      sync.WaitGroup
+	kinds   map[string]func(s *system, p *player, f fault)
+
+	mu     sync.Mutex
+	busy   map[string]bool // instances with a fault that must not overlap another one
+	joined int
+}
+
+// play plays a plan and waits until all faults have ended.
+func (s *system) play(plan []fault, program string) {
+	p := &player{program: program, begun: time.Now(), busy: map[string]bool{}, kinds: map[string]func(*system, *player, fault){}}
+	for _, k := range kinds {
+		p.kinds[k.name] = k.run
+	}
+	for _, f := range plan {
+		time.Sleep(time.Until(p.begun.Add(f.at)))
+		p.wg.Go(func() { p.kinds[f.kind](s, p, f) })
+	}
+	p.wg.Wait()
+}
+
+// note adds a fault to the timeline.
+func (s *system) note(f fault, format string, args ...any) {
+	s.timeline.add("fault", "%s for %d ms: %s", f.kind, f.time.Milliseconds(), fmt.Sprintf(format, args...))
+}
+
+// reserve reserves an instance for a fault that must not overlap another one of it. It reports whether it was free.
+func (p *player) reserve(id string) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.busy[id] {
+		return false
+	}
+	p.busy[id] = true
+	return true
+}
+
+func (p *player) release(id string) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	delete(p.busy, id)
+}
+
+// share returns the VMs that x picks: all of them, one, or a part.
+func (s *system) share(x, y float64) []*vm {
+	n := len(s.vms)
+	switch {
+	case x < 0.3:
+		return s.vms
+	case x < 0.5:
+		return s.vms[int(y*float64(n)):][:1]
+	}
+	var list []*vm
+	first, count := int(y*float64(n)), 1+int((x-0.5)*2*float64(n-1))
+	for k := range count {
+		list = append(list, s.vms[(first+k)%n])
+	}
+	return list
+}
+
+func ids(vms []*vm) []string {
+	var list []string
+	for _, v := range vms {
+		list = append(list, v.id)
+	}
+	return list
+}
+
+func runVMEnd(sig syscall.Signal) func(*system, *player, fault) {
+	return func(s *system, p *player, f fault) { s.restart(p, f, s.vms[int(f.x*float64(len(s.vms)))], sig) }
+}
+
+// restart ends a VM's process and starts it again after the time of the fault.
+func (s *system) restart(p *player, f fault, v *vm, sig syscall.Signal) {
+	if !v.fault.TryLock() {
+		return
+	}
+	defer v.fault.Unlock()
+	s.note(f, "%s gets %v", v.id, sig)
+	v.end(sig, stopGrace)
+	time.Sleep(f.time)
+	s.timeline.add("fault", "%s starts again", v.id)
+	if err := v.start(p.program); err != nil {
+		s.t.Errorf("%s: %v", v.id, err)
+	}
+}
+
+func runHerdKill(s *system, p *player, f fault) {
+	for _, v := range s.share(0.5+f.x/2, f.y) {
+		p.wg.Go(func() { s.restart(p, f, v, syscall.SIGKILL) })
+	}
+}
+
+func runVMPause(s *system, _ *player, f fault) {
+	v := s.vms[int(f.x*float64(len(s.vms)))]
+	if !v.fault.TryLock() {
+		return
+	}
+	defer v.fault.Unlock()
+	s.note(f, "%s is suspended", v.id)
+	v.signal(syscall.SIGSTOP)
+	time.Sleep(max(f.time, 200*time.Millisecond))
+	s.timeline.add("fault", "%s goes on", v.id)
+	v.signal(syscall.SIGCONT)
+}
+
+// expiryTime is how long an instance is silent before its entry is removed.
+const expiryTime = 3600 * time.Millisecond
+
+func runCrash(isPrimary bool) func(*system, *player, fault) {
+	return func(s *system, p *player, f fault) {
+		i := instanceOf(s.groups[f.group], isPrimary, f.x)
+		if !p.reserve(i.ID) {
+			return
+		}
+		defer p.release(i.ID)
+		s.note(f, "%s crashes", i.ID)
+		i.Crash()
+		time.Sleep(min(f.time, expiryTime))
+		if f.time > expiryTime {
+			s.timeline.add("platform", "entry of %s expires", i.ID)
+			s.store.Put("servers", i.ID, nil)
+			time.Sleep(f.time - expiryTime)
+		}
+		s.timeline.add("fault", "%s is back", i.ID)
+		if err := i.Restart(); err != nil {
+			s.t.Errorf("%s: %v", i.ID, err)
+		}
+		i.Register()
+	}
+}
+
+func runSilent(isPrimary bool) func(*system, *player, fault) {
+	return func(s *system, _ *player, f fault) {
+		i := instanceOf(s.groups[f.group], isPrimary, f.x)
+		s.note(f, "%s reads and answers nothing, replicates=%v", i.ID, f.y < 0.5)
+		s.gates.setSilent(true, i.ID)
+		if f.y >= 0.5 {
+			i.SetIsolated(true)
+			i.SetReplicationPaused(true)
+		}
+		time.Sleep(f.time)
+		s.timeline.add("fault", "%s answers again", i.ID)
+		i.SetIsolated(false)
+		i.SetReplicationPaused(false)
+		s.gates.setSilent(false, i.ID)
+	}
+}
+
+func runDeaf(s *system, _ *player, f fault) {
+	i := instanceOf(s.groups[f.group], false, f.x)
+	s.note(f, "%s receives nothing", i.ID)
+	i.SetReplicationPaused(true)
+	time.Sleep(f.time)
+	s.timeline.add("fault", "%s receives again", i.ID)
+	i.SetReplicationPaused(false)
+}
+
+func runEntryLost(s *system, p *player, f fault) {
+	i := instanceOf(s.groups[f.group], f.y < 0.1, f.x)
+	if !p.reserve(i.ID) {
+		return
+	}
+	defer p.release(i.ID)
+	s.note(f, "%s loses its entry and goes on", i.ID)
+	s.store.Put("servers", i.ID, nil)
+	time.Sleep(f.time)
+	s.timeline.add("fault", "%s registers again", i.ID)
+	i.Register()
+}
+
+func runIsolated(s *system, _ *player, f fault) {
+	i := instanceOf(s.groups[f.group], true, 0)
+	s.note(f, "%s sends nothing to its replicas", i.ID)
+	i.SetIsolated(true)
+	time.Sleep(f.time)
+	s.timeline.add("fault", "%s sends again", i.ID)
+	i.SetIsolated(false)
+}
+
+func runEmpty(s *system, p *player, f fault) {
+	g := s.groups[f.group]
+	i := instanceOf(g, false, f.x)
+	if !p.reserve(i.ID) {
+		return
+	}
+	defer p.release(i.ID)
+	i.Crash()
+	if g.Primary() == i || !s.othersLive(g, i) {
+		s.note(f, "%s crashes and is back at once", i.ID)
+		_ = i.Restart()
+		i.Register()
+		return
+	}
+	s.note(f, "%s crashes and starts again without its log", i.ID)
+	time.Sleep(f.time)
+	if g.Primary() == i { // a promotion that had begun
+		_ = i.Restart()
+	} else if err := i.RestartEmpty(); err != nil {
+		s.t.Errorf("%s: %v", i.ID, err)
+	}
+	s.timeline.add("fault", "%s is back", i.ID)
+	i.Register()
+}
+
+// othersLive reports whether the primary and another replica hold what an instance holds, so that it may lose its log.
+func (s *system) othersLive(g *emulator.Group, left *emulator.Instance) bool {
+	held, n := len(g.Log(left)), 0
+	for _, i := range g.Instances() {
+		if i != left && len(g.Log(i)) >= held {
+			n++
+		}
+	}
+	return n >= 2
+}
+
+func runJoin(s *system, p *player, f fault) {
+	g := s.groups[f.group]
+	if len(g.Instances()) >= 6 {
+		return
+	}
+	p.join(s, f, g, zones[int(f.x*float64(len(zones)))])
+}
+
+func (p *player) join(s *system, f fault, g *emulator.Group, zone string) {
+	p.mu.Lock()
+	p.joined++
+	id := fmt.Sprintf("i-%s-new%d", g.Name, p.joined)
+	p.mu.Unlock()
+	s.note(f, "%s joins", id)
+	i, err := g.Join(id, zone)
+	if err != nil {
+		s.t.Error(err)
+		return
+	}
+	i.SetReceiveDelay(receiveDelays[zone])
+}
+
+// runLeave makes an instance announce its stop and leave for good, and a newcomer join. A primary stays until it was replaced.
+func runLeave(isPrimary bool) func(*system, *player, fault) {
+	return func(s *system, p *player, f fault) {
+		g := s.groups[f.group]
+		i := instanceOf(g, isPrimary, f.x)
+		if !p.reserve(i.ID) {
+			return
+		}
+		defer p.release(i.ID)
+		s.note(f, "%s announces its stop", i.ID)
+		i.AnnounceStop()
+		if f.y < 0.5 {
+			p.join(s, f, g, i.Zone)
+		}
+		time.Sleep(f.time)
+		for k := 0; g.Primary() == i && k < 80; k++ {
+			time.Sleep(100 * time.Millisecond)
+		}
+		i.Crash()
+		if g.Primary() == i || g.Promoting() == i.ID || !s.othersLive(g, i) {
+			s.timeline.add("fault", "%s stays after all", i.ID)
+			_ = i.Restart()
+			i.Register()
+			return
+		}
+		s.timeline.add("fault", "%s is gone", i.ID)
+		time.Sleep(time.Duration(f.y * float64(time.Second)))
+		s.store.Put("servers", i.ID, nil)
+		if f.y >= 0.5 {
+			p.join(s, f, g, i.Zone)
+		}
+		g.Remove(i)
+	}
+}
+
+func runStore(m emulator.Mode) func(*system, *player, fault) {
+	return func(s *system, p *player, f fault) {
+		vms := s.share(f.x, f.y)
+		s.note(f, "for %v", ids(vms))
+		for _, v := range vms {
+			v.store.SetMode(m)
+		}
+		if f.x < 0.1 { // an entry expires meanwhile
+			p.wg.Go(func() {
+				runEntryLost(s, p, fault{kind: "entryLost", time: f.time + time.Second, group: f.group, x: f.y, y: 1})
+			})
+		}
+		time.Sleep(f.time)
+		s.timeline.add("fault", "%s ends", f.kind)
+		for _, v := range vms {
+			v.store.SetMode(emulator.Available)
+		}
+	}
+}
+
+// runPromoteLate makes promotions be carried out late or, if y is low, at once, but without an answer.
+func runPromoteLate(s *system, _ *player, f fault) {
+	d := time.Duration(f.y * float64(2500*time.Millisecond))
+	if f.y < 0.3 {
+		d = time.Millisecond
+	}
+	vms := s.share(f.x, f.y)
+	s.note(f, "%d ms late for %v, without an answer", d.Milliseconds(), ids(vms))
+	for _, v := range vms {
+		s.store.SetPromotionDelayOf(v.id, d)
+	}
+	time.Sleep(f.time)
+	s.timeline.add("fault", "%s ends", f.kind)
+	for _, v := range vms {
+		s.store.SetPromotionDelayOf(v.id, 0)
+	}
+}
+
+func runAnswersLost(s *system, _ *player, f fault) {
+	i := instanceOf(s.groups[f.group], true, 0)
+	s.note(f, "%s answers no write", i.ID)
+	i.SetDropWriteAnswers(true)
+	time.Sleep(f.time)
+	s.timeline.add("fault", "%s answers writes again", i.ID)
+	i.SetDropWriteAnswers(false)
+}
+
+func runCut(isPrimary bool) func(*system, *player, fault) {
+	return func(s *system, _ *player, f fault) {
+		i, vms := instanceOf(s.groups[f.group], isPrimary, f.y), s.share(f.x, f.y)
+		s.note(f, "%v do not reach %s", ids(vms), i.ID)
+		for _, v := range vms {
+			s.gates.setCut(true, v.id, i.ID)
+		}
+		time.Sleep(f.time)
+		s.timeline.add("fault", "%v reach %s again", ids(vms), i.ID)
+		for _, v := range vms {
+			s.gates.setCut(false, v.id, i.ID)
+		}
+	}
+}
--- /dev/null
+++ b/test/soak/timeline_test.go
@@ -0,0 +1,68 @@
+package soak
+
+import (
+	"bufio"
+	"fmt"
+	"io"
+	"os"
+	"slices"
+	"strings"
+	"sync"
+	"time"
+)
+
+// timeline collects what happened during a run, in memory.
+type timeline struct {
+	mu    sync.Mutex
+	lines []timelineEntry
+}
+
+type timelineEntry struct {
+	at           time.Time
+	source, text string
+}
+
+func (l *timeline) add(source, format string, args ...any) {
+	l.addAt(time.Now(), source, fmt.Sprintf(format, args...))
+}
+
+func (l *timeline) addAt(at time.Time, source, text string) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.lines = append(l.lines, timelineEntry{at, source, text})
+}
+
+// addLog adds the lines of a VM's log that begin with a time.
+func (l *timeline) addLog(source, file string) error {
+	f, err := os.Open(file)
+	if err != nil {
+		return err
+	}
+	defer func() { _ = f.Close() }()
+	last := time.Time{}
+	s := bufio.NewScanner(f)
+	s.Buffer(nil, 1<<20)
+	for s.Scan() {
+		word, rest, _ := strings.Cut(s.Text(), " ")
+		if at, err := time.Parse(time.RFC3339Nano, word); err == nil {
+			last = at
+		} else {
+			rest = s.Text()
+		}
+		l.addAt(last, source, rest)
+	}
+	return s.Err()
+}
+
+// write writes all entries in the order of their times.
+func (l *timeline) write(w io.Writer) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	slices.SortStableFunc(l.lines, func(a, b timelineEntry) int { return a.at.Compare(b.at) })
+	for _, e := range l.lines {
+		_, _ = fmt.Fprintf(w, "%s %-10s %s\n", clock(e.at), e.source, e.text)
+	}
+}
+
+// clock returns a time as the timeline names it.
+func clock(t time.Time) string { return t.UTC().Format("15:04:05.000") }
