--- a/test/soak/fault_test.go
+++ b/test/soak/fault_test.go
@@ -51,8 +51,13 @@
 	{"answersLost", 4, 3 * time.Second, runAnswersLost},
 	{"cutPrimary", 10, 6 * time.Second, runCut(true)},
 	{"cutReplica", 4, 6 * time.Second, runCut(false)},
+	{"cutVMs", 8, 6 * time.Second, runCutVMs},
+	{"vmIsolated", 5, 6 * time.Second, runVMIsolated},
 }
 
+// primaryFaults are the kinds that make VMs replace a primary. Each series has one of them.
+var primaryFaults = []string{"primaryCrash", "primaryBlink", "primarySilent", "primaryIsolated", "answersLost", "cutPrimary", "release"}
+
 // newPlan draws faults for a time: series of overlapping faults with pauses between them.
 func newPlan(seed uint64, length time.Duration, groups int) []fault {
 	rng := rand.New(rand.NewPCG(seed, 55))
@@ -62,18 +67,25 @@
 	}
 	var plan []fault
 	for at := time.Second; at < length; {
-		n := 2 + rng.IntN(9)
-		for range n {
-			pick, k := rng.IntN(total), 0
-			for ; pick >= kinds[k].weight; k++ {
-				pick -= kinds[k].weight
+		n, main := 2+rng.IntN(8), rng.IntN(5)
+		for m := range n {
+			k := 0
+			if m == main || m == n-1 && main >= n {
+				name := primaryFaults[rng.IntN(len(primaryFaults))]
+				for kinds[k].name != name {
+					k++
+				}
+			} else {
+				for pick := rng.IntN(total); pick >= kinds[k].weight; k++ {
+					pick -= kinds[k].weight
+				}
 			}
 			f := fault{kind: kinds[k].name, at: at, group: rng.IntN(groups), x: rng.Float64(), y: rng.Float64()}
 			f.time = time.Duration((0.04 + 0.96*rng.Float64()) * float64(kinds[k].longest))
 			plan = append(plan, f)
 			at += time.Duration(rng.Float64() * float64(700*time.Millisecond))
 		}
-		at += time.Duration((0.5 + 3*rng.Float64()) * float64(time.Second))
+		at += time.Duration((0.3 + 2*rng.Float64()) * float64(time.Second))
 	}
 	return plan
 }
@@ -416,3 +428,44 @@
 		}
 	}
 }
+
+// runCutVMs cuts some VMs off from another one.
+func runCutVMs(s *system, _ *player, f fault) {
+	vms, other := s.share(f.x, f.y), s.vms[int(f.y*float64(len(s.vms)))]
+	s.note(f, "%v and %s do not reach one another", ids(vms), other.id)
+	s.cutVMs(true, vms, other)
+	time.Sleep(f.time)
+	s.timeline.add("fault", "%v and %s reach one another again", ids(vms), other.id)
+	s.cutVMs(false, vms, other)
+}
+
+func (s *system) cutVMs(on bool, vms []*vm, other *vm) {
+	for _, v := range vms {
+		if v != other {
+			s.gates.setCut(on, v.id, other.id)
+			s.gates.setCut(on, other.id, v.id)
+		}
+	}
+}
+
+// runVMIsolated cuts a VM off from the store, the calls with a token, the other VMs and, if y is high, the instances of a group.
+func runVMIsolated(s *system, _ *player, f fault) {
+	v := s.vms[int(f.x*float64(len(s.vms)))]
+	var instances []*emulator.Instance
+	if f.y >= 0.4 {
+		instances = s.groups[f.group].Instances()
+	}
+	s.note(f, "%s reaches neither the store nor other VMs, nor %d instances", v.id, len(instances))
+	set := func(on bool) {
+		s.cutVMs(on, s.vms, v)
+		for _, i := range instances {
+			s.gates.setCut(on, v.id, i.ID)
+		}
+	}
+	set(true)
+	v.store.SetMode(emulator.CutOff)
+	time.Sleep(f.time)
+	s.timeline.add("fault", "%s is back", v.id)
+	set(false)
+	v.store.SetMode(emulator.Available)
+}
--- a/test/soak/gate_test.go
+++ b/test/soak/gate_test.go
@@ -2,10 +2,7 @@
 
 import (
 	"errors"
-	"fmt"
 	"net"
-	"os"
-	"strings"
 	"sync"
 	"time"
 
@@ -17,21 +14,31 @@
 
 // gates hold back the data between VMs and instances.
 type gates struct {
-	vmOf func(from, to net.Addr) string // VM that opened a connection
+	sources *sources // VMs that opened connections
 
 	mu      sync.Mutex
-	cut     map[[2]string]int // VM and instance
+	cut     map[[2]string]int // VM and instance, or another VM
+	cuts    map[string]int    // the same by instances
 	silent  map[string]int    // instances that read and answer nothing
 	changed chan struct{}
 }
 
-func newGates(vmOf func(from, to net.Addr) string) *gates {
-	return &gates{vmOf: vmOf, cut: map[[2]string]int{}, silent: map[string]int{}, changed: make(chan struct{})}
+func newGates(sources *sources) *gates {
+	return &gates{sources: sources, cut: map[[2]string]int{}, cuts: map[string]int{}, silent: map[string]int{}, changed: make(chan struct{})}
 }
 
-// setCut cuts a VM off from an instance, or ends one such cut.
+// setCut cuts a VM off from an instance or from the relays of another VM, or ends one such cut.
 func (g *gates) setCut(on bool, vm, instance string) {
-	g.change(func() { g.cut[[2]string{vm, instance}] += step(on) })
+	g.change(func() {
+		g.cut[[2]string{vm, instance}] += step(on)
+		g.cuts[instance] += step(on)
+	})
+}
+
+func (g *gates) isCut(vm, instance string) bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.cut[[2]string{vm, instance}] > 0
 }
 
 // setSilent makes an instance silent, or ends that once.
@@ -56,35 +63,36 @@
 
 // wrap returns a connection that passes the gate of its VM and instance.
 func (g *gates) wrap(i *emulator.Instance, c net.Conn) net.Conn {
-	return &gatedConn{Conn: c, gates: g, vm: g.vmOf(c.RemoteAddr(), c.LocalAddr()), instance: i.ID, closed: make(chan struct{})}
+	return g.wrapAs(i.ID, c)
+}
+
+// wrapAs returns a connection that passes the gate of its VM and of the instance or VM that has accepted it.
+func (g *gates) wrapAs(id string, c net.Conn) net.Conn {
+	return &gatedConn{Conn: c, gates: g, source: g.sources.find(c), instance: id, closed: make(chan struct{})}
 }
 
 // gatedConn is a connection that an instance has accepted.
 type gatedConn struct {
 	net.Conn
-	gates        *gates
-	vm, instance string
+	gates    *gates
+	source   *source
+	instance string // or VM
 
 	once   sync.Once
 	closed chan struct{}
 }
 
-// vmAddr is the name of a VM as the address of a peer.
-type vmAddr string
-
-func (vmAddr) Network() string  { return "tcp" }
-func (a vmAddr) String() string { return string(a) }
-
-// RemoteAddr returns the name of the VM.
-func (c *gatedConn) RemoteAddr() net.Addr { return vmAddr(c.vm) }
+// RemoteAddr returns the source.
+func (c *gatedConn) RemoteAddr() net.Addr { return c.source }
 
 // pass waits until the gate is open.
 func (c *gatedConn) pass() error {
 	var dropped <-chan time.Time
 	for {
 		c.gates.mu.Lock()
-		isCut, isSilent, changed := c.gates.cut[[2]string{c.vm, c.instance}] > 0, c.gates.silent[c.instance] > 0, c.gates.changed
+		mayBeCut, isSilent, changed := c.gates.cuts[c.instance] > 0, c.gates.silent[c.instance] > 0, c.gates.changed
 		c.gates.mu.Unlock()
+		isCut := mayBeCut && c.gates.isCut(c.source.await(), c.instance)
 		switch {
 		case !isCut && !isSilent:
 			return nil
@@ -126,45 +134,3 @@
 	c.once.Do(func() { close(c.closed) })
 	return c.Conn.Close()
 }
-
-// inodeOf returns the inode of the socket with a local and a remote address, as /proc names it, or "" if there is none.
-func inodeOf(local, remote net.Addr) string {
-	b, err := os.ReadFile("/proc/net/tcp")
-	if err != nil {
-		return ""
-	}
-	want := procAddress(local) + " " + procAddress(remote)
-	for line := range strings.Lines(string(b)) {
-		if f := strings.Fields(line); len(f) > 9 && f[1]+" "+f[2] == want {
-			return f[9]
-		}
-	}
-	return ""
-}
-
-// procAddress returns an address in the form of /proc/net/tcp.
-func procAddress(a net.Addr) string {
-	t, ok := a.(*net.TCPAddr)
-	if !ok || t.IP.To4() == nil {
-		return ""
-	}
-	ip := t.IP.To4()
-	return fmt.Sprintf("%02X%02X%02X%02X:%04X", ip[3], ip[2], ip[1], ip[0], t.Port)
-}
-
-// hasSocket reports whether a process has a socket open.
-func hasSocket(pid int, inode string) bool {
-	dir := fmt.Sprintf("/proc/%d/fd/", pid)
-	d, err := os.Open(dir)
-	if err != nil {
-		return false
-	}
-	defer func() { _ = d.Close() }()
-	names, _ := d.Readdirnames(-1)
-	for _, name := range names {
-		if target, _ := os.Readlink(dir + name); target == "socket:["+inode+"]" {
-			return true
-		}
-	}
-	return false
-}
--- a/test/soak/system_test.go
+++ b/test/soak/system_test.go
@@ -3,7 +3,6 @@
 import (
 	"encoding/json"
 	"fmt"
-	"net"
 	"net/http"
 	"os"
 	"os/exec"
@@ -30,6 +29,9 @@
 	stopGrace    = 6 * time.Second // from SIGTERM to SIGKILL
 )
 
+// relayHosts is added to the last number of a VM's address for that of its relays.
+const relayHosts = 100
+
 // zones are the data centres with their regions.
 var zones = []string{"z1", "z2", "z3"}
 
@@ -70,8 +72,8 @@
 func newSystem(t *testing.T, dir, program string, vms, groups int) *system {
 	t.Helper()
 	hostCount++
-	s := &system{t: t, dir: dir, timeline: &timeline{}, host: fmt.Sprintf("127.%d.%d", 20+os.Getpid()/250%200, (os.Getpid()+hostCount)%250)}
-	s.gates = newGates(s.vmOf)
+	s := &system{t: t, dir: dir, timeline: &timeline{names: map[string]string{}}, host: fmt.Sprintf("127.%d.%d", 20+os.Getpid()/250%200, (os.Getpid()+hostCount)%250)}
+	s.gates = newGates(&sources{timeline: s.timeline, pids: s.pids})
 	for k := range groups {
 		g, err := emulator.StartGroup(emulator.Options{
 			Name: fmt.Sprintf("grp%d", k+1), Zones: zones, Slots: 2, Queue: 16, Connections: 16, StatementDuration: 2 * time.Millisecond,
@@ -94,7 +96,13 @@
 	t.Cleanup(s.store.Close)
 	s.store.Put("op", "config", s.configuration())
 	for k := range vms {
-		s.vms = append(s.vms, s.newVM(k, program))
+		s.vms = append(s.vms, s.newVM(k))
+	}
+	for _, v := range s.vms {
+		if err := v.start(program); err != nil {
+			t.Fatal(err)
+		}
+		t.Cleanup(v.kill)
 	}
 	for _, v := range s.vms {
 		s.awaitReady(v)
@@ -114,8 +122,8 @@
 	return map[string]any{"version": 1, "routes": routes, "services": services, "limits": map[string]any{"tx_idle_ms": 1000}}
 }
 
-// newVM writes the settings of a VM and starts it.
-func (s *system) newVM(k int, program string) *vm {
+// newVM writes the settings of a VM and starts its relays.
+func (s *system) newVM(k int) *vm {
 	s.t.Helper()
 	id := fmt.Sprintf("vm-%d", k+1)
 	address := func(k, port int) string { return fmt.Sprintf("%s.%d:%d", s.host, k+1, port) }
@@ -128,10 +136,22 @@
 		id: id, settings: filepath.Join(s.dir, id+".json"), logFile: filepath.Join(s.dir, id+".log"), store: front, timeline: s.timeline,
 		callerAddress: address(k, clientPort), readyAddress: address(k, readyPort),
 	}
+	front.SetAliases("vms", id, address(k, peerPort), address(k+relayHosts, peerPort), address(k, linkPort), address(k+relayHosts, linkPort))
+	for _, port := range []int{peerPort, linkPort} {
+		r, err := startRelay(s, address(k+relayHosts, port), v, address(k, port))
+		if err != nil {
+			s.t.Fatal(err)
+		}
+		s.t.Cleanup(r.Close)
+	}
+	seeds := []string{address(relayHosts, peerPort), address(relayHosts+1, peerPort)}
+	if k < len(seeds) {
+		seeds[k] = address(k, peerPort)
+	}
 	b, err := json.Marshal(map[string]any{
 		"id": id, "region": map[int]string{0: "r1", 1: "r1", 2: "r2"}[k%3], "dataCentre": zones[k%3], "dataCentres": map[string]string{"z1": "r1", "z2": "r1", "z3": "r2"},
 		"callerAddress": v.callerAddress, "readyAddress": v.readyAddress, "peerAddress": address(k, peerPort), "linkAddress": address(k, linkPort),
-		"adminAddress": address(k, adminPort), "seeds": []string{address(0, peerPort), address(1, peerPort)}, "store": front.Address(), "orders": s.store.Address(),
+		"adminAddress": address(k, adminPort), "seeds": seeds, "store": front.Address(), "orders": front.Address(),
 		"fencing": true, "linkMbps": 1000, "coreShare": 0.4, "memoryMB": 184, "maxDescriptors": 4200, "stopGrace": "6s",
 	})
 	if err != nil {
@@ -140,10 +160,6 @@
 	if err := os.WriteFile(v.settings, b, 0o600); err != nil {
 		s.t.Fatal(err)
 	}
-	if err := v.start(program); err != nil {
-		s.t.Fatal(err)
-	}
-	s.t.Cleanup(v.kill)
 	return v
 }
 
@@ -213,18 +229,15 @@
 	v.mu.Unlock()
 }
 
-// vmOf returns the VM that has opened a connection, or "?".
-func (s *system) vmOf(from, to net.Addr) string {
-	inode := inodeOf(from, to)
-	if inode == "" {
-		return "?"
-	}
+// pids returns the processes that run.
+func (s *system) pids() map[string]int {
+	m := map[string]int{}
 	for _, v := range s.vms {
-		if pid := v.pid(); pid != 0 && hasSocket(pid, inode) {
-			return v.id
+		if pid := v.pid(); pid != 0 {
+			m[v.id] = pid
 		}
 	}
-	return "?"
+	return m
 }
 
 // awaitReady waits until a VM reports itself ready.
--- a/test/soak/timeline_test.go
+++ b/test/soak/timeline_test.go
@@ -15,6 +15,7 @@
 type timeline struct {
 	mu    sync.Mutex
 	lines []timelineEntry
+	names map[string]string // of VMs, by names of connections
 }
 
 type timelineEntry struct {
@@ -32,6 +33,13 @@
 	l.lines = append(l.lines, timelineEntry{at, source, text})
 }
 
+// rename makes the timeline show another name.
+func (l *timeline) rename(name, vm string) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.names[name] = vm
+}
+
 // leftOut are the events of the VMs' logs that the timeline leaves out: one for each statement.
 var leftOut = []string{`event="statementServed"`, `event="statementRepeated"`, `event="dialFailed"`, `event="sessionEnded"`}
 
@@ -66,6 +74,11 @@
 	defer l.mu.Unlock()
 	slices.SortStableFunc(l.lines, func(a, b timelineEntry) int { return a.at.Compare(b.at) })
 	for _, e := range l.lines {
+		if before, rest, ok := strings.Cut(e.text, "<"); ok && e.source == "platform" {
+			if name, after, ok := strings.Cut(rest, ">"); ok {
+				e.text = before + l.names["<"+name+">"] + after
+			}
+		}
 		_, _ = fmt.Fprintf(w, "%s %-10s %s\n", clock(e.at), e.source, e.text)
 	}
 }
