--- a/test/soak/fault_test.go
+++ b/test/soak/fault_test.go
@@ -431,7 +431,7 @@
 
 // runCutVMs cuts some VMs off from another one.
 func runCutVMs(s *system, _ *player, f fault) {
-	vms, other := s.share(f.x, f.y), s.vms[int(f.y*float64(len(s.vms)))]
+	vms, other := s.share(f.x, f.y), s.vms[(int(f.y*float64(len(s.vms)))+1)%len(s.vms)]
 	s.note(f, "%v and %s do not reach one another", ids(vms), other.id)
 	s.cutVMs(true, vms, other)
 	time.Sleep(f.time)
--- a/test/soak/system_test.go
+++ b/test/soak/system_test.go
@@ -3,6 +3,8 @@
 import (
 	"encoding/json"
 	"fmt"
+	"math/rand/v2"
+	"net"
 	"net/http"
 	"os"
 	"os/exec"
@@ -65,14 +67,25 @@
 	done chan struct{} // closed when the process has ended
 }
 
-// hostCount makes the addresses of the runs of a process differ.
-var hostCount int
+// newHost returns the first three numbers of addresses that no other run on this machine uses. They are taken until the end of
+// the test by listening on one of them.
+func newHost(t *testing.T) string {
+	t.Helper()
+	for range 100 {
+		host := fmt.Sprintf("127.%d.%d", 20+rand.IntN(200), rand.IntN(250))
+		if l, err := net.Listen("tcp", host+".254:5432"); err == nil {
+			t.Cleanup(func() { _ = l.Close() })
+			return host
+		}
+	}
+	t.Fatal("no free addresses")
+	return ""
+}
 
 // newSystem starts the groups, the store and the VMs, and waits until the VMs are ready.
 func newSystem(t *testing.T, dir, program string, vms, groups int) *system {
 	t.Helper()
-	hostCount++
-	s := &system{t: t, dir: dir, timeline: &timeline{names: map[string]string{}}, host: fmt.Sprintf("127.%d.%d", 20+os.Getpid()/250%200, (os.Getpid()+hostCount)%250)}
+	s := &system{t: t, dir: dir, timeline: &timeline{names: map[string]string{}}, host: newHost(t)}
 	s.gates = newGates(&sources{timeline: s.timeline, pids: s.pids})
 	for k := range groups {
 		g, err := emulator.StartGroup(emulator.Options{
