--- a/test/soak/fault_test.go
+++ b/test/soak/fault_test.go
@@ -29,6 +29,8 @@
 	{"vmTerm", 5, 2 * time.Second, runVMEnd(syscall.SIGTERM)},
 	{"herdKill", 1, 2 * time.Second, runHerdKill},
 	{"vmPause", 10, 5 * time.Second, runVMPause},
+	{"vmStutter", 5, 5 * time.Second, runVMStutter},
+	{"vmSlow", 5, 5 * time.Second, runVMSlow},
 	{"primaryCrash", 8, 5 * time.Second, runCrash(true)},
 	{"replicaCrash", 5, 5 * time.Second, runCrash(false)},
 	{"primaryBlink", 4, 200 * time.Millisecond, runCrash(true)},
@@ -200,6 +202,43 @@
 	v.signal(syscall.SIGCONT)
 }
 
+// runVMStutter suspends some VMs again and again for a short time.
+func runVMStutter(s *system, p *player, f fault) {
+	vms := s.share(f.x, f.y)
+	s.note(f, "%v are suspended again and again", ids(vms))
+	for k, v := range vms {
+		rng := rand.New(rand.NewPCG(uint64(f.at), uint64(k)))
+		p.wg.Go(func() {
+			if !v.fault.TryLock() {
+				return
+			}
+			defer v.fault.Unlock()
+			for end := time.Now().Add(f.time); time.Now().Before(end); {
+				v.signal(syscall.SIGSTOP)
+				time.Sleep(time.Duration(rng.Int64N(int64(300 * time.Millisecond))))
+				v.signal(syscall.SIGCONT)
+				time.Sleep(time.Duration(rng.Int64N(int64(150 * time.Millisecond))))
+			}
+		})
+	}
+	time.Sleep(f.time)
+	s.timeline.add("fault", "%v go on", ids(vms))
+}
+
+// runVMSlow delays what some VMs get from instances and from other VMs.
+func runVMSlow(s *system, _ *player, f fault) {
+	vms, d := s.share(f.x, f.y), time.Duration(f.y*f.y*float64(250*time.Millisecond))
+	s.note(f, "%v get everything %d ms later", ids(vms), d.Milliseconds())
+	for _, v := range vms {
+		s.gates.setSlow(v.id, d)
+	}
+	time.Sleep(f.time)
+	s.timeline.add("fault", "%v get everything in time", ids(vms))
+	for _, v := range vms {
+		s.gates.setSlow(v.id, 0)
+	}
+}
+
 // expiryTime is how long an instance is silent before its entry is removed.
 const expiryTime = 3600 * time.Millisecond
 
@@ -310,6 +349,9 @@
 	return n >= 2
 }
 
+// catchUpTime is the longest time until a newcomer receives.
+const catchUpTime = 4 * time.Second
+
 func runJoin(s *system, p *player, f fault) {
 	g := s.groups[f.group]
 	if len(g.Instances()) >= 6 {
@@ -330,9 +372,28 @@
 		return
 	}
 	i.SetReceiveDelay(receiveDelays[zone])
+	s.gates.place(id, zone)
+	if f.x < 0.7 { // until it has the log of before
+		i.SetReplicationPaused(true)
+		time.AfterFunc(time.Duration(f.x*float64(catchUpTime)), func() { i.SetReplicationPaused(false) })
+	}
 }
 
-// runLeave makes an instance announce its stop and leave for good, and a newcomer join. A primary stays until it was replaced.
+// succeed makes an instance with a new identity take over the address and the log of one that has crashed.
+func (p *player) succeed(s *system, g *emulator.Group, old *emulator.Instance) {
+	p.mu.Lock()
+	p.joined++
+	id := fmt.Sprintf("i-%s-new%d", g.Name, p.joined)
+	p.mu.Unlock()
+	s.timeline.add("fault", "%s is gone, %s takes over its address and log", old.ID, id)
+	s.gates.place(id, old.Zone)
+	if _, err := g.Succeed(old, id); err != nil {
+		s.t.Error(err)
+	}
+	s.store.Put("servers", old.ID, nil)
+}
+
+// runLeave makes an instance announce its stop and leave for good, and another one join or take over its log. A primary stays until it was replaced.
 func runLeave(isPrimary bool) func(*system, *player, fault) {
 	return func(s *system, p *player, f fault) {
 		g := s.groups[f.group]
@@ -343,7 +404,7 @@
 		defer p.release(i.ID)
 		s.note(f, "%s announces its stop", i.ID)
 		i.AnnounceStop()
-		if f.y < 0.5 {
+		if f.y < 0.3 {
 			p.join(s, f, g, i.Zone)
 		}
 		time.Sleep(f.time)
@@ -357,10 +418,14 @@
 			i.Register()
 			return
 		}
+		if f.y >= 0.7 {
+			p.succeed(s, g, i)
+			return
+		}
 		s.timeline.add("fault", "%s is gone", i.ID)
 		time.Sleep(time.Duration(f.y * float64(time.Second)))
 		s.store.Put("servers", i.ID, nil)
-		if f.y >= 0.5 {
+		if f.y >= 0.3 {
 			p.join(s, f, g, i.Zone)
 		}
 		g.Remove(i)
--- a/test/soak/gate_test.go
+++ b/test/soak/gate_test.go
@@ -12,19 +12,27 @@
 // dropTime is how long an instance keeps a connection whose VM it cannot reach.
 const dropTime = 3 * time.Second
 
+// Round trips between data centres.
+const (
+	withinRegion   = 2 * time.Millisecond
+	betweenRegions = 16 * time.Millisecond
+)
+
 // gates hold back the data between VMs and instances.
 type gates struct {
 	sources *sources // VMs that opened connections
 
 	mu      sync.Mutex
-	cut     map[[2]string]int // VM and instance, or another VM
-	cuts    map[string]int    // the same by instances
-	silent  map[string]int    // instances that read and answer nothing
+	cut     map[[2]string]int        // VM and instance, or another VM
+	cuts    map[string]int           // the same by instances
+	silent  map[string]int           // instances that read and answer nothing
+	zones   map[string]string        // of VMs and instances
+	slow    map[string]time.Duration // added to the delay of what a VM gets
 	changed chan struct{}
 }
 
 func newGates(sources *sources) *gates {
-	return &gates{sources: sources, cut: map[[2]string]int{}, cuts: map[string]int{}, silent: map[string]int{}, changed: make(chan struct{})}
+	return &gates{sources: sources, cut: map[[2]string]int{}, cuts: map[string]int{}, silent: map[string]int{}, zones: map[string]string{}, slow: map[string]time.Duration{}, changed: make(chan struct{})}
 }
 
 // setCut cuts a VM off from an instance or from the relays of another VM, or ends one such cut.
@@ -41,6 +49,26 @@
 	return g.cut[[2]string{vm, instance}] > 0
 }
 
+// place sets the zone of a VM or of an instance.
+func (g *gates) place(id, zone string) { g.change(func() { g.zones[id] = zone }) }
+
+// setSlow adds a delay to what a VM gets.
+func (g *gates) setSlow(vm string, d time.Duration) { g.change(func() { g.slow[vm] = d }) }
+
+// delay returns the delay of a message to a VM and of the request before.
+func (g *gates) delay(vm, other string) time.Duration {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	d, a, b := g.slow[vm], g.zones[vm], g.zones[other]
+	switch {
+	case a == b:
+		return d
+	case a == "z3" || b == "z3":
+		return d + betweenRegions
+	}
+	return d + withinRegion
+}
+
 // setSilent makes an instance silent, or ends that once.
 func (g *gates) setSilent(on bool, instance string) {
 	g.change(func() { g.silent[instance] += step(on) })
@@ -121,8 +149,11 @@
 	return n, err
 }
 
-// Write implements net.Conn.
+// Write implements net.Conn. It delays the data as the network does.
 func (c *gatedConn) Write(b []byte) (int, error) {
+	if vm := c.source.known(); vm != "" {
+		time.Sleep(c.gates.delay(vm, c.instance))
+	}
 	if err := c.pass(); err != nil {
 		return 0, err
 	}
--- a/test/soak/source_test.go
+++ b/test/soak/source_test.go
@@ -56,6 +56,16 @@
 	return a.vm
 }
 
+// known returns the VM, or "" while it is not known yet.
+func (a *source) known() string {
+	select {
+	case <-a.done:
+		return a.vm
+	default:
+		return ""
+	}
+}
+
 // run looks for the VMs of the pending connections, many at a time, until there are none.
 func (s *sources) run() {
 	for {
--- a/test/soak/system_test.go
+++ b/test/soak/system_test.go
@@ -99,6 +99,7 @@
 		t.Cleanup(g.Close)
 		for _, i := range g.Instances() {
 			i.SetReceiveDelay(receiveDelays[i.Zone])
+			s.gates.place(i.ID, i.Zone)
 		}
 		s.groups = append(s.groups, g)
 	}
@@ -149,6 +150,7 @@
 		id: id, settings: filepath.Join(s.dir, id+".json"), logFile: filepath.Join(s.dir, id+".log"), store: front, timeline: s.timeline,
 		callerAddress: address(k, clientPort), readyAddress: address(k, readyPort),
 	}
+	s.gates.place(id, zones[k%3])
 	front.SetAliases("vms", id, address(k, peerPort), address(k+relayHosts, peerPort), address(k, linkPort), address(k+relayHosts, linkPort))
 	for _, port := range []int{peerPort, linkPort} {
 		r, err := startRelay(s, address(k+relayHosts, port), v, address(k, port))
