--- a/test/soak/fault_test.go
+++ b/test/soak/fault_test.go
@@ -3,6 +3,8 @@
 import (
 	"fmt"
 	"math/rand/v2"
+	"slices"
+	"strings"
 	"sync"
 	"syscall"
 	"time"
@@ -58,11 +60,24 @@
 	{"soleReceiver", 14, 6 * time.Second, runSoleReceiver},
 	{"split", 8, 6 * time.Second, runSplit},
 	{"heldBlinks", 8, 3 * time.Second, runHeldBlinks},
+	{"lateEntry", 8, 6 * time.Second, runLateEntry},
+	{"behindCut", 8, 6 * time.Second, runBehindCut},
 }
 
 // primaryFaults are the kinds that make VMs replace a primary. Each series has one of them.
 var primaryFaults = []string{"primaryCrash", "primaryBlink", "primarySilent", "primaryIsolated", "answersLost", "cutPrimary", "release"}
 
+// compounds are the kinds that consist of several faults, which need their time.
+var compounds = []string{"soleReceiver", "split", "heldBlinks", "lateEntry", "behindCut"}
+
+// isDrawn reports whether a seed has a kind.
+func isDrawn(kind string, rng *rand.Rand) bool {
+	if *only != "" {
+		return slices.Contains(strings.Split(*only, ","), kind)
+	}
+	return rng.IntN(100) < 35
+}
+
 // newPlan draws faults for a time: series of overlapping faults with pauses between them.
 func newPlan(seed uint64, length time.Duration, groups int) []fault {
 	rng := rand.New(rand.NewPCG(seed, 55))
@@ -70,7 +85,7 @@
 	weights, total := make([]int, len(kinds)), 0
 	for total == 0 {
 		for k := range kinds {
-			if weights[k] = 0; rng.IntN(100) < 35 {
+			if weights[k] = 0; isDrawn(kinds[k].name, rng) {
 				weights[k] = kinds[k].weight
 				total += weights[k]
 			}
@@ -94,6 +109,10 @@
 			}
 			f := fault{kind: kinds[k].name, at: at, group: rng.IntN(groups), x: rng.Float64(), y: rng.Float64()}
 			f.time = time.Duration((0.04 + 0.96*rng.Float64()) * float64(kinds[k].longest))
+			if slices.Contains(compounds, f.kind) {
+				f.time = f.time/2 + kinds[k].longest/2
+				at += time.Duration(rng.Float64() * float64(f.time))
+			}
 			plan = append(plan, f)
 			at += time.Duration(pace * rng.Float64() * float64(700*time.Millisecond))
 		}
@@ -572,10 +591,8 @@
 	})
 }
 
-// runSoleReceiver makes one replica receive nothing, so that only another one receives what is acknowledged, which then goes missing
-// in one of several ways before the primary fails.
-func runSoleReceiver(s *system, p *player, f fault) {
-	rng, g := f.rng(), s.groups[f.group]
+// pauseOthers lets only one replica receive, which it returns, after a pause and for the time of a fault.
+func (s *system) pauseOthers(after time.Duration, f fault, g *emulator.Group, rng *rand.Rand) *emulator.Instance {
 	primary := g.Primary()
 	var others []*emulator.Instance
 	for _, i := range g.Instances() {
@@ -584,13 +601,23 @@
 		}
 	}
 	receiver := others[rng.IntN(len(others))]
-	s.note(f, "only %s receives", receiver.ID)
-	for _, i := range others {
-		if i != receiver {
-			i.SetReplicationPaused(true)
-			time.AfterFunc(f.time, func() { i.SetReplicationPaused(false) })
+	s.note(f, "only %s receives, %d ms from now on", receiver.ID, after.Milliseconds())
+	time.AfterFunc(after, func() {
+		for _, i := range others {
+			if i != receiver {
+				i.SetReplicationPaused(true)
+				time.AfterFunc(f.time, func() { i.SetReplicationPaused(false) })
+			}
 		}
-	}
+	})
+	return receiver
+}
+
+// runSoleReceiver makes one replica receive nothing, so that only another one receives what is acknowledged, which then goes missing
+// in one of several ways before the primary fails.
+func runSoleReceiver(s *system, p *player, f fault) {
+	rng, g := f.rng(), s.groups[f.group]
+	receiver := s.pauseOthers(time.Duration(rng.Int64N(2)*rng.Int64N(int64(2*time.Second))), f, g, rng)
 	time.Sleep(time.Duration(rng.Float64() * float64(time.Second)))
 	ways := []string{"entryLost", "entryLost", "replicaCrash", "replicaBlink", "replicaSilent", "leave", "cutReplica"}
 	way := ways[rng.IntN(len(ways))]
@@ -673,3 +700,75 @@
 		p.run(s, 400*time.Millisecond+time.Duration(rng.Float64()*float64(f.time)), "replicaBlink", blink)
 	}
 }
+
+// runLateEntry makes the store fail until all entries of a group have expired. They are back one by one, that of the only replica
+// that receives last, and the primary fails while VMs that have just started do not know it.
+func runLateEntry(s *system, p *player, f fault) {
+	rng, g := f.rng(), s.groups[f.group]
+	vms := s.share(0.5+f.x/2, f.y)
+	for _, v := range s.vms {
+		v.store.SetMode(emulator.Unavailable)
+	}
+	receiver := s.pauseOthers(f.time/6+time.Duration(rng.Float64()*float64(f.time)/2), f, g, rng)
+	var list []*emulator.Instance
+	for _, i := range g.Instances() {
+		if p.reserve(i.ID) {
+			list = append(list, i)
+			s.store.Put("servers", i.ID, nil)
+		}
+	}
+	s.timeline.add("fault", "%s: the store is down and all entries expire", f.kind)
+	time.Sleep(f.time / 6)
+	for _, v := range vms {
+		p.wg.Go(func() { s.restart(p, fault{kind: f.kind, time: f.time / 12}, v, syscall.SIGKILL) })
+	}
+	time.Sleep(f.time / 6)
+	s.timeline.add("fault", "%s: the store is back", f.kind)
+	for _, v := range s.vms {
+		v.store.SetMode(emulator.Available)
+	}
+	for _, i := range list {
+		p.release(i.ID)
+		if i != receiver {
+			i.Register()
+		}
+	}
+	time.Sleep(time.Duration((0.2 + 0.8*rng.Float64()) * float64(f.time) / 4))
+	name := primaryFaults[rng.IntN(2)]
+	p.run(s, 0, name, f.part(rng, name))
+	time.Sleep(f.time / 4)
+	s.timeline.add("fault", "%s registers again", receiver.ID)
+	receiver.Register()
+}
+
+// runBehindCut makes the only replica that receives lose its entry, and VMs that do not reach the primary replace it while others
+// that they do not reach go on.
+func runBehindCut(s *system, p *player, f fault) {
+	rng, g := f.rng(), s.groups[f.group]
+	cutAfter := time.Duration(rng.Float64() * float64(f.time) / 3)
+	primary, receiver := g.Primary(), s.pauseOthers(cutAfter+time.Duration(rng.Int64N(int64(500*time.Millisecond))), f, g, rng)
+	if !p.reserve(receiver.ID) {
+		return
+	}
+	defer p.release(receiver.ID)
+	n := 1 + rng.IntN(len(s.vms)-1)
+	order := rng.Perm(len(s.vms))
+	s.timeline.add("fault", "%s: %s loses its entry", f.kind, receiver.ID)
+	s.store.Put("servers", receiver.ID, nil)
+	time.Sleep(cutAfter)
+	set := func(on bool) {
+		for _, k := range order[:n] {
+			s.gates.setCut(on, s.vms[k].id, primary.ID)
+			for _, m := range order[n:] {
+				s.gates.setCut(on, s.vms[k].id, s.vms[m].id)
+				s.gates.setCut(on, s.vms[m].id, s.vms[k].id)
+			}
+		}
+	}
+	s.timeline.add("fault", "%s: VMs %v (from 0) reach neither %s nor the others", f.kind, order[:n], primary.ID)
+	set(true)
+	time.Sleep(f.time * 2 / 3)
+	s.timeline.add("fault", "%s ends", f.kind)
+	set(false)
+	receiver.Register()
+}
--- a/test/soak/soak_test.go
+++ b/test/soak/soak_test.go
@@ -20,6 +20,7 @@
 	clients   = flag.Int("clients", 3, "clients for each VM")
 	logs      = flag.String("logs", "", "directory for the logs and timelines of failing seeds")
 	keepAll   = flag.Bool("keep", false, "keep the logs and timelines of all seeds")
+	only      = flag.String("kinds", "", "kinds of faults to draw from, separated by commas; if empty, a third of all by the seed")
 	program   = flag.String("parsleyline", "", "program of the VMs; built from this tree if it is empty")
 )
 
