--- a/test/soak/fault_test.go
+++ b/test/soak/fault_test.go
@@ -60,8 +60,8 @@
 	{"soleReceiver", 14, 6 * time.Second, runSoleReceiver},
 	{"split", 8, 6 * time.Second, runSplit},
 	{"heldBlinks", 8, 3 * time.Second, runHeldBlinks},
-	{"lateEntry", 8, 6 * time.Second, runLateEntry},
-	{"behindCut", 8, 6 * time.Second, runBehindCut},
+	{"lateEntry", 8, 9 * time.Second, runLateEntry},
+	{"behindCut", 8, 10 * time.Second, runBehindCut},
 }
 
 // primaryFaults are the kinds that make VMs replace a primary. Each series has one of them.
@@ -745,7 +745,7 @@
 // that they do not reach go on.
 func runBehindCut(s *system, p *player, f fault) {
 	rng, g := f.rng(), s.groups[f.group]
-	cutAfter := time.Duration(rng.Float64() * float64(f.time) / 3)
+	cutAfter := time.Duration((0.15 + 0.3*rng.Float64()) * float64(f.time)) // mostly after VMs have taken the replica for gone
 	primary, receiver := g.Primary(), s.pauseOthers(cutAfter+time.Duration(rng.Int64N(int64(500*time.Millisecond))), f, g, rng)
 	if !p.reserve(receiver.ID) {
 		return
@@ -767,7 +767,7 @@
 	}
 	s.timeline.add("fault", "%s: VMs %v (from 0) reach neither %s nor the others", f.kind, order[:n], primary.ID)
 	set(true)
-	time.Sleep(f.time * 2 / 3)
+	time.Sleep(f.time / 2)
 	s.timeline.add("fault", "%s ends", f.kind)
 	set(false)
 	receiver.Register()
