--- a/test/soak/fault_test.go
+++ b/test/soak/fault_test.go
@@ -61,14 +61,15 @@
 	{"split", 8, 6 * time.Second, runSplit},
 	{"heldBlinks", 8, 3 * time.Second, runHeldBlinks},
 	{"lateEntry", 8, 9 * time.Second, runLateEntry},
-	{"behindCut", 8, 10 * time.Second, runBehindCut},
+	{"behindCut", 8, 10 * time.Second, runBehindCut(false)},
+	{"behindCutReceiverToo", 4, 10 * time.Second, runBehindCut(true)},
 }
 
 // primaryFaults are the kinds that make VMs replace a primary. Each series has one of them.
 var primaryFaults = []string{"primaryCrash", "primaryBlink", "primarySilent", "primaryIsolated", "answersLost", "cutPrimary", "release"}
 
 // compounds are the kinds that consist of several faults, which need their time.
-var compounds = []string{"soleReceiver", "split", "heldBlinks", "lateEntry", "behindCut"}
+var compounds = []string{"soleReceiver", "split", "heldBlinks", "lateEntry", "behindCut", "behindCutReceiverToo"}
 
 // isDrawn reports whether a seed has a kind.
 func isDrawn(kind string, rng *rand.Rand) bool {
@@ -742,33 +743,38 @@
 }
 
 // runBehindCut makes the only replica that receives lose its entry, and VMs that do not reach the primary replace it while others
-// that they do not reach go on.
-func runBehindCut(s *system, p *player, f fault) {
-	rng, g := f.rng(), s.groups[f.group]
-	cutAfter := time.Duration((0.15 + 0.3*rng.Float64()) * float64(f.time)) // mostly after VMs have taken the replica for gone
-	primary, receiver := g.Primary(), s.pauseOthers(cutAfter+time.Duration(rng.Int64N(int64(500*time.Millisecond))), f, g, rng)
-	if !p.reserve(receiver.ID) {
-		return
-	}
-	defer p.release(receiver.ID)
-	n := 1 + rng.IntN(len(s.vms)-1)
-	order := rng.Perm(len(s.vms))
-	s.timeline.add("fault", "%s: %s loses its entry", f.kind, receiver.ID)
-	s.store.Put("servers", receiver.ID, nil)
-	time.Sleep(cutAfter)
-	set := func(on bool) {
-		for _, k := range order[:n] {
-			s.gates.setCut(on, s.vms[k].id, primary.ID)
-			for _, m := range order[n:] {
-				s.gates.setCut(on, s.vms[k].id, s.vms[m].id)
-				s.gates.setCut(on, s.vms[m].id, s.vms[k].id)
+// that they do not reach go on. With receiverToo, the VMs that replace the primary do not reach that replica either.
+func runBehindCut(receiverToo bool) func(*system, *player, fault) {
+	return func(s *system, p *player, f fault) {
+		rng, g := f.rng(), s.groups[f.group]
+		cutAfter := time.Duration((0.15 + 0.3*rng.Float64()) * float64(f.time)) // mostly after VMs have taken the replica for gone
+		primary, receiver := g.Primary(), s.pauseOthers(cutAfter+time.Duration(rng.Int64N(int64(500*time.Millisecond))), f, g, rng)
+		if !p.reserve(receiver.ID) {
+			return
+		}
+		defer p.release(receiver.ID)
+		n := 1 + rng.IntN(len(s.vms)-1)
+		order := rng.Perm(len(s.vms))
+		s.timeline.add("fault", "%s: %s loses its entry", f.kind, receiver.ID)
+		s.store.Put("servers", receiver.ID, nil)
+		time.Sleep(cutAfter)
+		set := func(on bool) {
+			for _, k := range order[:n] {
+				s.gates.setCut(on, s.vms[k].id, primary.ID)
+				if receiverToo {
+					s.gates.setCut(on, s.vms[k].id, receiver.ID)
+				}
+				for _, m := range order[n:] {
+					s.gates.setCut(on, s.vms[k].id, s.vms[m].id)
+					s.gates.setCut(on, s.vms[m].id, s.vms[k].id)
+				}
 			}
 		}
+		s.timeline.add("fault", "%s: VMs %v (from 0) reach neither %s nor the others", f.kind, order[:n], primary.ID)
+		set(true)
+		time.Sleep(f.time / 2)
+		s.timeline.add("fault", "%s ends", f.kind)
+		set(false)
+		receiver.Register()
 	}
-	s.timeline.add("fault", "%s: VMs %v (from 0) reach neither %s nor the others", f.kind, order[:n], primary.ID)
-	set(true)
-	time.Sleep(f.time / 2)
-	s.timeline.add("fault", "%s ends", f.kind)
-	set(false)
-	receiver.Register()
 }
