--- a/test/soak/soak_test.go
+++ b/test/soak/soak_test.go
@@ -83,7 +83,8 @@
 	time.Sleep(settleTime)
 	c.stop()
 	v := judge(s, &c.ledger)
-	t.Logf("%v", v)
+	all, unknown := s.gates.sources.counts()
+	t.Logf("%v; %d of %d connections from unknown VMs", v, unknown, all)
 	for _, text := range v.findings() {
 		t.Error(text)
 	}
--- a/test/soak/source_test.go
+++ b/test/soak/source_test.go
@@ -22,12 +22,23 @@
 	isRunning bool
 }
 
+// counts returns the number of connections, and that of those whose VM was not found, since they or the process had ended before.
+func (s *sources) counts() (all, unknown int) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.count, s.unknown
+}
+
+// maxLooks is how often a connection is looked for. The list in /proc can lack some while others come and go.
+const maxLooks = 3
+
 // source is the VM that has opened a connection.
 type source struct {
-	name string // in the timeline, until the VM is known
-	key  string // addresses as in /proc/net/tcp
-	done chan struct{}
-	vm   string // read after done; "?" if it is not known
+	name  string // in the timeline, until the VM is known
+	key   string // addresses as in /proc/net/tcp
+	looks int    // so far
+	done  chan struct{}
+	vm    string // read after done; "?" if it is not known
 }
 
 // find begins to find out who has opened a connection.
@@ -111,8 +122,13 @@
 		}
 	}
 	for _, a := range list {
-		if a.vm == "?" {
+		if a.looks++; a.vm == "?" {
 			s.mu.Lock()
+			if a.looks < maxLooks {
+				s.pending = append(s.pending, a)
+				s.mu.Unlock()
+				continue
+			}
 			s.unknown++
 			s.mu.Unlock()
 		}
