--- a/internal/group/replacer/endterm.go
+++ b/internal/group/replacer/endterm.go
@@ -202,6 +202,7 @@
 	if e.isFirstClaim && (r.isDemoted(ctx, e, v, status) || r.hasBegun(ctx, e)) {
 		return nil, r.voidOrders(ctx, e)
 	}
+	r.recordEnd(g)
 	demoted, err := r.callWithRetry(ctx, v, func(ctx context.Context, t carrier.Target) (carrier.InstanceStatus, error) {
 		return demote(ctx, t, nextTerm)
 	})
--- a/internal/group/replacer/refresh.go
+++ b/internal/group/replacer/refresh.go
@@ -61,6 +61,7 @@
 // cut off, and would only stop the writes of the others.
 func (r *Replacer) holdAllRegistered(ctx context.Context, e ending, seal registrar.Seal, b *Basis) ([]candidate, error) {
 	g := e.group
+	r.recordEnd(g)
 	e.sealing = r.startSealAndRefresh(ctx, g, seal)
 	if e.isStalled() || b.IsSpare {
 		if err := <-e.sealing.refreshed; err != nil {
--- a/internal/group/replacer/replacer.go
+++ b/internal/group/replacer/replacer.go
@@ -230,6 +230,7 @@
 	requested   map[string]uint64         // latest term for whose end a promote request was sent, by group
 	awaited     map[string]awaitedRestore // by group
 	voided      map[string]voidedOrders   // the latest of each group
+	endedAt     map[string]time.Duration  // latest time of recordEnd on the registrar's clock, by group
 	spareToken  uint64                    // for a replacement while the store is unavailable; zero: none
 
 	rosterReads map[string]rosterRead // by group; accessed by run only
@@ -244,7 +245,7 @@
 		cfg.IsConfigured = func(string) bool { return true }
 	}
 	ctx, cancel := context.WithCancel(context.Background())
-	r := &Replacer{cfg: cfg, cancel: cancel, isReplacing: map[string]bool{}, failures: map[string]int{}, requested: map[string]uint64{}, lastProbe: map[string]time.Time{}, awaited: map[string]awaitedRestore{}, voided: map[string]voidedOrders{}, rosterReads: map[string]rosterRead{}}
+	r := &Replacer{cfg: cfg, cancel: cancel, isReplacing: map[string]bool{}, failures: map[string]int{}, requested: map[string]uint64{}, lastProbe: map[string]time.Time{}, awaited: map[string]awaitedRestore{}, voided: map[string]voidedOrders{}, endedAt: map[string]time.Duration{}, rosterReads: map[string]rosterRead{}}
 	r.wg.Go(func() { r.run(ctx) })
 	r.wg.Go(func() { r.refillSpareToken(ctx) })
 	return r
@@ -465,7 +466,6 @@
 		}
 		return err
 	}
-	comparedAt := g.Now()
 	target, err := choose(candidates, claim.ChosenInstance)
 	if err != nil {
 		return err
@@ -479,7 +479,7 @@
 		return err
 	}
 	b.recordChoice(g, candidates, target)
-	p := promotion{group: g, action: a, basis: b, term: old.Term, target: target, received: furthestReceived(candidates), number: claim.FencingToken, isClaimed: !isSpare, isFirstChoice: claim.ChosenInstance == "", comparedAt: comparedAt, isFirstOrder: !r.hasRequested(g.Name(), old.Term)}
+	p := promotion{group: g, action: a, basis: b, term: old.Term, target: target, received: furthestReceived(candidates), number: claim.FencingToken, isClaimed: !isSpare, isFirstChoice: claim.ChosenInstance == "", isFirstOrder: !r.hasRequested(g.Name(), old.Term)}
 	if p.oldPrimary = old.Instance; p.oldPrimary == "" {
 		p.oldPrimary, _ = g.FormerPrimary(old.Term)
 	}
@@ -525,9 +525,23 @@
 	return false, nil
 }
 
-// maxComparisonAge is the time from the comparison of the instances to the promote request up to which the seals are sure to be in force. A VM that is
-// suspended in between must not go on.
-const maxComparisonAge = time.Second
+// maxSealAge is the age of a seal, or of a demotion, up to which a promote request is sent. It is less than the time for which a seal lasts: a VM that is
+// suspended after it has compared the instances must not go on.
+const maxSealAge = 1700 * time.Millisecond
+
+// recordEnd records that a term has just been sealed, or its primary demoted.
+func (r *Replacer) recordEnd(g *registrar.Group) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.endedAt[g.Name()] = g.Now()
+}
+
+// endAge returns the time since recordEnd, also if the VM was suspended meanwhile.
+func (r *Replacer) endAge(g *registrar.Group) time.Duration {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return g.Now() - r.endedAt[g.Name()]
+}
 
 // settleChoice records the choice, and tells other VMs of the promote request that follows. After a demotion, it meanwhile holds the replicas
 // and stops the acknowledgements of later commits, in case the demoted primary leads again before the promotion is carried out.
@@ -547,7 +561,7 @@
 	if err = cmp.Or(err, sealErr); err == nil {
 		err = r.checkEarlierOrders(ctx, e, p.target, report.Orders)
 	}
-	if age := p.group.Now() - p.comparedAt; err == nil && age > maxComparisonAge {
+	if age := r.endAge(p.group); err == nil && age > maxSealAge {
 		err = classifier.New(classifier.NotReady, "the instances were compared %s ago: the VM was suspended, or the store was slow", age)
 	}
 	if err != nil && p.isClaimed && p.isFirstChoice {
@@ -587,10 +601,9 @@
 	number    uint64             // of the claim or of the spare token
 	isClaimed bool
 
-	oldPrimary    string        // "" if it is not known
-	isFirstChoice bool          // no earlier attempt at the term chose an instance
-	comparedAt    time.Duration // when the instances had been compared, on the registrar's clock
-	isFirstOrder  bool          // this VM has sent no promote request at the end of the term before
+	oldPrimary    string // "" if it is not known
+	isFirstChoice bool   // no earlier attempt at the term chose an instance
+	isFirstOrder  bool   // this VM has sent no promote request at the end of the term before
 }
 
 // record records the choice with the claim, which gives the claim a new number. Where tokens are checked, only a
--- a/internal/group/replacer/stall.go
+++ b/internal/group/replacer/stall.go
@@ -29,6 +29,7 @@
 		if c, ok := r.findNewcomer(ctx, g, known, e.old.Term, missing); ok {
 			return []candidate{c}, nil
 		}
+		r.recordEnd(g)
 		_, _ = r.trySealTerm(ctx, g, seal)
 		r.awaitChange(ctx, g, newcomerInterval)
 	}
