Replace nobody from a minority of the VMs while a silent replica does not answer

Cause: VMs that a cut had taken from the primary, from most other VMs and from a replica without a registry entry replaced the primary by the replica that they reached. The other VMs went on to pass on what the primary counted the silent replica for. Of the position that a new primary must hold, a VM that is cut off knows only the part before the cut.

Change: such a VM does not choose if it and the VMs that answer its seal are no majority and a silent replica is not held. It costs a wait in which half of the VMs are down, a replica is missing, and the primary fails: until VMs are back.

Evidence: TestMinorityBesideSilentReplica. A majority that is cut off in the same way still acts.

--- a/internal/group/explorer/node_test.go
+++ b/internal/group/explorer/node_test.go
@@ -337,6 +337,9 @@
 	var result error
 	for range others {
 		a := <-answers
+		if a.report.Answered = 1; a.err != nil {
+			a.report.Answered, a.report.Unanswered = 0, 1
+		}
 		sum = sum.With(a.report)
 		if a.err != nil && !classifier.Is(result, classifier.Conflict) {
 			result = a.err
--- a/internal/group/registrar/departure.go
+++ b/internal/group/registrar/departure.go
@@ -225,6 +225,18 @@
 	return list
 }
 
+// MayReceiveUnheld reports whether a replica that has gone missing may go on receiving entries and is not held.
+func (g *Group) MayReceiveUnheld(held map[Member]tokenizer.Position) bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	for m, s := range g.departure.silent {
+		if _, ok := held[m]; !ok && s.mayReceive() {
+			return true
+		}
+	}
+	return false
+}
+
 // KeptLogs returns those of the silent replicas that have not lost their logs, of some that are held and thus receive no more, with their newest
 // entries.
 func (g *Group) KeptLogs(held map[Member]tokenizer.Position) map[Member]tokenizer.Position {
--- a/internal/group/registrar/report.go
+++ b/internal/group/registrar/report.go
@@ -17,8 +17,9 @@
 	DepartureFloor tokenizer.Position
 	// SilentFloors are positions that the new primary must hold as well, each unless a replica that has gone missing is held.
 	SilentFloors map[Member]tokenizer.Position
-	// Unanswered is the number of VMs that have not answered and may go on to pass on acknowledgements.
-	Unanswered int
+	// Unanswered is the number of VMs that have not answered and may go on to pass on acknowledgements, and Answered that of the others but the one
+	// that asks.
+	Unanswered, Answered int
 	// Orders are the promote requests of other VMs at the end of the term that may still be carried out.
 	Orders []Order
 	// Missing are replicas without a registry entry that have not left as far as a VM knows, sorted.
@@ -37,11 +38,14 @@
 		floors[m] = floors[m].Max(p)
 	}
 	return Report{
-		PassedOn: r.PassedOn.Max(other.PassedOn), IsComplete: r.IsComplete && other.IsComplete, Unanswered: r.Unanswered + other.Unanswered,
+		PassedOn: r.PassedOn.Max(other.PassedOn), IsComplete: r.IsComplete && other.IsComplete, Unanswered: r.Unanswered + other.Unanswered, Answered: r.Answered + other.Answered,
 		DepartureFloor: r.DepartureFloor.Max(other.DepartureFloor), SilentFloors: floors, Missing: slices.Compact(missing), Orders: withOrders(r.Orders, other.Orders),
 	}
 }
 
+// IsOfMinority reports whether the VM that asks and those that have answered are no majority of all VMs.
+func (r Report) IsOfMinority() bool { return r.Unanswered > r.Answered }
+
 // withOrders adds to a list of orders those of another one that it lacks.
 func withOrders(list, other []Order) []Order {
 	sum := slices.Clone(list)
--- a/internal/group/replacer/endterm.go
+++ b/internal/group/replacer/endterm.go
@@ -352,6 +352,9 @@
 		}
 	}
 	e.sealing.recordHeld(held)
+	if replicaErr == nil && report.IsOfMinority() && g.MayReceiveUnheld(held) {
+		replicaErr = classifier.New(classifier.NoInstance, "a replica of group %s without a registry entry does not answer, nor do %d of %d other VMs, which may pass on what it has received", g.Name(), report.Unanswered, report.Unanswered+report.Answered)
+	}
 	if replicaErr == nil && !r.isCovered(ctx, g, furthestReceived(candidates), report, held) {
 		replicaErr = classifier.New(classifier.NoInstance, "a replica of group %s has left, or may have left without this VM seeing it, or has become the primary, and the others may lack entries that it had received", g.Name())
 	}
--- a/internal/group/replacer/replacer_test.go
+++ b/internal/group/replacer/replacer_test.go
@@ -801,6 +801,40 @@
 	}
 }
 
+// Guards against the loss of commits that VMs which are not heard pass on, with the help of a replica that has lost its registry entry and
+// is not reached either: the VM that replaces the primary is cut off itself.
+func TestMinorityBesideSilentReplica(t *testing.T) {
+	for _, c := range []struct {
+		name   string
+		report registrar.Report
+		holds  bool // the silent replica answers
+		want   string
+	}{
+		{"most VMs answer", registrar.Report{Unanswered: 3, Answered: 4}, false, "b"},
+		{"half of the VMs answer", registrar.Report{Unanswered: 4, Answered: 3}, false, ""},
+		{"half of the VMs answer, and the replica", registrar.Report{Unanswered: 4, Answered: 3}, true, "b"},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				f := &fakeGroup{primary: "a", term: 3, received: map[string]uint64{"a": 9, "b": 9, "c": 9}, errs: map[string]error{"demote a": errNoAnswer}, sealer: &fakeSealer{report: c.report}}
+				if !c.holds {
+					f.errs["hold c"], f.errs["status c"] = errNoAnswer, errNoAnswer
+				}
+				got := promotedInstances(t, f, func(g *registrar.Group, r *registrar.Registrar, reg cataloger.Registry) {
+					r.Update(reg.With(map[string]*cataloger.Instance{"c": nil}))
+					time.Sleep(3 * time.Second)
+					g.RemoveMissing()
+					g.RecordProof(registrar.Proof{Instance: "a", SentAt: g.Now(), Position: tokenizer.Position{Term: 3, Index: 8}})
+					failPrimary(g)
+				})
+				if c.want == "" && len(got) > 0 || c.want != "" && (len(got) != 1 || got[0] != c.want) {
+					t.Errorf("%v promoted, want %q; commands %v", got, c.want, f.commands)
+				}
+			})
+		})
+	}
+}
+
 // Guards against the loss of commits by a VM that starts after the replica which helped to acknowledge them has left: it took
 // the replicas that were left for all.
 func TestMissedDeparture(t *testing.T) {
--- a/internal/group/sealer/sealer.go
+++ b/internal/group/sealer/sealer.go
@@ -149,8 +149,8 @@
 		if classifier.Is(a.err, classifier.Conflict) {
 			return registrar.Report{}, a.err
 		}
-		if a.err != nil {
-			a.report.Unanswered = 1
+		if a.report.Answered = 1; a.err != nil {
+			a.report.Answered, a.report.Unanswered = 0, 1
 		}
 		report, err = report.With(a.report), cmp.Or(err, a.err)
 	}
--- a/internal/group/sealer/sealer_test.go
+++ b/internal/group/sealer/sealer_test.go
@@ -134,12 +134,12 @@
 		areUnknown bool // the list of addresses may lack some
 		want       registrar.Report
 	}{
-		{"all have told", []string{seven, nine}, false, registrar.Report{PassedOn: tokenizer.Position{Term: 3, Index: 9}, IsComplete: true}},
-		{"one knows nothing", []string{seven, unknown}, false, registrar.Report{PassedOn: tokenizer.Position{Term: 3, Index: 7}}},
-		{"one misses replicas", []string{nine, missing}, false, registrar.Report{PassedOn: tokenizer.Position{Term: 3, Index: 9}, IsComplete: true, Missing: []string{"b", "c"}}},
-		{"two do not answer", []string{nine, "127.0.0.1:1", "127.0.0.1:2"}, false, registrar.Report{PassedOn: tokenizer.Position{Term: 3, Index: 9}, Unanswered: 2}},
+		{"all have told", []string{seven, nine}, false, registrar.Report{PassedOn: tokenizer.Position{Term: 3, Index: 9}, IsComplete: true, Answered: 2}},
+		{"one knows nothing", []string{seven, unknown}, false, registrar.Report{PassedOn: tokenizer.Position{Term: 3, Index: 7}, Answered: 2}},
+		{"one misses replicas", []string{nine, missing}, false, registrar.Report{PassedOn: tokenizer.Position{Term: 3, Index: 9}, IsComplete: true, Answered: 2, Missing: []string{"b", "c"}}},
+		{"two do not answer", []string{nine, "127.0.0.1:1", "127.0.0.1:2"}, false, registrar.Report{PassedOn: tokenizer.Position{Term: 3, Index: 9}, Unanswered: 2, Answered: 1}},
 		{"there are no others", nil, false, registrar.Report{IsComplete: true}},
-		{"there may be others", []string{nine}, true, registrar.Report{PassedOn: tokenizer.Position{Term: 3, Index: 9}}},
+		{"there may be others", []string{nine}, true, registrar.Report{PassedOn: tokenizer.Position{Term: 3, Index: 9}, Answered: 1}},
 	} {
 		t.Run(c.name, func(t *testing.T) {
 			s := Sealer{Client: http.DefaultClient, Addresses: func(string) []string { return slices.Clone(c.addresses) }, RefreshAddresses: func(context.Context) error { return nil }, AreAddressesKnown: func() bool { return !c.areUnknown }}
