--- a/internal/group/replacer/replacer.go
+++ b/internal/group/replacer/replacer.go
@@ -42,8 +42,8 @@
 //     that was accepted before has had time to take effect. A hold is
 //     never undone: a promote request that got no answer may still be carried out
 //     later, and until then nothing may be acknowledged that the chosen replica lacks. So the VMs
-//     stop the acknowledgements of the term for as long as that is possible, and end the term if the VM
-//     that sent the request does not.
+//     stop the acknowledgements of the term for as long as that is possible. If the VM that sent the
+//     request does not go on, another one makes sure that the platform refuses it.
 //   - After a restore of the store, which may have lost a claim with its choice, the platform is shown the token of the new claim, and
 //     any promotion that it accepted before takes effect first. By then, the instances have written their registry entries again.
 //   - The claim is renewed before each repeated promote request, so that none is sent after another VM has claimed the
